--- /dev/null
+++ b/internal/platform/log.go
@@ -0,0 +1,79 @@
+// Package platform holds the ports to the services that the platform gives:
+// the log, the weight store, the host list and the engines, and their clients.
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// Stream names a stream of the log.
+type Stream string
+
+// StreamConfig holds the configuration of all regions.
+const StreamConfig Stream = "config"
+
+// RegionStream is the stream of the decisions of region r.
+func RegionStream(r state.Region) Stream { return Stream("region/" + string(r)) }
+
+// AuditStream is the stream of the audit trail of region r.
+func AuditStream(r state.Region) Stream { return Stream("audit/" + string(r)) }
+
+// ErrUnknownOutcome means that an append may or may not have taken effect.
+var ErrUnknownOutcome = errors.New("append outcome unknown")
+
+// ErrUnavailable means that the service refused or could not be reached
+// before the call could take effect.
+var ErrUnavailable = errors.New("service unavailable")
+
+// ErrTruncated means that the offset asked for is older than the oldest
+// record that the log still has.
+var ErrTruncated = errors.New("offset older than retention")
+
+// Page is a run of records of a stream.
+type Page struct {
+	Records []state.Positioned `json:"records"`
+	// Oldest is the oldest offset that the log still has.
+	Oldest state.Offset `json:"oldest"`
+	// Next is the offset to read from next.
+	Next state.Offset `json:"next"`
+	// End is the offset that the stream's next record will get.
+	End state.Offset `json:"end"`
+}
+
+// Log is the platform's append-only log service.
+type Log interface {
+	// Append stores records as one append with consecutive offsets and
+	// returns the first. The error wraps ErrUnavailable if nothing was
+	// stored, and ErrUnknownOutcome if that is not known.
+	Append(ctx context.Context, stream Stream, records []state.Record) (state.Offset, error)
+	// Read returns at most limit records from offset on. If there is none it
+	// waits up to wait for one. The error wraps ErrTruncated if from is
+	// older than retention.
+	Read(ctx context.Context, stream Stream, from state.Offset, limit int, wait time.Duration) (Page, error)
+}
+
+// HostState is what the host list says of a host.
+type HostState string
+
+// The states of a host.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// HostInfo is one host of the host list. A host that is gone is not listed.
+type HostInfo struct {
+	Name       state.HostName   `json:"name"`
+	DataCentre state.DataCentre `json:"data_centre"`
+	State      HostState        `json:"state"`
+}
+
+// HostList is the platform's lagging list of hosts.
+type HostList interface {
+	Hosts(ctx context.Context) ([]HostInfo, error)
+}
--- /dev/null
+++ b/internal/rpc/messages.go
@@ -0,0 +1,283 @@
+// Package rpc holds the jsonrpc2 methods and messages between the system's
+// processes, and the connections that carry them.
+package rpc
+
+import (
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Methods that entries serve.
+const (
+	MethodRelayRead   = "relay.read"
+	MethodRelayAppend = "relay.append"
+	MethodHeartbeat   = "watcher.heartbeat"
+	MethodChanges     = "home.changes"
+	MethodDemand      = "home.demand"
+	MethodClaim       = "claims.claim"
+	MethodClaimDone   = "claims.done"
+	MethodClaimVoid   = "claims.void"
+	MethodStoreSlot   = "store.slot"
+	MethodPing        = "entry.ping"
+	MethodQuery       = "entry.query"
+)
+
+// Methods that agents serve.
+const (
+	MethodWake        = "agent.wake"
+	MethodUnload      = "agent.unload"
+	MethodClaimStatus = "agent.claim_status"
+	MethodDrain       = "agent.drain"
+	MethodAgentStatus = "agent.status"
+)
+
+// RelayReadParams asks an entry for records of a stream.
+type RelayReadParams struct {
+	Stream platform.Stream `json:"stream"`
+	From   state.Offset    `json:"from"`
+	Limit  int             `json:"limit"`
+	Wait   state.Duration  `json:"wait"`
+}
+
+// RelayAppendParams asks an entry to append records.
+type RelayAppendParams struct {
+	Stream  platform.Stream `json:"stream"`
+	Records []state.Record  `json:"records"`
+}
+
+// RelayAppendResult gives the offset of each record.
+type RelayAppendResult struct {
+	Offsets []state.Offset `json:"offsets"`
+}
+
+// AgentState is what an agent says of itself.
+type AgentState string
+
+// The states of an agent.
+const (
+	AgentStarting AgentState = "starting"
+	AgentServing  AgentState = "serving"
+	AgentDraining AgentState = "draining"
+)
+
+// Heartbeat is sent by an agent to the watcher of its upstream.
+type Heartbeat struct {
+	Upstream    state.UpstreamName `json:"upstream"`
+	Incarnation string             `json:"incarnation"`
+	// Sequence grows with each change of the fields below. A watcher that
+	// has the sequence already needs no Replicas.
+	Sequence uint64             `json:"sequence"`
+	State    AgentState         `json:"state"`
+	Agent    state.FencingToken `json:"agent"`
+	Queue    int                `json:"queue"`
+	Running  int                `json:"running"`
+	Replicas []state.Replica    `json:"replicas,omitempty"`
+	// Full says that Replicas is the whole list.
+	Full bool `json:"full,omitempty"`
+}
+
+// HeartbeatResult answers a heartbeat.
+type HeartbeatResult struct {
+	// SendFull asks for the whole list of replicas next time.
+	SendFull bool `json:"send_full,omitempty"`
+	// Leaving says that the host list shows the agent's host as leaving.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// ReplicaChange is a change of a replica, sent by watchers to homes.
+type ReplicaChange struct {
+	Replica ReplicaAt `json:"replica"`
+	Gone    bool      `json:"gone,omitempty"`
+}
+
+// ReplicaAt is a replica and where requests for it go.
+type ReplicaAt struct {
+	state.Replica
+	TrafficAddr      string             `json:"traffic_addr"`
+	ControlAddr      string             `json:"control_addr"`
+	DataCentre       state.DataCentre   `json:"data_centre"`
+	Region           state.Region       `json:"region"`
+	Agent            state.FencingToken `json:"agent"`
+	AgentIncarnation string             `json:"agent_incarnation"`
+}
+
+// ChangesParams carries replica changes to a home.
+type ChangesParams struct {
+	Changes []ReplicaChange `json:"changes"`
+}
+
+// Backlog is what waits at an entry for a model.
+type Backlog struct {
+	// Waiting counts requests by class.
+	Waiting [state.ClassCount]int `json:"waiting"`
+	// Work is the predicted service time of all of them.
+	Work state.Duration `json:"work"`
+	// Rate is the arrivals per second of the last seconds.
+	Rate float64 `json:"rate"`
+	// Adapters lists the adapters asked for.
+	Adapters []state.AdapterName `json:"adapters,omitempty"`
+}
+
+// DemandParams tells the home of a model what waits at an entry and asks for
+// the replica set.
+type DemandParams struct {
+	state.ReplicaKey
+	Entry   state.EntryName `json:"entry"`
+	Backlog Backlog         `json:"backlog"`
+	// Known is the version of the replica set that the entry has.
+	Known uint64 `json:"known"`
+}
+
+// DemandResult is the replica set of a model.
+type DemandResult struct {
+	// SetVersion grows with each change; Replicas is empty if the entry
+	// knows that version.
+	SetVersion uint64      `json:"set_version"`
+	Changed    bool        `json:"changed"`
+	Replicas   []ReplicaAt `json:"replicas,omitempty"`
+	// ReadyIn is when a loading replica is expected to be ready; zero if
+	// none is loading.
+	ReadyIn state.Duration `json:"ready_in,omitempty"`
+	// Refusal is set if no replica can be made ready.
+	Refusal *verdict.Verdict `json:"refusal,omitempty"`
+}
+
+// ClaimParams asks a claim owner for the right to run a request once.
+type ClaimParams struct {
+	Claim    state.Claim `json:"claim"`
+	Deadline time.Time   `json:"deadline"`
+}
+
+// ClaimResult is a claim owner's answer. Exactly one of Granted and Refusal
+// is set.
+type ClaimResult struct {
+	// Granted is the claim's record id.
+	Granted string           `json:"granted,omitempty"`
+	Refusal *verdict.Verdict `json:"refusal,omitempty"`
+	// Done is the outcome of the earlier run, with verdict Ran.
+	Done *state.ClaimDone `json:"done,omitempty"`
+}
+
+// ClaimOutcomeParams reports the outcome of a claim to its owner.
+type ClaimOutcomeParams struct {
+	Caller state.CallerName `json:"caller"`
+	Key    string           `json:"key"`
+	Done   *state.ClaimDone `json:"done,omitempty"`
+	Void   *state.ClaimVoid `json:"void,omitempty"`
+}
+
+// ClaimStatusParams asks an agent about a claim. An agent that has not seen
+// it refuses it from then on.
+type ClaimStatusParams struct {
+	Claim string `json:"claim"`
+	// Agent is the registration that the claim names.
+	Agent            state.FencingToken `json:"agent"`
+	AgentIncarnation string             `json:"agent_incarnation"`
+}
+
+// ClaimState is what an agent knows of a claim.
+type ClaimState string
+
+// The states of a claim at an agent.
+const (
+	// ClaimRefused means that it never ran here and never will.
+	ClaimRefused ClaimState = "refused"
+	ClaimRunning ClaimState = "running"
+	ClaimRan     ClaimState = "ran"
+	// ClaimUnknown means that an earlier incarnation may have run it.
+	ClaimUnknown ClaimState = "unknown"
+)
+
+// ClaimStatusResult answers ClaimStatusParams.
+type ClaimStatusResult struct {
+	State ClaimState       `json:"state"`
+	Done  *state.ClaimDone `json:"done,omitempty"`
+}
+
+// StoreSlotParams asks for the right to load from the weight store, renews it
+// or gives it back.
+type StoreSlotParams struct {
+	Upstream state.UpstreamName `json:"upstream"`
+	Slot     string             `json:"slot,omitempty"`
+	Release  bool               `json:"release,omitempty"`
+	state.ReplicaKey
+	// Benefit is what the waiters lose per second without the load.
+	Benefit float64 `json:"benefit"`
+}
+
+// StoreSlotResult grants a slot or says when to ask again.
+type StoreSlotResult struct {
+	Slot       string         `json:"slot,omitempty"`
+	TTL        state.Duration `json:"ttl,omitempty"`
+	RetryAfter state.Duration `json:"retry_after,omitempty"`
+}
+
+// WakeParams asks an agent to load a replica or an adapter under its grant.
+type WakeParams struct {
+	state.ReplicaKey
+	Adapter state.AdapterName `json:"adapter,omitempty"`
+	// Benefit is what the waiters lose per second without the load.
+	Benefit float64 `json:"benefit"`
+	// Operator marks an order by an operator, which keep-alive must not
+	// undo for its usual time.
+	Operator bool `json:"operator,omitempty"`
+}
+
+// WakeResult answers WakeParams and UnloadParams.
+type WakeResult struct {
+	State   state.ReplicaState `json:"state,omitempty"`
+	ReadyIn state.Duration     `json:"ready_in,omitempty"`
+	Refusal *verdict.Verdict   `json:"refusal,omitempty"`
+}
+
+// UnloadParams asks an agent to unload a replica.
+type UnloadParams struct {
+	state.ReplicaKey
+}
+
+// DrainParams tells an agent to take no new work, or to take it again.
+type DrainParams struct {
+	Draining bool `json:"draining"`
+}
+
+// AgentStatus is an agent's full account, for queries.
+type AgentStatus struct {
+	Heartbeat Heartbeat                     `json:"heartbeat"`
+	Memory    state.Bytes                   `json:"memory"`
+	Reserved  state.Bytes                   `json:"reserved"`
+	Grants    []state.Grant                 `json:"grants"`
+	Waiting   [state.ClassCount]int         `json:"waiting"`
+	Unfenced  []state.ReplicaKey            `json:"unfenced_intent,omitempty"`
+	Idle      map[string]string             `json:"idle,omitempty"`
+	Counters  map[string]uint64             `json:"counters,omitempty"`
+	Cached    map[string]platform.CacheTier `json:"cached,omitempty"`
+}
+
+// PingParams is exchanged by entries to know who is alive.
+type PingParams struct {
+	From state.EntryName `json:"from"`
+	// Incarnation of the sender.
+	Incarnation string `json:"incarnation"`
+	// Offsets tells how far the sender has applied the streams.
+	Config state.Offset `json:"config"`
+	Region state.Offset `json:"region"`
+	// Leaving says that the sender is stopping.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// PingResult answers a ping with the same about the receiver.
+type PingResult = PingParams
+
+// QueryParams asks an entry for its own part of an operator's query.
+type QueryParams struct {
+	Statement string `json:"statement"`
+}
+
+// QueryResult is an entry's part of a query's answer.
+type QueryResult struct {
+	Columns []string   `json:"columns"`
+	Rows    [][]string `json:"rows"`
+}
--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,122 @@
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// codeVerdict marks a jsonrpc2 error whose data is a verdict.
+const codeVerdict = -32050
+
+// MethodFunc answers one method.
+type MethodFunc func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Method adapts a typed function to a MethodFunc.
+func Method[P, R any](f func(ctx context.Context, params P) (R, error)) MethodFunc {
+	return func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return f(ctx, params)
+	}
+}
+
+// Server answers jsonrpc2 calls on a listener.
+type Server struct {
+	methods map[string]MethodFunc
+
+	mu     sync.Mutex
+	conns  map[*jsonrpc2.Conn]struct{}
+	closed bool
+}
+
+// NewServer returns a server of the given methods.
+func NewServer(methods map[string]MethodFunc) *Server {
+	return &Server{methods: methods, conns: make(map[*jsonrpc2.Conn]struct{})}
+}
+
+// Serve accepts connections until ctx ends, then closes them all.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = listener.Close()
+		s.closeAll()
+	})
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept")
+		}
+		s.start(ctx, conn)
+	}
+}
+
+func (s *Server) start(ctx context.Context, conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
+	peer := jsonrpc2.NewConn(ctx, stream, handler)
+	s.conns[peer] = struct{}{}
+	go func() {
+		<-peer.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.conns, peer)
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	s.closed = true
+	peers := make([]*jsonrpc2.Conn, 0, len(s.conns))
+	for peer := range s.conns {
+		peers = append(peers, peer)
+	}
+	s.mu.Unlock()
+	for _, peer := range peers {
+		_ = peer.Close()
+	}
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	method, ok := s.methods[req.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := method(ctx, params)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return result, nil
+}
+
+func encodeError(err error) error {
+	var rpcErr *jsonrpc2.Error
+	if errors.As(err, &rpcErr) {
+		return rpcErr
+	}
+	v := verdict.Of(err)
+	out := &jsonrpc2.Error{Code: codeVerdict, Message: v.Error()}
+	out.SetError(v)
+	return out
+}
--- /dev/null
+++ b/internal/state/records.go
@@ -0,0 +1,191 @@
+package state
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Kind is the kind of a log record.
+type Kind string
+
+// The kinds of log records. docs/design.md, section 3.1, says when each takes
+// effect.
+const (
+	KindConfigChange Kind = "config.change"
+	KindLeaseTake    Kind = "lease.take"
+	KindLeaseRenew   Kind = "lease.renew"
+	KindGrant        Kind = "grant"
+	KindRevoke       Kind = "revoke"
+	KindRelease      Kind = "release"
+	KindAgentStart   Kind = "agent.start"
+	KindHostGone     Kind = "host.gone"
+	KindIntent       Kind = "intent"
+	KindClaim        Kind = "claim"
+	KindClaimVoid    Kind = "claim.void"
+	KindClaimDone    Kind = "claim.done"
+	KindQuarantine   Kind = "quarantine"
+	KindSnapshot     Kind = "snapshot"
+	KindAudit        Kind = "audit"
+)
+
+// ConfigChange creates, replaces or deletes an entity.
+type ConfigChange struct {
+	Entity EntityKind `json:"entity"`
+	// Name is the entity's key: its name; "model/version" for a version.
+	Name string `json:"name"`
+	// Expected is the revision that the change replaces; zero creates.
+	Expected Revision `json:"expected"`
+	// Value is the new entity; empty deletes.
+	Value  json.RawMessage `json:"value,omitempty"`
+	Actor  string          `json:"actor"`
+	Team   TeamName        `json:"team,omitempty"`
+	Reason string          `json:"reason,omitempty"`
+}
+
+// LeaseTake claims the region's decider lease.
+type LeaseTake struct {
+	Holder EntryName `json:"holder"`
+	// Replaces is the epoch of the lease that it ends; NoOffset if none.
+	Replaces Epoch `json:"replaces"`
+}
+
+// LeaseRenew shows that the decider of Epoch is alive.
+type LeaseRenew struct {
+	Epoch Epoch `json:"epoch"`
+}
+
+// GrantBody is the body of a grant record.
+type GrantBody struct {
+	Epoch Epoch `json:"epoch"`
+	ReplicaKey
+	Upstream UpstreamName `json:"upstream"`
+}
+
+// Revoke asks the agent of a grant to give it back.
+type Revoke struct {
+	Epoch Epoch  `json:"epoch"`
+	Grant Offset `json:"grant"`
+}
+
+// Release gives a grant back after its replica is seen to be unloaded.
+type Release struct {
+	Grant Offset       `json:"grant"`
+	Agent FencingToken `json:"agent"`
+}
+
+// AgentStart registers an agent; the record's offset is its fencing token.
+type AgentStart struct {
+	Upstream    UpstreamName `json:"upstream"`
+	Incarnation string       `json:"incarnation"`
+	Fencing     FencingKind  `json:"fencing"`
+}
+
+// HostGone ends the grants of the upstreams of a host.
+type HostGone struct {
+	Epoch Epoch    `json:"epoch"`
+	Host  HostName `json:"host"`
+}
+
+// Intent is the standing set of models that an agent beside an upstream that
+// ignores fencing tokens may order. It replaces the agent's earlier set.
+type Intent struct {
+	Agent  FencingToken `json:"agent"`
+	Models []ReplicaKey `json:"models"`
+}
+
+// Claim reserves the right to run one non-idempotent request.
+type Claim struct {
+	Caller CallerName `json:"caller"`
+	// Key is the caller's idempotency key, a UUIDv7.
+	Key string `json:"key"`
+	// Fingerprint is a hash of the request.
+	Fingerprint uint64       `json:"fingerprint"`
+	Entry       ProcessID    `json:"entry"`
+	Upstream    UpstreamName `json:"upstream"`
+	// Agent is the registration of the agent that the request will go to.
+	Agent FencingToken `json:"agent"`
+	// AgentIncarnation is that agent's incarnation.
+	AgentIncarnation string `json:"agent_incarnation"`
+}
+
+// ClaimVoid ends a claim whose work never ran and never will.
+type ClaimVoid struct {
+	// Claim is the claim's record id.
+	Claim string `json:"claim"`
+	// Witness is the process that makes sure of it: the named agent or the
+	// entry that made the claim and had not dispatched it.
+	Witness ProcessID `json:"witness"`
+}
+
+// ClaimDone records the outcome of a claim.
+type ClaimDone struct {
+	Claim  string `json:"claim"`
+	Status int    `json:"status"`
+	// ContentType and Answer are kept for answers of at most 4 KiB.
+	ContentType string `json:"content_type,omitempty"`
+	Answer      []byte `json:"answer,omitempty"`
+	// AnswerKept says whether Answer is the whole answer.
+	AnswerKept bool `json:"answer_kept"`
+}
+
+// Quarantine puts a request fingerprint in or out of quarantine.
+type Quarantine struct {
+	Fingerprint uint64 `json:"fingerprint"`
+	// Until is when the quarantine ends; zero takes the fingerprint out.
+	Until time.Time `json:"until"`
+	Actor string    `json:"actor"`
+}
+
+// SnapshotPart is one part of a snapshot of a stream's tables.
+type SnapshotPart struct {
+	// Set is shared by the parts of one snapshot.
+	Set string `json:"set"`
+	// Part counts from 0 to Parts-1.
+	Part  int `json:"part"`
+	Parts int `json:"parts"`
+	// Covered is the last offset whose effect the snapshot holds.
+	Covered Offset `json:"covered"`
+	Data    []byte `json:"data"`
+}
+
+// Audit is one entry of the audit trail.
+type Audit struct {
+	Time     time.Time       `json:"time"`
+	Actor    string          `json:"actor"`
+	Action   string          `json:"action"`
+	Entity   EntityKind      `json:"entity,omitempty"`
+	Name     string          `json:"name,omitempty"`
+	Before   json.RawMessage `json:"before,omitempty"`
+	After    json.RawMessage `json:"after,omitempty"`
+	Reason   string          `json:"reason,omitempty"`
+	Accepted bool            `json:"accepted"`
+	Detail   string          `json:"detail,omitempty"`
+	Offset   Offset          `json:"offset"`
+}
+
+// Body is any of the record bodies above.
+type Body interface {
+	ConfigChange | LeaseTake | LeaseRenew | GrantBody | Revoke | Release |
+		AgentStart | HostGone | Intent | Claim | ClaimVoid | ClaimDone |
+		Quarantine | SnapshotPart | Audit
+}
+
+// NewRecord returns a record with the encoded body.
+func NewRecord[B Body](id string, writer ProcessID, kind Kind, body B) (Record, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return Record{}, errors.Wrapf(err, "encode %s", kind)
+	}
+	return Record{ID: id, Writer: writer, Kind: kind, Body: encoded}, nil
+}
+
+// DecodeBody reads the body of r as a B.
+func DecodeBody[B Body](r Record) (B, error) {
+	var body B
+	if err := json.Unmarshal(r.Body, &body); err != nil {
+		return body, errors.Wrapf(err, "decode %s", r.Kind)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/verdict/http.go
@@ -0,0 +1,62 @@
+package verdict
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// HTTP headers that carry a verdict.
+const (
+	HeaderVerdict = "Lagoon-Verdict"
+	HeaderReason  = "Lagoon-Reason"
+)
+
+// Body is the JSON shape of every error answer.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError is the content of Body.
+type BodyError struct {
+	Code    Reason `json:"code"`
+	Verdict string `json:"verdict"`
+	Message string `json:"message"`
+}
+
+// SetHeaders puts v into h. RetryAfter is rounded up to whole seconds.
+func (v *Verdict) SetHeaders(h http.Header) {
+	h.Set(HeaderVerdict, v.Execution.String())
+	h.Set(HeaderReason, string(v.Reason))
+	if v.RetryAfter > 0 {
+		seconds := int(math.Ceil(v.RetryAfter.Seconds()))
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+}
+
+// WriteHTTP answers a request with v as a JSON error.
+func (v *Verdict) WriteHTTP(w http.ResponseWriter) {
+	v.SetHeaders(w.Header())
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(v.Reason.HTTPStatus())
+	body := Body{Error: BodyError{Code: v.Reason, Verdict: v.Execution.String(), Message: v.Detail}}
+	// The connection is the caller's; a write error has no other recipient.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// FromHeaders reads a verdict that SetHeaders wrote. The second result is
+// false if the headers carry none or an unknown one; the caller must then
+// assume that the work may have run.
+func FromHeaders(h http.Header) (*Verdict, bool) {
+	var execution Execution
+	if err := execution.UnmarshalText([]byte(h.Get(HeaderVerdict))); err != nil {
+		return nil, false
+	}
+	v := &Verdict{Execution: execution, Reason: Reason(h.Get(HeaderReason))}
+	if seconds, err := strconv.Atoi(h.Get("Retry-After")); err == nil {
+		v.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return v, true
+}
