--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// relayBufferSize bounds the part of an answer that an entry holds.
+const relayBufferSize = 32 << 10
+
+var relayBuffers = sync.Pool{New: func() any { return new([relayBufferSize]byte) }}
+
+// hopHeaders are not passed on, since they concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func copyHeaders(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = append([]string(nil), values...)
+	}
+	for _, name := range hopHeaders {
+		dst.Del(name)
+	}
+}
+
+// progress hears of the parts of an answer as they pass.
+type progress interface {
+	chunk(now time.Time, size int)
+}
+
+// relayBody copies an upstream's answer to the caller as it arrives. Reading
+// waits for writing, so a slow caller slows the upstream and at most one
+// buffer is held.
+func relayBody(dst *answerWriter, src io.Reader, watch progress) (int64, error) {
+	buffer := relayBuffers.Get().(*[relayBufferSize]byte)
+	defer relayBuffers.Put(buffer)
+	var total int64
+	for {
+		n, readErr := src.Read(buffer[:])
+		if n > 0 {
+			watch.chunk(time.Now(), n)
+			total += int64(n)
+			if _, err := dst.Write(buffer[:n]); err != nil {
+				return total, &callerGoneError{cause: err}
+			}
+			dst.Flush()
+		}
+		if readErr == io.EOF {
+			return total, nil
+		}
+		if readErr != nil {
+			return total, errors.Wrap(readErr, "read answer")
+		}
+	}
+}
+
+// callerGoneError means that the caller's connection failed.
+type callerGoneError struct{ cause error }
+
+// Error implements error.
+func (e *callerGoneError) Error() string { return "caller connection: " + e.cause.Error() }
+
+// Unwrap returns the connection's error.
+func (e *callerGoneError) Unwrap() error { return e.cause }
+
+// streamVerdict judges a relay that ended with err after the answer's head was
+// read. The trailer of an agent says whether a stream was cut.
+func streamVerdict(ctx context.Context, trailer http.Header, err error) *verdict.Verdict {
+	var gone *callerGoneError
+	switch {
+	case errors.As(err, &gone):
+		return verdict.Unknown(verdict.ReasonCallerGone, "the caller left during the answer")
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return verdict.Unknown(verdict.ReasonDeadlineExceeded, "the deadline passed during the answer")
+	case ctx.Err() != nil:
+		return verdict.Unknown(verdict.ReasonCallerGone, "the caller left during the answer")
+	case err != nil:
+		return verdict.Unknown(verdict.ReasonStreamCut, "the upstream's answer was cut")
+	}
+	if v, ok := verdict.FromHeaders(trailer); ok && v.Execution != verdict.Ran {
+		return v
+	}
+	return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonOK}
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	// prefixBytes is how much of a prompt names its cached prefix.
+	prefixBytes = 256
+	// longestDeadline bounds the deadline that a caller may ask for.
+	longestDeadline = time.Hour
+)
+
+// target is what a request asks for: a model, maybe with an adapter, or a
+// plain service.
+type target struct {
+	key     state.ReplicaKey
+	adapter state.AdapterName
+	service state.ServiceName
+}
+
+// request is a caller's request on its way through the entry. One goroutine
+// owns it.
+type request struct {
+	id       string
+	number   uint64
+	target   target
+	caller   state.Caller
+	class    state.Class
+	arrived  time.Time
+	deadline time.Time
+
+	method string
+	path   string
+	query  string
+	header http.Header
+	body   []byte
+
+	// prefix is a hash of the prompt's beginning, for cache affinity.
+	prefix uint64
+	// fingerprint names the request's content, for quarantine and claims.
+	fingerprint uint64
+	maxTokens   int
+	stream      bool
+	// idempotent says that the work may be repeated.
+	idempotent bool
+	// key is the idempotency key; empty if there is none.
+	key string
+
+	cost time.Duration
+	long bool
+}
+
+// generationBody is the part of a model request that the entry reads. The
+// upstream gets the body as the caller sent it.
+type generationBody struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+// attributes are the headers that goa decoded.
+type attributes struct {
+	caller, authorization, priority, key *string
+	deadlineMillis                       *int64
+}
+
+// readBody reads a request's body up to limit.
+func readBody(body io.Reader, limit state.Bytes) ([]byte, *verdict.Verdict) {
+	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) || state.Bytes(len(data)) > limit {
+		return nil, verdict.Refuse(verdict.ReasonBodyTooLarge, "the body is larger than "+limit.String())
+	}
+	if err != nil {
+		return nil, verdict.Refuse(verdict.ReasonBadRequest, "the body could not be read")
+	}
+	return data, nil
+}
+
+// newRequest checks what every kind of request has in common.
+func newRequest(now time.Time, attrs attributes, defaultDeadline time.Duration) (*request, *verdict.Verdict) {
+	r := &request{id: uuid.NewString(), arrived: now, class: state.ClassNormal}
+	if attrs.priority != nil {
+		class, ok := state.ParseClass(*attrs.priority)
+		if !ok {
+			return nil, verdict.Refuse(verdict.ReasonBadRequest, "Lagoon-Priority: want high, normal or low")
+		}
+		r.class = class
+	}
+	patience := defaultDeadline
+	if attrs.deadlineMillis != nil {
+		if *attrs.deadlineMillis <= 0 {
+			return nil, verdict.Refuse(verdict.ReasonDeadlinePast, "Lagoon-Deadline-Ms: the deadline is already past")
+		}
+		patience = longestDeadline
+		if *attrs.deadlineMillis < longestDeadline.Milliseconds() {
+			patience = time.Duration(*attrs.deadlineMillis) * time.Millisecond
+		}
+	}
+	r.deadline = now.Add(patience)
+	if attrs.key != nil {
+		r.key = strings.Trim(*attrs.key, `"`)
+	}
+	return r, nil
+}
+
+// readGeneration fills r from the body of a completion or chat request and
+// returns the name that it asks for.
+func (r *request) readGeneration(body []byte) (string, *verdict.Verdict) {
+	var parsed generationBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return "", verdict.Refuse(verdict.ReasonBadRequest, "the body is not valid JSON: "+jsonProblem(err))
+	}
+	if parsed.Model == "" {
+		return "", verdict.Refuse(verdict.ReasonBadRequest, `the body has no "model"`)
+	}
+	prompt := parsed.Prompt
+	if len(prompt) == 0 {
+		prompt = parsed.Messages
+	}
+	if len(prompt) == 0 {
+		return "", verdict.Refuse(verdict.ReasonBadRequest, `the body has neither "prompt" nor "messages"`)
+	}
+	r.body = body
+	r.maxTokens = parsed.MaxTokens
+	r.stream = parsed.Stream
+	r.prefix = prefixHash(parsed.Model, prompt)
+	r.fingerprint = contentHash(parsed.Model, prompt)
+	r.idempotent = r.key == ""
+	return parsed.Model, nil
+}
+
+// jsonProblem describes err without repeating the caller's text.
+func jsonProblem(err error) string {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return syntax.Error()
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return "wrong type for " + wrongType.Field
+	}
+	return "unexpected end or type"
+}
+
+func prefixHash(model string, prompt []byte) uint64 {
+	if len(prompt) > prefixBytes {
+		prompt = prompt[:prefixBytes]
+	}
+	return contentHash(model, prompt)
+}
+
+func contentHash(name string, content []byte) uint64 {
+	digest := xxhash.New()
+	// A digest's writes never fail.
+	_, _ = digest.WriteString(name)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(content)
+	return digest.Sum64()
+}
+
+// isIdempotentCall reports whether a call of service may be repeated. What
+// the configuration does not list may not.
+func isIdempotentCall(service state.Service, method, path string) bool {
+	for _, call := range service.Calls {
+		if call.Method != "" && call.Method != method {
+			continue
+		}
+		if strings.HasPrefix(path, strings.TrimPrefix(call.Prefix, "/")) {
+			return call.Idempotent
+		}
+	}
+	return false
+}
+
+// reader returns the body for one attempt.
+func (r *request) reader() io.Reader { return bytes.NewReader(r.body) }
+
+// replicaKeyText is the key of r's target in metrics and tables.
+func (t target) String() string {
+	if t.service != "" {
+		return "service/" + string(t.service)
+	}
+	return string(t.key.Model) + "/" + string(t.key.Version)
+}
