--- /dev/null
+++ b/internal/decide/admission/limiter.go
@@ -0,0 +1,78 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// LimiterConfig bounds requests in flight (waiting and running) at one entry.
+type LimiterConfig struct {
+	// PerCaller bounds a caller whose own limit is zero; default 256.
+	PerCaller int
+	// PerModel bounds a model; default 1024.
+	PerModel int
+	// RetryAfter goes into refusals; default 1 s.
+	RetryAfter time.Duration
+}
+
+// Limiter counts requests in flight by caller and by model. It is not safe
+// for concurrent use.
+type Limiter struct {
+	cfg     LimiterConfig
+	callers map[state.CallerName]int
+	models  map[state.ModelName]int
+}
+
+// NewLimiter returns a limiter with nothing in flight.
+func NewLimiter(cfg LimiterConfig) *Limiter {
+	if cfg.PerCaller <= 0 {
+		cfg.PerCaller = 256
+	}
+	if cfg.PerModel <= 0 {
+		cfg.PerModel = 1024
+	}
+	if cfg.RetryAfter <= 0 {
+		cfg.RetryAfter = time.Second
+	}
+	return &Limiter{
+		cfg:     cfg,
+		callers: make(map[state.CallerName]int),
+		models:  make(map[state.ModelName]int),
+	}
+}
+
+// Acquire counts a request, or returns a refusal if the caller or the model
+// is at its limit. The callerMax is the caller's own limit; zero means the
+// default.
+func (l *Limiter) Acquire(caller state.CallerName, callerMax int, model state.ModelName) *verdict.Verdict {
+	if callerMax <= 0 {
+		callerMax = l.cfg.PerCaller
+	}
+	if l.callers[caller] >= callerMax {
+		return verdict.Refuse(verdict.ReasonCallerLimit, "caller has too many requests in flight").
+			WithRetryAfter(l.cfg.RetryAfter)
+	}
+	if l.models[model] >= l.cfg.PerModel {
+		return verdict.Refuse(verdict.ReasonModelLimit, "model has too many requests in flight").
+			WithRetryAfter(l.cfg.RetryAfter)
+	}
+	l.callers[caller]++
+	l.models[model]++
+	return nil
+}
+
+// Release ends a request that Acquire counted.
+func (l *Limiter) Release(caller state.CallerName, model state.ModelName) {
+	decrement(l.callers, caller)
+	decrement(l.models, model)
+}
+
+func decrement[K comparable](counts map[K]int, key K) {
+	if counts[key] <= 1 {
+		delete(counts, key)
+		return
+	}
+	counts[key]--
+}
