state, decide: add the exported interfaces of the safety parts

Cause: other parts are written against these types. Change: signatures and doc comments; grant records carry the limit and the configuration offset, host.gone the upstreams of its host.

--- /dev/null
+++ b/internal/decide/placement/stub.go
@@ -0,0 +1,4 @@
+package placement
+
+// Make returns the plan for the snapshot.
+func Make(in Input) Plan { panic(in) }
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -61,6 +61,10 @@
 	Epoch Epoch `json:"epoch"`
 	ReplicaKey
 	Upstream UpstreamName `json:"upstream"`
+	// Limit is the model's max_replicas as the decider saw it.
+	Limit int `json:"limit"`
+	// Config is the offset of the configuration that the decider saw.
+	Config Offset `json:"config"`
 }
 
 // Revoke asks the agent of a grant to give it back.
@@ -86,6 +90,9 @@
 type HostGone struct {
 	Epoch Epoch    `json:"epoch"`
 	Host  HostName `json:"host"`
+	// Upstreams lists the upstreams of the host in the region, so that the
+	// record's effect depends on its own stream only.
+	Upstreams []UpstreamName `json:"upstreams"`
 }
 
 // Intent is the standing set of models that an agent beside an upstream that
