entry: add the path of a request through the gateway

Cause: the gateway had a waiting room and a copy loop, but no path between them. Change: admission, waiting, replica choice, attempts with hedges and retries, claims for non-idempotent requests, relay with a trailing verdict. Requests that may not be repeated never use a kept connection, since net/http may send them again.

--- /dev/null
+++ b/internal/entry/execution.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	// fullPause is the wait before a request goes on after a replica's queue
+	// was full; agents that name a longer time are followed.
+	fullPause = 50 * time.Millisecond
+	// keptAnswer is the size of answers to claimed requests that are kept
+	// for a resend.
+	keptAnswer = 4 << 10
+)
+
+// execution takes one request from admission to its verdict. One goroutine
+// owns it.
+type execution struct {
+	*gateway
+	request  *request
+	exchange *exchange
+	route    *route
+
+	attempts  int
+	lastTried state.UpstreamName
+	// mayHaveRun is set by an attempt whose work may have run; no later
+	// verdict may then say that nothing ran.
+	mayHaveRun bool
+	firstToken time.Duration
+	// final is set by a refusal that a further attempt can't change.
+	final bool
+	// claim is the record id of the open claim of a request that may not be
+	// repeated.
+	claim string
+	// kept collects the answer of a claimed request.
+	kept keptBody
+}
+
+// run returns the verdict of the request. The answer has been relayed if the
+// verdict says that it ran.
+func (e *execution) run(ctx context.Context, current *view) *verdict.Verdict {
+	if refusal := e.admit(current, e.request); refusal != nil {
+		return refusal
+	}
+	defer e.release(e.request)
+	e.route = e.routes.of(e.request.target, e.cfg.route)
+	e.route.lastUsed.Store(e.request.arrived.UnixNano())
+	e.route.arrivals.add(e.request.arrived)
+	e.route.fillBlocks(e.request)
+	v := e.attemptAll(ctx)
+	if v.Execution == verdict.NotRun && e.mayHaveRun {
+		later := *v
+		later.Execution = verdict.MayHaveRun
+		return &later
+	}
+	return v
+}
+
+func (e *execution) attemptAll(ctx context.Context) *verdict.Verdict {
+	for {
+		v := e.attempt(ctx)
+		if v.Execution == verdict.Ran || e.exchange.answer.started {
+			return v
+		}
+		if v.Execution == verdict.MayHaveRun {
+			e.mayHaveRun = true
+		}
+		pause, again := e.next(v)
+		if !again {
+			return v
+		}
+		if !sleep(ctx, pause) {
+			return endedWaiting(ctx, v)
+		}
+	}
+}
+
+// next decides whether a further attempt follows v and after which pause. A
+// refusal by a replica that was full, draining or not loaded is part of
+// waiting and takes nothing from the retry budget; the deadline bounds it.
+func (e *execution) next(v *verdict.Verdict) (time.Duration, bool) {
+	if e.final {
+		return 0, false
+	}
+	if v.Execution == verdict.NotRun && isWaiting(v.Reason) {
+		return max(fullPause, v.RetryAfter), true
+	}
+	pause, again := e.retryAfter(e.request, v, max(1, e.attempts), e.exchange.answer.started)
+	if again {
+		e.sink.retried(e.request)
+	}
+	return pause, again
+}
+
+// isWaiting reports whether a replica's refusal means that the request goes
+// on waiting.
+func isWaiting(r verdict.Reason) bool {
+	switch r {
+	case verdict.ReasonQueueFull, verdict.ReasonDraining, verdict.ReasonNoReplica:
+		return true
+	default:
+		return false
+	}
+}
+
+// attempt waits for a place, claims the request if it may not be repeated and
+// sends it once, or twice if it is hedged.
+func (e *execution) attempt(ctx context.Context) *verdict.Verdict {
+	if refusal := e.wait(ctx); refusal != nil {
+		return refusal
+	}
+	v := e.send(ctx)
+	e.route.room.leave(v.Reason == verdict.ReasonQueueFull)
+	return v
+}
+
+// wait holds the request until a replica may take it.
+func (e *execution) wait(ctx context.Context) *verdict.Verdict {
+	set := e.route.set.Load()
+	if set == nil || len(set.replicas) == 0 {
+		e.kick(e.request.target)
+	}
+	req := e.request
+	return e.route.room.enter(ctx, admission.Item{
+		ID:       req.number,
+		Caller:   req.caller.Name,
+		Weight:   req.caller.Weight,
+		Class:    req.class,
+		Arrived:  req.arrived,
+		Deadline: req.deadline,
+		Cost:     req.cost,
+		Long:     req.long,
+		Size:     state.Bytes(len(req.body)),
+		Key:      req.target.key,
+		Adapter:  req.target.adapter,
+	}, time.Duration(e.route.loadWait.Load()))
+}
+
+// send makes one attempt at a chosen replica.
+func (e *execution) send(ctx context.Context) *verdict.Verdict {
+	now := time.Now()
+	remote := e.remoteAllowed(now, state.Bytes(len(e.request.body)))
+	replica, load, ok := e.route.pick(now, e.request, &e.cfg.route, e.lastTried, remote)
+	if !ok {
+		e.kick(e.request.target)
+		return verdict.Refuse(verdict.ReasonNoReplica, "no replica is ready")
+	}
+	e.attempts++
+	e.lastTried = replica.Upstream
+	if e.attempts == 1 {
+		e.countAttempt()
+	}
+	if e.request.idempotent {
+		return e.hedged(ctx, replica, load)
+	}
+	if v := e.openClaim(ctx, replica); v != nil {
+		e.final = true
+		return v
+	}
+	a := e.do(ctx, replica, load)
+	v := e.relay(ctx, a)
+	e.closeClaim(v, a.response)
+	return v
+}
+
+// finish turns the verdict into what goa needs: nothing if the answer has
+// been sent, an error if there is none yet. A cut answer ends the connection,
+// so that it can't be taken for a whole one.
+func (e *execution) finish(v *verdict.Verdict) error {
+	if v.Execution == verdict.Ran && v.Reason == verdict.ReasonOK {
+		return nil
+	}
+	if e.exchange.answer.started {
+		panic(http.ErrAbortHandler)
+	}
+	return v
+}
+
+// sleep waits for d or the end of ctx; it reports whether d passed.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// endedWaiting is the verdict of a request whose deadline or caller ended a
+// pause between attempts; last is the verdict of the attempt before.
+func endedWaiting(ctx context.Context, last *verdict.Verdict) *verdict.Verdict {
+	reason := verdict.ReasonCallerGone
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		reason = verdict.ReasonDeadlineExceeded
+	}
+	return &verdict.Verdict{Execution: last.Execution, Reason: reason, Detail: "while waiting after: " + string(last.Reason)}
+}
--- /dev/null
+++ b/internal/entry/gateway.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// gateway carries callers' requests. Its methods run on the callers'
+// goroutines; it reads the published view of the control state.
+type gateway struct {
+	cfg    gatewayConfig
+	view   func() *view
+	claims claimClient
+	// kick tells the control side that a target without a ready replica has
+	// a new waiting request.
+	kick   func(target)
+	sink   outcomeSink
+	client *http.Client
+	// onceClient makes a new connection for each request.
+	onceClient *http.Client
+	loads  loadTable
+	routes routeTable
+
+	nextNumber atomic.Uint64
+	stopping   atomic.Bool
+	inFlight   sync.WaitGroup
+
+	mu        sync.Mutex
+	limiter   *admission.Limiter
+	estimator *estimate.Estimator
+	retries   *retry.Budget
+	hedges    *routing.HedgeBudget
+	volume    *routing.VolumeBudget
+	rng       lockedRand
+}
+
+type gatewayConfig struct {
+	bodyLimit       state.Bytes
+	defaultDeadline time.Duration
+	defaultCaller   state.Caller
+	route           routeConfig
+}
+
+// outcomeSink hears how each request ended.
+type outcomeSink interface {
+	ended(req *request, v *verdict.Verdict, firstToken, total time.Duration)
+	retried(req *request)
+	hedged(req *request)
+}
+
+// serveGeneration answers a completion or chat request.
+func (g *gateway) serveGeneration(ctx context.Context, attrs attributes, body io.ReadCloser) error {
+	now := time.Now()
+	req, refusal := newRequest(now, attrs, g.cfg.defaultDeadline)
+	if refusal != nil {
+		return refusal
+	}
+	current := g.view()
+	if refusal := current.unready(); refusal != nil {
+		return refusal
+	}
+	data, refusal := readBody(body, g.cfg.bodyLimit)
+	if refusal != nil {
+		return refusal
+	}
+	name, refusal := req.readGeneration(data)
+	if refusal != nil {
+		return refusal
+	}
+	if req.target, refusal = current.resolve(name); refusal != nil {
+		return refusal
+	}
+	return g.serve(ctx, current, attrs, req)
+}
+
+// serveCall answers a call of a plain service.
+func (g *gateway) serveCall(ctx context.Context, attrs attributes, name, path string, body io.ReadCloser) error {
+	now := time.Now()
+	req, refusal := newRequest(now, attrs, g.cfg.defaultDeadline)
+	if refusal != nil {
+		return refusal
+	}
+	current := g.view()
+	if refusal := current.unready(); refusal != nil {
+		return refusal
+	}
+	service, ok := current.service(state.ServiceName(name))
+	if !ok {
+		return verdict.Refuse(verdict.ReasonUnknownService, "no such service: "+name)
+	}
+	if req.body, refusal = readBody(body, g.cfg.bodyLimit); refusal != nil {
+		return refusal
+	}
+	req.target = target{service: service.Name}
+	method := exchangeOf(ctx).request.Method
+	req.idempotent = isIdempotentCall(service, method, path)
+	req.fingerprint = contentHash(name+" "+method+" "+path, req.body)
+	if !req.idempotent && req.key == "" {
+		return verdict.Refuse(verdict.ReasonKeyRequired, "this call may not be repeated; send an Idempotency-Key (UUIDv7)")
+	}
+	return g.serve(ctx, current, attrs, req)
+}
+
+// serve takes a parsed request through admission, waiting and attempts.
+func (g *gateway) serve(ctx context.Context, current *view, attrs attributes, req *request) error {
+	g.inFlight.Add(1)
+	defer g.inFlight.Done()
+	x := exchangeOf(ctx)
+	req.method = x.request.Method
+	req.path = x.request.URL.Path
+	req.query = x.request.URL.RawQuery
+	req.header = x.request.Header
+	req.number = g.nextNumber.Add(1)
+	if refusal := current.identify(req, attrs, g.cfg.defaultCaller); refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline, context.DeadlineExceeded)
+	defer cancel()
+	e := &execution{gateway: g, request: req, exchange: x}
+	v := e.run(ctx, current)
+	g.sink.ended(req, v, e.firstToken, time.Since(req.arrived))
+	return e.finish(v)
+}
+
+// admit applies the limits and predictions that precede waiting.
+func (g *gateway) admit(current *view, req *request) *verdict.Verdict {
+	if g.stopping.Load() {
+		return verdict.Refuse(verdict.ReasonDraining, "this entry is stopping")
+	}
+	if current.quarantined(req.fingerprint, req.arrived) {
+		return verdict.Refuse(verdict.ReasonQuarantined, "this request has crashed upstreams before")
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	refusal := g.limiter.Acquire(req.caller.Name, req.caller.MaxInFlight, state.ModelName(req.target.String()))
+	if refusal != nil {
+		return refusal
+	}
+	predicted := g.estimator.Estimate(req.estimateKey(), req.maxTokens)
+	req.cost = predicted.Service
+	req.long = predicted.Long
+	return nil
+}
+
+func (g *gateway) release(req *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.Release(req.caller.Name, state.ModelName(req.target.String()))
+}
+
+// learn updates the estimates after a served request.
+func (g *gateway) learn(req *request, tokens int, service time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.estimator.Observe(req.estimateKey(), estimate.Sample{Tokens: tokens, Service: service})
+}
+
+// retryAfter decides on a further attempt after v.
+func (g *gateway) retryAfter(req *request, v *verdict.Verdict, number int, streamed bool) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.retries.Decide(time.Now(), g.rng.rand(), retry.Attempt{
+		Verdict:    v,
+		Number:     number,
+		Repeatable: req.idempotent,
+		Streamed:   streamed,
+		Deadline:   req.deadline,
+		Cost:       req.cost,
+	})
+}
+
+// countAttempt lets a first attempt earn its share of retries and hedges.
+func (g *gateway) countAttempt() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retries.Request()
+	g.hedges.Request()
+}
+
+func (g *gateway) hedgeDelay(expected time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.hedges.Delay(expected)
+}
+
+func (g *gateway) takeHedge(req *request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.hedges.Take(req.idempotent, false)
+}
+
+// remoteAllowed reports whether the budget for paid traffic has room.
+func (g *gateway) remoteAllowed(now time.Time, volume state.Bytes) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.volume.Allows(now, volume)
+}
+
+func (g *gateway) takeVolume(now time.Time, volume state.Bytes) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.volume.Take(now, volume)
+}
+
+func (r *request) estimateKey() estimate.Key {
+	return estimate.Key{Model: state.ModelName(r.target.String()), Caller: r.caller.Name}
+}
+
+// drain stops taking requests and waits until those in flight have ended or
+// ctx does; what still waits for a replica then is refused.
+func (g *gateway) drain(ctx context.Context) error {
+	g.stopping.Store(true)
+	done := make(chan struct{})
+	go func() {
+		g.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	}
+	g.routes.each(func(r *route) {
+		r.room.refuseAll(verdict.Refuse(verdict.ReasonDraining, "this entry is stopping"))
+	})
+	return errors.Wrap(ctx.Err(), "requests in flight at the end of the drain timeout")
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -16,12 +16,8 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-const (
-	// prefixBytes is how much of a prompt names its cached prefix.
-	prefixBytes = 256
-	// longestDeadline bounds the deadline that a caller may ask for.
-	longestDeadline = time.Hour
-)
+// longestDeadline bounds the deadline that a caller may ask for.
+const longestDeadline = time.Hour
 
 // target is what a request asks for: a model, maybe with an adapter, or a
 // plain service.
@@ -48,8 +44,9 @@
 	header http.Header
 	body   []byte
 
-	// prefix is a hash of the prompt's beginning, for cache affinity.
-	prefix uint64
+	// blocks are the hashes of the leading blocks of the prompt, for cache
+	// affinity.
+	blocks []uint64
 	// fingerprint names the request's content, for quarantine and claims.
 	fingerprint uint64
 	maxTokens   int
@@ -139,7 +136,6 @@
 	r.body = body
 	r.maxTokens = parsed.MaxTokens
 	r.stream = parsed.Stream
-	r.prefix = prefixHash(parsed.Model, prompt)
 	r.fingerprint = contentHash(parsed.Model, prompt)
 	r.idempotent = r.key == ""
 	return parsed.Model, nil
@@ -158,13 +154,6 @@
 	return "unexpected end or type"
 }
 
-func prefixHash(model string, prompt []byte) uint64 {
-	if len(prompt) > prefixBytes {
-		prompt = prompt[:prefixBytes]
-	}
-	return contentHash(model, prompt)
-}
-
 func contentHash(name string, content []byte) uint64 {
 	digest := xxhash.New()
 	// A digest's writes never fail.
--- /dev/null
+++ b/internal/entry/route.go
@@ -0,0 +1,283 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// replicaSet is a version of the ready replicas of a target. It is immutable.
+type replicaSet struct {
+	version  uint64
+	replicas []rpc.ReplicaAt
+	loads    []*upstreamLoad
+}
+
+// route is what the entry knows of one target and the requests that wait for
+// it.
+type route struct {
+	target target
+	room   *waitingRoom
+	set    atomic.Pointer[replicaSet]
+	// lastUsed is the time of the last request in Unix nanoseconds.
+	lastUsed atomic.Int64
+	// loadWait is the predicted time until a replica is ready, in
+	// nanoseconds; zero if one is.
+	loadWait atomic.Int64
+	arrivals rateMeter
+
+	mu         sync.Mutex
+	rng        *rand.Rand
+	trackers   [kindCount]*routing.LatencyTracker
+	beliefs    *routing.PrefixBeliefs
+	index      map[state.UpstreamName]int
+	candidates []routing.Candidate
+}
+
+// answerKind divides answers by what their latency measures.
+type answerKind int
+
+const (
+	// wholeAnswer arrives at once; its latency grows with its length.
+	wholeAnswer answerKind = iota
+	// streamedAnswer shows its first token early.
+	streamedAnswer
+	kindCount
+)
+
+func (r *request) kind() answerKind {
+	if r.stream {
+		return streamedAnswer
+	}
+	return wholeAnswer
+}
+
+// routeConfig holds what all routes of an entry share.
+type routeConfig struct {
+	queue   admission.Config
+	delay   routing.DelayConfig
+	latency routing.LatencyConfig
+	prefix  routing.PrefixConfig
+	slots   int
+	place   state.DataCentre
+	region  state.Region
+	seed    uint64
+	loads   *loadTable
+}
+
+func newRoute(t target, cfg routeConfig) *route {
+	return &route{
+		target: t,
+		room:   newWaitingRoom(cfg.queue),
+		rng:    rand.New(rand.NewPCG(cfg.seed, contentHash(t.String(), nil))),
+		trackers: [kindCount]*routing.LatencyTracker{
+			routing.NewLatencyTracker(cfg.latency),
+			routing.NewLatencyTracker(cfg.latency),
+		},
+		beliefs: routing.NewPrefixBeliefs(cfg.prefix),
+		index:   make(map[state.UpstreamName]int),
+	}
+}
+
+// setReplicas publishes a new set of ready replicas.
+func (r *route) setReplicas(version uint64, replicas []rpc.ReplicaAt, loads *loadTable) {
+	set := &replicaSet{version: version, replicas: replicas}
+	for _, replica := range replicas {
+		set.loads = append(set.loads, loads.of(replica.Upstream))
+	}
+	r.set.Store(set)
+	r.forgetAbsent(set)
+	r.room.setReplicas(len(replicas))
+}
+
+// dropReplica takes a replica out of the set before its home does, after the
+// replica's agent refused to serve it.
+func (r *route) dropReplica(upstream state.UpstreamName, loads *loadTable) {
+	old := r.set.Load()
+	if old == nil {
+		return
+	}
+	rest := slices.DeleteFunc(slices.Clone(old.replicas), func(replica rpc.ReplicaAt) bool {
+		return replica.Upstream == upstream
+	})
+	if len(rest) < len(old.replicas) {
+		r.setReplicas(0, rest, loads)
+	}
+}
+
+func (r *route) forgetAbsent(set *replicaSet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, i := range r.index {
+		present := slices.ContainsFunc(set.replicas, func(replica rpc.ReplicaAt) bool {
+			return replica.Upstream == name
+		})
+		if !present {
+			for _, tracker := range r.trackers {
+				tracker.Forget(i)
+			}
+			r.beliefs.Forget(i)
+			delete(r.index, name)
+		}
+	}
+}
+
+// pick selects a replica for a request. The exclude names the upstream of an
+// earlier attempt, or is empty.
+func (r *route) pick(now time.Time, req *request, cfg *routeConfig, exclude state.UpstreamName, remote bool) (rpc.ReplicaAt, *upstreamLoad, bool) {
+	set := r.set.Load()
+	if set == nil || len(set.replicas) == 0 {
+		return rpc.ReplicaAt{}, nil, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	excluded := -1
+	r.candidates = r.candidates[:0]
+	for i := range set.replicas {
+		replica := &set.replicas[i]
+		if replica.Upstream == exclude {
+			excluded = i
+		}
+		r.candidates = append(r.candidates, r.candidate(now, i, replica, set.loads[i], req, cfg))
+	}
+	policy := routing.TwoChoices{Config: cfg.delay}
+	chosen, ok := policy.Select(r.rng, r.candidates, routing.Request{
+		Prefill: req.cost,
+		Volume:  state.Bytes(len(req.body)),
+		Remote:  remote,
+		Exclude: excluded,
+	})
+	if !ok {
+		return rpc.ReplicaAt{}, nil, false
+	}
+	i := r.candidates[chosen].Replica
+	if r.candidates[chosen].Ejected {
+		r.trackers[req.kind()].Probe(now, r.indexOf(set.replicas[i].Upstream))
+	}
+	return set.replicas[i], set.loads[i], true
+}
+
+func (r *route) candidate(now time.Time, i int, replica *rpc.ReplicaAt, load *upstreamLoad, req *request, cfg *routeConfig) routing.Candidate {
+	n := r.indexOf(replica.Upstream)
+	tracker := r.trackers[req.kind()]
+	return routing.Candidate{
+		Replica:       i,
+		Queue:         int(load.reported.Load()),
+		Sent:          int(load.sent.Load()),
+		Slots:         cfg.slots,
+		Latency:       time.Duration(float64(req.cost) * tracker.Slowdown(n)),
+		Locality:      localityOf(replica, cfg),
+		AdapterLoaded: req.target.adapter == "" || slices.Contains(replica.Adapters, req.target.adapter),
+		Prefix:        r.beliefs.Share(n, req.blocks),
+		Ejected:       tracker.Ejected(now, n, r.rng.Float64()),
+	}
+}
+
+func localityOf(replica *rpc.ReplicaAt, cfg *routeConfig) routing.Locality {
+	switch {
+	case replica.DataCentre == cfg.place:
+		return routing.SameDataCentre
+	case replica.Region == cfg.region:
+		return routing.SameRegion
+	default:
+		return routing.OtherRegion
+	}
+}
+
+func (r *route) indexOf(name state.UpstreamName) int {
+	i, ok := r.index[name]
+	if !ok {
+		i = r.freeIndex()
+		r.index[name] = i
+	}
+	return i
+}
+
+func (r *route) freeIndex() int {
+	used := make(map[int]bool, len(r.index))
+	for _, i := range r.index {
+		used[i] = true
+	}
+	for i := 0; ; i++ {
+		if !used[i] {
+			return i
+		}
+	}
+}
+
+// observe learns from an answer. The first is the time to the first token of
+// a stream, or the scaled time of a whole answer.
+func (r *route) observe(now time.Time, upstream state.UpstreamName, first, between time.Duration, req *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.indexOf(upstream)
+	r.trackers[req.kind()].Observe(now, n, first, between)
+	r.beliefs.Record(n, req.blocks)
+}
+
+// pending notes that an attempt has waited without an answer.
+func (r *route) pending(now time.Time, upstream state.UpstreamName, waited time.Duration, req *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trackers[req.kind()].Pending(now, r.indexOf(upstream), waited)
+}
+
+// expectedFirst is the usual time to first token on an upstream.
+func (r *route) expectedFirst(upstream state.UpstreamName, req *request) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trackers[req.kind()].First(r.indexOf(upstream))
+}
+
+// fillBlocks computes the prompt's prefix blocks for affinity.
+func (r *route) fillBlocks(req *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	req.blocks = r.beliefs.Blocks(req.blocks[:0], r.target.key, req.body)
+}
+
+// rateMeter counts arrivals in a sliding pair of windows.
+type rateMeter struct {
+	mu       sync.Mutex
+	start    time.Time
+	current  int
+	previous int
+}
+
+// rateWindow is the length of one of a rateMeter's windows.
+const rateWindow = 2 * time.Second
+
+func (m *rateMeter) add(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.roll(now)
+	m.current++
+}
+
+// perSecond is the mean arrival rate of the last one to two windows.
+func (m *rateMeter) perSecond(now time.Time) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.roll(now)
+	return float64(m.current+m.previous) / (rateWindow + now.Sub(m.start)).Seconds()
+}
+
+func (m *rateMeter) roll(now time.Time) {
+	elapsed := now.Sub(m.start)
+	switch {
+	case elapsed < rateWindow:
+	case elapsed < 2*rateWindow:
+		m.previous, m.current = m.current, 0
+		m.start = m.start.Add(rateWindow)
+	default:
+		m.previous, m.current = 0, 0
+		m.start = now
+	}
+}
