--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -34,8 +34,15 @@
 // record that the log still has.
 var ErrTruncated = errors.New("offset older than retention")
 
-// Page is a run of records of a stream.
+// ErrRejected means that the service rejected the call as invalid. Nothing
+// took effect and a repetition would be rejected as well.
+var ErrRejected = errors.New("call rejected as invalid")
+
+// Page is a run of records of a stream. It holds every record from From up to,
+// but not including, Next.
 type Page struct {
+	// From is the offset that the read asked for.
+	From    state.Offset       `json:"from"`
 	Records []state.Positioned `json:"records"`
 	// Oldest is the oldest offset that the log still has.
 	Oldest state.Offset `json:"oldest"`
@@ -49,11 +56,14 @@
 type Log interface {
 	// Append stores records as one append with consecutive offsets and
 	// returns the first. The error wraps ErrUnavailable if nothing was
-	// stored, and ErrUnknownOutcome if that is not known.
+	// stored, ErrUnknownOutcome if that is not known, and ErrRejected if the
+	// log will never take the records.
 	Append(ctx context.Context, stream Stream, records []state.Record) (state.Offset, error)
 	// Read returns at most limit records from offset on. If there is none it
-	// waits up to wait for one. The error wraps ErrTruncated if from is
-	// older than retention.
+	// waits up to wait for one; a read with wait zero is answered with what
+	// the log holds now, never from a cache. The error wraps ErrTruncated if
+	// from is older than retention; the page then still has Oldest and End.
+	// It wraps ErrUnavailable if the log gave no answer.
 	Read(ctx context.Context, stream Stream, from state.Offset, limit int, wait time.Duration) (Page, error)
 }
 
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -42,6 +42,13 @@
 	Wait   state.Duration  `json:"wait"`
 }
 
+// RelayReadResult is a page, or only its bounds if the records asked for are
+// older than the log's retention.
+type RelayReadResult struct {
+	platform.Page
+	Truncated bool `json:"truncated,omitempty"`
+}
+
 // RelayAppendParams asks an entry to append records.
 type RelayAppendParams struct {
 	Stream  platform.Stream `json:"stream"`
