entry: add the control side: homes, watchers, the region's decider

Cause: the gateway needs replica sets, and the region needs a decider. Watchers report exceptions only, so that a decider's input does not grow with the fleet.

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -31,8 +31,8 @@
 	client *http.Client
 	// onceClient makes a new connection for each request.
 	onceClient *http.Client
-	loads  loadTable
-	routes routeTable
+	loads      loadTable
+	routes     routeTable
 
 	nextNumber atomic.Uint64
 	stopping   atomic.Bool
--- /dev/null
+++ b/internal/entry/home.go
@@ -0,0 +1,429 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	// demandFreshFor is how long an entry's backlog counts after its report.
+	demandFreshFor = 8 * time.Second
+	// homeIdle is how long a home without demand is kept.
+	homeIdle = 10 * time.Minute
+	// wakePoll is the time between questions to an agent that loads.
+	wakePoll = 100 * time.Millisecond
+	// wakeTimeout bounds a call to an agent.
+	wakeTimeout = 2 * time.Second
+	// refusedFor is how long a grant is not tried after its agent refused.
+	refusedFor = 2 * time.Second
+	// startLoadTime and startService are assumed until something was
+	// measured.
+	startLoadTime = 5 * time.Second
+	startService  = time.Second
+	// startSlots is how many requests a replica is taken to run side by side.
+	startSlots = 16
+)
+
+// home is what the home of a model version knows. It is soft state: a second
+// home of the same model can only order what the grants permit.
+type home struct {
+	key      state.ReplicaKey
+	demands  map[state.EntryName]demandSeen
+	replicas map[state.UpstreamName]*homeReplica
+	refused  map[state.UpstreamName]time.Time
+	version  uint64
+	parked   []parkedDemand
+	lastUsed time.Time
+	loadTime time.Duration
+	decision scaling.HomeDecision
+}
+
+type demandSeen struct {
+	backlog rpc.Backlog
+	at      time.Time
+}
+
+type homeReplica struct {
+	at      rpc.ReplicaAt
+	readyAt time.Time
+	polled  time.Time
+	polling bool
+	queue   int
+	woken   time.Time
+}
+
+// parkedDemand is a question of an entry that waits for a change.
+type parkedDemand struct {
+	known uint64
+	until time.Time
+	reply chan rpc.DemandResult
+}
+
+// homeTable holds the homes of this entry.
+type homeTable struct {
+	policy scaling.Home
+	byKey  map[state.ReplicaKey]*home
+	// wakes are the orders that the last decisions made.
+	wakes []wakeOrder
+	// versions makes the versions of sets of different homes differ.
+	versions uint64
+}
+
+type wakeOrder struct {
+	home    *home
+	address string
+	replica rpc.ReplicaAt
+	params  rpc.WakeParams
+}
+
+func newHomeTable(cfg scaling.HomeConfig) homeTable {
+	return homeTable{
+		policy:   scaling.Home{Config: cfg},
+		byKey:    make(map[state.ReplicaKey]*home),
+		versions: uint64(time.Now().UnixNano()),
+	}
+}
+
+func (t *homeTable) of(key state.ReplicaKey) *home {
+	known, ok := t.byKey[key]
+	if ok {
+		return known
+	}
+	created := &home{
+		key:      key,
+		demands:  make(map[state.EntryName]demandSeen),
+		replicas: make(map[state.UpstreamName]*homeReplica),
+		refused:  make(map[state.UpstreamName]time.Time),
+		loadTime: startLoadTime,
+	}
+	t.byKey[key] = created
+	t.bump(created)
+	return created
+}
+
+// bump gives a set a new version and answers the questions that wait for it.
+func (t *homeTable) bump(h *home) {
+	t.versions++
+	h.version = t.versions
+}
+
+// demandReceived is an entry's backlog and its question for the replica set.
+type demandReceived struct {
+	params rpc.DemandParams
+	reply  chan rpc.DemandResult
+}
+
+func (e demandReceived) apply(c *control, now time.Time) {
+	h := c.homes.of(e.params.ReplicaKey)
+	h.lastUsed = now
+	h.demands[e.params.Entry] = demandSeen{backlog: e.params.Backlog, at: now}
+	c.decideHome(h, now)
+	parked := parkedDemand{known: e.params.Known, until: now.Add(e.params.Wait.Std()), reply: e.reply}
+	h.parked = append(h.parked, parked)
+	h.answer(c, now)
+}
+
+// answer replies to the questions that have waited long enough or whose set
+// has changed.
+func (h *home) answer(c *control, now time.Time) {
+	h.parked = slices.DeleteFunc(h.parked, func(p parkedDemand) bool {
+		if p.known == h.version && now.Before(p.until) {
+			return false
+		}
+		p.reply <- h.result(c, p.known, now)
+		return true
+	})
+}
+
+func (h *home) result(c *control, known uint64, now time.Time) rpc.DemandResult {
+	result := rpc.DemandResult{SetVersion: h.version, Changed: known != h.version}
+	if result.Changed {
+		result.Replicas = h.ready(c.config.View())
+	}
+	if len(h.ready(c.config.View())) == 0 {
+		result.ReadyIn = state.Duration(h.readyIn(now))
+	}
+	if h.decision.NoReplica {
+		result.Refusal = verdict.Refuse(verdict.ReasonNoCapacity, "no upstream can load the model now").WithRetryAfter(refusedFor)
+	}
+	return result
+}
+
+// ready lists the replicas that may get work, in order of upstream.
+func (h *home) ready(config *state.ConfigView) []rpc.ReplicaAt {
+	all := make([]rpc.ReplicaAt, 0, len(h.replicas))
+	for name, replica := range h.replicas {
+		if replica.at.State == state.ReplicaReady && !config.Drained(name) {
+			all = append(all, replica.at)
+		}
+	}
+	slices.SortFunc(all, func(a, b rpc.ReplicaAt) int {
+		return strings.Compare(string(a.Upstream), string(b.Upstream))
+	})
+	return all
+}
+
+func (h *home) readyIn(now time.Time) time.Duration {
+	shortest := h.loadTime
+	for _, replica := range h.replicas {
+		if replica.at.State == state.ReplicaLoading {
+			shortest = min(shortest, max(wakePoll, replica.readyAt.Sub(now)))
+		}
+	}
+	return shortest
+}
+
+// decideHomes is the system that runs over all homes.
+func (c *control) decideHomes(now time.Time) {
+	for key, h := range c.homes.byKey {
+		c.decideHome(h, now)
+		h.answer(c, now)
+		if now.Sub(h.lastUsed) > homeIdle && len(h.parked) == 0 {
+			delete(c.homes.byKey, key)
+		}
+	}
+}
+
+// decideHome decides which grants to wake for one model.
+func (c *control) decideHome(h *home, now time.Time) {
+	h.expire(now)
+	config := c.config.View()
+	in := h.input(c, config, now)
+	h.decision = c.homes.policy.Decide(in)
+	for _, wake := range h.decision.Wakes {
+		c.orderWake(h, config, wake.Upstream, "", wake.Benefit, now)
+	}
+	for _, load := range h.decision.Adapters {
+		c.orderWake(h, config, load.Upstream, load.Adapter, 0, now)
+	}
+	for _, replica := range h.replicas {
+		if replica.at.State == state.ReplicaLoading && !replica.polling && now.Sub(replica.polled) >= wakePoll {
+			c.pollLoading(h, replica, now)
+		}
+	}
+}
+
+// expire forgets backlogs that were not reported again and refusals that are
+// over.
+func (h *home) expire(now time.Time) {
+	for entry, demand := range h.demands {
+		if now.Sub(demand.at) > demandFreshFor {
+			delete(h.demands, entry)
+		}
+	}
+	for upstream, until := range h.refused {
+		if now.After(until) {
+			delete(h.refused, upstream)
+		}
+	}
+}
+
+func (h *home) input(c *control, config *state.ConfigView, now time.Time) scaling.HomeInput {
+	in := scaling.HomeInput{Service: startService}
+	if model, _, ok := config.Model(h.key.Model); ok {
+		in.MinReplicas = model.MinReplicas
+	}
+	var waiting int
+	var work time.Duration
+	for _, demand := range h.demands {
+		b := demand.backlog
+		in.Demands = append(in.Demands, scaling.Demand{
+			Waiting: b.Waiting, Work: b.Work.Std(), Rate: b.Rate, Adapters: b.Adapters,
+		})
+		for _, n := range b.Waiting {
+			waiting += n
+		}
+		work += b.Work.Std()
+	}
+	if waiting > 0 {
+		in.Service = work / time.Duration(waiting)
+	}
+	for name, replica := range h.replicas {
+		in.Replicas = append(in.Replicas, scaling.Replica{
+			Upstream: name,
+			State:    replica.at.State,
+			ReadyIn:  max(0, replica.readyAt.Sub(now)),
+			Slots:    startSlots,
+			Queue:    replica.queue,
+			Adapters: replica.at.Adapters,
+			Draining: config.Drained(name),
+		})
+	}
+	slices.SortFunc(in.Replicas, func(a, b scaling.Replica) int {
+		return strings.Compare(string(a.Upstream), string(b.Upstream))
+	})
+	in.Grants = h.grants(c, config, now)
+	return in
+}
+
+func (h *home) grants(c *control, config *state.ConfigView, now time.Time) []scaling.Grant {
+	region := c.region.View()
+	var grants []scaling.Grant
+	for _, grant := range region.GrantsOf(h.key.Model) {
+		upstream, _, known := config.Upstream(grant.Upstream)
+		_, registered := region.Agent(grant.Upstream)
+		until, refused := h.refused[grant.Upstream]
+		usable := known && registered && !grant.Revoked && grant.ReplicaKey == h.key &&
+			!config.Drained(grant.Upstream) && (!refused || now.After(until))
+		grants = append(grants, scaling.Grant{
+			Upstream:   grant.Upstream,
+			DataCentre: upstream.DataCentre,
+			LoadTime:   h.loadTime,
+			Usable:     usable,
+			Slots:      startSlots,
+		})
+	}
+	return grants
+}
+
+// orderWake notes that an agent is to load; runWakes calls it.
+func (c *control) orderWake(h *home, config *state.ConfigView, name state.UpstreamName, adapter state.AdapterName, benefit float64, now time.Time) {
+	upstream, _, ok := config.Upstream(name)
+	if !ok {
+		return
+	}
+	at := replicaAt(upstream, c.region.View(), h.key)
+	if adapter == "" {
+		at.State = state.ReplicaLoading
+		h.replicas[name] = &homeReplica{at: at, readyAt: now.Add(h.loadTime), polled: now, polling: true, woken: now}
+	} else if known, ok := h.replicas[name]; ok {
+		if known.polling {
+			return
+		}
+		known.polling = true
+	}
+	c.homes.wakes = append(c.homes.wakes, wakeOrder{
+		home: h, address: upstream.ControlAddr, replica: at,
+		params: rpc.WakeParams{ReplicaKey: h.key, Adapter: adapter, Benefit: benefit},
+	})
+}
+
+func (c *control) pollLoading(h *home, replica *homeReplica, now time.Time) {
+	replica.polled = now
+	replica.polling = true
+	c.homes.wakes = append(c.homes.wakes, wakeOrder{
+		home: h, address: replica.at.ControlAddr, replica: replica.at,
+		params: rpc.WakeParams{ReplicaKey: h.key, Benefit: 1},
+	})
+}
+
+// runWakes sends the ordered wakes.
+func (c *control) runWakes(ctx context.Context) {
+	for _, order := range c.homes.wakes {
+		started := c.start(ctx, func(ctx context.Context) event {
+			ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
+			defer cancel()
+			var result rpc.WakeResult
+			err := c.deps.caller.Call(ctx, order.address, rpc.MethodWake, order.params, &result)
+			return wakeAnswered{order: order, result: result, err: err}
+		})
+		if !started {
+			if replica, ok := order.home.replicas[order.replica.Upstream]; ok {
+				replica.polling = false
+			}
+		}
+	}
+	c.homes.wakes = c.homes.wakes[:0]
+}
+
+// wakeAnswered is an agent's answer to a wake.
+type wakeAnswered struct {
+	order  wakeOrder
+	result rpc.WakeResult
+	err    error
+}
+
+func (e wakeAnswered) apply(c *control, now time.Time) {
+	h := e.order.home
+	name := e.order.replica.Upstream
+	replica, ok := h.replicas[name]
+	if !ok {
+		return
+	}
+	replica.polling = false
+	switch {
+	case e.err != nil || e.result.Refusal != nil:
+		if e.order.params.Adapter != "" && e.err == nil {
+			return
+		}
+		delete(h.replicas, name)
+		h.refused[name] = now.Add(refusedFor)
+		c.homes.bump(h)
+	case e.result.State == state.ReplicaReady:
+		h.becameReady(c, replica, e.order.params.Adapter, now)
+	default:
+		replica.readyAt = now.Add(e.result.ReadyIn.Std())
+	}
+	c.decideHome(h, now)
+	h.answer(c, now)
+}
+
+func (h *home) becameReady(c *control, replica *homeReplica, adapter state.AdapterName, now time.Time) {
+	if adapter != "" && !slices.Contains(replica.at.Adapters, adapter) {
+		replica.at.Adapters = append(slices.Clone(replica.at.Adapters), adapter)
+		c.homes.bump(h)
+	}
+	if replica.at.State == state.ReplicaReady {
+		return
+	}
+	replica.at.State = state.ReplicaReady
+	if !replica.woken.IsZero() {
+		h.loadTime = (h.loadTime + now.Sub(replica.woken)) / 2
+	}
+	c.homes.bump(h)
+}
+
+// changesReceived are replica changes that a watcher has seen.
+type changesReceived struct{ changes []rpc.ReplicaChange }
+
+func (e changesReceived) apply(c *control, now time.Time) {
+	touched := make(map[*home]bool)
+	for _, change := range e.changes {
+		h := c.homes.of(change.Replica.ReplicaKey)
+		if h.lastUsed.IsZero() {
+			h.lastUsed = now
+		}
+		if h.change(change, now) {
+			touched[h] = true
+		}
+	}
+	for h := range touched {
+		c.homes.bump(h)
+		h.answer(c, now)
+	}
+}
+
+// change applies one change and reports whether the set differs.
+func (h *home) change(change rpc.ReplicaChange, now time.Time) bool {
+	name := change.Replica.Upstream
+	known, ok := h.replicas[name]
+	if change.Gone || change.Replica.State == state.ReplicaUnloading {
+		// A wake in flight that is younger than the change knows better.
+		if ok && known.polling {
+			return false
+		}
+		delete(h.replicas, name)
+		return ok
+	}
+	if ok && known.at.State == change.Replica.State && known.at.Agent == change.Replica.Agent &&
+		slices.Equal(known.at.Adapters, change.Replica.Adapters) {
+		return false
+	}
+	if ok && known.polling && change.Replica.State == state.ReplicaLoading {
+		return false
+	}
+	replica := &homeReplica{at: change.Replica, readyAt: now.Add(h.loadTime), polled: now}
+	if ok {
+		replica.woken = known.woken
+		replica.polling = known.polling
+	}
+	h.replicas[name] = replica
+	return true
+}
--- /dev/null
+++ b/internal/entry/watcher.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	// watchInterval is the time between a watcher's batches to homes.
+	watchInterval = time.Second
+	// reportInterval is the time between reports to the decider.
+	reportInterval = 3 * time.Second
+	// reportTimeout bounds calls to other entries.
+	reportTimeout = 2 * time.Second
+)
+
+// watchAgents is the system of the watcher: it notices silent agents and
+// tells homes and the decider what has changed.
+func (c *control) watchAgents(ctx context.Context, now time.Time) {
+	if now.Sub(c.fleet.watched) < watchInterval {
+		return
+	}
+	c.fleet.watched = now
+	c.agents.Watch(c.ownUpstreams(), now)
+	c.agents.Tick(now)
+	for _, batch := range c.agents.Changes(c.peers.ring) {
+		c.sendChanges(ctx, batch)
+	}
+	if now.Sub(c.fleet.reported) >= reportInterval {
+		c.fleet.reported = now
+		c.sendReport(ctx, now)
+	}
+}
+
+// ownUpstreams iterates over the upstreams that this entry watches.
+func (c *control) ownUpstreams() func(func(state.Upstream) bool) {
+	config := c.config.View()
+	return func(yield func(state.Upstream) bool) {
+		for upstream := range config.Upstreams() {
+			if upstream.Region != c.cfg.region {
+				continue
+			}
+			if c.peers.ring.Owner(membership.RoleWatcher, string(upstream.Name)) != c.cfg.name {
+				continue
+			}
+			if !yield(upstream) {
+				return
+			}
+		}
+	}
+}
+
+func (c *control) sendChanges(ctx context.Context, batch membership.HomeBatch) {
+	if batch.Home == c.cfg.name {
+		c.start(ctx, func(context.Context) event { return changesReceived{changes: batch.Changes} })
+		return
+	}
+	address := c.peers.addresses()[batch.Home]
+	c.start(ctx, func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		params := rpc.ChangesParams{Changes: batch.Changes}
+		if err := c.deps.caller.Call(ctx, address, rpc.MethodChanges, params, &struct{}{}); err != nil {
+			return changesLost{batch: batch}
+		}
+		return nil
+	})
+}
+
+// changesLost is a batch that did not reach its home. The home's next answer
+// to a poll or the agent's refusal corrects its picture; counting shows how
+// often that is needed.
+type changesLost struct{ batch membership.HomeBatch }
+
+func (e changesLost) apply(c *control, _ time.Time) {
+	c.deps.counters.Add("lagoonvalve_replica_changes_lost_total", uint64(len(e.batch.Changes)))
+}
+
+// heartbeatReceived is a heartbeat of an agent.
+type heartbeatReceived struct {
+	heartbeat rpc.Heartbeat
+	reply     chan rpc.HeartbeatResult
+}
+
+func (e heartbeatReceived) apply(c *control, now time.Time) {
+	result, watched := c.agents.Observe(e.heartbeat, now)
+	if !watched {
+		owner := c.peers.ring.Owner(membership.RoleWatcher, string(e.heartbeat.Upstream))
+		if owner != c.cfg.name {
+			result.Watcher = c.peers.addresses()[owner]
+		}
+	}
+	if e.heartbeat.Entries != addressesHash(c.peers.liveAddresses()) {
+		result.Entries = c.peers.liveAddresses()
+	}
+	if upstream, _, ok := c.config.View().Upstream(e.heartbeat.Upstream); ok {
+		result.Leaving = c.fleet.fleet.HostLeaving(upstream.Host)
+	}
+	e.reply <- result
+}
+
+// sendReport tells the decider which watched agents are not live and what
+// this entry's homes need.
+func (c *control) sendReport(ctx context.Context, now time.Time) {
+	params := rpc.ReportParams{From: c.cfg.name, Ring: c.peers.ringSum}
+	for _, report := range c.agents.Reports(now) {
+		if report.Health != membership.Live {
+			params.Exceptions = append(params.Exceptions, rpc.AgentException{Upstream: report.Upstream, Health: uint8(report.Health)})
+		}
+	}
+	params.Demands = c.homeDemands()
+	held, ok := c.region.View().Lease()
+	if !ok {
+		return
+	}
+	if held.Holder == c.cfg.name {
+		c.start(ctx, func(context.Context) event { return reportReceived{params: params} })
+		return
+	}
+	address, ok := c.peers.addresses()[held.Holder]
+	if !ok {
+		return
+	}
+	c.start(ctx, func(ctx context.Context) event {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		// A lost report is replaced by the next one.
+		_ = c.deps.caller.Call(ctx, address, rpc.MethodReport, params, &struct{}{})
+		return nil
+	})
+}
+
+// homeDemands lists how many replicas the homes of this entry want.
+func (c *control) homeDemands() []rpc.ModelDemand {
+	var demands []rpc.ModelDemand
+	for _, h := range c.homes.byKey {
+		wanted := len(h.replicas) + len(h.decision.Wakes)
+		if h.decision.NoReplica {
+			wanted++
+		}
+		if wanted == 0 {
+			continue
+		}
+		var waiting int
+		for _, demand := range h.demands {
+			for _, n := range demand.backlog.Waiting {
+				waiting += n
+			}
+		}
+		demands = append(demands, rpc.ModelDemand{Model: h.key.Model, Replicas: wanted, Benefit: float64(waiting)})
+	}
+	return demands
+}
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -23,6 +23,7 @@
 	MethodStoreSlot   = "store.slot"
 	MethodPing        = "entry.ping"
 	MethodQuery       = "entry.query"
+	MethodReport      = "decider.report"
 )
 
 // Methods that agents serve.
@@ -84,6 +85,8 @@
 	Replicas []state.Replica    `json:"replicas,omitempty"`
 	// Full says that Replicas is the whole list.
 	Full bool `json:"full,omitempty"`
+	// Entries is a hash of the entry addresses that the agent knows.
+	Entries uint64 `json:"entries,omitempty"`
 }
 
 // HeartbeatResult answers a heartbeat.
@@ -92,6 +95,39 @@
 	SendFull bool `json:"send_full,omitempty"`
 	// Leaving says that the host list shows the agent's host as leaving.
 	Leaving bool `json:"leaving,omitempty"`
+	// Watcher is the control address that heartbeats should go to, if it is
+	// another one.
+	Watcher string `json:"watcher,omitempty"`
+	// Entries lists the control addresses of the region's live entries if
+	// the agent knows others.
+	Entries []string `json:"entries,omitempty"`
+}
+
+// ReportParams is what an entry tells the region's decider every few seconds.
+type ReportParams struct {
+	From state.EntryName `json:"from"`
+	// Ring is a hash of the live entries that From assigns the watched
+	// upstreams by. The decider takes all upstreams that From watches as
+	// live but for the exceptions, if it sees the same ring.
+	Ring       uint64           `json:"ring"`
+	Exceptions []AgentException `json:"exceptions,omitempty"`
+	// Demands lists the models that From is home of and that need replicas.
+	Demands []ModelDemand `json:"demands,omitempty"`
+}
+
+// AgentException is a watched agent that is not simply live.
+type AgentException struct {
+	Upstream state.UpstreamName `json:"upstream"`
+	// Health is the number of a membership state.
+	Health uint8 `json:"health"`
+}
+
+// ModelDemand is how many replicas the home of a model wants.
+type ModelDemand struct {
+	Model    state.ModelName `json:"model"`
+	Replicas int             `json:"replicas"`
+	// Benefit is what the waiters lose per second without them.
+	Benefit float64 `json:"benefit"`
 }
 
 // ReplicaChange is a change of a replica, sent by watchers to homes.
@@ -136,6 +172,8 @@
 	Backlog Backlog         `json:"backlog"`
 	// Known is the version of the replica set that the entry has.
 	Known uint64 `json:"known"`
+	// Wait is how long the home may hold the answer until the set changes.
+	Wait state.Duration `json:"wait,omitempty"`
 }
 
 // DemandResult is the replica set of a model.
@@ -273,6 +311,18 @@
 	Region state.Offset `json:"region"`
 	// Leaving says that the sender is stopping.
 	Leaving bool `json:"leaving,omitempty"`
+	// Control is the sender's control address.
+	Control string `json:"control"`
+	// PeersHash is a hash of the peers that the sender knows; an answer
+	// lists the receiver's peers if the hashes differ.
+	PeersHash uint64 `json:"peers_hash"`
+	Peers     []Peer `json:"peers,omitempty"`
+}
+
+// Peer is an entry and its control address.
+type Peer struct {
+	Name    state.EntryName `json:"name"`
+	Control string          `json:"control"`
 }
 
 // PingResult answers a ping with the same about the receiver.
