--- a/internal/state/regionview.go
+++ b/internal/state/regionview.go
@@ -1,6 +1,9 @@
 package state
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // LeaseState is the decider lease that is in force.
 type LeaseState struct {
@@ -32,3 +35,70 @@
 	Offset Offset       `json:"offset"`
 	Models []ReplicaKey `json:"models"`
 }
+
+// RegionView is an immutable view of a region's tables. It may be read by any
+// number of goroutines.
+type RegionView struct {
+	offset     Offset
+	lease      LeaseState
+	held       bool
+	grants     rows[Offset, Grant]
+	byModel    rows[ModelName, []Grant]
+	byUpstream rows[UpstreamName, []Grant]
+	agents     rows[UpstreamName, AgentRegistration]
+	intents    rows[UpstreamName, IntentSet]
+	quarantine rows[uint64, Quarantine]
+}
+
+// Offset returns the last applied offset, or NoOffset.
+func (v *RegionView) Offset() Offset { return v.offset }
+
+// Lease returns the lease in force.
+func (v *RegionView) Lease() (LeaseState, bool) { return v.lease, v.held }
+
+// Grant returns the unreleased grant with the id.
+func (v *RegionView) Grant(id Offset) (Grant, bool) {
+	item, ok := v.grants.get(id)
+	return item.value, ok
+}
+
+// GrantsOf returns the unreleased grants of a model in order of id. The
+// caller must not change the slice.
+func (v *RegionView) GrantsOf(model ModelName) []Grant {
+	item, _ := v.byModel.get(model)
+	return item.value
+}
+
+// GrantsOn returns the unreleased grants on an upstream in order of id. The
+// caller must not change the slice.
+func (v *RegionView) GrantsOn(upstream UpstreamName) []Grant {
+	item, _ := v.byUpstream.get(upstream)
+	return item.value
+}
+
+// Grants iterates over all unreleased grants in order of id.
+func (v *RegionView) Grants() iter.Seq[Grant] { return v.grants.all() }
+
+// Agents iterates over the latest registrations in order of upstream.
+func (v *RegionView) Agents() iter.Seq[AgentRegistration] { return v.agents.all() }
+
+// Agent returns the latest registration of an upstream.
+func (v *RegionView) Agent(upstream UpstreamName) (AgentRegistration, bool) {
+	item, ok := v.agents.get(upstream)
+	return item.value, ok
+}
+
+// IntentOf returns the standing intent of an upstream.
+func (v *RegionView) IntentOf(upstream UpstreamName) (IntentSet, bool) {
+	item, ok := v.intents.get(upstream)
+	return item.value, ok
+}
+
+// Quarantined reports whether the fingerprint is in quarantine at now.
+func (v *RegionView) Quarantined(fingerprint uint64, now time.Time) bool {
+	item, ok := v.quarantine.get(fingerprint)
+	return ok && now.Before(item.value.Until)
+}
+
+// Quarantines iterates over the quarantines, expired ones included.
+func (v *RegionView) Quarantines() iter.Seq[Quarantine] { return v.quarantine.all() }
