--- /dev/null
+++ b/internal/decide/membership/agents.go
@@ -0,0 +1,269 @@
+package membership
+
+import (
+	"cmp"
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// agent is what a watcher knows of one upstream's agent.
+type agent struct {
+	upstream state.Upstream
+	// since is when the watch began.
+	since    time.Time
+	seen     time.Time
+	runs     runs
+	token    state.FencingToken
+	sequence uint64
+	// complete says that replicas belongs to sequence.
+	complete bool
+	state    rpc.AgentState
+	replicas map[state.ReplicaKey]state.Replica
+	leaving  bool
+	silent   bool
+}
+
+// offered returns the replicas that may get new work.
+func (a *agent) offered() map[state.ReplicaKey]state.Replica {
+	if a.silent || a.leaving || a.state == rpc.AgentDraining {
+		return nil
+	}
+	return a.replicas
+}
+
+type replicaID struct {
+	upstream state.UpstreamName
+	key      state.ReplicaKey
+}
+
+// told is what a home has been told of a replica.
+type told struct {
+	change rpc.ReplicaChange
+	home   state.EntryName
+}
+
+// Agents is a watcher's table of the agents it watches.
+type Agents struct {
+	settings Settings
+	agents   map[state.UpstreamName]*agent
+	current  map[replicaID]rpc.ReplicaChange
+	told     map[replicaID]told
+}
+
+// NewAgents returns an empty table.
+func NewAgents(settings Settings) *Agents {
+	return &Agents{
+		settings: settings,
+		agents:   map[state.UpstreamName]*agent{},
+		current:  map[replicaID]rpc.ReplicaChange{},
+		told:     map[replicaID]told{},
+	}
+}
+
+// Watch sets the upstreams to watch. Silence of a new one counts from now.
+// Nothing is reported of those that are no longer watched: their new watcher
+// does that.
+func (a *Agents) Watch(upstreams iter.Seq[state.Upstream], now time.Time) {
+	keep := make(map[state.UpstreamName]bool, len(a.agents))
+	for u := range upstreams {
+		keep[u.Name] = true
+		if known, ok := a.agents[u.Name]; ok {
+			known.upstream = u
+			continue
+		}
+		a.agents[u.Name] = &agent{upstream: u, since: now, token: state.NoOffset}
+	}
+	for name := range a.agents {
+		if !keep[name] {
+			delete(a.agents, name)
+		}
+	}
+	maps.DeleteFunc(a.current, func(id replicaID, _ rpc.ReplicaChange) bool { return !keep[id.upstream] })
+	maps.DeleteFunc(a.told, func(id replicaID, _ told) bool { return !keep[id.upstream] })
+}
+
+// SetLeaving notes which hosts the host list shows as leaving. Their replicas
+// are withdrawn from the homes.
+func (a *Agents) SetLeaving(leaving func(state.HostName) bool) {
+	for _, known := range a.agents {
+		if now := leaving(known.upstream.Host); now != known.leaving {
+			known.leaving = now
+			a.offer(known)
+		}
+	}
+}
+
+// Observe notes a heartbeat. ok is false if the upstream is not watched.
+func (a *Agents) Observe(h rpc.Heartbeat, now time.Time) (answer rpc.HeartbeatResult, ok bool) {
+	known, ok := a.agents[h.Upstream]
+	if !ok {
+		return rpc.HeartbeatResult{}, false
+	}
+	answer.Leaving = known.leaving
+	if h.Agent < known.token {
+		return answer, true // A predecessor's late heartbeat.
+	}
+	stale, restarted := known.runs.advance(h.Incarnation)
+	if stale {
+		return answer, true
+	}
+	if restarted {
+		known.replicas, known.complete, known.sequence = nil, false, 0
+	}
+	if h.Sequence < known.sequence {
+		return answer, true // Overtaken by a newer one.
+	}
+	known.complete = h.Full || known.complete && h.Sequence == known.sequence
+	known.sequence, known.token, known.state = h.Sequence, h.Agent, h.State
+	known.seen, known.silent = now, false
+	if h.Full {
+		known.replicas = make(map[state.ReplicaKey]state.Replica, len(h.Replicas))
+		for _, replica := range h.Replicas {
+			known.replicas[replica.ReplicaKey] = replica
+		}
+	}
+	a.offer(known)
+	answer.SendFull = !known.complete
+	return answer, true
+}
+
+// offer brings current in line with what the agent offers.
+func (a *Agents) offer(known *agent) {
+	offered := known.offered()
+	for id, change := range a.current {
+		if _, still := offered[id.key]; id.upstream == known.upstream.Name && !still && !change.Gone {
+			change.Gone = true
+			a.current[id] = change
+		}
+	}
+	for key, replica := range offered {
+		a.current[replicaID{known.upstream.Name, key}] = rpc.ReplicaChange{Replica: rpc.ReplicaAt{
+			Replica:          replica,
+			TrafficAddr:      known.upstream.TrafficAddr,
+			ControlAddr:      known.upstream.ControlAddr,
+			DataCentre:       known.upstream.DataCentre,
+			Region:           known.upstream.Region,
+			Agent:            known.token,
+			AgentIncarnation: known.runs.current,
+		}}
+	}
+}
+
+// Tick notes agents that have fallen silent. Their replicas are gone.
+func (a *Agents) Tick(now time.Time) {
+	for _, known := range a.agents {
+		if !known.silent && a.judge(known, now) == Dead {
+			known.silent = true
+			a.offer(known)
+		}
+	}
+}
+
+func (a *Agents) judge(known *agent, now time.Time) Health {
+	if known.seen.IsZero() {
+		if now.Sub(known.since) >= a.settings.AgentDeadAfter {
+			return Dead
+		}
+		return Unknown
+	}
+	silent := now.Sub(known.seen)
+	switch {
+	case silent >= a.settings.AgentDeadAfter:
+		return Dead
+	case known.leaving || known.state == rpc.AgentDraining:
+		return Leaving
+	case silent >= a.settings.AgentSuspectAfter:
+		return Suspect
+	}
+	return Live
+}
+
+// Health returns the state of a watched upstream.
+func (a *Agents) Health(name state.UpstreamName, now time.Time) Health {
+	known, ok := a.agents[name]
+	if !ok {
+		return Unknown
+	}
+	return a.judge(known, now)
+}
+
+// Changes returns the replica changes since the last call, batched by home in
+// order of name. A home that newly has a model gets all of its replicas; one
+// that loses a model must forget them, since it is not told of later changes.
+func (a *Agents) Changes(ring *Ring) []HomeBatch {
+	batches := map[state.EntryName][]rpc.ReplicaChange{}
+	homes := map[state.ModelName]state.EntryName{}
+	for id, change := range a.current {
+		home, ok := homes[id.key.Model]
+		if !ok {
+			home = ring.Owner(RoleHome, string(id.key.Model))
+			homes[id.key.Model] = home
+		}
+		before, known := a.told[id]
+		if known && before.home == home && sameChange(before.change, change) {
+			continue
+		}
+		batches[home] = append(batches[home], change)
+		a.told[id] = told{change, home}
+		if change.Gone {
+			delete(a.current, id)
+			delete(a.told, id)
+		}
+	}
+	out := make([]HomeBatch, 0, len(batches))
+	for _, home := range slices.Sorted(maps.Keys(batches)) {
+		slices.SortFunc(batches[home], compareChanges)
+		out = append(out, HomeBatch{Home: home, Changes: batches[home]})
+	}
+	return out
+}
+
+func compareChanges(a, b rpc.ReplicaChange) int {
+	return cmp.Or(
+		cmp.Compare(a.Replica.Upstream, b.Replica.Upstream),
+		cmp.Compare(a.Replica.Model, b.Replica.Model),
+		cmp.Compare(a.Replica.Version, b.Replica.Version),
+	)
+}
+
+func sameChange(a, b rpc.ReplicaChange) bool {
+	return a.Gone == b.Gone && a.Replica.State == b.Replica.State && a.Replica.Agent == b.Replica.Agent &&
+		a.Replica.AgentIncarnation == b.Replica.AgentIncarnation &&
+		slices.Equal(a.Replica.Adapters, b.Replica.Adapters)
+}
+
+// Undelivered puts back a batch that its home did not confirm.
+func (a *Agents) Undelivered(batch HomeBatch) {
+	for _, change := range batch.Changes {
+		id := replicaID{change.Replica.Upstream, change.Replica.ReplicaKey}
+		if _, watched := a.agents[id.upstream]; !watched {
+			continue
+		}
+		delete(a.told, id)
+		if _, newer := a.current[id]; !newer {
+			a.current[id] = change
+		}
+	}
+}
+
+// Forget makes the next Changes tell home everything again. It is called when
+// the home has restarted.
+func (a *Agents) Forget(home state.EntryName) {
+	maps.DeleteFunc(a.told, func(_ replicaID, t told) bool { return t.home == home })
+}
+
+// Reports returns what the decider should know of the watched agents.
+func (a *Agents) Reports(now time.Time) []AgentReport {
+	reports := make([]AgentReport, 0, len(a.agents))
+	for name, known := range a.agents {
+		reports = append(reports, AgentReport{
+			Upstream: name, Incarnation: known.runs.current, Agent: known.token, Health: a.judge(known, now),
+		})
+	}
+	return reports
+}
--- /dev/null
+++ b/internal/decide/membership/ring.go
@@ -0,0 +1,86 @@
+package membership
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// Ring assigns roles to entries by rendezvous hashing: the loss of an entry
+// moves only that entry's roles. A ring is immutable.
+type Ring struct {
+	entries []state.EntryName
+	hashes  []uint64
+}
+
+// NewRing returns a ring over entries, in any order.
+func NewRing(entries []state.EntryName) *Ring {
+	r := &Ring{entries: entries, hashes: make([]uint64, len(entries))}
+	for i, name := range entries {
+		r.hashes[i] = xxhash.Sum64String(string(name))
+	}
+	return r
+}
+
+func keyHash(role Role, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(role)) // A digest never fails.
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
+func weight(entry, key uint64) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], entry)
+	binary.LittleEndian.PutUint64(pair[8:], key)
+	return xxhash.Sum64(pair[:])
+}
+
+// before orders entries for a key; names break ties so that all agree.
+func (r *Ring) before(i, j int, key uint64) bool {
+	a, b := weight(r.hashes[i], key), weight(r.hashes[j], key)
+	if a != b {
+		return a > b
+	}
+	return r.entries[i] < r.entries[j]
+}
+
+// Owner returns the entry that has the role for key; empty without entries.
+func (r *Ring) Owner(role Role, key string) state.EntryName {
+	if len(r.entries) == 0 {
+		return ""
+	}
+	hash := keyHash(role, key)
+	best := 0
+	for i := 1; i < len(r.entries); i++ {
+		if r.before(i, best, hash) {
+			best = i
+		}
+	}
+	return r.entries[best]
+}
+
+// Rank returns the place of entry for the role and key, from 0, or -1.
+func (r *Ring) Rank(role Role, key string, entry state.EntryName) int {
+	hash := keyHash(role, key)
+	self := -1
+	for i, name := range r.entries {
+		if name == entry {
+			self = i
+		}
+	}
+	if self < 0 {
+		return -1
+	}
+	rank := 0
+	for i := range r.entries {
+		if i != self && r.before(i, self, hash) {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/state/region.go
+++ b/internal/state/region.go
@@ -188,7 +188,7 @@
 	if !ok {
 		return "the grant does not exist"
 	}
-	if r.tokens[b.Agent] != item.value.Upstream {
+	if upstream, known := r.tokens[b.Agent]; !known || upstream != item.value.Upstream {
 		return "the registration is not the latest of the grant's upstream"
 	}
 	r.beforeWrite()
