settings: add the settings types of entry and agent

Cause: the entry and agent roles are written against these types. Conclusion: the types are usable by other packages.

--- /dev/null
+++ b/internal/settings/roles.go
@@ -0,0 +1,124 @@
+package settings
+
+import "github.com/lagoonvalve/lagoonvalve/internal/state"
+
+// Entry holds the settings of the role entry.
+type Entry struct {
+	Common
+	// Limits bounds what the entry accepts.
+	Limits EntryLimits `toml:"limits"`
+	// Weights says what the deployment values.
+	Weights Weights `toml:"weights"`
+	// Tokens lists the operators' bearer tokens.
+	Tokens []Token `toml:"tokens" validate:"max=1024,unique=SHA256,dive"`
+}
+
+// EntryLimits bounds what an entry accepts. All bounds are per entry.
+type EntryLimits struct {
+	// BodyBytes bounds one request body. Default 16MiB.
+	BodyBytes state.Bytes `toml:"body_bytes" validate:"min=1024,max=1073741824"`
+	// QueueRequests bounds the waiting requests. Default 4096 requests.
+	QueueRequests int `toml:"queue_requests" validate:"min=1,max=1000000"`
+	// QueueBytes bounds the bodies of the waiting requests. Default 64MiB.
+	QueueBytes state.Bytes `toml:"queue_bytes" validate:"min=1024"`
+	// ModelInFlight bounds the waiting and running requests of one model.
+	// Default 2048 requests.
+	ModelInFlight int `toml:"model_in_flight" validate:"min=1,max=1000000"`
+	// CallerInFlight bounds the waiting and running requests of a caller
+	// whose configuration sets no bound. Default 512 requests.
+	CallerInFlight int `toml:"caller_in_flight" validate:"min=1,max=1000000"`
+	// DefaultDeadline is the deadline of a request that names none.
+	// Default 30s.
+	DefaultDeadline state.Duration `toml:"default_deadline" validate:"min_duration=1ms,max_duration=1h"`
+	// MaxDeadline caps the deadline that a request may ask for. Default 10m.
+	MaxDeadline state.Duration `toml:"max_deadline" validate:"min_duration=1ms,max_duration=24h"`
+	// StarvationBound is how long a request of a lower class may wait
+	// behind higher classes before it is served first. Default 5s.
+	StarvationBound state.Duration `toml:"starvation_bound" validate:"min_duration=10ms,max_duration=10m"`
+	// CrossRegionBytesPerSecond is the budget for traffic to other regions,
+	// which is paid for by volume. Default 1MiB (per second); 0B allows none.
+	CrossRegionBytesPerSecond state.Bytes `toml:"cross_region_bytes_per_second" validate:"min=0"`
+	// LogAppendsPerSecond is this entry's share of the log's rate limit.
+	// Default 20 appends a second.
+	LogAppendsPerSecond int `toml:"log_appends_per_second" validate:"min=1,max=1000"`
+}
+
+// Weights says what the deployment values. Only the ratio of the two counts.
+type Weights struct {
+	// Idle is the weight of idle accelerator time. Default 1. A higher value
+	// unloads idle models earlier.
+	Idle float64 `toml:"idle" validate:"gt=0,max=1000"`
+	// ColdStart is the weight of time that callers wait for a load.
+	// Default 1. A higher value keeps idle models loaded longer.
+	ColdStart float64 `toml:"cold_start" validate:"gt=0,max=1000"`
+}
+
+// Role is what the holder of a token may do.
+type Role string
+
+// The roles. Each may do what the roles before it may.
+const (
+	// RoleViewer may query.
+	RoleViewer Role = "viewer"
+	// RoleOperator may also change its team's entities and act on them.
+	RoleOperator Role = "operator"
+	// RoleAdministrator may also change every team's entities, upstreams
+	// and teams.
+	RoleAdministrator Role = "administrator"
+)
+
+// Token admits operators. The settings hold only the token's digest.
+type Token struct {
+	// Name stands for the holder in the audit trail. Required.
+	Name string `toml:"name" validate:"required,max=128"`
+	// Team is the holder's team. Required.
+	Team state.TeamName `toml:"team" validate:"required,max=128"`
+	// Role is "viewer", "operator" or "administrator". Required.
+	Role Role `toml:"role" validate:"required,oneof=viewer operator administrator"`
+	// SHA256 is the SHA-256 digest of the token in lower-case hexadecimal.
+	// Required.
+	SHA256 string `toml:"sha256" validate:"required,len=64,hexadecimal,lowercase"`
+}
+
+// Agent holds the settings of the role agent.
+type Agent struct {
+	Common
+	// Upstream describes the upstream beside the agent.
+	Upstream AgentUpstream `toml:"upstream"`
+	// Limits bounds what the agent accepts.
+	Limits AgentLimits `toml:"limits"`
+}
+
+// AgentUpstream describes the upstream beside an agent.
+type AgentUpstream struct {
+	// Kind is "model-runner", "application-runner" or "service". Default
+	// "model-runner".
+	Kind state.UpstreamKind `toml:"kind" validate:"oneof=model-runner application-runner service"`
+	// URL is where the engine or service answers. Required.
+	URL string `toml:"url" validate:"required,http_url"`
+	// Memory is the accelerator memory that replicas and adapters share.
+	// Required for a model runner.
+	Memory state.Bytes `toml:"memory" validate:"required_if=Kind model-runner,min=0"`
+	// Fencing is "enforced" if the engine refuses orders that carry an old
+	// fencing token, else "ignored". Default "ignored".
+	Fencing state.FencingKind `toml:"fencing" validate:"oneof=enforced ignored"`
+	// Concurrency is how many requests the upstream runs at once.
+	// Default 16 requests.
+	Concurrency int `toml:"concurrency" validate:"min=1,max=100000"`
+}
+
+// AgentLimits bounds the queue in front of the upstream.
+type AgentLimits struct {
+	// QueueRequests bounds the waiting requests. Default 256 requests.
+	QueueRequests int `toml:"queue_requests" validate:"min=1,max=1000000"`
+	// QueueBytes bounds the bodies of the waiting requests. Default 64MiB.
+	QueueBytes state.Bytes `toml:"queue_bytes" validate:"min=1024"`
+	// BodyBytes bounds one request body. Default 16MiB.
+	BodyBytes state.Bytes `toml:"body_bytes" validate:"min=1024,max=1073741824"`
+	// LongShare is the share of the concurrency that long requests may
+	// take, from 0 to 1. Default 0.5.
+	LongShare float64 `toml:"long_share" validate:"gt=0,max=1"`
+	// StarvationBound is how long a request of a lower class may wait
+	// behind higher classes before it is served first. Default 5s.
+	StarvationBound state.Duration `toml:"starvation_bound" validate:"min_duration=10ms,max_duration=10m"`
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,117 @@
+// Package settings reads and checks the TOML settings of the roles entry and
+// agent.
+package settings
+
+import "github.com/lagoonvalve/lagoonvalve/internal/state"
+
+// Common holds the settings that both roles share.
+type Common struct {
+	// Name is unique among the processes of the role. For an agent it is the
+	// name of its upstream. Required.
+	Name string `toml:"name" validate:"required,max=128,printascii,excludesall=0x20"`
+	// Host is the name of the machine in the platform's host list. Required.
+	Host state.HostName `toml:"host" validate:"required,max=128"`
+	// Region groups data centres that are about 1 ms apart. Required.
+	Region state.Region `toml:"region" validate:"required,max=128"`
+	// DataCentre is the zone of the host. Required.
+	DataCentre state.DataCentre `toml:"data_centre" validate:"required,max=128"`
+	// Listen holds the addresses that the process binds.
+	Listen Listen `toml:"listen"`
+	// Platform holds the addresses of the platform's services.
+	Platform Platform `toml:"platform"`
+	// Peers lists the entries of this and the other regions.
+	Peers []Peer `toml:"peers" validate:"max=1024,unique=Name,dive"`
+	// TLS holds certificates; without them connections are in clear text.
+	TLS TLS `toml:"tls"`
+	// Telemetry says where logs and metrics go.
+	Telemetry Telemetry `toml:"telemetry"`
+	// Shutdown bounds a planned stop.
+	Shutdown Shutdown `toml:"shutdown"`
+}
+
+// Listen holds the addresses that a process binds, each "host:port".
+type Listen struct {
+	// Callers is the HTTP address for traffic: of callers at an entry, of
+	// entries at an agent. Required.
+	Callers string `toml:"callers" validate:"required,hostname_port"`
+	// Operators is the HTTP address of the operators' API, health and
+	// metrics. Required for an entry; an agent without it serves no metrics.
+	Operators string `toml:"operators" validate:"omitempty,hostname_port"`
+	// Control is the jsonrpc2 address for other processes. Required.
+	Control string `toml:"control" validate:"required,hostname_port"`
+}
+
+// Platform holds the addresses of the platform's services, as URLs.
+type Platform struct {
+	// Log is the URL of the append-only log service. Required.
+	Log string `toml:"log" validate:"required,http_url"`
+	// Hosts is the URL of the host list. Required for an entry.
+	Hosts string `toml:"hosts" validate:"omitempty,http_url"`
+	// Store is the URL of the weight store. Optional: only engines fetch
+	// from it.
+	Store string `toml:"store" validate:"omitempty,http_url"`
+}
+
+// Peer is an entry that this process may call.
+type Peer struct {
+	// Name is the entry's name. Required.
+	Name state.EntryName `toml:"name" validate:"required"`
+	// Region of the entry. Required.
+	Region state.Region `toml:"region" validate:"required"`
+	// DataCentre of the entry. Required.
+	DataCentre state.DataCentre `toml:"data_centre" validate:"required"`
+	// Control is the entry's jsonrpc2 address, "host:port". Required.
+	Control string `toml:"control" validate:"required,hostname_port"`
+}
+
+// TLS holds the certificates by the other side of the connection.
+type TLS struct {
+	// Callers secures Listen.Callers.
+	Callers Certificate `toml:"callers"`
+	// Operators secures Listen.Operators.
+	Operators Certificate `toml:"operators"`
+	// Internal secures connections between processes, in both directions;
+	// both sides check the other's certificate against its CAFile.
+	Internal Certificate `toml:"internal"`
+}
+
+// Certificate names the PEM files of one side of a connection. Changed files
+// are read again on reload.
+type Certificate struct {
+	// CertFile is the certificate chain. Default: none, clear text.
+	CertFile string `toml:"cert_file" validate:"required_with=KeyFile CAFile"`
+	// KeyFile is the private key of CertFile.
+	KeyFile string `toml:"key_file" validate:"required_with=CertFile"`
+	// CAFile holds the authorities that the other side's certificate must
+	// come from. Default: the other side shows no certificate.
+	CAFile string `toml:"ca_file"`
+}
+
+// Enabled reports whether the certificate is set.
+func (c Certificate) Enabled() bool { return c.CertFile != "" }
+
+// Telemetry says where logs and metrics go.
+type Telemetry struct {
+	// LogFormat is "text" or "json". Default "text".
+	LogFormat string `toml:"log_format" validate:"oneof=text json"`
+	// LogLevel is "debug", "info", "warn" or "error". Default "info".
+	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+	// OTLPEndpoint is the URL that metrics are pushed to over HTTP.
+	// Default: none, no push.
+	OTLPEndpoint string `toml:"otlp_endpoint" validate:"omitempty,http_url"`
+	// OTLPInterval is the time between pushes. Default 15s.
+	OTLPInterval state.Duration `toml:"otlp_interval" validate:"min_duration=1s,max_duration=1h"`
+	// TopNames is how many models, adapters or callers get a label value of
+	// their own in a metric; the rest are counted as "other". Default 50.
+	TopNames int `toml:"top_names" validate:"min=1,max=1000"`
+}
+
+// Shutdown bounds the two steps of a planned stop.
+type Shutdown struct {
+	// DrainTimeout is how long the process finishes accepted work after it
+	// has stopped taking new work. Default 30s.
+	DrainTimeout state.Duration `toml:"drain_timeout" validate:"min_duration=0s,max_duration=1h"`
+	// StopTimeout is how long it then takes to end what is left and to
+	// write its last records. Default 5s.
+	StopTimeout state.Duration `toml:"stop_timeout" validate:"min_duration=100ms,max_duration=10m"`
+}
