--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// DefaultEntry returns the settings of an entry whose file is empty.
+func DefaultEntry() Entry {
+	return Entry{
+		Common: defaultCommon(),
+		Limits: EntryLimits{
+			BodyBytes:                 16 * state.MiB,
+			QueueRequests:             4096,
+			QueueBytes:                64 * state.MiB,
+			ModelInFlight:             2048,
+			CallerInFlight:            512,
+			DefaultDeadline:           state.Duration(30 * time.Second),
+			MaxDeadline:               state.Duration(10 * time.Minute),
+			StarvationBound:           state.Duration(5 * time.Second),
+			CrossRegionBytesPerSecond: state.MiB,
+			LogAppendsPerSecond:       20,
+		},
+		Weights: Weights{Idle: 1, ColdStart: 1},
+	}
+}
+
+// DefaultAgent returns the settings of an agent whose file is empty.
+func DefaultAgent() Agent {
+	return Agent{
+		Common: defaultCommon(),
+		Upstream: AgentUpstream{
+			Kind:        state.ModelRunner,
+			Fencing:     state.FencingIgnored,
+			Concurrency: 16,
+		},
+		Limits: AgentLimits{
+			QueueRequests:   256,
+			QueueBytes:      64 * state.MiB,
+			BodyBytes:       16 * state.MiB,
+			LongShare:       0.5,
+			StarvationBound: state.Duration(5 * time.Second),
+		},
+	}
+}
+
+func defaultCommon() Common {
+	return Common{
+		Telemetry: Telemetry{
+			LogFormat:    "text",
+			LogLevel:     "info",
+			OTLPInterval: state.Duration(15 * time.Second),
+			TopNames:     50,
+		},
+		Shutdown: Shutdown{
+			DrainTimeout: state.Duration(30 * time.Second),
+			StopTimeout:  state.Duration(5 * time.Second),
+		},
+	}
+}
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -6,11 +6,11 @@
 type Entry struct {
 	Common
 	// Limits bounds what the entry accepts.
-	Limits EntryLimits `toml:"limits"`
+	Limits EntryLimits `toml:"limits" reload:"yes"`
 	// Weights says what the deployment values.
-	Weights Weights `toml:"weights"`
+	Weights Weights `toml:"weights" reload:"yes"`
 	// Tokens lists the operators' bearer tokens.
-	Tokens []Token `toml:"tokens" validate:"max=1024,unique=SHA256,dive"`
+	Tokens []Token `toml:"tokens" validate:"max=1024,dive" reload:"yes"`
 }
 
 // EntryLimits bounds what an entry accepts. All bounds are per entry.
@@ -30,8 +30,9 @@
 	// DefaultDeadline is the deadline of a request that names none.
 	// Default 30s.
 	DefaultDeadline state.Duration `toml:"default_deadline" validate:"min_duration=1ms,max_duration=1h"`
-	// MaxDeadline caps the deadline that a request may ask for. Default 10m.
-	MaxDeadline state.Duration `toml:"max_deadline" validate:"min_duration=1ms,max_duration=24h"`
+	// MaxDeadline caps the deadline that a request may ask for; at least
+	// DefaultDeadline. Default 10m.
+	MaxDeadline state.Duration `toml:"max_deadline" validate:"max_duration=24h"`
 	// StarvationBound is how long a request of a lower class may wait
 	// behind higher classes before it is served first. Default 5s.
 	StarvationBound state.Duration `toml:"starvation_bound" validate:"min_duration=10ms,max_duration=10m"`
@@ -86,7 +87,7 @@
 	// Upstream describes the upstream beside the agent.
 	Upstream AgentUpstream `toml:"upstream"`
 	// Limits bounds what the agent accepts.
-	Limits AgentLimits `toml:"limits"`
+	Limits AgentLimits `toml:"limits" reload:"yes"`
 }
 
 // AgentUpstream describes the upstream beside an agent.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,11 +4,12 @@
 
 import "github.com/lagoonvalve/lagoonvalve/internal/state"
 
-// Common holds the settings that both roles share.
+// Common holds the settings that both roles share. Fields with the tag
+// reload:"yes" take effect on reload, all others at the next start.
 type Common struct {
 	// Name is unique among the processes of the role. For an agent it is the
 	// name of its upstream. Required.
-	Name string `toml:"name" validate:"required,max=128,printascii,excludesall=0x20"`
+	Name string `toml:"name" validate:"required,max=128,printascii,excludes= "`
 	// Host is the name of the machine in the platform's host list. Required.
 	Host state.HostName `toml:"host" validate:"required,max=128"`
 	// Region groups data centres that are about 1 ms apart. Required.
@@ -20,25 +21,25 @@
 	// Platform holds the addresses of the platform's services.
 	Platform Platform `toml:"platform"`
 	// Peers lists the entries of this and the other regions.
-	Peers []Peer `toml:"peers" validate:"max=1024,unique=Name,dive"`
+	Peers []Peer `toml:"peers" validate:"max=1024,dive" reload:"yes"`
 	// TLS holds certificates; without them connections are in clear text.
 	TLS TLS `toml:"tls"`
 	// Telemetry says where logs and metrics go.
 	Telemetry Telemetry `toml:"telemetry"`
 	// Shutdown bounds a planned stop.
-	Shutdown Shutdown `toml:"shutdown"`
+	Shutdown Shutdown `toml:"shutdown" reload:"yes"`
 }
 
 // Listen holds the addresses that a process binds, each "host:port".
 type Listen struct {
 	// Callers is the HTTP address for traffic: of callers at an entry, of
 	// entries at an agent. Required.
-	Callers string `toml:"callers" validate:"required,hostname_port"`
+	Callers string `toml:"callers" validate:"required,listen_address"`
 	// Operators is the HTTP address of the operators' API, health and
 	// metrics. Required for an entry; an agent without it serves no metrics.
-	Operators string `toml:"operators" validate:"omitempty,hostname_port"`
+	Operators string `toml:"operators" validate:"omitempty,listen_address"`
 	// Control is the jsonrpc2 address for other processes. Required.
-	Control string `toml:"control" validate:"required,hostname_port"`
+	Control string `toml:"control" validate:"required,listen_address"`
 }
 
 // Platform holds the addresses of the platform's services, as URLs.
@@ -61,7 +62,7 @@
 	// DataCentre of the entry. Required.
 	DataCentre state.DataCentre `toml:"data_centre" validate:"required"`
 	// Control is the entry's jsonrpc2 address, "host:port". Required.
-	Control string `toml:"control" validate:"required,hostname_port"`
+	Control string `toml:"control" validate:"required,dial_address"`
 }
 
 // TLS holds the certificates by the other side of the connection.
@@ -75,8 +76,7 @@
 	Internal Certificate `toml:"internal"`
 }
 
-// Certificate names the PEM files of one side of a connection. Changed files
-// are read again on reload.
+// Certificate names the PEM files of one side of a connection.
 type Certificate struct {
 	// CertFile is the certificate chain. Default: none, clear text.
 	CertFile string `toml:"cert_file" validate:"required_with=KeyFile CAFile"`
@@ -95,7 +95,7 @@
 	// LogFormat is "text" or "json". Default "text".
 	LogFormat string `toml:"log_format" validate:"oneof=text json"`
 	// LogLevel is "debug", "info", "warn" or "error". Default "info".
-	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error"`
+	LogLevel string `toml:"log_level" validate:"oneof=debug info warn error" reload:"yes"`
 	// OTLPEndpoint is the URL that metrics are pushed to over HTTP.
 	// Default: none, no push.
 	OTLPEndpoint string `toml:"otlp_endpoint" validate:"omitempty,http_url"`
