account: keep the memory account and plan orders

Cause: the agent needs a pure account that decides on its orders. Change: listings, orders, intents, reserve, eviction, releases; Intent.Orders counts the loads that may still take effect after the agent's death.

--- a/internal/decide/account/account.go
+++ b/internal/decide/account/account.go
@@ -19,12 +19,28 @@
 	// MaxLoads bounds the replica loads in flight on an engine that
 	// enforces fencing; default 2. Other engines get one order at a time.
 	MaxLoads int
+	// StoreSlots says that a load of a checkpoint that is not cached on the
+	// host needs a store slot.
+	StoreSlots bool
 }
 
+const (
+	defaultMaxLoads = 2
+	// retryUnknown is the time after which a load of unknown outcome is sent
+	// again if no listing shows it. The memory of both is counted.
+	retryUnknown = 5 * time.Second
+	// maxUnknown bounds the loads of unknown outcome of one replica.
+	maxUnknown = 2
+	// retryOrder delays the next order after a refused one.
+	retryOrder = time.Second
+)
+
 // Catalogue gives the sizes of what can be loaded.
 type Catalogue interface {
 	Version(key state.ReplicaKey) (state.ModelVersion, bool)
 	Adapter(name state.AdapterName) (state.Adapter, bool)
+	// LargestAdapter returns the size of the largest adapter of a model.
+	LargestAdapter(model state.ModelName) state.Bytes
 }
 
 // Use says how a replica or one of its adapters is being used.
@@ -109,3 +125,158 @@
 // Stamp orders listings and orders: a listing is taken after an order if its
 // stamp is the higher one.
 type Stamp uint64
+
+// Account is the memory account of one upstream. It belongs to one goroutine.
+type Account struct {
+	cfg       Config
+	catalogue Catalogue
+	burst     BurstRule
+
+	token      state.FencingToken
+	registered bool
+	superseded bool
+	leaving    bool
+	stopping   bool
+
+	grants      map[state.ReplicaKey][]state.Grant
+	grantsKnown bool
+	releasing   map[state.Offset]bool
+	unwanted    map[state.ReplicaKey]bool
+
+	stamp       Stamp
+	listedAt    Stamp // stamp of the last listing that was used
+	incarnation string
+	capacity    state.Bytes
+	role        string
+	cached      map[string]platform.CacheTier
+	listed      map[state.ReplicaKey]*replica
+
+	orders    []*order
+	nextOrder OrderID
+	backoff   map[target]time.Time
+
+	// fence is when the engine accepted an order with the agent's token.
+	fenced bool
+	fence  Stamp
+
+	wishes map[target]*Wish
+	slots  map[state.ReplicaKey]*slot
+
+	intent intents
+	// predecessor may still have this many orders for models of its set.
+	predecessor       []state.ReplicaKey
+	predecessorOrders int
+}
+
+// target is what a load or unload concerns: a replica, or an adapter of it.
+type target struct {
+	key     state.ReplicaKey
+	adapter state.AdapterName
+}
+
+// replica is a replica that the last listing showed.
+type replica struct {
+	state    state.ReplicaState
+	size     state.Bytes
+	since    time.Time
+	adapters map[state.AdapterName]state.Bytes
+}
+
+// order is an order that may not yet have had its effect.
+type order struct {
+	id       OrderID
+	kind     platform.OrderKind
+	target   target
+	size     state.Bytes
+	sent     Stamp
+	answered Stamp // 0 while in flight
+	outcome  Outcome
+	at       time.Time // when it was sent, later when it was answered
+}
+
+type slot struct {
+	until   time.Time
+	pending bool
+	retry   time.Time
+}
+
+// New returns the account of an agent that is not registered yet. Without a
+// burst rule no replica is evicted before its keep-alive ends.
+func New(cfg Config, catalogue Catalogue, burst BurstRule) *Account {
+	if cfg.MaxLoads <= 0 {
+		cfg.MaxLoads = defaultMaxLoads
+	}
+	return &Account{
+		cfg:       cfg,
+		catalogue: catalogue,
+		burst:     burst,
+		grants:    make(map[state.ReplicaKey][]state.Grant),
+		releasing: make(map[state.Offset]bool),
+		unwanted:  make(map[state.ReplicaKey]bool),
+		listed:    make(map[state.ReplicaKey]*replica),
+		backoff:   make(map[target]time.Time),
+		wishes:    make(map[target]*Wish),
+		slots:     make(map[state.ReplicaKey]*slot),
+		capacity:  cfg.Memory,
+	}
+}
+
+// Register tells the account that the agent's registration is in the log and
+// which intent its predecessors left at that place.
+func (a *Account) Register(token state.FencingToken, left state.Intent) {
+	a.token = token
+	a.registered = true
+	if a.cfg.Fencing == state.FencingEnforced || len(left.Models) == 0 {
+		return
+	}
+	a.predecessor = left.Models
+	a.predecessorOrders = max(left.Orders, 1)
+}
+
+// Supersede tells the account that a later agent is registered. It orders
+// nothing from then on.
+func (a *Account) Supersede() { a.superseded = true }
+
+// Superseded reports whether a later agent is known.
+func (a *Account) Superseded() bool { return a.superseded }
+
+// SetGrants replaces the grants in force. Grants that are not listed any more
+// were released or ended with their host.
+func (a *Account) SetGrants(grants []state.Grant) {
+	clear(a.grants)
+	alive := make(map[state.Offset]bool, len(grants))
+	for _, g := range grants {
+		if g.Upstream != a.cfg.Upstream {
+			continue
+		}
+		a.grants[g.ReplicaKey] = append(a.grants[g.ReplicaKey], g)
+		alive[g.ID] = true
+	}
+	for id := range a.releasing {
+		if !alive[id] {
+			delete(a.releasing, id)
+		}
+	}
+	a.grantsKnown = true
+}
+
+// ReleaseFailed says that a release was not stored; it will be asked for
+// again.
+func (a *Account) ReleaseFailed(grant state.Offset) { delete(a.releasing, grant) }
+
+// Leave makes the account unload everything and release all grants.
+func (a *Account) Leave() { a.leaving = true }
+
+// Stop ends all orders; what is loaded stays loaded. The last command is an
+// intent that covers only what may still take effect.
+func (a *Account) Stop() { a.stopping = true }
+
+// granted reports whether key may be loaded.
+func (a *Account) granted(key state.ReplicaKey) bool {
+	for _, g := range a.grants[key] {
+		if !g.Revoked && !a.releasing[g.ID] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decide/account/fulfil.go
@@ -0,0 +1,225 @@
+package account
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// fulfil takes the next step towards a wish. The second result tells the
+// caller to leave the memory that is being freed to this wish.
+func (a *Account) fulfil(now time.Time, w *Wish, use UseFunc) ([]Command, bool) {
+	r, listed := a.listed[w.Key]
+	switch {
+	case !listed:
+		return a.load(now, w, use)
+	case r.state == state.ReplicaReady && w.Adapter != "" && !a.unloading(target{key: w.Key}):
+		return a.loadAdapter(now, w, use)
+	}
+	return nil, false
+}
+
+func (a *Account) load(now time.Time, w *Wish, use UseFunc) ([]Command, bool) {
+	t := target{key: w.Key}
+	version, ok := a.catalogue.Version(w.Key)
+	if !ok || !a.mayOrder(w.Key) || !a.mayLoad(now, t) {
+		return nil, false
+	}
+	size := version.Footprint()
+	if cmds, short := a.makeRoom(now, t, size, w, use); short {
+		return cmds, len(cmds) > 0 || a.freeing() > 0
+	}
+	if ask, wait := a.askSlot(now, w); wait {
+		return ask, true
+	}
+	if !a.canSend() || a.loadsInFlight() >= a.cfg.MaxLoads {
+		return nil, true
+	}
+	cmd := a.send(now, platform.Order{
+		Kind:       platform.OrderLoad,
+		ReplicaKey: w.Key,
+		Size:       size,
+		Weights:    version.Weights,
+	}, t)
+	return []Command{cmd}, false
+}
+
+func (a *Account) loadAdapter(now time.Time, w *Wish, use UseFunc) ([]Command, bool) {
+	t := target{w.Key, w.Adapter}
+	adapter, ok := a.catalogue.Adapter(w.Adapter)
+	if !ok || !a.mayOrder(w.Key) || !a.mayLoad(now, t) {
+		return nil, false
+	}
+	if cmds, short := a.makeRoom(now, t, adapter.Size, w, use); short {
+		return cmds, len(cmds) > 0 || a.freeing() > 0
+	}
+	if !a.canSend() {
+		return nil, true
+	}
+	cmd := a.send(now, platform.Order{
+		Kind:       platform.OrderLoadAdapter,
+		ReplicaKey: w.Key,
+		Adapter:    w.Adapter,
+		Size:       adapter.Size,
+		Weights:    adapter.Size,
+	}, t)
+	return []Command{cmd}, false
+}
+
+// mayLoad reports whether no earlier load of t forbids another one.
+func (a *Account) mayLoad(now time.Time, t target) bool {
+	if now.Before(a.backoff[t]) {
+		return false
+	}
+	unknown := 0
+	for _, o := range a.orders {
+		if o.target != t {
+			continue
+		}
+		if !o.isLoad() || o.answered == 0 || o.outcome != Unknown {
+			return false
+		}
+		if now.Sub(o.at) < retryUnknown || o.answered >= a.listedAt {
+			return false
+		}
+		unknown++
+	}
+	return unknown < maxUnknown
+}
+
+func (a *Account) loadsInFlight() int {
+	count := 0
+	for _, o := range a.orders {
+		if o.kind == platform.OrderLoad && o.answered == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// makeRoom reports whether memory is short for a load of t, and evicts for it
+// if that would help. Memory already counted for t is not needed twice.
+func (a *Account) makeRoom(now time.Time, t target, size state.Bytes, w *Wish, use UseFunc) ([]Command, bool) {
+	need := size - a.free()
+	if _, unknown := a.loads(t); unknown > 0 {
+		need -= size
+	}
+	if need <= 0 {
+		return nil, false
+	}
+	need -= a.freeing()
+	if need <= 0 {
+		return nil, true
+	}
+	var cmds []Command
+	for _, v := range a.victims(now, need, w, use) {
+		if !a.canSend() {
+			break
+		}
+		cmds = append(cmds, a.sendUnload(now, v))
+	}
+	return cmds, true
+}
+
+type victim struct {
+	target target
+	size   state.Bytes
+	use    Use
+	idle   time.Duration
+}
+
+// victims chooses what to unload to free need bytes, or nothing if not enough
+// may be unloaded. Adapters make room for adapters first, then replicas past
+// their keep-alive go, then those that the burst rule gives up.
+func (a *Account) victims(now time.Time, need state.Bytes, w *Wish, use UseFunc) []target {
+	var chosen []target
+	take := func(candidates []victim, allowed func(victim) bool) {
+		for _, v := range candidates {
+			if need <= 0 {
+				return
+			}
+			if allowed(v) {
+				need -= v.size
+				chosen = append(chosen, v.target)
+			}
+		}
+	}
+	if w.Adapter != "" {
+		take(a.idleAdapters(now, use), func(victim) bool { return true })
+	}
+	replicas := a.idleReplicas(now, w, use)
+	expired := func(v victim) bool { return v.idle >= v.use.KeepAlive }
+	take(replicas, expired)
+	take(replicas, func(v victim) bool {
+		return !expired(v) && a.burst != nil && a.burst(now, v.target.key, v.use, *w)
+	})
+	if need > 0 {
+		return nil
+	}
+	return chosen
+}
+
+func (a *Account) idleReplicas(now time.Time, w *Wish, use UseFunc) []victim {
+	var found []victim
+	for key, r := range a.listed {
+		u := use(key, "")
+		t := target{key: key}
+		if key == w.Key || !a.evictable(now, t, u) {
+			continue
+		}
+		found = append(found, victim{t, r.total(), u, a.idle(now, key, u)})
+	}
+	slices.SortFunc(found, byIdle)
+	return found
+}
+
+func (a *Account) idleAdapters(now time.Time, use UseFunc) []victim {
+	var found []victim
+	for key, r := range a.listed {
+		for name, size := range r.adapters {
+			u := use(key, name)
+			t := target{key, name}
+			if !a.evictable(now, t, u) {
+				continue
+			}
+			found = append(found, victim{t, size, u, a.idle(now, key, u)})
+		}
+	}
+	slices.SortFunc(found, byIdle)
+	return found
+}
+
+// byIdle puts the longest unused first.
+func byIdle(x, y victim) int {
+	return cmp.Or(cmp.Compare(y.idle, x.idle), compareKeys(x.target.key, y.target.key),
+		cmp.Compare(x.target.adapter, y.target.adapter))
+}
+
+// askSlot reports whether the load has to wait for a store slot, and asks for
+// one if that is due.
+func (a *Account) askSlot(now time.Time, w *Wish) ([]Command, bool) {
+	if !a.cfg.StoreSlots || a.isCached(w.Key) {
+		return nil, false
+	}
+	s := a.slots[w.Key]
+	if s == nil {
+		s = &slot{}
+		a.slots[w.Key] = s
+	}
+	switch {
+	case now.Before(s.until):
+		return nil, false
+	case s.pending || now.Before(s.retry):
+		return nil, true
+	}
+	s.pending = true
+	return []Command{AskSlot{Wish: *w}}, true
+}
+
+func (a *Account) isCached(key state.ReplicaKey) bool {
+	tier := a.cached[string(key.Model)+"/"+string(key.Version)]
+	return tier == platform.CacheMemory || tier == platform.CacheDisk
+}
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -93,6 +93,10 @@
 type Intent struct {
 	Agent  FencingToken `json:"agent"`
 	Models []ReplicaKey `json:"models"`
+	// Orders bounds the load orders that may still take effect once the
+	// agent is dead: its own and those of unclean predecessors. Zero counts
+	// as one if Models is not empty.
+	Orders int `json:"orders,omitempty"`
 }
 
 // Claim reserves the right to run one non-idempotent request.
