--- /dev/null
+++ b/internal/entry/claimclient.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// claimRouter finds the owner of a claim's shard: a region by rendezvous
+// hashing over the regions, then an entry of it. When no entry of a region
+// can be reached the next region takes over, which is safe because log order
+// decides between owners.
+type claimRouter struct {
+	process state.ProcessID
+	name    state.EntryName
+	region  state.Region
+	// regions lists the control addresses of the other regions' entries.
+	regions map[state.Region]map[state.EntryName]string
+	order   []state.EntryName
+	view    func() *view
+	local   *claimShards
+	caller  rpc.Caller
+	// running ends with the process.
+	running context.Context
+}
+
+func (r *claimRouter) self() state.ProcessID { return r.process }
+
+// regionsFor lists the regions in the order in which they own a shard.
+func (r *claimRouter) regionsFor(shard int) []state.Region {
+	names := make([]state.EntryName, 0, len(r.regions)+1)
+	names = append(names, state.EntryName(r.region))
+	for region := range r.regions {
+		names = append(names, state.EntryName(region))
+	}
+	ring := membership.NewRing(names)
+	key := strconv.Itoa(shard)
+	ordered := make([]state.Region, len(names))
+	for _, name := range names {
+		ordered[ring.Rank(membership.RoleClaimOwner, key, name)] = state.Region(name)
+	}
+	return ordered
+}
+
+// owners lists the addresses to ask about a shard; an empty one is this
+// process.
+func (r *claimRouter) owners(shard int) []string {
+	key := strconv.Itoa(shard)
+	var addresses []string
+	for _, region := range r.regionsFor(shard) {
+		known, ring := r.regions[region], (*membership.Ring)(nil)
+		if region == r.region {
+			current := r.view()
+			known, ring = current.addresses, current.ring
+			addresses = append(addresses, r.addressOf(ring.Owner(membership.RoleClaimOwner, key), known))
+			continue
+		}
+		names := make([]state.EntryName, 0, len(known))
+		for name := range known {
+			names = append(names, name)
+		}
+		ring = membership.NewRing(names)
+		first := ring.Owner(membership.RoleClaimOwner, key)
+		addresses = append(addresses, r.addressOf(first, known))
+		if len(names) > 1 {
+			second := membership.NewRing(without(names, first)).Owner(membership.RoleClaimOwner, key)
+			addresses = append(addresses, r.addressOf(second, known))
+		}
+	}
+	return addresses
+}
+
+func without(names []state.EntryName, gone state.EntryName) []state.EntryName {
+	rest := make([]state.EntryName, 0, len(names))
+	for _, name := range names {
+		if name != gone {
+			rest = append(rest, name)
+		}
+	}
+	return rest
+}
+
+func (r *claimRouter) addressOf(name state.EntryName, known map[state.EntryName]string) string {
+	if name == r.name {
+		return ""
+	}
+	return known[name]
+}
+
+// claim implements claimClient.
+func (r *claimRouter) claim(ctx context.Context, params rpc.ClaimParams) (rpc.ClaimResult, error) {
+	shard := claims.ShardOf(params.Claim.Caller, params.Claim.Key)
+	last := errors.New("no owner of the claim's shard is known")
+	for _, address := range r.owners(shard) {
+		if address == "" {
+			return r.local.ask(ctx, params)
+		}
+		var result rpc.ClaimResult
+		err := r.caller.Call(ctx, address, rpc.MethodClaim, params, &result)
+		if err == nil || !errors.Is(err, rpc.ErrUnreachable) || ctx.Err() != nil {
+			return result, err
+		}
+		last = err
+	}
+	return rpc.ClaimResult{}, last
+}
+
+// outcomeTimeout bounds telling an owner how a claim ended.
+const outcomeTimeout = 5 * time.Second
+
+// outcome implements claimClient.
+func (r *claimRouter) outcome(params rpc.ClaimOutcomeParams) {
+	go func() {
+		ctx, cancel := context.WithTimeout(r.running, outcomeTimeout)
+		defer cancel()
+		for _, address := range r.owners(claims.ShardOf(params.Caller, params.Key)) {
+			if address == "" {
+				r.local.outcome(ctx, params, r.process)
+				return
+			}
+			remote := rpc.ClaimOutcomeFrom{ClaimOutcomeParams: params, From: r.process}
+			err := r.caller.Call(ctx, address, rpc.MethodClaimDone, remote, &struct{}{})
+			if !errors.Is(err, rpc.ErrUnreachable) {
+				return
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/entry/claimshards.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
+	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	// claimTick is the time between ticks of the claim owners.
+	claimTick = 10 * time.Millisecond
+	// shardIdle is how long an unused shard is kept.
+	shardIdle = 10 * time.Minute
+	// questionTimeout bounds a question to an agent about a claim.
+	questionTimeout = time.Second
+)
+
+// claimShards runs the owners of claim shards. Any entry can own any shard:
+// log order decides between owners. One goroutine owns the table.
+type claimShards struct {
+	self     state.ProcessID
+	log      platform.Log
+	appender logclient.Appender
+	caller   rpc.Caller
+	// agentAddress finds the control address of an upstream's agent.
+	agentAddress func(state.UpstreamName) (string, bool)
+	logger       *slog.Logger
+	events       chan shardEvent
+	shards       map[int]*claimShard
+	tickets      map[claims.Ticket]chan rpc.ClaimResult
+	lastTicket   claims.Ticket
+}
+
+type claimShard struct {
+	number   int
+	owner    *claims.Owner
+	began    bool
+	stop     context.CancelFunc
+	lastUsed time.Time
+}
+
+// shardEvent is something that the owners have to hear of.
+type shardEvent func(ctx context.Context, now time.Time)
+
+func newClaimShards(self state.ProcessID, log platform.Log, appender logclient.Appender, caller rpc.Caller,
+	agentAddress func(state.UpstreamName) (string, bool), logger *slog.Logger,
+) *claimShards {
+	return &claimShards{
+		self:         self,
+		log:          log,
+		appender:     appender,
+		caller:       caller,
+		agentAddress: agentAddress,
+		logger:       logger,
+		events:       make(chan shardEvent, eventBuffer),
+		shards:       make(map[int]*claimShard),
+		tickets:      make(map[claims.Ticket]chan rpc.ClaimResult),
+	}
+}
+
+// run applies events and ticks until ctx ends.
+func (s *claimShards) run(ctx context.Context) error {
+	ticker := time.NewTicker(claimTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-s.events:
+			e(ctx, time.Now())
+		case now := <-ticker.C:
+			s.tick(ctx, now)
+		}
+	}
+}
+
+func (s *claimShards) tick(ctx context.Context, now time.Time) {
+	for number, shard := range s.shards {
+		s.carryOut(ctx, shard, shard.owner.Tick(now))
+		if now.Sub(shard.lastUsed) > shardIdle {
+			shard.stop()
+			delete(s.shards, number)
+		}
+	}
+}
+
+func (s *claimShards) post(ctx context.Context, e shardEvent) bool {
+	select {
+	case s.events <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask answers a request for a claim.
+func (s *claimShards) ask(ctx context.Context, params rpc.ClaimParams) (rpc.ClaimResult, error) {
+	reply := make(chan rpc.ClaimResult, 1)
+	s.post(ctx, func(running context.Context, now time.Time) {
+		shard := s.shard(running, claims.ShardOf(params.Claim.Caller, params.Claim.Key), now)
+		s.lastTicket++
+		s.tickets[s.lastTicket] = reply
+		s.carryOut(running, shard, shard.owner.Ask(s.lastTicket, params, now))
+	})
+	select {
+	case result := <-reply:
+		return result, nil
+	case <-ctx.Done():
+		return rpc.ClaimResult{}, verdict.Unknown(verdict.ReasonClaimUnknown, "the claim was not settled in time")
+	}
+}
+
+// outcome notes how a claim ended.
+func (s *claimShards) outcome(ctx context.Context, params rpc.ClaimOutcomeParams, from state.ProcessID) {
+	s.post(ctx, func(running context.Context, now time.Time) {
+		shard := s.shard(running, claims.ShardOf(params.Caller, params.Key), now)
+		s.carryOut(running, shard, shard.owner.Outcome(params, from, now))
+	})
+}
+
+func (s *claimShards) shard(ctx context.Context, number int, now time.Time) *claimShard {
+	shard, ok := s.shards[number]
+	if !ok {
+		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		tailing, stop := context.WithCancel(ctx)
+		shard = &claimShard{
+			number: number,
+			owner:  claims.NewOwner(s.self, claims.DefaultSettings(), random),
+			stop:   stop,
+		}
+		s.shards[number] = shard
+		go s.follow(tailing, shard)
+	}
+	shard.lastUsed = now
+	return shard
+}
+
+// carryOut runs what an owner asks for.
+func (s *claimShards) carryOut(ctx context.Context, shard *claimShard, commands claims.Commands) {
+	for _, reply := range commands.Replies {
+		if waiter, ok := s.tickets[reply.Ticket]; ok {
+			delete(s.tickets, reply.Ticket)
+			waiter <- reply.Result
+		}
+	}
+	if len(commands.Append) > 0 {
+		go s.append(ctx, shard, commands.Append)
+	}
+	for _, question := range commands.Questions {
+		go s.question(ctx, shard, question)
+	}
+}
+
+func (s *claimShards) append(ctx context.Context, shard *claimShard, batch []state.Record) {
+	limited, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	_, err := s.appender.Append(limited, platform.ClaimStream(shard.number), batch...)
+	result := claims.AppendStored
+	switch {
+	case errors.Is(err, platform.ErrUnavailable):
+		result = claims.AppendRefused
+	case err != nil:
+		result = claims.AppendUnknown
+	}
+	s.post(ctx, func(running context.Context, now time.Time) {
+		s.carryOut(running, shard, shard.owner.Appended(batch, result, now))
+	})
+}
+
+func (s *claimShards) question(ctx context.Context, shard *claimShard, question claims.Question) {
+	limited, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	var answer *rpc.ClaimStatusResult
+	if address, ok := s.agentAddress(question.Upstream); ok {
+		answer = &rpc.ClaimStatusResult{}
+		if err := s.caller.Call(limited, address, rpc.MethodClaimStatus, question.Params, answer); err != nil {
+			answer = nil
+		}
+	}
+	s.post(ctx, func(running context.Context, now time.Time) {
+		s.carryOut(running, shard, shard.owner.AgentAnswered(question.Params.Claim, answer, now))
+	})
+}
+
+// follow reads a shard's stream.
+func (s *claimShards) follow(ctx context.Context, shard *claimShard) {
+	from := state.Offset(0)
+	for ctx.Err() == nil {
+		err := logclient.Tail(ctx, s.log, platform.ClaimStream(shard.number), from, logclient.TailOptions{},
+			func(page platform.Page) error {
+				from = page.Next
+				return s.deliver(ctx, shard, page)
+			})
+		var truncated *logclient.TruncatedError
+		if errors.As(err, &truncated) {
+			from = truncated.Oldest
+			s.noteTruncated(ctx, shard, truncated)
+			continue
+		}
+		sleep(ctx, tailPause)
+	}
+}
+
+func (s *claimShards) deliver(ctx context.Context, shard *claimShard, page platform.Page) error {
+	done := make(chan struct{})
+	posted := s.post(ctx, func(running context.Context, now time.Time) {
+		defer close(done)
+		s.applyPage(running, shard, page, now)
+	})
+	if !posted {
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *claimShards) applyPage(ctx context.Context, shard *claimShard, page platform.Page, now time.Time) {
+	if !shard.began {
+		shard.began = true
+		var t0 time.Time
+		if page.Oldest > 0 && len(page.Records) > 0 {
+			t0 = page.Records[0].Time
+		} else if page.Oldest > 0 {
+			t0 = now
+		}
+		shard.owner.Begin(t0)
+	}
+	for _, record := range page.Records {
+		s.carryOut(ctx, shard, shard.owner.Apply(record, now))
+	}
+	if page.Next >= page.End {
+		shard.owner.CaughtUp()
+	}
+}
+
+// noteTruncated tells an owner that began earlier that records were lost
+// unread; no key of that time may be claimed any more.
+func (s *claimShards) noteTruncated(ctx context.Context, shard *claimShard, _ *logclient.TruncatedError) {
+	s.post(ctx, func(_ context.Context, now time.Time) {
+		if shard.began {
+			shard.owner.Truncated(now)
+		}
+	})
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -79,20 +79,21 @@
 	configReady bool
 	regionReady bool
 
-	peers   peerTable
-	agents  *membership.Agents
-	fleet   fleetTable
-	homes   homeTable
-	lease   *lease.Machine
-	decider decider
-	crashes *quarantine.Tracker
-	broker  *scaling.Broker
-	leaving bool
+	peers      peerTable
+	agents     *membership.Agents
+	fleet      fleetTable
+	homes      homeTable
+	lease      *lease.Machine
+	decider    decider
+	crashes    *quarantine.Tracker
+	changes    changeWaiters
+	slotKeeper slotKeeper
+	leaving    bool
 }
 
 func newControl(cfg controlConfig, deps controlDeps, now time.Time) *control {
 	membershipSettings := membership.DefaultSettings()
-	return &control{
+	c := &control{
 		cfg:     cfg,
 		deps:    deps,
 		events:  make(chan event, eventBuffer),
@@ -101,11 +102,13 @@
 		region:  state.NewRegionTables(),
 		peers:   newPeerTable(cfg, membershipSettings),
 		agents:  membership.NewAgents(membershipSettings),
-		fleet:   newFleetTable(membershipSettings, now),
+		fleet:   newFleetTable(membershipSettings),
 		homes:   newHomeTable(cfg.home),
 		lease:   lease.NewMachine(cfg.self, lease.DefaultSettings(), now),
 		crashes: quarantine.NewTracker(quarantine.DefaultSettings()),
 	}
+	c.slotKeeper.assign(c.peers.ring.Owner(roleStoreSlots, ""), cfg.name, cfg.self.Incarnation, now)
+	return c
 }
 
 // run applies events and ticks until ctx ends.
@@ -144,6 +147,7 @@
 func (c *control) tick(ctx context.Context, now time.Time) {
 	c.pingPeers(ctx, now)
 	c.watchAgents(ctx, now)
+	c.slotKeeper.assign(c.peers.ring.Owner(roleStoreSlots, ""), c.cfg.name, c.cfg.self.Incarnation, now)
 	c.decideHomes(now)
 	c.decideRegion(ctx, now)
 	c.crashes.Tick(now)
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -38,9 +38,9 @@
 	at time.Time
 }
 
-func newFleetTable(settings membership.Settings, now time.Time) fleetTable {
+func newFleetTable(settings membership.Settings) fleetTable {
 	return fleetTable{
-		fleet:   membership.NewFleet(settings, now),
+		fleet:   membership.NewFleet(settings),
 		demands: make(map[state.ModelName]demandNoted),
 	}
 }
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,6 +21,9 @@
 // RegionStream is the stream of the decisions of region r.
 func RegionStream(r state.Region) Stream { return Stream("region/" + string(r)) }
 
+// ClaimStream is the stream of a claim shard.
+func ClaimStream(shard int) Stream { return Stream(fmt.Sprintf("claims/%02d", shard)) }
+
 // AuditStream is the stream of the audit trail of region r.
 func AuditStream(r state.Region) Stream { return Stream("audit/" + string(r)) }
 
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -19,7 +19,6 @@
 	MethodDemand      = "home.demand"
 	MethodClaim       = "claims.claim"
 	MethodClaimDone   = "claims.done"
-	MethodClaimVoid   = "claims.void"
 	MethodStoreSlot   = "store.slot"
 	MethodPing        = "entry.ping"
 	MethodQuery       = "entry.query"
@@ -214,6 +213,12 @@
 	Void   *state.ClaimVoid `json:"void,omitempty"`
 }
 
+// ClaimOutcomeFrom is ClaimOutcomeParams with the entry that reports it.
+type ClaimOutcomeFrom struct {
+	ClaimOutcomeParams
+	From state.ProcessID `json:"from"`
+}
+
 // ClaimStatusParams asks an agent about a claim. An agent that has not seen
 // it refuses it from then on.
 type ClaimStatusParams struct {
