--- /dev/null
+++ b/internal/decide/claims/owner.go
@@ -0,0 +1,309 @@
+package claims
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// ShardOf returns the claim shard of a key.
+func ShardOf(caller state.CallerName, key string) int {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(caller)) // A digest never fails.
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return int(d.Sum64() % ShardCount)
+}
+
+// retryAfter paces appends that were refused or whose outcome is unknown.
+const retryAfter = 500 * time.Millisecond
+
+// keyID names a request of a caller.
+type keyID struct {
+	caller state.CallerName
+	key    uuid.UUID
+}
+
+// claim is an effective claim that is open or done.
+type claim struct {
+	id     string
+	key    keyID
+	body   state.Claim
+	writer state.ProcessID
+	// done is nil while the claim is open.
+	done *state.ClaimDone
+}
+
+// phase is what a waiting request waits for.
+type phase uint8
+
+const (
+	// waitTable waits for the table to be complete.
+	waitTable phase = iota
+	// waitClaim waits for its own claim record to be read.
+	waitClaim
+	// waitAgent waits for the answer to a question.
+	waitAgent
+	// waitVoid waits for a claim.void to be read.
+	waitVoid
+)
+
+type waiter struct {
+	ticket Ticket
+	params rpc.ClaimParams
+	key    keyID
+	until  time.Time
+	phase  phase
+	// record is the own claim in waitClaim, otherwise the claim in the way.
+	record string
+}
+
+// Owner is the owner of one claim shard. A verdict that it gives concerns one
+// sending of a request: NotRun says that this sending was not dispatched and
+// never will be. Where the owner knows of an earlier sending with the same
+// key that may have run, it says so instead.
+type Owner struct {
+	self     state.ProcessID
+	settings Settings
+	random   *rand.Rand
+
+	offset   state.Offset
+	t0       time.Time
+	begun    bool
+	caughtUp bool
+	byKey    map[keyID]*claim
+	byID     map[string]*claim
+
+	waiting map[Ticket]*waiter
+	// inLine is the request of a key that claims it.
+	inLine map[keyID]*waiter
+	// unread holds the own claim records that have not been read yet, with
+	// the time until which they are remembered.
+	unread map[string]time.Time
+	queue  []state.Record
+	sendAt time.Time
+}
+
+// NewOwner returns an owner that knows nothing. random makes record ids.
+func NewOwner(self state.ProcessID, settings Settings, random *rand.Rand) *Owner {
+	o := &Owner{
+		self: self, settings: settings, random: random,
+		waiting: map[Ticket]*waiter{}, inLine: map[keyID]*waiter{}, unread: map[string]time.Time{},
+	}
+	o.reset()
+	return o
+}
+
+func (o *Owner) reset() {
+	o.offset = state.NoOffset
+	o.byKey, o.byID = map[keyID]*claim{}, map[string]*claim{}
+	o.begun, o.caughtUp = false, false
+}
+
+// Begin says that the reading starts at the log's oldest retained record,
+// stored at t0. t0 is zero if the stream was never truncated. An owner whose
+// reading has lost records to retention begins again.
+func (o *Owner) Begin(t0 time.Time) {
+	o.reset()
+	o.begun = true
+	if t0.After(o.t0) {
+		o.t0 = t0
+	}
+}
+
+// CaughtUp says that all records up to the stream's end have been applied.
+func (o *Owner) CaughtUp(now time.Time) Commands {
+	var out Commands
+	if o.caughtUp || !o.begun {
+		return out
+	}
+	o.caughtUp = true
+	for _, w := range o.sorted(func(w *waiter) bool { return w.phase == waitTable }) {
+		o.decide(w, now, &out)
+	}
+	return out
+}
+
+// Truncated raises T0. Keys that are too old from now on are forgotten, since
+// no claim of theirs is ever granted again.
+func (o *Owner) Truncated(t0 time.Time) {
+	if !t0.After(o.t0) {
+		return
+	}
+	o.t0 = t0
+	for key, c := range o.byKey {
+		if o.tooOld(key) {
+			delete(o.byKey, key)
+			delete(o.byID, c.id)
+		}
+	}
+}
+
+// tooOld reports whether claims of the key may be missing from the table. A
+// claim takes effect only if its key is at most Skew ahead of the log's time
+// of its record, so every claim that was truncated has a key of T0 plus Skew
+// or less.
+func (o *Owner) tooOld(key keyID) bool {
+	return !o.t0.IsZero() && !keyTime(key.key).After(o.t0.Add(o.settings.Skew))
+}
+
+// Ask asks for a claim.
+func (o *Owner) Ask(t Ticket, p rpc.ClaimParams, now time.Time) Commands {
+	var out Commands
+	id, err := uuid.Parse(p.Claim.Key)
+	if err != nil || id.Version() != 7 {
+		// No owner claims such a key, so no request with it was ever run.
+		out.refuse(t, verdict.Refuse(verdict.ReasonKeyInvalid, "the idempotency key must be a UUIDv7"))
+		return out
+	}
+	if keyTime(id).After(now.Add(o.settings.Skew)) {
+		// This sending ends here without a claim.
+		out.refuse(t, verdict.Refuse(verdict.ReasonKeyInvalid, "the idempotency key's time is ahead of now"))
+		return out
+	}
+	if len(o.waiting) >= o.settings.MaxWaiting {
+		// This sending ends here without a claim.
+		out.refuse(t, verdict.Refuse(verdict.ReasonQueueFull, "too many claims wait").WithRetryAfter(o.settings.GiveUpAfter))
+		return out
+	}
+	until := now.Add(o.settings.GiveUpAfter)
+	if !p.Deadline.IsZero() && p.Deadline.Before(until) {
+		until = p.Deadline
+	}
+	w := &waiter{ticket: t, params: p, key: keyID{p.Claim.Caller, id}, until: until}
+	o.waiting[t] = w
+	if o.caughtUp {
+		o.decide(w, now, &out)
+	}
+	return out
+}
+
+// decide takes w as far as the table allows. The table is complete.
+func (o *Owner) decide(w *waiter, now time.Time, out *Commands) {
+	if o.tooOld(w.key) {
+		// The table may lack an earlier claim that ran, so nothing is said
+		// about the work but that it will not run from now on.
+		o.end(w, out, verdict.Unknown(verdict.ReasonKeyTooOld, "the idempotency key is older than the log's retention"))
+		return
+	}
+	if c, ok := o.byKey[w.key]; ok {
+		o.meet(w, c, out)
+		return
+	}
+	if first, ok := o.inLine[w.key]; ok {
+		if first.params.Claim.Fingerprint != w.params.Claim.Fingerprint {
+			// The key is about to belong to another request; this one gets
+			// no claim.
+			o.end(w, out, verdict.Refuse(verdict.ReasonKeyReused, "the idempotency key is in use for another request"))
+			return
+		}
+		o.end(w, out, verdict.Unknown(verdict.ReasonClaimInProgress, "the request is being claimed"))
+		return
+	}
+	o.claim(w, now)
+	o.flushFull(out)
+}
+
+// meet resolves w against an earlier claim of its key.
+func (o *Owner) meet(w *waiter, c *claim, out *Commands) {
+	switch {
+	case c.body.Fingerprint != w.params.Claim.Fingerprint:
+		// The key's claim is for another request; this one gets none.
+		o.end(w, out, verdict.Refuse(verdict.ReasonKeyReused, "the idempotency key was used for another request"))
+	case c.done != nil:
+		o.endRan(w, out, c.done)
+	default:
+		asked := false
+		for _, other := range o.waiting {
+			asked = asked || other.phase == waitAgent && other.record == c.id
+		}
+		w.phase, w.record = waitAgent, c.id
+		if !asked {
+			out.Questions = append(out.Questions, Question{Upstream: c.body.Upstream, Params: rpc.ClaimStatusParams{
+				Claim: c.id, Agent: c.body.Agent, AgentIncarnation: c.body.AgentIncarnation,
+			}})
+		}
+	}
+}
+
+// claim queues a claim record for w.
+func (o *Owner) claim(w *waiter, now time.Time) {
+	id := o.newID(now)
+	w.phase, w.record = waitClaim, id
+	o.inLine[w.key] = w
+	o.unread[id] = now.Add(o.settings.Window)
+	enqueue(o, id, state.KindClaim, w.params.Claim, now)
+}
+
+// newID returns a UUIDv7 of now, so that a claim's id tells its age.
+func (o *Owner) newID(now time.Time) string {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(now.UnixMilli())<<16|uint64(o.random.Uint32()&0xfff))
+	binary.BigEndian.PutUint64(id[8:], o.random.Uint64())
+	id[6] = id[6]&0x0f | 0x70
+	id[8] = id[8]&0x3f | 0x80
+	return id.String()
+}
+
+// keyTime returns the time in a UUIDv7.
+func keyTime(id uuid.UUID) time.Time {
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(id[:8]) >> 16))
+}
+
+func enqueue[B state.Body](o *Owner, id string, kind state.Kind, body B, now time.Time) {
+	record, err := state.NewRecord(id, o.self, kind, body)
+	if err != nil {
+		panic(err) // The bodies hold only types that always encode.
+	}
+	if len(o.queue) == 0 {
+		o.sendAt = now.Add(o.settings.BatchFor)
+	}
+	o.queue = append(o.queue, record)
+}
+
+// flushFull sends a batch that is full. A batch that waits after a failure is
+// not full.
+func (o *Owner) flushFull(out *Commands) {
+	if len(o.queue) >= o.settings.BatchSize && len(out.Append) == 0 {
+		o.flush(out)
+	}
+}
+
+func (o *Owner) flush(out *Commands) {
+	n := min(len(o.queue), o.settings.BatchSize)
+	out.Append = append(out.Append, o.queue[:n]...)
+	o.queue = append([]state.Record(nil), o.queue[n:]...)
+}
+
+func (c *Commands) refuse(t Ticket, v *verdict.Verdict) {
+	c.Replies = append(c.Replies, Reply{Ticket: t, Result: rpc.ClaimResult{Refusal: v}})
+}
+
+// remove takes w out of all lists.
+func (o *Owner) remove(w *waiter) {
+	delete(o.waiting, w.ticket)
+	if o.inLine[w.key] == w {
+		delete(o.inLine, w.key)
+	}
+}
+
+func (o *Owner) end(w *waiter, out *Commands, v *verdict.Verdict) {
+	o.remove(w)
+	out.refuse(w.ticket, v)
+}
+
+func (o *Owner) endRan(w *waiter, out *Commands, done *state.ClaimDone) {
+	o.remove(w)
+	out.Replies = append(out.Replies, Reply{Ticket: w.ticket, Result: rpc.ClaimResult{
+		Refusal: &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan},
+		Done:    done,
+	}})
+}
--- /dev/null
+++ b/internal/decide/claims/seen.go
@@ -0,0 +1,155 @@
+package claims
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// MaxKeptAnswer is the longest answer that a claim's outcome keeps.
+const MaxKeptAnswer = 4 * state.KiB
+
+// Keep returns done without an answer that is too long to keep.
+func Keep(done state.ClaimDone) state.ClaimDone {
+	if state.Bytes(len(done.Answer)) > MaxKeptAnswer {
+		done.Answer = nil
+		done.AnswerKept = false
+	}
+	return done
+}
+
+type seen struct {
+	state rpc.ClaimState
+	done  *state.ClaimDone
+	// made is the time in the claim's id.
+	made time.Time
+}
+
+// Seen is an agent's table of claims. It belongs to one incarnation and is
+// bounded by the time window: an id older than the window is never started,
+// so its entry can be forgotten.
+type Seen struct {
+	incarnation string
+	settings    Settings
+	claims      map[string]*seen
+	// now is the latest time seen. A clock that is set back must not make
+	// forgotten ids acceptable again.
+	now    time.Time
+	pruned time.Time
+}
+
+// NewSeen returns the table of one incarnation of an agent.
+func NewSeen(incarnation string, settings Settings) *Seen {
+	return &Seen{incarnation: incarnation, settings: settings, claims: map[string]*seen{}}
+}
+
+// Len returns the number of claims in the table.
+func (s *Seen) Len() int { return len(s.claims) }
+
+func (s *Seen) advance(now time.Time) {
+	if now.After(s.now) {
+		s.now = now
+	}
+	// A pass over the table each hundredth of the window keeps the cost per
+	// call small.
+	if s.now.Sub(s.pruned) < s.settings.Window/100 {
+		return
+	}
+	s.pruned = s.now
+	for id, c := range s.claims {
+		if c.state != rpc.ClaimRunning && s.expired(c.made) {
+			delete(s.claims, id)
+		}
+	}
+}
+
+func (s *Seen) expired(made time.Time) bool { return s.now.Sub(made) > s.settings.Window }
+
+// Start is called right before work of a claim is started. A non-nil verdict
+// forbids the start.
+func (s *Seen) Start(claim string, now time.Time) *verdict.Verdict {
+	s.advance(now)
+	id, err := uuid.Parse(claim)
+	if err != nil || id.Version() != 7 {
+		// The form of an id never changes, so this one is never started.
+		return verdict.Refuse(verdict.ReasonBadRequest, "the claim's id is not a UUIDv7")
+	}
+	if c, ok := s.claims[claim]; ok {
+		return c.again()
+	}
+	made := keyTime(id)
+	if s.expired(made) {
+		// It may have been started and forgotten.
+		return verdict.Unknown(verdict.ReasonKeyTooOld, "the claim is older than the window")
+	}
+	if made.After(s.now.Add(2 * s.settings.Skew)) {
+		// The entry in the table makes the refusal final.
+		s.claims[claim] = &seen{state: rpc.ClaimRefused, made: made}
+		return verdict.Refuse(verdict.ReasonKeyInvalid, "the claim's time is ahead of now")
+	}
+	s.claims[claim] = &seen{state: rpc.ClaimRunning, made: made}
+	return nil
+}
+
+// again is the verdict for a further dispatch of a claim.
+func (c *seen) again() *verdict.Verdict {
+	switch c.state {
+	case rpc.ClaimRefused:
+		// The claim was refused before any start, and the entry keeps it
+		// from being started until it is too old to be.
+		return verdict.Refuse(verdict.ReasonClaimUnknown, "the claim was given up")
+	case rpc.ClaimRan:
+		return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan}
+	}
+	return verdict.Unknown(verdict.ReasonClaimInProgress, "the claim is running")
+}
+
+// NotStarted notes that work was refused before its start, for good. It
+// reports whether that is so: only then may the refusal say "not run".
+func (s *Seen) NotStarted(claim string, now time.Time) bool {
+	s.advance(now)
+	id, err := uuid.Parse(claim)
+	if err != nil || id.Version() != 7 {
+		return true // Start never accepts it.
+	}
+	if c, ok := s.claims[claim]; ok {
+		return c.state == rpc.ClaimRefused
+	}
+	if s.expired(keyTime(id)) {
+		return false // It may have been started and forgotten.
+	}
+	// Not in the table and inside the window: it was never started, and the
+	// entry keeps it so.
+	s.claims[claim] = &seen{state: rpc.ClaimRefused, made: keyTime(id)}
+	return true
+}
+
+// Finish notes the outcome of started work.
+func (s *Seen) Finish(done state.ClaimDone, now time.Time) {
+	s.advance(now)
+	c, ok := s.claims[done.Claim]
+	if !ok || c.state != rpc.ClaimRunning {
+		return
+	}
+	kept := Keep(done)
+	c.state, c.done = rpc.ClaimRan, &kept
+}
+
+// Status answers a question about a claim and refuses it from then on if it
+// has not been seen.
+func (s *Seen) Status(p rpc.ClaimStatusParams, now time.Time) rpc.ClaimStatusResult {
+	if p.AgentIncarnation != s.incarnation {
+		return rpc.ClaimStatusResult{State: rpc.ClaimUnknown}
+	}
+	if s.NotStarted(p.Claim, now) {
+		return rpc.ClaimStatusResult{State: rpc.ClaimRefused}
+	}
+	if c, ok := s.claims[p.Claim]; ok {
+		return rpc.ClaimStatusResult{State: c.state, Done: c.done}
+	}
+	return rpc.ClaimStatusResult{State: rpc.ClaimUnknown}
+}
--- a/internal/decide/placement/choice.go
+++ b/internal/decide/placement/choice.go
@@ -87,28 +87,32 @@
 	tree.ReplaceOrInsert(n)
 }
 
-// staticScore is the part of the score that no other grant changes.
-func staticScore(in Input, d *demandOf, name state.UpstreamName) int {
-	score := 0
-	if slices.Contains(d.model.Pinned, name) {
-		score += scorePinned
+// scoreStatic scores what no other grant changes: pins and caches.
+func (d *demandOf) scoreStatic(in Input) {
+	if d.static != nil {
+		return
 	}
+	d.static = make(map[state.UpstreamName]int, len(d.model.Pinned)+len(in.Cached[d.key]))
 	for _, cached := range in.Cached[d.key] {
-		if cached.Upstream != name {
-			continue
-		}
-		switch cached.Tier {
-		case platform.CacheMemory:
-			return score + scoreMemory
-		case platform.CacheDisk:
-			return score + scoreDisk
-		}
+		d.static[cached.Upstream] = max(d.static[cached.Upstream], tierScore(cached.Tier))
 	}
-	return score
+	for _, name := range d.model.Pinned {
+		d.static[name] += scorePinned
+	}
+}
+
+func tierScore(tier platform.CacheTier) int {
+	switch tier {
+	case platform.CacheMemory:
+		return scoreMemory
+	case platform.CacheDisk:
+		return scoreDisk
+	}
+	return 0
 }
 
-func (f *fleet) score(in Input, d *demandOf, n *node) int {
-	score := staticScore(in, d, n.name) - f.penalty(n)
+func (f *fleet) score(d *demandOf, n *node) int {
+	score := d.static[n.name] - f.penalty(n)
 	if d.centres[n.centre] == 0 {
 		score += scoreNewCentre
 	}
@@ -125,24 +129,20 @@
 // their data centre in more than the penalty, so it looks at those and at the
 // first allowed one of each data centre.
 func (f *fleet) best(in Input, d *demandOf) *node {
+	d.scoreStatic(in)
 	var best *node
 	bestScore := 0
 	consider := func(n *node) {
-		score := f.score(in, d, n)
+		score := f.score(d, n)
 		if best == nil || score > bestScore || score == bestScore && n.name < best.name {
 			best, bestScore = n, score
 		}
 	}
-	for _, name := range d.model.Pinned {
+	for name := range d.static {
 		if n := f.nodes[name]; n != nil && f.allowed(d, n) {
 			consider(n)
 		}
 	}
-	for _, cached := range in.Cached[d.key] {
-		if n := f.nodes[cached.Upstream]; n != nil && f.allowed(d, n) {
-			consider(n)
-		}
-	}
 	for _, centre := range f.centres {
 		f.index[centre].Ascend(func(n *node) bool {
 			if f.allowed(d, n) {
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -56,6 +56,8 @@
 	// centres counts the usable grants by data centre.
 	centres map[state.DataCentre]int
 	taken   map[state.UpstreamName]bool
+	// static scores the pinned and the caching upstreams.
+	static map[state.UpstreamName]int
 }
 
 func compareNeed(a, b *demandOf) int {
@@ -193,16 +195,16 @@
 }
 
 // revokeOld asks for half of the grants of inactive versions at a time, and
-// for none while the first grants of the active version are on their way, so
-// that a change of version does not take a model's whole capacity.
+// for none while places for the active version are on their way, so that a
+// change of version does not take a model's whole capacity.
 func (p *planner) revokeOld(d *demandOf, old []state.Grant, current int) int {
-	if len(old) == 0 || d.granted > 0 && current == 0 {
+	returning := slices.ContainsFunc(d.kept, func(g state.Grant) bool {
+		n := p.fleet.nodes[g.Upstream]
+		return g.Revoked && g.Version != d.model.Active && n != nil && n.serving
+	})
+	if len(old) == 0 || current == 0 && (d.granted > 0 || returning) {
 		return 0
 	}
-	inFlight := slices.ContainsFunc(d.kept, func(g state.Grant) bool { return g.Revoked && g.Version != d.model.Active })
-	if inFlight && current == 0 && len(old) == 1 && d.model.MaxReplicas > 1 {
-		return 0 // The last one stays until its successor has a place.
-	}
 	count := (len(old) + 1) / 2
 	for _, g := range old[:count] {
 		p.revokeGrant(g)
@@ -213,6 +215,7 @@
 // revokeWorst revokes count of the grants: inactive versions first, then those
 // that new work cannot use, then those with the least to lose.
 func (p *planner) revokeWorst(d *demandOf, grants []state.Grant, count int) {
+	d.scoreStatic(p.in)
 	worth := func(g state.Grant) int {
 		value := 0
 		if g.Version == d.model.Active {
@@ -221,7 +224,7 @@
 		if n := p.fleet.nodes[g.Upstream]; n != nil && n.serving {
 			value += 2 * scorePinned
 		}
-		return value + staticScore(p.in, d, g.Upstream)
+		return value + d.static[g.Upstream]
 	}
 	slices.SortStableFunc(grants, func(a, b state.Grant) int {
 		return cmp.Or(cmp.Compare(worth(a), worth(b)), cmp.Compare(b.ID, a.ID))
@@ -277,7 +280,9 @@
 		f.nodes[u.Name] = &node{
 			name: u.Name, host: u.Host, centre: u.DataCentre, memory: u.Memory,
 			eligible: health == membership.Live && !drained,
-			serving:  (health == membership.Live || health == membership.Suspect) && !drained,
+			// Unknown counts as serving: a decider that has just started must
+			// not replace what it has no report of yet.
+			serving: (health == membership.Live || health == membership.Suspect || health == membership.Unknown) && !drained,
 			leaving:  health == membership.Leaving || drained,
 		}
 	}
