claims: index the waiting requests by claim

Cause: each applied record looked at all waiting requests. Change: an index from claim to waiting requests; no full batches are sent while the log fails. Conclusion: the cost of an applied record no longer depends on the number of waiting requests.

--- a/internal/decide/claims/apply.go
+++ b/internal/decide/claims/apply.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -85,8 +87,8 @@
 
 // claimant returns the request that waits for its own claim record.
 func (o *Owner) claimant(record string) *waiter {
-	for _, w := range o.inLine {
-		if w.phase == waitClaim && w.record == record {
+	for _, w := range o.behind[record] {
+		if w.phase == waitClaim {
 			return w
 		}
 	}
@@ -117,8 +119,8 @@
 	if !o.caughtUp {
 		return
 	}
-	for _, w := range o.sorted(func(w *waiter) bool { return w.phase != waitClaim && w.record == c.id }) {
-		w.record = ""
+	for _, w := range o.sorted(slices.Values(o.behind[c.id]), func(w *waiter) bool { return w.phase != waitClaim }) {
+		o.move(w, waitTable, "")
 		o.decide(w, now, out)
 	}
 }
@@ -129,7 +131,7 @@
 		return
 	}
 	c.done = &body
-	for _, w := range o.sorted(func(w *waiter) bool { return w.phase != waitClaim && w.record == c.id }) {
+	for _, w := range o.sorted(slices.Values(o.behind[c.id]), func(w *waiter) bool { return w.phase != waitClaim }) {
 		o.endRan(w, out, c.done)
 	}
 }
@@ -175,6 +177,7 @@
 	if len(again) > 0 {
 		o.queue = append(again, o.queue...)
 		o.sendAt = now.Add(retryAfter)
+		o.failed = true
 	}
 	return Commands{}
 }
@@ -185,7 +188,7 @@
 	var out Commands
 	c, open := o.byID[id]
 	open = open && c.done == nil
-	waiters := o.sorted(func(w *waiter) bool { return w.phase == waitAgent && w.record == id })
+	waiters := o.sorted(slices.Values(o.behind[id]), func(w *waiter) bool { return w.phase == waitAgent })
 	if answer == nil {
 		answer = &rpc.ClaimStatusResult{State: rpc.ClaimUnknown}
 	}
@@ -196,7 +199,7 @@
 			enqueue(o, o.newID(now), state.KindClaimVoid, state.ClaimVoid{Claim: id, Witness: agent}, now)
 		}
 		for _, w := range waiters {
-			w.phase = waitVoid
+			o.move(w, waitVoid, id)
 		}
 		return out
 	case rpc.ClaimRan:
@@ -226,7 +229,7 @@
 // Tick sends due batches and ends waits that are over.
 func (o *Owner) Tick(now time.Time) Commands {
 	var out Commands
-	for _, w := range o.sorted(func(w *waiter) bool { return !now.Before(w.until) }) {
+	for _, w := range o.sorted(maps.Values(o.waiting), func(w *waiter) bool { return !now.Before(w.until) }) {
 		o.giveUp(w, &out)
 	}
 	for id, until := range o.unread {
@@ -265,9 +268,9 @@
 
 // sorted returns the matching requests in order of ticket, so that the first
 // to come is the first in line.
-func (o *Owner) sorted(match func(*waiter) bool) []*waiter {
+func (o *Owner) sorted(among iter.Seq[*waiter], match func(*waiter) bool) []*waiter {
 	var list []*waiter
-	for _, w := range o.waiting {
+	for w := range among {
 		if match(w) {
 			list = append(list, w)
 		}
--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,8 +90,12 @@
 	// unread holds the own claim records that have not been read yet, with
 	// the time until which they are remembered.
 	unread map[string]time.Time
+	// behind lists the requests that wait for something about a claim.
+	behind map[string][]*waiter
 	queue  []state.Record
 	sendAt time.Time
+	// failed is set while the queue holds what a failed append left.
+	failed bool
 }
 
 // NewOwner returns an owner that knows nothing. random makes record ids.
@@ -97,6 +103,7 @@
 	o := &Owner{
 		self: self, settings: settings, random: random,
 		waiting: map[Ticket]*waiter{}, inLine: map[keyID]*waiter{}, unread: map[string]time.Time{},
+		behind: map[string][]*waiter{},
 	}
 	o.reset()
 	return o
@@ -126,7 +133,7 @@
 		return out
 	}
 	o.caughtUp = true
-	for _, w := range o.sorted(func(w *waiter) bool { return w.phase == waitTable }) {
+	for _, w := range o.sorted(maps.Values(o.waiting), func(w *waiter) bool { return w.phase == waitTable }) {
 		o.decide(w, now, &out)
 	}
 	return out
@@ -221,11 +228,8 @@
 	case c.done != nil:
 		o.endRan(w, out, c.done)
 	default:
-		asked := false
-		for _, other := range o.waiting {
-			asked = asked || other.phase == waitAgent && other.record == c.id
-		}
-		w.phase, w.record = waitAgent, c.id
+		asked := slices.ContainsFunc(o.behind[c.id], func(other *waiter) bool { return other.phase == waitAgent })
+		o.move(w, waitAgent, c.id)
 		if !asked {
 			out.Questions = append(out.Questions, Question{Upstream: c.body.Upstream, Params: rpc.ClaimStatusParams{
 				Claim: c.id, Agent: c.body.Agent, AgentIncarnation: c.body.AgentIncarnation,
@@ -237,7 +241,7 @@
 // claim queues a claim record for w.
 func (o *Owner) claim(w *waiter, now time.Time) {
 	id := o.newID(now)
-	w.phase, w.record = waitClaim, id
+	o.move(w, waitClaim, id)
 	o.inLine[w.key] = w
 	o.unread[id] = now.Add(o.settings.Window)
 	enqueue(o, id, state.KindClaim, w.params.Claim, now)
@@ -269,15 +273,15 @@
 	o.queue = append(o.queue, record)
 }
 
-// flushFull sends a batch that is full. A batch that waits after a failure is
-// not full.
+// flushFull sends a batch that is full, but not while the log fails.
 func (o *Owner) flushFull(out *Commands) {
-	if len(o.queue) >= o.settings.BatchSize && len(out.Append) == 0 {
+	if len(o.queue) >= o.settings.BatchSize && len(out.Append) == 0 && !o.failed {
 		o.flush(out)
 	}
 }
 
 func (o *Owner) flush(out *Commands) {
+	o.failed = false
 	n := min(len(o.queue), o.settings.BatchSize)
 	out.Append = append(out.Append, o.queue[:n]...)
 	o.queue = append([]state.Record(nil), o.queue[n:]...)
@@ -287,8 +291,24 @@
 	c.Replies = append(c.Replies, Reply{Ticket: t, Result: rpc.ClaimResult{Refusal: v}})
 }
 
+// move makes w wait for something about the claim record.
+func (o *Owner) move(w *waiter, to phase, record string) {
+	if w.record != record {
+		left := slices.DeleteFunc(o.behind[w.record], func(other *waiter) bool { return other == w })
+		o.behind[w.record] = left
+		if len(left) == 0 {
+			delete(o.behind, w.record)
+		}
+		if record != "" {
+			o.behind[record] = append(o.behind[record], w)
+		}
+	}
+	w.phase, w.record = to, record
+}
+
 // remove takes w out of all lists.
 func (o *Owner) remove(w *waiter) {
+	o.move(w, w.phase, "")
 	delete(o.waiting, w.ticket)
 	if o.inLine[w.key] == w {
 		delete(o.inLine, w.key)
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -283,7 +283,7 @@
 			// Unknown counts as serving: a decider that has just started must
 			// not replace what it has no report of yet.
 			serving: (health == membership.Live || health == membership.Suspect || health == membership.Unknown) && !drained,
-			leaving:  health == membership.Leaving || drained,
+			leaving: health == membership.Leaving || drained,
 		}
 	}
 	for host := range f.byHost {
