estimate, retry: implement predictions and the retry budget

Cause: admission needs service times; failures need further attempts that neither repeat work nor amplify an overload. Change: bounded histories by (model, caller) that start from the model's median; a caller counts as long once half of its requests are. Retries follow the verdict, a 20% budget, the deadline and Retry-After. The backoff is computed here because the backoff library draws from a global random source. Measured: `go test -race -count=2 ./internal/decide/estimate ./internal/decide/retry` passes. Tests failed on broken variants: repetition of non-repeatable work, no budget, no deadline, retries of final verdicts, no jitter, long requests raising short callers' estimates, unbounded histories.

--- a/internal/decide/estimate/estimate.go
+++ b/internal/decide/estimate/estimate.go
@@ -3,6 +3,7 @@
 package estimate
 
 import (
+	"container/list"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -28,6 +29,33 @@
 	// LongFloor is the service time below which no request counts as long;
 	// default 2 s.
 	LongFloor time.Duration
+	// Smoothing is the weight of a new observation; default 0.1.
+	Smoothing float64
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxKeys <= 0 {
+		c.MaxKeys = 4096
+	}
+	if c.StartService <= 0 {
+		c.StartService = time.Second
+	}
+	if c.StartTokens <= 0 {
+		c.StartTokens = 128
+	}
+	if c.StartWeight <= 0 {
+		c.StartWeight = 2
+	}
+	if c.LongFactor <= 0 {
+		c.LongFactor = 8
+	}
+	if c.LongFloor <= 0 {
+		c.LongFloor = 2 * time.Second
+	}
+	if c.Smoothing <= 0 {
+		c.Smoothing = 0.1
+	}
+	return c
 }
 
 // Key names a history.
@@ -54,22 +82,154 @@
 	Known bool
 }
 
+// history is a decaying summary of the finished requests of one key.
+type history struct {
+	key     Key
+	count   int
+	tokens  float64
+	service float64
+	// long is the share of the requests that were long.
+	long float64
+}
+
 // Estimator keeps histories. It is not safe for concurrent use.
-type Estimator struct{ cfg Config }
+type Estimator struct {
+	cfg     Config
+	byKey   map[Key]*list.Element
+	recency *list.List
+	// typical is the median service time by model, in seconds.
+	typical map[state.ModelName]*medianTracker
+	// models lists the keys of typical, oldest first.
+	models []state.ModelName
+}
 
 // New returns an estimator without history.
-func New(cfg Config) *Estimator { return &Estimator{cfg: cfg} }
+func New(cfg Config) *Estimator {
+	return &Estimator{
+		cfg:     cfg.withDefaults(),
+		byKey:   make(map[Key]*list.Element),
+		recency: list.New(),
+		typical: make(map[state.ModelName]*medianTracker),
+	}
+}
 
 // Observe adds a finished request to the history of key.
-func (e *Estimator) Observe(key Key, s Sample) {}
+func (e *Estimator) Observe(key Key, s Sample) {
+	long := 0.0
+	if s.Service > e.LongSince(key.Model) {
+		long = 1
+	}
+	e.observeTypical(key.Model, s.Service)
+	h := e.touch(key)
+	h.count++
+	// The first observations count fully, later ones by the smoothing.
+	weight := max(e.cfg.Smoothing, 1/float64(h.count))
+	h.long += weight * (long - h.long)
+	if long == 1 && h.long < longCaller {
+		// A rare long request of a short caller must not raise the
+		// prediction of all its short ones.
+		return
+	}
+	h.tokens += weight * (float64(s.Tokens) - h.tokens)
+	h.service += weight * (s.Service.Seconds() - h.service)
+}
+
+// longCaller is the share of long requests from which a caller's requests are
+// predicted to be long.
+const longCaller = 0.5
+
+func (e *Estimator) observeTypical(model state.ModelName, service time.Duration) {
+	m, ok := e.typical[model]
+	if !ok {
+		if len(e.typical) >= e.cfg.MaxKeys {
+			delete(e.typical, e.models[0])
+			e.models = e.models[1:]
+		}
+		e.models = append(e.models, model)
+		m = &medianTracker{}
+		e.typical[model] = m
+	}
+	m.add(service.Seconds())
+}
+
+func (e *Estimator) touch(key Key) *history {
+	if element, ok := e.byKey[key]; ok {
+		e.recency.MoveToFront(element)
+		return element.Value.(*history)
+	}
+	if e.recency.Len() >= e.cfg.MaxKeys {
+		oldest := e.recency.Back()
+		delete(e.byKey, oldest.Value.(*history).key)
+		e.recency.Remove(oldest)
+	}
+	h := &history{key: key}
+	e.byKey[key] = e.recency.PushFront(h)
+	return h
+}
 
 // Estimate predicts a request. The maxTokens is the caller's own bound on the
 // output length; zero means none.
-func (e *Estimator) Estimate(key Key, maxTokens int) Estimate { return Estimate{} }
+func (e *Estimator) Estimate(key Key, maxTokens int) Estimate {
+	out := Estimate{Tokens: e.cfg.StartTokens, Service: e.cfg.StartService}
+	if m, ok := e.typical[key.Model]; ok && m.count >= e.cfg.StartWeight {
+		out.Service = seconds(m.value)
+	}
+	if element, ok := e.byKey[key]; ok {
+		e.blend(&out, element.Value.(*history))
+	}
+	if maxTokens > 0 && maxTokens < out.Tokens {
+		out.Service = time.Duration(float64(out.Service) * float64(maxTokens) / float64(out.Tokens))
+		out.Tokens = maxTokens
+	}
+	out.Long = out.Service > e.LongSince(key.Model)
+	return out
+}
+
+// blend moves the start values towards the history by its count.
+func (e *Estimator) blend(out *Estimate, h *history) {
+	share := float64(h.count) / float64(h.count+e.cfg.StartWeight)
+	out.Tokens += int(share * (h.tokens - float64(out.Tokens)))
+	out.Tokens = max(out.Tokens, 1)
+	out.Service += time.Duration(share * float64(seconds(h.service)-out.Service))
+	out.Known = h.count >= e.cfg.StartWeight
+}
 
 // LongSince reports the service time after which a running request of the
 // model counts as long whatever its prediction was.
-func (e *Estimator) LongSince(model state.ModelName) time.Duration { return 0 }
+func (e *Estimator) LongSince(model state.ModelName) time.Duration {
+	typical := e.cfg.StartService
+	if m, ok := e.typical[model]; ok {
+		typical = seconds(m.value)
+	}
+	return max(e.cfg.LongFloor, time.Duration(e.cfg.LongFactor*float64(typical)))
+}
+
+// Len counts the histories kept.
+func (e *Estimator) Len() int { return e.recency.Len() }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// medianTracker follows the median of a sequence in constant memory: it moves
+// up or down by a share of its value, so that rare long requests do not pull
+// it as they pull a mean.
+type medianTracker struct {
+	value float64
+	count int
+}
+
+func (m *medianTracker) add(x float64) {
+	m.count++
+	if m.count == 1 {
+		m.value = x
+		return
+	}
+	step := m.value * max(0.05, 1/float64(m.count))
+	if x > m.value {
+		m.value += min(step, x-m.value)
+	} else {
+		m.value -= min(step, m.value-x)
+	}
+}
 
 // LongLimit bounds the long work on one upstream.
 type LongLimit struct {
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -23,6 +23,25 @@
 	MaxDelay time.Duration
 }
 
+func (c Config) withDefaults() Config {
+	if c.Share <= 0 {
+		c.Share = 0.2
+	}
+	if c.Burst <= 0 {
+		c.Burst = 20
+	}
+	if c.MaxAttempts <= 0 {
+		c.MaxAttempts = 4
+	}
+	if c.BaseDelay <= 0 {
+		c.BaseDelay = 20 * time.Millisecond
+	}
+	if c.MaxDelay <= 0 {
+		c.MaxDelay = 2 * time.Second
+	}
+	return c
+}
+
 // Attempt describes a failed attempt.
 type Attempt struct {
 	Verdict *verdict.Verdict
@@ -39,16 +58,74 @@
 
 // Budget limits retries to a share of the traffic. It is not safe for
 // concurrent use.
-type Budget struct{ cfg Config }
+type Budget struct {
+	cfg    Config
+	tokens float64
+}
 
 // NewBudget returns a budget with a full burst.
-func NewBudget(cfg Config) *Budget { return &Budget{cfg: cfg} }
+func NewBudget(cfg Config) *Budget {
+	cfg = cfg.withDefaults()
+	return &Budget{cfg: cfg, tokens: cfg.Burst}
+}
 
 // Request counts a first attempt, which earns a share of a retry.
-func (b *Budget) Request() {}
+func (b *Budget) Request() { b.tokens = min(b.tokens+b.cfg.Share, b.cfg.Burst) }
 
 // Decide returns how long to wait before a further attempt. It reports false,
 // and takes nothing from the budget, if there must be none.
 func (b *Budget) Decide(now time.Time, rng *rand.Rand, a Attempt) (time.Duration, bool) {
-	return 0, false
+	if !permits(a) || a.Number >= b.cfg.MaxAttempts || b.tokens < 1 {
+		return 0, false
+	}
+	wait := b.backoff(rng, a)
+	if !now.Add(wait + a.Cost).Before(a.Deadline) {
+		return 0, false
+	}
+	b.tokens--
+	return wait, true
+}
+
+// permits reports whether the verdict allows a further attempt.
+func permits(a Attempt) bool {
+	if a.Streamed || a.Verdict == nil || !transient[a.Verdict.Reason] {
+		return false
+	}
+	switch a.Verdict.Execution {
+	case verdict.NotRun:
+		return true
+	case verdict.MayHaveRun:
+		return a.Repeatable
+	default:
+		return false
+	}
+}
+
+// transient lists the reasons that another upstream or a later moment may
+// remove. All others, quarantine among them, are final.
+var transient = map[verdict.Reason]bool{
+	verdict.ReasonQueueFull:       true,
+	verdict.ReasonShed:            true,
+	verdict.ReasonNoReplica:       true,
+	verdict.ReasonNoCapacity:      true,
+	verdict.ReasonDraining:        true,
+	verdict.ReasonNotReady:        true,
+	verdict.ReasonUpstreamFailed:  true,
+	verdict.ReasonUpstreamCrashed: true,
+	verdict.ReasonStreamCut:       true,
+	verdict.ReasonLoadFailed:      true,
+	verdict.ReasonUnknownOutcome:  true,
+	verdict.ReasonDeadlineUnmet:   true,
+}
+
+// backoff draws between half and all of the exponential delay, and waits at
+// least as long as the upstream asked. The backoff library draws from a global
+// random source, which a pure decision must not.
+func (b *Budget) backoff(rng *rand.Rand, a Attempt) time.Duration {
+	delay := b.cfg.BaseDelay
+	for range a.Number - 1 {
+		delay = min(2*delay, b.cfg.MaxDelay)
+	}
+	wait := delay/2 + time.Duration(rng.Int64N(int64(delay/2)+1))
+	return max(wait, a.Verdict.RetryAfter)
 }
