--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,9 +101,11 @@
 	OTLPEndpoint string `toml:"otlp_endpoint" validate:"omitempty,http_url"`
 	// OTLPInterval is the time between pushes. Default 15s.
 	OTLPInterval state.Duration `toml:"otlp_interval" validate:"min_duration=1s,max_duration=1h"`
-	// TopNames is how many models, adapters or callers get a label value of
-	// their own in a metric; the rest are counted as "other". Default 50.
-	TopNames int `toml:"top_names" validate:"min=1,max=1000"`
+	// TopNames is how many models and adapters get a label value of their
+	// own in a metric at a time; the rest count as "other". Default 50; at
+	// most 300, which keeps each metric below the library's limit of 2,000
+	// time series.
+	TopNames int `toml:"top_names" validate:"min=1,max=300"`
 }
 
 // Shutdown bounds the two steps of a planned stop.
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,200 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/settings"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+func start(t *testing.T, change func(*settings.Common)) *telemetry.Telemetry {
+	t.Helper()
+	common := settings.DefaultEntry().Common
+	change(&common)
+	tel, err := telemetry.Start(t.Context(), common)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return tel
+}
+
+func page(tel *telemetry.Telemetry) string {
+	rec := httptest.NewRecorder()
+	tel.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return rec.Body.String()
+}
+
+// useAll records each metric once.
+func useAll(tel *telemetry.Telemetry) {
+	tel.RequestEnded("m", state.ClassHigh, nil)
+	tel.FirstToken("m", time.Second)
+	tel.BetweenTokens("m", time.Second)
+	tel.QueueWait(state.ClassLow, time.Second)
+	tel.Waiting(state.ClassLow, 3)
+	tel.ColdStart("m", time.Second)
+	tel.ModelLoad("m", telemetry.LoadReady)
+	tel.AdapterLoad("a", telemetry.LoadFailed)
+	tel.Idle("m", 1500*time.Millisecond)
+	tel.Retry(verdict.ReasonQueueFull)
+	tel.Hedge(telemetry.HedgeFirstWon)
+	tel.Ejection(telemetry.EjectedFirstToken)
+	tel.Claim(telemetry.ClaimGranted)
+	tel.ConfigLag(time.Second)
+	tel.LogAppend("audit/north", 7, telemetry.AppendStored)
+	tel.ControlBytes(10, 20)
+	tel.AuditDiscarded(1)
+}
+
+var (
+	pageType = regexp.MustCompile(`(?m)^# TYPE (lagoonvalve_\w+) (\w+)$`)
+	docRow   = regexp.MustCompile("(?m)^\\| `(lagoonvalve_\\w+)` \\| (\\w+) \\| ([^|]*) \\|")
+)
+
+// Guards against a metric that is not documented, is documented and missing,
+// or has other labels or another type than documented.
+func TestPageAndDocumentListTheSameMetrics(t *testing.T) {
+	g := NewWithT(t)
+	tel := start(t, func(*settings.Common) {})
+	useAll(tel)
+	served := make(map[string]string)
+	for _, match := range pageType.FindAllStringSubmatch(page(tel), -1) {
+		served[match[1]] = match[2]
+	}
+	doc, err := os.ReadFile("../../docs/metrics.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	documented, labels := make(map[string]string), make(map[string]string)
+	for _, match := range docRow.FindAllStringSubmatch(string(doc), -1) {
+		documented[match[1]] = match[2]
+		labels[match[1]] = match[3]
+	}
+	g.Expect(documented).To(Equal(served))
+	for _, d := range telemetry.Definitions() {
+		var quoted []string
+		for _, label := range d.Labels {
+			quoted = append(quoted, "`"+label+"`")
+		}
+		g.Expect(labels[d.Name]).To(Equal(strings.Join(quoted, ", ")), d.Name)
+		unit := regexp.MustCompile(`_(seconds|bytes|requests|total)$`)
+		g.Expect(unit.MatchString(d.Name)).To(BeTrue(), d.Name)
+		g.Expect(d.Type == telemetry.Counter).To(Equal(strings.HasSuffix(d.Name, "_total")), d.Name)
+	}
+}
+
+// Guards against values that end in another metric or another unit.
+func TestInstrumentsRecordTheirValues(t *testing.T) {
+	g := NewWithT(t)
+	tel := start(t, func(*settings.Common) {})
+	useAll(tel)
+	tel.RequestEnded("", state.ClassLow, verdict.Refuse("no such reason", ""))
+	text := page(tel)
+	for _, line := range []string{
+		`lagoonvalve_requests_total{class="high",reason="ok",verdict="ran"} 1`,
+		`lagoonvalve_requests_total{class="low",reason="internal",verdict="not-run"} 1`,
+		`lagoonvalve_model_requests_total{model="m",verdict="ran"} 1`,
+		`lagoonvalve_first_token_seconds_sum{model="m"} 1`,
+		`lagoonvalve_idle_accelerator_seconds_total{model="m"} 1.5`,
+		`lagoonvalve_log_records_total{stream="audit"} 7`,
+		`lagoonvalve_control_bytes_total{direction="received"} 20`,
+		`lagoonvalve_waiting_requests{class="low"} 3`,
+	} {
+		g.Expect(text).To(ContainSubstring(line + "\n"))
+	}
+}
+
+// Guards against metrics that grow with the number of models and adapters of
+// the two-year size, and against counts lost on the way to "other".
+func TestLabelsStayBoundedAtTheTwoYearSize(t *testing.T) {
+	const models, adapters, top, rounds = 590, 1600, 50, 20
+	g := NewWithT(t)
+	tel := start(t, func(c *settings.Common) { c.Telemetry.TopNames = top })
+	for round := range rounds {
+		for m := range models {
+			tel.ModelLoad(state.ModelName(fmt.Sprintf("m%d", (m+round*31)%models)), telemetry.LoadReady)
+		}
+		for range 10 {
+			tel.ModelLoad("m589", telemetry.LoadReady)
+		}
+		for a := range adapters {
+			tel.AdapterLoad(state.AdapterName(fmt.Sprintf("a%d", a)), telemetry.LoadReady)
+		}
+		tel.RotateNames()
+	}
+	text := page(tel)
+	for prefix, total := range map[string]int{
+		"lagoonvalve_model_loads_total{":   rounds * (models + 10),
+		"lagoonvalve_adapter_loads_total{": rounds * adapters,
+	} {
+		series, sum := 0, 0
+		for line := range strings.Lines(text) {
+			if strings.HasPrefix(line, prefix) {
+				var value int
+				_, err := fmt.Sscan(line[strings.LastIndex(line, " ")+1:], &value)
+				g.Expect(err).NotTo(HaveOccurred())
+				series++
+				sum += value
+			}
+		}
+		g.Expect(series).To(And(BeNumerically(">", top), BeNumerically("<=", 2*top+1)), prefix)
+		g.Expect(sum).To(Equal(total), prefix)
+	}
+	g.Expect(text).To(ContainSubstring(`model="m589"`), "the most used name has its own value")
+}
+
+// Guards against a push that never leaves the process or misses the end.
+func TestShutdownPushesTheLastMetrics(t *testing.T) {
+	g := NewWithT(t)
+	bodies := make(chan []byte, 10)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		bodies <- body
+	}))
+	defer collector.Close()
+	tel := start(t, func(c *settings.Common) {
+		c.Name = "entry-77"
+		c.Telemetry.OTLPEndpoint = collector.URL + "/v1/metrics"
+		c.Telemetry.OTLPInterval = state.Duration(time.Hour)
+	})
+	useAll(tel)
+	g.Expect(tel.Shutdown(t.Context())).To(Succeed())
+	var body []byte
+	g.Expect(bodies).To(Receive(&body))
+	g.Expect(string(body)).To(And(ContainSubstring("lagoonvalve_requests_total"), ContainSubstring("entry-77")))
+}
+
+// Guards against logs in the wrong format or below the set level.
+func TestLoggerFollowsTheSettings(t *testing.T) {
+	g := NewWithT(t)
+	common := settings.DefaultEntry().Common
+	common.Telemetry.LogFormat = "json"
+	common.Telemetry.LogLevel = "warn"
+	common.Name = "entry-1"
+	var out bytes.Buffer
+	logger, level := telemetry.NewLogger(&out, common)
+	logger.Info("hidden")
+	level.Set(telemetry.Level("debug"))
+	logger.Debug("shown")
+	g.Expect(strings.Count(out.String(), "\n")).To(Equal(1))
+	g.Expect(out.String()).To(And(HavePrefix("{"), ContainSubstring(`"process":"entry-1"`), ContainSubstring("shown")))
+}
+
+// Guards against allocation on the path of each request.
+func TestRecordingDoesNotAllocateLabels(t *testing.T) {
+	g := NewWithT(t)
+	tel := start(t, func(*settings.Common) {})
+	tel.RequestEnded("m", state.ClassHigh, nil)
+	allocations := testing.AllocsPerRun(100, func() {
+		tel.RequestEnded("m", state.ClassHigh, nil)
+	})
+	g.Expect(allocations).To(BeNumerically("<=", 2))
+}
