entry: serve callers, operators and other processes

Cause: the parts of the entry were not wired. Change: HTTP servers with time-outs and limits over the goa services, jsonrpc2 methods, followers that keep replica sets, configuration changes that report their place in the log, graceful stop; Config.Check tells what a change would come to.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -163,6 +164,7 @@
 	}()
 	late := e.hedgeTimer(replica.Upstream)
 	defer late.Stop()
+	var hedge state.UpstreamName
 	for outstanding := 1; ; {
 		select {
 		case <-late.C:
@@ -170,7 +172,7 @@
 			if second, secondLoad, ok := e.hedgeTarget(replica.Upstream); ok {
 				cancels = append(cancels, send(second, secondLoad))
 				outstanding++
-				e.sink.hedged(e.request)
+				hedge = second.Upstream
 			}
 		case a := <-answers:
 			outstanding--
@@ -180,11 +182,25 @@
 				continue
 			}
 			go discard(answers, outstanding)
+			e.countHedge(hedge, a)
 			return e.relay(ctx, a)
 		}
 	}
 }
 
+// countHedge counts which attempt of a hedged request won.
+func (e *execution) countHedge(hedge state.UpstreamName, a *answer) {
+	switch {
+	case hedge == "":
+	case a.failure != nil:
+		e.sink.hedged(e.request, telemetry.HedgeBothLost)
+	case a.replica.Upstream == hedge:
+		e.sink.hedged(e.request, telemetry.HedgeSecondWon)
+	default:
+		e.sink.hedged(e.request, telemetry.HedgeFirstWon)
+	}
+}
+
 // hedgeTimer fires when the first token of an attempt is late enough for a
 // hedge; without a measurement it does not.
 func (e *execution) hedgeTimer(upstream state.UpstreamName) *time.Timer {
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -243,7 +243,7 @@
 		s.carryOut(ctx, shard, shard.owner.Apply(record, now))
 	}
 	if page.Next >= page.End {
-		shard.owner.CaughtUp()
+		s.carryOut(ctx, shard, shard.owner.CaughtUp(now))
 	}
 }
 
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,296 @@
+// Package entry is the entry host's process: it takes requests of callers and
+// operators, admits, routes and relays them, and shares the soft roles of its
+// region with the other entries.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonvalve/lagoonvalve/gen/operators"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
+	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/settings"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	// hostsInterval is the time between readings of the host list.
+	hostsInterval = 2 * time.Second
+	// keptConnections bounds the idle connections to each agent.
+	keptConnections = 64
+	// expireInterval is the time between searches for requests that can no
+	// longer be served in time.
+	expireInterval = 20 * time.Millisecond
+)
+
+// Deps holds what an entry works with.
+type Deps struct {
+	Log    platform.Log
+	Hosts  platform.HostList
+	Caller rpc.Caller
+	Logger *slog.Logger
+	// Metrics serves the metrics page; nil serves none.
+	Metrics http.Handler
+	// Meter measures requests.
+	Meter Meter
+	// Retention is how long the log keeps records.
+	Retention time.Duration
+}
+
+// Listeners are the addresses that the entry serves, already bound.
+type Listeners struct {
+	Callers, Operators, Control net.Listener
+}
+
+// Entry is a running entry.
+type Entry struct {
+	cfg     settings.Entry
+	deps    Deps
+	caller  rpc.Caller
+	control *control
+	gateway *gateway
+	shards  *claimShards
+	writer  *logclient.Writer
+	relay   *logclient.Relay
+	router  *claimRouter
+	counts  *counterSet
+}
+
+// New returns an entry. It does nothing before Run.
+func New(cfg settings.Entry, deps Deps) *Entry {
+	e := &Entry{cfg: cfg, deps: deps, caller: deps.Caller, counts: newCounterSet()}
+	self := state.ProcessID{Name: cfg.Name, Incarnation: uuid.NewString()}
+	e.writer = logclient.NewWriter(deps.Log, logclient.WriterConfig{
+		AppendsPerSecond: float64(cfg.Limits.LogAppendsPerSecond),
+	})
+	e.relay = logclient.NewRelay(deps.Log, e.writer, logclient.RelayConfig{},
+		platform.StreamConfig, platform.RegionStream(cfg.Region))
+	e.control = newControl(e.controlConfig(self), controlDeps{
+		caller: deps.Caller, appender: e.writer, logger: deps.Logger, counters: e.counts,
+	}, time.Now())
+	e.shards = newClaimShards(self, deps.Log, e.writer, deps.Caller, e.agentAddress, deps.Logger)
+	e.gateway = e.newGateway(self)
+	return e
+}
+
+func (e *Entry) controlConfig(self state.ProcessID) controlConfig {
+	cfg := controlConfig{
+		self:       self,
+		name:       state.EntryName(e.cfg.Name),
+		region:     e.cfg.Region,
+		dataCentre: e.cfg.DataCentre,
+		address:    e.cfg.Listen.Control,
+		home: scaling.HomeConfig{
+			IdleWeight: e.cfg.Weights.Idle, ColdStartWeight: e.cfg.Weights.ColdStart,
+		},
+		retention: e.deps.Retention,
+	}
+	for _, peer := range e.cfg.Peers {
+		if peer.Region == e.cfg.Region {
+			cfg.peers = append(cfg.peers, rpc.Peer{Name: peer.Name, Control: peer.Control})
+		}
+	}
+	return cfg
+}
+
+func (e *Entry) newGateway(self state.ProcessID) *gateway {
+	limits := e.cfg.Limits
+	g := &gateway{
+		cfg: gatewayConfig{
+			bodyLimit:       limits.BodyBytes,
+			defaultDeadline: limits.DefaultDeadline.Std(),
+			defaultCaller:   state.Caller{Name: "anonymous", Highest: state.ClassNormal, Weight: 1},
+		},
+		view:       e.control.view,
+		sink:       requestSink{meter: e.deps.Meter},
+		client:     newTrafficClient(true),
+		onceClient: newTrafficClient(false),
+		limiter:    admission.NewLimiter(admission.LimiterConfig{PerCaller: limits.CallerInFlight, PerModel: limits.ModelInFlight}),
+		estimator:  estimate.New(estimate.Config{}),
+		retries:    retry.NewBudget(retry.Config{}),
+		hedges:     routing.NewHedgeBudget(routing.HedgeConfig{}),
+		volume:     routing.NewVolumeBudget(routing.VolumeConfig{PerSecond: limits.CrossRegionBytesPerSecond}),
+	}
+	g.cfg.route = routeConfig{
+		queue: admission.Config{
+			MaxRequests: limits.QueueRequests, MaxBytes: limits.QueueBytes, Concurrency: startSlots,
+		},
+		slots:  startSlots,
+		place:  e.cfg.DataCentre,
+		region: e.cfg.Region,
+		seed:   rand.Uint64(),
+		loads:  &g.loads,
+	}
+	e.router = &claimRouter{
+		process: self,
+		name:    state.EntryName(e.cfg.Name),
+		region:  e.cfg.Region,
+		regions: otherRegions(e.cfg),
+		view:    e.control.view,
+		local:   e.shards,
+		caller:  e.deps.Caller,
+	}
+	g.claims = e.router
+	return g
+}
+
+func otherRegions(cfg settings.Entry) map[state.Region]map[state.EntryName]string {
+	regions := make(map[state.Region]map[state.EntryName]string)
+	for _, peer := range cfg.Peers {
+		if peer.Region == cfg.Region {
+			continue
+		}
+		if regions[peer.Region] == nil {
+			regions[peer.Region] = make(map[state.EntryName]string)
+		}
+		regions[peer.Region][peer.Name] = peer.Control
+	}
+	return regions
+}
+
+// newTrafficClient returns a client for requests to agents. It follows no
+// redirects, since answers belong to the caller.
+func newTrafficClient(keep bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: keptConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableKeepAlives:   !keep,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully: it takes no new requests,
+// lets those in flight finish within the drain timeout and gives the rest a
+// verdict. It returns an error if it could not serve.
+func (e *Entry) Run(ctx context.Context, listeners Listeners) error {
+	running, stopRunning := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopRunning()
+	followers := &followers{
+		gateway: e.gateway, control: e.control, caller: e.caller,
+		running: running, active: make(map[target]chan struct{}),
+	}
+	e.gateway.kick = followers.kick
+	e.gateway.touch = followers.touch
+	e.router.running = running
+
+	group, groupCtx := errgroup.WithContext(running)
+	e.startControl(groupCtx, group)
+	e.startServers(groupCtx, group, listeners)
+	e.deps.Logger.Info("entry started",
+		"callers", listeners.Callers.Addr().String(), "control", listeners.Control.Addr().String())
+
+	select {
+	case <-ctx.Done():
+		e.stop()
+	case <-groupCtx.Done():
+	}
+	stopRunning()
+	return group.Wait()
+}
+
+func (e *Entry) startControl(ctx context.Context, group *errgroup.Group) {
+	region := platform.RegionStream(e.cfg.Region)
+	group.Go(func() error { return e.writer.Run(ctx) })
+	group.Go(func() error { return e.relay.Run(ctx) })
+	group.Go(func() error { return e.control.run(ctx) })
+	group.Go(func() error { return e.shards.run(ctx) })
+	group.Go(func() error { return e.control.followStream(ctx, e.relay, platform.StreamConfig) })
+	group.Go(func() error { return e.control.followStream(ctx, e.relay, region) })
+	group.Go(func() error { return e.readHosts(ctx) })
+	group.Go(func() error { return e.keepRooms(ctx) })
+}
+
+func (e *Entry) startServers(ctx context.Context, group *errgroup.Group, listeners Listeners) {
+	callersServer := newHTTPServer(callersHandler(callersAPI{gateway: e.gateway}, e.readiness))
+	api := operatorsAPI{control: e.control, tokens: e.cfg.Tokens, run: e.statements()}
+	operatorsServer := newHTTPServer(operatorsHandler(api, e.readiness, e.deps.Metrics))
+	group.Go(func() error { return serveHTTP(ctx, callersServer, listeners.Callers) })
+	group.Go(func() error { return serveHTTP(ctx, operatorsServer, listeners.Operators) })
+	group.Go(func() error { return rpc.NewServer(e.methods()).Serve(ctx, listeners.Control) })
+}
+
+// stop drains the entry. Peers hear that it is leaving with the next pings.
+func (e *Entry) stop() {
+	e.deps.Logger.Info("entry is stopping")
+	drainTimeout := e.cfg.Shutdown.DrainTimeout.Std()
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	e.control.post(ctx, leavingSet{})
+	if err := e.gateway.drain(ctx); err != nil {
+		e.deps.Logger.Warn("requests were still in flight at the end of the drain", "error", err)
+		sleepPlain(e.cfg.Shutdown.StopTimeout.Std())
+	}
+}
+
+// sleepPlain gives refused requests the time to reach their callers.
+func sleepPlain(d time.Duration) { time.Sleep(min(d, time.Second)) }
+
+// leavingSet makes the entry give up its roles.
+type leavingSet struct{}
+
+func (leavingSet) apply(c *control, _ time.Time) { c.leaving = true }
+
+// readHosts reads the platform's host list.
+func (e *Entry) readHosts(ctx context.Context) error {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, hostsInterval)
+		hosts, err := e.deps.Hosts.Hosts(limited)
+		cancel()
+		if err == nil {
+			e.control.post(ctx, hostsRead{hosts: hosts})
+		} else {
+			e.counts.Add("lagoonvalve_host_list_failures_total", 1)
+		}
+		sleep(ctx, hostsInterval)
+	}
+	return nil
+}
+
+// keepRooms ends waiting requests in time and forgets unused routes.
+func (e *Entry) keepRooms(ctx context.Context) error {
+	for sleep(ctx, expireInterval) {
+		now := time.Now()
+		e.gateway.routes.each(func(r *route) { r.room.expire(now) })
+		e.gateway.routes.dropIdle(now)
+	}
+	return nil
+}
+
+// statements returns the runner of the operators' language.
+func (e *Entry) statements() statementRunner { return noStatements{} }
+
+type noStatements struct{}
+
+func (noStatements) runStatement(context.Context, settings.Token, string) (*operators.StatementResult, error) {
+	return nil, verdict.Refuse(verdict.ReasonBadRequest, "statements are not served here")
+}
+
+// Ready waits until the entry takes requests or ctx ends.
+func (e *Entry) Ready(ctx context.Context) error {
+	for e.readiness() != nil {
+		if !sleep(ctx, expireInterval) {
+			return errors.Wrap(ctx.Err(), "wait for the entry")
+		}
+	}
+	return nil
+}
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -53,6 +55,7 @@
 	e.route.lastUsed.Store(e.request.arrived.UnixNano())
 	e.route.arrivals.add(e.request.arrived)
 	e.route.fillBlocks(e.request)
+	e.follow(current)
 	v := e.attemptAll(ctx)
 	if v.Execution == verdict.NotRun && e.mayHaveRun {
 		later := *v
@@ -62,6 +65,27 @@
 	return v
 }
 
+// follow keeps the replica set of the request's target up to date: by the
+// model's home, or from the configuration for plain services.
+func (e *execution) follow(current *view) {
+	t := e.request.target
+	if t.service == "" {
+		e.touch(t)
+		return
+	}
+	replicas := current.services[t.service]
+	set := e.route.set.Load()
+	if set == nil || !sameReplicas(set.replicas, replicas) {
+		e.route.setReplicas(0, replicas, &e.loads)
+	}
+}
+
+func sameReplicas(a, b []rpc.ReplicaAt) bool {
+	return slices.EqualFunc(a, b, func(x, y rpc.ReplicaAt) bool {
+		return x.Upstream == y.Upstream && x.Agent == y.Agent && x.TrafficAddr == y.TrafficAddr
+	})
+}
+
 func (e *execution) attemptAll(ctx context.Context) *verdict.Verdict {
 	for {
 		v := e.attempt(ctx)
@@ -93,7 +117,7 @@
 	}
 	pause, again := e.retryAfter(e.request, v, max(1, e.attempts), e.exchange.answer.started)
 	if again {
-		e.sink.retried(e.request)
+		e.sink.retried(e.request, v.Reason)
 	}
 	return pause, again
 }
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -26,7 +27,9 @@
 	claims claimClient
 	// kick tells the control side that a target without a ready replica has
 	// a new waiting request.
-	kick   func(target)
+	kick func(target)
+	// touch keeps a target's replica set up to date while it is used.
+	touch  func(target)
 	sink   outcomeSink
 	client *http.Client
 	// onceClient makes a new connection for each request.
@@ -57,8 +60,8 @@
 // outcomeSink hears how each request ended.
 type outcomeSink interface {
 	ended(req *request, v *verdict.Verdict, firstToken, total time.Duration)
-	retried(req *request)
-	hedged(req *request)
+	retried(req *request, reason verdict.Reason)
+	hedged(req *request, result telemetry.HedgeResult)
 }
 
 // serveGeneration answers a completion or chat request.
--- /dev/null
+++ b/internal/entry/meter.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Meter measures requests. *telemetry.Instruments implements it.
+type Meter interface {
+	RequestEnded(model state.ModelName, class state.Class, v *verdict.Verdict)
+	FirstToken(model state.ModelName, d time.Duration)
+	Retry(reason verdict.Reason)
+	Hedge(result telemetry.HedgeResult)
+}
+
+// requestSink passes what happens to requests on to the metrics.
+type requestSink struct{ meter Meter }
+
+func (s requestSink) ended(req *request, v *verdict.Verdict, firstToken, _ time.Duration) {
+	if s.meter == nil {
+		return
+	}
+	name := state.ModelName(req.target.String())
+	s.meter.RequestEnded(name, req.class, v)
+	if v.Execution == verdict.Ran {
+		s.meter.FirstToken(name, firstToken)
+	}
+}
+
+func (s requestSink) retried(_ *request, reason verdict.Reason) {
+	if s.meter != nil {
+		s.meter.Retry(reason)
+	}
+}
+
+func (s requestSink) hedged(_ *request, result telemetry.HedgeResult) {
+	if s.meter != nil {
+		s.meter.Hedge(result)
+	}
+}
+
+// counterSet holds the counters of the control side.
+type counterSet struct {
+	mu     sync.Mutex
+	values map[string]uint64
+}
+
+func newCounterSet() *counterSet { return &counterSet{values: make(map[string]uint64)} }
+
+// Add implements counters.
+func (s *counterSet) Add(name string, delta uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values[name] += delta
+}
+
+// snapshot returns a copy of the counters.
+func (s *counterSet) snapshot() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.values)
+}
--- /dev/null
+++ b/internal/entry/methods.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"maps"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// methods are the jsonrpc2 methods that an entry serves.
+func (e *Entry) methods() map[string]rpc.MethodFunc {
+	all := map[string]rpc.MethodFunc{
+		rpc.MethodPing:      rpc.Method(e.ping),
+		rpc.MethodHeartbeat: rpc.Method(e.heartbeat),
+		rpc.MethodChanges:   rpc.Method(e.replicaChanges),
+		rpc.MethodDemand:    rpc.Method(e.control.demand),
+		rpc.MethodReport:    rpc.Method(e.report),
+		rpc.MethodClaim:     rpc.Method(e.shards.ask),
+		rpc.MethodClaimDone: rpc.Method(e.claimOutcome),
+		rpc.MethodStoreSlot: rpc.Method(e.storeSlot),
+	}
+	maps.Copy(all, e.relay.Methods())
+	return all
+}
+
+// exchangeEvent posts an event that has a reply and waits for the reply.
+func exchangeEvent[R any](ctx context.Context, c *control, makeEvent func(reply chan R) event) (R, error) {
+	reply := make(chan R, 1)
+	var none R
+	if !c.post(ctx, makeEvent(reply)) {
+		return none, ctx.Err()
+	}
+	select {
+	case result := <-reply:
+		return result, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (e *Entry) ping(ctx context.Context, ping rpc.PingParams) (rpc.PingResult, error) {
+	return exchangeEvent(ctx, e.control, func(reply chan rpc.PingResult) event {
+		return pingReceived{ping: ping, reply: reply}
+	})
+}
+
+func (e *Entry) heartbeat(ctx context.Context, h rpc.Heartbeat) (rpc.HeartbeatResult, error) {
+	return exchangeEvent(ctx, e.control, func(reply chan rpc.HeartbeatResult) event {
+		return heartbeatReceived{heartbeat: h, reply: reply}
+	})
+}
+
+func (e *Entry) replicaChanges(ctx context.Context, p rpc.ChangesParams) (struct{}, error) {
+	e.control.post(ctx, changesReceived{changes: p.Changes})
+	return struct{}{}, nil
+}
+
+func (e *Entry) report(ctx context.Context, p rpc.ReportParams) (struct{}, error) {
+	e.control.post(ctx, reportReceived{params: p})
+	return struct{}{}, nil
+}
+
+func (e *Entry) claimOutcome(ctx context.Context, p rpc.ClaimOutcomeFrom) (struct{}, error) {
+	e.shards.outcome(ctx, p.ClaimOutcomeParams, p.From)
+	return struct{}{}, nil
+}
+
+// storeSlot answers an agent's question, or passes it on to the entry that
+// hands out the slots.
+func (e *Entry) storeSlot(ctx context.Context, p rpc.StoreSlotParams) (rpc.StoreSlotResult, error) {
+	current := e.control.view()
+	if refusal := current.unready(); refusal != nil {
+		return rpc.StoreSlotResult{}, refusal
+	}
+	owner := current.ring.Owner(roleStoreSlots, "")
+	if owner == e.control.cfg.name || p.Forwarded {
+		return exchangeEvent(ctx, e.control, func(reply chan rpc.StoreSlotResult) event {
+			return slotAsked{params: p, reply: reply}
+		})
+	}
+	p.Forwarded = true
+	var result rpc.StoreSlotResult
+	err := e.caller.Call(ctx, current.addresses[owner], rpc.MethodStoreSlot, p, &result)
+	return result, err
+}
+
+// agentAddress finds the control address of an upstream's agent.
+func (e *Entry) agentAddress(name state.UpstreamName) (string, bool) {
+	current := e.control.view()
+	if current == nil {
+		return "", false
+	}
+	upstream, _, ok := current.config.Upstream(name)
+	return upstream.ControlAddr, ok
+}
+
+// readiness is nil if the entry takes requests.
+func (e *Entry) readiness() error {
+	if e.gateway.stopping.Load() {
+		return verdict.Refuse(verdict.ReasonDraining, "this entry is stopping")
+	}
+	if refusal := e.control.view().unready(); refusal != nil {
+		return refusal
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	"github.com/lagoonvalve/lagoonvalve/gen/callers"
+	"github.com/lagoonvalve/lagoonvalve/gen/health"
+	callersserver "github.com/lagoonvalve/lagoonvalve/gen/http/callers/server"
+	healthserver "github.com/lagoonvalve/lagoonvalve/gen/http/health/server"
+	operatorsserver "github.com/lagoonvalve/lagoonvalve/gen/http/operators/server"
+	"github.com/lagoonvalve/lagoonvalve/gen/operators"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds the reading of a whole request; answers have no
+	// such bound, since the deadlines of requests end them.
+	bodyTimeout = time.Minute
+	// idleTimeout closes unused kept connections.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+	// maxOperatorBody bounds the body of an operator's request.
+	maxOperatorBody = 1 * state.MiB
+)
+
+// newHTTPServer returns a server with time-outs and size limits.
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// formatError gives every error the same shape and tells the caller whether
+// its work may have run. goa's own errors are about requests that it could
+// not decode, so nothing has run.
+func formatError(ctx context.Context, err error) goahttp.Statuser {
+	var decodeError *goa.ServiceError
+	var v *verdict.Verdict
+	if !errors.As(err, &v) && errors.As(err, &decodeError) {
+		v = verdict.Refuse(verdict.ReasonBadRequest, decodeError.Message)
+	} else {
+		v = verdict.Of(err)
+	}
+	if x := exchangeOf(ctx); x != nil {
+		v.SetHeaders(x.answer.Header())
+		x.answer.override = v.Reason.HTTPStatus()
+	}
+	body := verdict.Body{Error: verdict.BodyError{Code: v.Reason, Verdict: v.Execution.String(), Message: v.Detail}}
+	return &errorBody{Body: body, status: v.Reason.HTTPStatus()}
+}
+
+// callersHandler serves callers' requests and health.
+func callersHandler(api callers.Service, ready func() error) http.Handler {
+	mux := goahttp.NewMuxer()
+	decoder, encoder := goahttp.RequestDecoder, jsonEncoder
+	callersserver.New(callers.NewEndpoints(api), mux, decoder, encoder, nil, formatError).Mount(mux)
+	mountHealth(mux, ready)
+	return withExchange(mux)
+}
+
+// operatorsHandler serves operators' requests, health and metrics.
+func operatorsHandler(api operators.Service, ready func() error, metrics http.Handler) http.Handler {
+	mux := goahttp.NewMuxer()
+	operatorsserver.New(operators.NewEndpoints(api), mux, goahttp.RequestDecoder, jsonEncoder, nil, formatError).Mount(mux)
+	mountHealth(mux, ready)
+	if metrics != nil {
+		mux.Handle(http.MethodGet, "/metrics", metrics.ServeHTTP)
+	}
+	return http.MaxBytesHandler(withExchange(mux), int64(maxOperatorBody))
+}
+
+func mountHealth(mux goahttp.Muxer, ready func() error) {
+	endpoints := health.NewEndpoints(healthAPI{ready: ready})
+	healthserver.New(endpoints, mux, goahttp.RequestDecoder, jsonEncoder, nil, nil).Mount(mux)
+}
+
+// jsonEncoder answers in JSON whatever the client accepts, so that errors
+// have one form.
+func jsonEncoder(_ context.Context, w http.ResponseWriter) goahttp.Encoder {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w)
+}
+
+type healthAPI struct{ ready func() error }
+
+// Live implements health.Service.
+func (healthAPI) Live(context.Context) error { return nil }
+
+// Ready implements health.Service.
+func (h healthAPI) Ready(context.Context) error {
+	if err := h.ready(); err != nil {
+		return health.MakeNotReady(err)
+	}
+	return nil
+}
+
+// serveHTTP serves on listener until ctx ends, then closes what is left.
+func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -38,7 +38,8 @@
 
 type waiter struct {
 	// ready gets nil when the request may go, or the verdict that ends it.
-	ready chan *verdict.Verdict
+	ready   chan *verdict.Verdict
+	adapter state.AdapterName
 }
 
 func newWaitingRoom(cfg admission.Config) *waitingRoom {
@@ -52,7 +53,7 @@
 // enter waits until the request may be sent, its deadline or its caller's
 // leaving. loadWait is the predicted time until a replica is ready.
 func (w *waitingRoom) enter(ctx context.Context, item admission.Item, loadWait time.Duration) *verdict.Verdict {
-	mine := &waiter{ready: make(chan *verdict.Verdict, 1)}
+	mine := &waiter{ready: make(chan *verdict.Verdict, 1), adapter: item.Adapter}
 	if refusal := w.offer(time.Now(), item, mine, loadWait); refusal != nil {
 		return refusal
 	}
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -256,6 +256,8 @@
 	state.ReplicaKey
 	// Benefit is what the waiters lose per second without the load.
 	Benefit float64 `json:"benefit"`
+	// Forwarded marks a question that another entry passed on.
+	Forwarded bool `json:"forwarded,omitempty"`
 }
 
 // StoreSlotResult grants a slot or says when to ask again.
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -28,7 +28,7 @@
 
 // changer is a table of any kind.
 type changer interface {
-	change(c *Config, ch ConfigChange, p Positioned) Outcome
+	change(c *Config, ch ConfigChange, p Positioned, check bool) Outcome
 	save() (json.RawMessage, error)
 	load(data json.RawMessage) error
 }
@@ -93,13 +93,23 @@
 		return invalid(p, "unknown kind of entity \""+string(ch.Entity)+"\"")
 	}
 	old, _ := c.upstreams.rows.get(UpstreamName(ch.Name))
-	out := t.change(c, ch, p)
+	out := t.change(c, ch, p, false)
 	if ch.Entity == EntityUpstream && out.Effect == EffectApplied {
 		c.reindex(old.value, UpstreamName(ch.Name))
 	}
 	return out
 }
 
+// Check tells what a change would come to if it were the next record. The
+// revision is an estimate for an entity that existed before.
+func (c *Config) Check(ch ConfigChange) Outcome {
+	t, ok := c.table(ch.Entity)
+	if !ok {
+		return invalid(Positioned{Offset: NoOffset}, "unknown kind of entity \""+string(ch.Entity)+"\"")
+	}
+	return t.change(c, ch, Positioned{Offset: NoOffset}, true)
+}
+
 // reindex keeps the addresses in step with the upstream that was changed.
 func (c *Config) reindex(old Upstream, name UpstreamName) {
 	delete(c.addresses, old.TrafficAddr)
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -113,7 +113,8 @@
 	}
 }
 
-func (t *table[K, V]) change(c *Config, ch ConfigChange, p Positioned) Outcome {
+// change applies ch, or only says what it would come to if check is set.
+func (t *table[K, V]) change(c *Config, ch ConfigChange, p Positioned, check bool) Outcome {
 	key, ok := t.parse(ch.Name)
 	if !ok {
 		return invalid(p, "the name is not valid for its kind")
@@ -134,6 +135,9 @@
 		if len(why) > 0 {
 			return invalid(p, why...)
 		}
+		if check {
+			return Outcome{Effect: EffectApplied, Offset: p.Offset}
+		}
 		return t.remove(p, key, old, ch.Actor)
 	}
 	var value V
@@ -151,6 +155,9 @@
 	if len(why) > 0 {
 		return invalid(p, why...)
 	}
+	if check {
+		return Outcome{Effect: EffectApplied, Offset: p.Offset, Revision: old.stamp.Revision + 1}
+	}
 	return t.put(p, key, value, old, ch.Actor)
 }
 
