--- a/internal/logclient/api.go
+++ b/internal/logclient/api.go
@@ -70,6 +70,9 @@
 	// EventStale is a page that ends before the offset asked for, such as one
 	// from a relay that lags. It is not handled.
 	EventStale EventKind = "stale"
+	// EventDisordered is a page whose records do not ascend within its
+	// bounds. It is not handled.
+	EventDisordered EventKind = "disordered"
 	// EventUnavailable is a failed read; it is repeated after a backoff.
 	EventUnavailable EventKind = "unavailable"
 )
--- /dev/null
+++ b/internal/logclient/relay.go
@@ -0,0 +1,184 @@
+package logclient
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Bounds of what another process may ask of a relay.
+const (
+	maxRelayLimit = 1000
+	maxRelayWait  = 30 * time.Second
+)
+
+// RelayConfig configures a Relay.
+type RelayConfig struct {
+	// Window and WindowBytes bound what is kept of each stream; default
+	// 20,000 records and 16 MiB.
+	Window      int
+	WindowBytes int
+	// AppendTimeout bounds an append for another process; default 3 s. It
+	// must be shorter than the Settle of the other processes' writers.
+	AppendTimeout time.Duration
+	// Tail configures the reading from the log.
+	Tail TailOptions
+}
+
+// Relay keeps the recent part of streams in memory and answers reads from it.
+// It implements platform.Log.
+type Relay struct {
+	log      platform.Log
+	appender Appender
+	cfg      RelayConfig
+	windows  map[platform.Stream]*window
+}
+
+// NewRelay returns a relay of streams of log. Appends go through appender.
+// Reads of other streams go to the log.
+func NewRelay(log platform.Log, appender Appender, cfg RelayConfig, streams ...platform.Stream) *Relay {
+	setDefault(&cfg.Window, 20_000)
+	setDefault(&cfg.WindowBytes, 16<<20)
+	setDefault(&cfg.AppendTimeout, 3*time.Second)
+	r := &Relay{log: log, appender: appender, cfg: cfg, windows: make(map[platform.Stream]*window, len(streams))}
+	for _, stream := range streams {
+		r.windows[stream] = newWindow(cfg.Window, cfg.WindowBytes)
+	}
+	return r
+}
+
+// Run follows the streams until ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	for stream, kept := range r.windows {
+		running.Go(func() { r.follow(ctx, stream, kept) })
+	}
+	running.Wait()
+	return nil
+}
+
+// follow keeps a window filled. After a truncation the window starts anew at
+// the oldest record; its readers meet the truncation at the log.
+func (r *Relay) follow(ctx context.Context, stream platform.Stream, kept *window) {
+	from, ok := r.findStart(ctx, stream)
+	for ok {
+		kept.reset(from)
+		err := Tail(ctx, r.log, stream, from, r.cfg.Tail, kept.add)
+		var truncated *TruncatedError
+		ok = errors.As(err, &truncated)
+		if ok {
+			from = truncated.Oldest
+		}
+	}
+}
+
+// findStart returns the first offset for the window; ok is false if ctx ended.
+func (r *Relay) findStart(ctx context.Context, stream platform.Stream) (from state.Offset, ok bool) {
+	delays := newBackoff()
+	for {
+		page, err := r.log.Read(ctx, stream, 0, 1, 0)
+		if err == nil || errors.Is(err, platform.ErrTruncated) {
+			return max(page.Oldest, page.End-state.Offset(r.cfg.Window)), true
+		}
+		if !sleep(ctx, delays.NextBackOff()) {
+			return 0, false
+		}
+	}
+}
+
+// Append implements platform.Log.
+func (r *Relay) Append(ctx context.Context, stream platform.Stream, records []state.Record) (state.Offset, error) {
+	offsets, err := r.appender.Append(ctx, stream, records...)
+	if err != nil {
+		return state.NoOffset, err
+	}
+	return offsets[0], nil
+}
+
+// Read implements platform.Log. Offsets older than the window, and reads
+// without wait, are answered by the log.
+func (r *Relay) Read(ctx context.Context, stream platform.Stream, from state.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	kept, ok := r.windows[stream]
+	if !ok || wait <= 0 {
+		return r.log.Read(ctx, stream, from, limit, wait)
+	}
+	expired := time.NewTimer(wait)
+	defer expired.Stop()
+	for {
+		page, changed, covered := kept.read(from, limit)
+		if !covered {
+			return r.log.Read(ctx, stream, from, limit, wait)
+		}
+		if len(page.Records) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-expired.C:
+			return page, nil
+		case <-ctx.Done():
+			return platform.Page{}, errors.Wrap(platform.ErrUnavailable, "caller left during the read")
+		}
+	}
+}
+
+// Methods returns the handlers of rpc.MethodRelayRead and
+// rpc.MethodRelayAppend.
+func (r *Relay) Methods() map[string]rpc.MethodFunc {
+	return map[string]rpc.MethodFunc{
+		rpc.MethodRelayRead:   rpc.Method(r.serveRead),
+		rpc.MethodRelayAppend: rpc.Method(r.serveAppend),
+	}
+}
+
+func (r *Relay) serveRead(ctx context.Context, params rpc.RelayReadParams) (rpc.RelayReadResult, error) {
+	limit := params.Limit
+	if limit <= 0 || limit > maxRelayLimit {
+		limit = maxRelayLimit
+	}
+	wait := min(params.Wait.Std(), maxRelayWait)
+	page, err := r.Read(ctx, params.Stream, params.From, limit, wait)
+	if errors.Is(err, platform.ErrTruncated) {
+		return rpc.RelayReadResult{Page: page, Truncated: true}, nil
+	}
+	if err != nil {
+		return rpc.RelayReadResult{}, asVerdict(err)
+	}
+	return rpc.RelayReadResult{Page: page}, nil
+}
+
+func (r *Relay) serveAppend(ctx context.Context, params rpc.RelayAppendParams) (rpc.RelayAppendResult, error) {
+	// A bound, so that the caller's writer knows when an append of unknown
+	// outcome can no longer take effect.
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.AppendTimeout)
+	defer cancel()
+	offsets, err := r.appender.Append(ctx, params.Stream, params.Records...)
+	if err != nil {
+		return rpc.RelayAppendResult{}, asVerdict(err)
+	}
+	return rpc.RelayAppendResult{Offsets: offsets}, nil
+}
+
+// asVerdict says for another process whether a failed call took effect.
+func asVerdict(err error) *verdict.Verdict {
+	var full *BufferFullError
+	switch {
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		return verdict.Unknown(verdict.ReasonUnknownOutcome, "append outcome unknown")
+	case errors.As(err, &full):
+		return verdict.Refuse(verdict.ReasonQueueFull, "append buffer full")
+	case errors.Is(err, platform.ErrRejected):
+		return verdict.Refuse(verdict.ReasonBadRequest, "rejected by the log")
+	case errors.Is(err, platform.ErrUnavailable):
+		return verdict.Refuse(verdict.ReasonLogUnavailable, "log unavailable")
+	default:
+		return verdict.Unknown(verdict.ReasonInternal, "append failed")
+	}
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -83,8 +83,10 @@
 		// Without a connection no byte of the request left this process.
 		return call.lost(!connected.Load(), cause(err))
 	}
-	defer discard(resp.Body)
-	return call.decode(resp)
+	defer func() { _ = resp.Body.Close() }()
+	err = call.decode(resp)
+	_, _ = io.CopyN(io.Discard, resp.Body, drainLimit)
+	return err
 }
 
 func (c httpCaller) request(ctx context.Context, call httpCall, connected *atomic.Bool) (*http.Request, error) {
@@ -156,8 +158,3 @@
 	}
 	return "connection failed"
 }
-
-func discard(body io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, body, drainLimit)
-	_ = body.Close()
-}
