agent: serve traffic, wakes, registration and heartbeats

Cause: an upstream needs the process that queues, relays and orders for it. Change: the agent role around the account and a queue behind an interface.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -127,24 +128,8 @@
 	Burst account.BurstRule
 	// Transport carries requests to the upstream; default one made for it.
 	Transport http.RoundTripper
-	Logger    *slog.Logger
-	Counters  Counters
-}
-
-// Agent is a running agent.
-type Agent struct {
-	cfg  Config
-	deps Deps
-}
-
-// New returns an agent. It reports which setting is invalid.
-func New(cfg Config, deps Deps) (*Agent, error) {
-	return &Agent{cfg: cfg, deps: deps}, nil
-}
-
-// Run binds the control address, serves, and registers. It returns after a
-// graceful shutdown once ctx ends, or when it can't serve.
-func (a *Agent) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	// Listen binds a listen address; default TCP.
+	Listen   func(ctx context.Context, addr string) (net.Listener, error)
+	Logger   *slog.Logger
+	Counters Counters
 }
--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,261 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/account"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	// listingInterval is the time between listings of a quiet engine, and
+	// busyInterval that while orders are out.
+	listingInterval = time.Second
+	busyInterval    = 100 * time.Millisecond
+	listingTimeout  = 5 * time.Second
+	// slotTimeout bounds the question for a store slot. Without an answer
+	// the load starts anyway: slots save the store's speed, not memory.
+	slotTimeout = 500 * time.Millisecond
+	// unreachableSlot is how long a load may go on without a slot.
+	unreachableSlot = 10 * time.Second
+	eventBacklog    = 256
+)
+
+// control owns the account and the tables. Its methods run on its goroutine
+// unless they say otherwise.
+type control struct {
+	agent   *Agent
+	account *account.Account
+	tables  Tables
+	ctx     context.Context
+	events  chan func()
+
+	registration registration
+	phase        rpc.AgentState
+	drained      bool // by an order or by configuration
+	leaving      bool
+
+	listingAt   time.Time
+	listingBusy bool
+	appended    map[string]uint64 // record id of an intent to its sequence
+	loadStarted map[state.ReplicaKey]time.Time
+	loadRate    float64 // bytes of weights per second, measured
+	slots       map[state.ReplicaKey]string
+	heart       heart
+}
+
+func newControl(ctx context.Context, a *Agent) *control {
+	c := &control{
+		agent:        a,
+		tables:       a.deps.Tables,
+		ctx:          ctx,
+		events:       make(chan func(), eventBacklog),
+		phase:        rpc.AgentStarting,
+		registration: registration{token: state.NoOffset},
+		appended:     make(map[string]uint64),
+		loadStarted:  make(map[state.ReplicaKey]time.Time),
+		slots:        make(map[state.ReplicaKey]string),
+	}
+	if !a.service {
+		c.account = account.New(account.Config{
+			Upstream:   a.cfg.Upstream.Name,
+			Memory:     a.cfg.Upstream.Memory,
+			Fencing:    a.cfg.Upstream.Fencing,
+			MaxLoads:   a.cfg.MaxLoads,
+			StoreSlots: a.deps.SlotOwner != nil,
+		}, a.deps.Tables, a.deps.Burst)
+	}
+	return c
+}
+
+// run is the control loop.
+func (c *control) run() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case event := <-c.events:
+			event()
+		case <-ticker.C:
+		}
+		c.tick(time.Now())
+	}
+}
+
+// post hands an event to the control goroutine. Any goroutine may call it.
+func (c *control) post(event func()) bool {
+	select {
+	case c.events <- event:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// ask runs f on the control goroutine and waits for it. Any other goroutine
+// may call it.
+func (c *control) ask(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	posted := c.post(func() {
+		defer close(done)
+		f()
+	})
+	if !posted {
+		return errors.New("agent stopped")
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.ctx.Done():
+		return errors.New("agent stopped")
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	c.register(now)
+	if c.account != nil {
+		c.list(now)
+		c.wishAdapters(now)
+		for _, cmd := range c.account.Tick(now, c.use) {
+			c.execute(now, cmd)
+		}
+	}
+	c.publish()
+	c.beat(now)
+}
+
+// use reports the use of a replica or an adapter to the account.
+func (c *control) use(key state.ReplicaKey, adapter state.AdapterName) account.Use {
+	found, ok := c.agent.usages.all.Load(target{key, adapter})
+	u := account.Use{KeepAlive: c.agent.cfg.KeepAlive}
+	if ok {
+		in := found.(*usage)
+		u.InFlight = max(int(in.inFlight.Load()), 0)
+		u.LastUsed = in.last()
+	}
+	if model, known := c.tables.Model(key.Model); known && model.KeepAlive > 0 {
+		u.KeepAlive = model.KeepAlive.Std()
+	}
+	return u
+}
+
+// wishAdapters wishes for the adapters that queued requests wait for.
+func (c *control) wishAdapters(now time.Time) {
+	c.agent.missing.Range(func(k, v any) bool {
+		t, until := k.(target), v.(time.Time)
+		if now.After(until) || c.agent.view.Load().ready[t.key][t.adapter] {
+			c.agent.missing.Delete(k)
+			return true
+		}
+		// A refusal reaches the requests when their deadline passes.
+		_ = c.account.Wake(account.Wish{Key: t.key, Adapter: t.adapter, Benefit: 1, Since: now, Until: until})
+		return true
+	})
+}
+
+// list asks the engine for a listing when one is due.
+func (c *control) list(now time.Time) {
+	if c.listingBusy || now.Before(c.listingAt) {
+		return
+	}
+	c.listingBusy = true
+	stamp := c.account.Listing()
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, listingTimeout)
+		defer cancel()
+		status, err := c.agent.deps.Engine.Status(ctx)
+		c.post(func() { c.listed(stamp, status, err) })
+	}()
+}
+
+func (c *control) listed(stamp account.Stamp, status platform.EngineStatus, err error) {
+	now := time.Now()
+	c.listingBusy = false
+	c.listingAt = now.Add(listingInterval)
+	if err != nil {
+		c.agent.deps.Counters.Add("agent_listing_failures_total", 1)
+		c.listingAt = now.Add(busyInterval)
+		return
+	}
+	if before := c.account.Incarnation(); before != "" && before != status.Incarnation {
+		c.agent.deps.Logger.Warn("the engine restarted", "incarnation", status.Incarnation)
+		c.agent.deps.Counters.Add("agent_engine_restarts_total", 1)
+	}
+	c.account.Observe(now, stamp, status)
+	c.agent.crashes.observe(status.Incarnation)
+	c.openUsages()
+	if c.account.Unsettled() {
+		c.listingAt = now.Add(busyInterval)
+	}
+}
+
+// relist asks for a listing at once. Any goroutine may call it.
+func (c *control) relist() {
+	c.post(func() { c.listingAt = time.Time{} })
+}
+
+// openUsages lets requests use replicas and adapters that are ready and not
+// being unloaded.
+func (c *control) openUsages() {
+	for _, r := range c.account.Replicas() {
+		if r.State != state.ReplicaReady {
+			continue
+		}
+		c.agent.usages.of(target{key: r.ReplicaKey}).open()
+		for _, name := range r.Adapters {
+			c.agent.usages.of(target{r.ReplicaKey, name}).open()
+		}
+	}
+}
+
+// publish makes a new snapshot for traffic if anything in it changed.
+func (c *control) publish() {
+	c.updatePhase()
+	next := &view{state: c.phase, token: c.registration.token}
+	if c.account != nil {
+		next.ready = readySet(c.account.Replicas())
+	}
+	if !next.equal(c.agent.view.Load()) {
+		c.agent.view.Store(next)
+		c.agent.dispatcher.tick(time.Now())
+	}
+}
+
+func (c *control) updatePhase() {
+	draining := c.drained || c.leaving ||
+		c.tables.Draining(c.agent.cfg.Upstream.Name, c.agent.cfg.Upstream.Host)
+	listed := c.account == nil || c.account.Listed()
+	switch {
+	case draining:
+		c.phase = rpc.AgentDraining
+	case listed:
+		c.phase = rpc.AgentServing
+	default:
+		c.phase = rpc.AgentStarting
+	}
+}
+
+func readySet(replicas []state.Replica) map[state.ReplicaKey]map[state.AdapterName]bool {
+	ready := make(map[state.ReplicaKey]map[state.AdapterName]bool, len(replicas))
+	for _, r := range replicas {
+		if r.State != state.ReplicaReady {
+			continue
+		}
+		adapters := make(map[state.AdapterName]bool, len(r.Adapters))
+		for _, name := range r.Adapters {
+			adapters[name] = true
+		}
+		ready[r.ReplicaKey] = adapters
+	}
+	return ready
+}
--- /dev/null
+++ b/internal/agent/defaults.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	defaultConcurrency   = 16
+	defaultQueueRequests = 256
+	defaultQueueBytes    = 64 * state.MiB
+	defaultMaxBody       = 8 * state.MiB
+	defaultDeadline      = 30 * time.Second
+	defaultKeepAlive     = 5 * time.Minute
+	defaultWakeFor       = 30 * time.Second
+	defaultShutdown      = 20 * time.Second
+	defaultOrderTimeout  = 5 * time.Minute
+	defaultMaxLoads      = 2
+	defaultMaxClaims     = 100_000
+)
+
+// withDefaults fills what is not set.
+func (c Config) withDefaults() Config {
+	c.Incarnation = cmp.Or(c.Incarnation, uuid.NewString())
+	c.Concurrency = cmp.Or(c.Concurrency, defaultConcurrency)
+	c.MaxLong = cmp.Or(c.MaxLong, max(c.Concurrency/2, 1))
+	c.QueueRequests = cmp.Or(c.QueueRequests, defaultQueueRequests)
+	c.QueueBytes = cmp.Or(c.QueueBytes, defaultQueueBytes)
+	c.MaxBody = cmp.Or(c.MaxBody, defaultMaxBody)
+	c.DefaultDeadline = cmp.Or(c.DefaultDeadline, defaultDeadline)
+	c.KeepAlive = cmp.Or(c.KeepAlive, defaultKeepAlive)
+	c.WakeFor = cmp.Or(c.WakeFor, defaultWakeFor)
+	c.Shutdown = cmp.Or(c.Shutdown, defaultShutdown)
+	c.OrderTimeout = cmp.Or(c.OrderTimeout, defaultOrderTimeout)
+	c.MaxLoads = cmp.Or(c.MaxLoads, defaultMaxLoads)
+	c.MaxClaims = cmp.Or(c.MaxClaims, defaultMaxClaims)
+	return c
+}
+
+func (c Config) check() error {
+	u := c.Upstream
+	switch {
+	case u.Name == "" || u.Region == "":
+		return errors.New("upstream: name and region must be set")
+	case u.ControlAddr == "" || u.TrafficAddr == "":
+		return errors.New("upstream: control_addr and traffic_addr must be set")
+	case u.Kind != state.PlainService && u.Memory <= 0:
+		return errors.New("upstream: memory must be set")
+	case u.Kind != state.PlainService && u.Fencing != state.FencingEnforced && u.Fencing != state.FencingIgnored:
+		return errors.Errorf("upstream: unknown fencing kind %q", u.Fencing)
+	case c.Concurrency < 1 || c.MaxLong < 1 || c.MaxLong > c.Concurrency:
+		return errors.New("concurrency must be at least 1 and max_long between 1 and it")
+	}
+	return nil
+}
+
+func (c Config) baseURL() (*url.URL, error) {
+	base, err := url.Parse(c.BaseURL)
+	if err != nil {
+		return nil, errors.Wrap(err, "base URL")
+	}
+	if base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return nil, errors.Errorf("base URL %q: want http://host:port", c.BaseURL)
+	}
+	return base, nil
+}
+
+func (d Deps) withDefaults(cfg Config) Deps {
+	if d.Queue == nil {
+		d.Queue = newClassQueue(cfg.QueueRequests, cfg.QueueBytes)
+	}
+	if d.Logger == nil {
+		d.Logger = slog.New(slog.DiscardHandler)
+	}
+	if d.Counters == nil {
+		d.Counters = noCounters{}
+	}
+	if d.Watcher == nil {
+		d.Watcher = func() (string, bool) { return "", false }
+	}
+	if d.Listen == nil {
+		d.Listen = func(ctx context.Context, addr string) (net.Listener, error) {
+			var config net.ListenConfig
+			return config.Listen(ctx, "tcp", addr)
+		}
+	}
+	if d.Transport == nil {
+		d.Transport = newTransport(cfg.Concurrency)
+	}
+	return d
+}
+
+func (d Deps) check(cfg Config) error {
+	switch {
+	case d.Log == nil || d.Appender == nil || d.Tables == nil || d.Caller == nil:
+		return errors.New("log, appender, tables and caller must be set")
+	case d.Engine == nil && cfg.Upstream.Kind != state.PlainService:
+		return errors.New("engine must be set")
+	}
+	return nil
+}
+
+// newTransport makes the connections to the upstream. It takes no proxy from
+// the environment and passes compressed answers on as they are.
+func newTransport(concurrency int) *http.Transport {
+	dialer := net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConns:        concurrency,
+		MaxIdleConnsPerHost: concurrency,
+		IdleConnTimeout:     time.Minute,
+		WriteBufferSize:     copyBuffer,
+		ReadBufferSize:      copyBuffer,
+	}
+}
+
+type noCounters struct{}
+
+func (noCounters) Add(string, uint64) {}
--- /dev/null
+++ b/internal/agent/heartbeat.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	heartbeatInterval = 5 * time.Second
+	// heartbeatPause is the shortest time between heartbeats.
+	heartbeatPause   = time.Second
+	heartbeatTimeout = 2 * time.Second
+)
+
+// heart sends the heartbeats.
+type heart struct {
+	busy     bool
+	sentAt   time.Time
+	watcher  string
+	sequence uint64
+	// acked is the sequence that the watcher has with its replicas.
+	acked    uint64
+	state    rpc.AgentState
+	token    state.FencingToken
+	replicas []state.Replica
+}
+
+// beat sends a heartbeat if one is due.
+func (c *control) beat(now time.Time) {
+	h := &c.heart
+	c.noteChanges()
+	due := now.Sub(h.sentAt) >= heartbeatInterval
+	changed := h.acked != h.sequence && now.Sub(h.sentAt) >= heartbeatPause
+	if h.busy || !due && !changed {
+		return
+	}
+	addr, ok := c.agent.deps.Watcher()
+	if !ok {
+		return
+	}
+	if addr != h.watcher {
+		h.watcher, h.acked = addr, 0
+	}
+	h.busy, h.sentAt = true, now
+	beat := c.heartbeat(h.acked != h.sequence)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, heartbeatTimeout)
+		defer cancel()
+		var result rpc.HeartbeatResult
+		err := c.agent.deps.Caller.Call(ctx, addr, rpc.MethodHeartbeat, beat, &result)
+		c.post(func() { c.beaten(addr, beat, result, err) })
+	}()
+}
+
+func (c *control) noteChanges() {
+	h := &c.heart
+	var replicas []state.Replica
+	if c.account != nil {
+		replicas = c.account.Replicas()
+	}
+	same := h.state == c.phase && h.token == c.registration.token &&
+		slices.EqualFunc(h.replicas, replicas, sameReplica)
+	if same {
+		return
+	}
+	h.sequence++
+	h.state, h.token, h.replicas = c.phase, c.registration.token, replicas
+}
+
+func sameReplica(x, y state.Replica) bool {
+	return x.ReplicaKey == y.ReplicaKey && x.State == y.State && slices.Equal(x.Adapters, y.Adapters)
+}
+
+func (c *control) heartbeat(full bool) rpc.Heartbeat {
+	beat := rpc.Heartbeat{
+		Upstream:    c.agent.cfg.Upstream.Name,
+		Incarnation: c.agent.process.Incarnation,
+		Sequence:    c.heart.sequence,
+		State:       c.phase,
+		Agent:       c.registration.token,
+		Queue:       int(c.agent.dispatcher.queued.Load()),
+		Running:     int(c.agent.dispatcher.running.Load()),
+		Full:        full,
+	}
+	if full {
+		beat.Replicas = c.heart.replicas
+	}
+	return beat
+}
+
+func (c *control) beaten(addr string, beat rpc.Heartbeat, result rpc.HeartbeatResult, err error) {
+	h := &c.heart
+	h.busy = false
+	if err != nil {
+		c.agent.deps.Counters.Add("agent_heartbeat_failures_total", 1)
+		return
+	}
+	if addr == h.watcher && beat.Full {
+		h.acked = beat.Sequence
+	}
+	if result.SendFull {
+		h.acked = 0
+	}
+	if result.Leaving {
+		c.agent.leave(leaveHost)
+	}
+}
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,243 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/account"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	appendTimeout = 10 * time.Second
+	// rateWeight is the share of a new measurement in the load rate.
+	rateWeight = 0.3
+)
+
+// execute carries out a command of the account.
+func (c *control) execute(now time.Time, cmd account.Command) {
+	switch cmd := cmd.(type) {
+	case account.SendOrder:
+		c.sendOrder(now, cmd)
+	case account.AppendIntent:
+		c.appendIntent(cmd)
+	case account.AppendRelease:
+		c.appendRelease(cmd)
+	case account.AskSlot:
+		c.askSlot(cmd.Wish)
+	}
+}
+
+// sendOrder sends an order unless a request has started to use what it would
+// unload.
+func (c *control) sendOrder(now time.Time, cmd account.SendOrder) {
+	order := cmd.Order
+	unload := order.Kind == platform.OrderUnload || order.Kind == platform.OrderUnloadAdapter
+	if unload && !c.agent.usages.of(target{order.ReplicaKey, order.Adapter}).shut() {
+		c.account.Result(now, cmd.ID, account.Refused)
+		return
+	}
+	if order.Kind == platform.OrderLoad {
+		c.loadStarted[order.ReplicaKey] = now
+	}
+	c.agent.deps.Counters.Add("agent_orders_total", 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, c.agent.cfg.OrderTimeout)
+		defer cancel()
+		err := c.agent.deps.Engine.Do(ctx, order)
+		c.post(func() { c.orderEnded(cmd, err) })
+	}()
+}
+
+func (c *control) orderEnded(cmd account.SendOrder, err error) {
+	now := time.Now()
+	outcome := outcomeOfOrder(err)
+	c.account.Result(now, cmd.ID, outcome)
+	c.listingAt = time.Time{}
+	if err != nil {
+		c.agent.deps.Counters.Add("agent_order_failures_total", 1)
+		c.agent.deps.Logger.Warn("order failed", "kind", cmd.Order.Kind,
+			"model", cmd.Order.Model, "version", cmd.Order.Version, "error", err)
+	}
+	if outcome == account.Refused || outcome == account.Stale {
+		c.agent.usages.of(target{cmd.Order.ReplicaKey, cmd.Order.Adapter}).open()
+	}
+	if cmd.Order.Kind == platform.OrderLoad {
+		c.measureLoad(now, cmd.Order, err)
+		c.returnSlot(cmd.Order.ReplicaKey)
+	}
+}
+
+func outcomeOfOrder(err error) account.Outcome {
+	switch {
+	case err == nil:
+		return account.Done
+	case errors.Is(err, platform.ErrStaleToken):
+		return account.Stale
+	case errors.Is(err, platform.ErrNoMemory), errors.Is(err, platform.ErrUnavailable):
+		return account.Refused
+	default:
+		return account.Unknown
+	}
+}
+
+func (c *control) measureLoad(now time.Time, order platform.Order, err error) {
+	started := c.loadStarted[order.ReplicaKey]
+	delete(c.loadStarted, order.ReplicaKey)
+	took := now.Sub(started).Seconds()
+	if err != nil || took <= 0 {
+		return
+	}
+	rate := float64(order.Weights) / took
+	if c.loadRate > 0 {
+		rate = rateWeight*rate + (1-rateWeight)*c.loadRate
+	}
+	c.loadRate = rate
+}
+
+// readyIn predicts when a load ends. Zero means that nothing is known.
+func (c *control) readyIn(now time.Time, key state.ReplicaKey) time.Duration {
+	version, ok := c.tables.Version(key)
+	if !ok || c.loadRate <= 0 {
+		return 0
+	}
+	whole := time.Duration(float64(version.Weights) / c.loadRate * float64(time.Second))
+	started, loading := c.loadStarted[key]
+	if !loading {
+		return whole
+	}
+	return max(whole-now.Sub(started), tickInterval)
+}
+
+// append stores records and hands the result to the control goroutine.
+func (c *control) append(record state.Record, then func(error)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, appendTimeout)
+		defer cancel()
+		_, err := c.agent.deps.Appender.Append(ctx, c.agent.region, record)
+		c.post(func() { then(err) })
+	}()
+}
+
+// notStored reports whether a failed append is known to have no effect.
+func notStored(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknownOutcome)
+}
+
+func (c *control) appendIntent(cmd account.AppendIntent) {
+	record, err := state.NewRecord(uuid.NewString(), c.agent.process, state.KindIntent, cmd.Intent)
+	if err != nil {
+		c.account.IntentFailed(cmd.Sequence)
+		return
+	}
+	c.appended[record.ID] = cmd.Sequence
+	var try func()
+	try = func() {
+		c.append(record, func(err error) { c.intentAppended(record.ID, cmd.Sequence, err, try) })
+	}
+	try()
+}
+
+// intentAppended waits for the record in the log. One of unknown outcome is
+// sent again with the same id, since the account must not act on either of
+// two sets until it knows which is in force.
+func (c *control) intentAppended(id string, sequence uint64, err error, again func()) {
+	if _, waiting := c.appended[id]; !waiting || err == nil {
+		return
+	}
+	c.agent.deps.Counters.Add("agent_append_failures_total", 1)
+	time.AfterFunc(appendRetry, func() {
+		c.post(func() {
+			switch _, waiting := c.appended[id]; {
+			case !waiting:
+			case notStored(err):
+				delete(c.appended, id)
+				c.account.IntentFailed(sequence)
+			default:
+				again()
+			}
+		})
+	})
+}
+
+func (c *control) appendRelease(cmd account.AppendRelease) {
+	record, err := state.NewRecord(uuid.NewString(), c.agent.process, state.KindRelease, cmd.Release)
+	if err != nil {
+		c.account.ReleaseFailed(cmd.Release.Grant)
+		return
+	}
+	c.append(record, func(err error) {
+		if err == nil {
+			return
+		}
+		c.agent.deps.Counters.Add("agent_append_failures_total", 1)
+		// A second release of the same grant has no effect, so one of
+		// unknown outcome may be repeated.
+		time.AfterFunc(appendRetry, func() {
+			c.post(func() { c.account.ReleaseFailed(cmd.Release.Grant) })
+		})
+	})
+}
+
+// askSlot asks for a store slot.
+func (c *control) askSlot(w account.Wish) {
+	addr, ok := c.agent.deps.SlotOwner()
+	if !ok {
+		c.account.SetSlot(w.Key, time.Now().Add(unreachableSlot))
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, slotTimeout)
+		defer cancel()
+		var result rpc.StoreSlotResult
+		err := c.agent.deps.Caller.Call(ctx, addr, rpc.MethodStoreSlot, rpc.StoreSlotParams{
+			Upstream:   c.agent.cfg.Upstream.Name,
+			ReplicaKey: w.Key,
+			Benefit:    w.Benefit,
+		}, &result)
+		c.post(func() { c.slotAnswered(w.Key, result, err) })
+	}()
+}
+
+func (c *control) slotAnswered(key state.ReplicaKey, result rpc.StoreSlotResult, err error) {
+	now := time.Now()
+	switch {
+	case err != nil:
+		c.account.SetSlot(key, now.Add(unreachableSlot))
+	case result.Slot == "":
+		c.account.SlotRefused(key, now.Add(max(result.RetryAfter.Std(), tickInterval)))
+	default:
+		c.slots[key] = result.Slot
+		c.account.SetSlot(key, now.Add(result.TTL.Std()))
+	}
+}
+
+// returnSlot gives a store slot back; if the call fails its time runs out.
+func (c *control) returnSlot(key state.ReplicaKey) {
+	held, ok := c.slots[key]
+	if !ok {
+		return
+	}
+	delete(c.slots, key)
+	c.account.SetSlot(key, time.Time{})
+	addr, ok := c.agent.deps.SlotOwner()
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, slotTimeout)
+		defer cancel()
+		var result rpc.StoreSlotResult
+		_ = c.agent.deps.Caller.Call(ctx, addr, rpc.MethodStoreSlot, rpc.StoreSlotParams{
+			Upstream:   c.agent.cfg.Upstream.Name,
+			Slot:       held,
+			Release:    true,
+			ReplicaKey: key,
+		}, &result)
+	}()
+}
--- /dev/null
+++ b/internal/agent/relay.go
@@ -0,0 +1,339 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	copyBuffer = 16 << 10
+	// wholeAnswer bounds the answers that are read to their end before the
+	// first byte is passed on, so that their verdict is known by then.
+	wholeAnswer = 16 << 10
+	eventStream = "text/event-stream"
+	endOfEvents = "[DONE]"
+)
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// run sends the request to the upstream and relays the answer.
+func (a *Agent) run(w http.ResponseWriter, r *http.Request, c *call) {
+	ctx, cancel := a.runContext(r.Context(), c)
+	defer cancel(nil)
+	started := a.crashes.start()
+	defer a.crashes.finish(started)
+	var sent atomic.Bool
+	resp, err := a.transport.RoundTrip(a.outgoing(ctx, r, c, &sent))
+	if err != nil {
+		a.fail(ctx, w, c, started, sent.Load(), err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength >= 0 && resp.ContentLength <= wholeAnswer && !isEventStream(resp) {
+		a.relayWhole(ctx, w, c, started, resp)
+		return
+	}
+	a.relayStream(ctx, w, c, started, resp)
+}
+
+// runContext ends the run at its deadline, at shutdown and when the caller
+// leaves. Claimed work goes on without its caller, so that a resend finds a
+// definite outcome.
+func (a *Agent) runContext(caller context.Context, c *call) (context.Context, context.CancelCauseFunc) {
+	base := caller
+	if c.claimed {
+		base = context.WithoutCancel(caller)
+	}
+	ctx, cancel := context.WithCancelCause(base)
+	timer := time.AfterFunc(time.Until(c.item.Deadline), func() { cancel(errDeadline) })
+	stopWatch := context.AfterFunc(a.shutdown, func() { cancel(errShutdown) })
+	return ctx, func(cause error) {
+		timer.Stop()
+		stopWatch()
+		cancel(cause)
+	}
+}
+
+// onceBody is a request body that net/http can't rewind. Without it the
+// transport would send a GET, or a request with an Idempotency-Key, a second
+// time after a broken connection.
+type onceBody struct{ bytes.Reader }
+
+func (*onceBody) Close() error { return nil }
+
+func (a *Agent) outgoing(ctx context.Context, r *http.Request, c *call, sent *atomic.Bool) *http.Request {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	out := r.Clone(httptrace.WithClientTrace(ctx, trace))
+	out.URL.Scheme = a.base.Scheme
+	out.URL.Host = a.base.Host
+	out.URL.Path = a.base.Path + r.URL.Path
+	out.URL.RawPath = ""
+	out.Host = a.base.Host
+	out.RequestURI = ""
+	out.Close = false
+	out.Trailer = nil
+	out.TransferEncoding = nil
+	removeHopHeaders(out.Header)
+	for _, name := range ownHeaders {
+		out.Header.Del(name)
+	}
+	left := max(time.Until(c.item.Deadline).Milliseconds(), 1)
+	out.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+	body := &onceBody{}
+	body.Reset(c.body)
+	out.Body = body
+	out.ContentLength = int64(len(c.body))
+	out.GetBody = nil
+	return out
+}
+
+// ownHeaders concern the agent, not the upstream.
+var ownHeaders = []string{HeaderAgent, HeaderClaim, HeaderCost, HeaderLong, HeaderFingerprint, HeaderCaller}
+
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// copyAnswerHeaders copies what the upstream answered, without headers that
+// only the agent may set.
+func (a *Agent) copyAnswerHeaders(to, from http.Header) {
+	removeHopHeaders(from)
+	for name, values := range from {
+		if !strings.HasPrefix(name, "Lagoon-") {
+			to[name] = values
+		}
+	}
+	a.setLoad(to)
+}
+
+func isEventStream(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
+}
+
+// outcomeOf is the verdict of an answer that arrived whole.
+func outcomeOf(status int) *verdict.Verdict {
+	if status >= http.StatusInternalServerError {
+		return verdict.Unknown(verdict.ReasonUpstreamFailed, "")
+	}
+	return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonOK}
+}
+
+// fail answers a request for which no whole answer arrived and nothing was
+// passed on.
+func (a *Agent) fail(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, sent bool, err error) {
+	v, suspects := a.explain(ctx, started, sent, err)
+	a.endClaim(c, v, nil, 0, "")
+	if suspects > 0 {
+		w.Header().Set(HeaderSuspects, strconv.Itoa(suspects))
+	}
+	a.refuse(w, v)
+}
+
+// explain says why a run failed and how many requests are suspected of having
+// crashed the engine.
+func (a *Agent) explain(ctx context.Context, started *engineRun, sent bool, err error) (*verdict.Verdict, int) {
+	cause := context.Cause(ctx)
+	execution := verdict.MayHaveRun
+	if !sent {
+		execution = verdict.NotRun
+	}
+	v := &verdict.Verdict{Execution: execution}
+	switch {
+	case errors.Is(cause, errDeadline):
+		v.Reason, v.Detail = verdict.ReasonDeadlineExceeded, "the deadline passed during the run"
+	case errors.Is(cause, errShutdown):
+		v.Reason, v.Detail = verdict.ReasonDraining, "the agent stopped before the end of the run"
+	case cause != nil:
+		v.Reason, v.Detail = verdict.ReasonCallerGone, "the caller left"
+	case !sent:
+		v.Reason, v.Detail = verdict.ReasonUpstreamFailed, "no connection to the upstream"
+	default:
+		a.deps.Logger.Warn("the upstream's answer broke off", "error", err)
+		if suspects := a.crashes.broken(ctx, started); suspects > 0 {
+			v.Reason, v.Detail = verdict.ReasonUpstreamCrashed, "the engine crashed"
+			return v, suspects
+		}
+		v.Reason, v.Detail = verdict.ReasonStreamCut, "the upstream's answer broke off"
+	}
+	return v, 0
+}
+
+// relayWhole reads a short answer to its end before it passes it on.
+func (a *Agent) relayWhole(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, resp *http.Response) {
+	body := make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, body); err != nil {
+		a.fail(ctx, w, c, started, true, err)
+		return
+	}
+	v := outcomeOf(resp.StatusCode)
+	a.endClaim(c, v, body, resp.StatusCode, resp.Header.Get("Content-Type"))
+	a.copyAnswerHeaders(w.Header(), resp.Header)
+	v.SetHeaders(w.Header())
+	w.WriteHeader(resp.StatusCode)
+	// A write error has no recipient but the entry that left.
+	_, _ = w.Write(body)
+}
+
+// relayStream passes an answer on as it arrives. Its verdict follows in the
+// trailer. A broken event stream ends without its end mark and with a trailer
+// that says so; any other broken answer ends the connection.
+func (a *Agent) relayStream(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, resp *http.Response) {
+	h := w.Header()
+	a.copyAnswerHeaders(h, resp.Header)
+	events := isEventStream(resp)
+	// An event stream loses its declared length so that a trailer can follow.
+	if events {
+		h.Del("Content-Length")
+	}
+	trailers := events || resp.ContentLength < 0
+	if trailers {
+		h["Trailer"] = []string{verdict.HeaderVerdict, verdict.HeaderReason, HeaderSuspects}
+	}
+	w.WriteHeader(resp.StatusCode)
+	kept, err := copyAnswer(w, resp, events)
+	if err == nil {
+		v := outcomeOf(resp.StatusCode)
+		a.endClaim(c, v, kept, resp.StatusCode, resp.Header.Get("Content-Type"))
+		if trailers {
+			v.SetHeaders(h)
+		}
+		return
+	}
+	a.deps.Counters.Add("agent_streams_cut_total", 1)
+	v, suspects := a.explain(ctx, started, true, err)
+	a.endClaim(c, v, nil, 0, "")
+	if !events {
+		panic(http.ErrAbortHandler)
+	}
+	v.SetHeaders(h)
+	if suspects > 0 {
+		h.Set(HeaderSuspects, strconv.Itoa(suspects))
+	}
+}
+
+// errWrite wraps a failed write to the entry.
+var errWrite = errors.New("entry closed the connection")
+
+// copyAnswer passes the body on with a flush after each read. It returns the
+// body if it is short enough to be kept.
+func copyAnswer(w http.ResponseWriter, resp *http.Response, events bool) ([]byte, error) {
+	buf := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(buf)
+	control := http.NewResponseController(w)
+	kept := keptAnswer{limit: int(maxClaimAnswer)}
+	var end endMark
+	for {
+		n, err := resp.Body.Read(buf[:])
+		if n > 0 {
+			kept.add(buf[:n])
+			end.add(buf[:n])
+			if _, writeErr := w.Write(buf[:n]); writeErr != nil {
+				return nil, errors.Wrap(errWrite, writeErr.Error())
+			}
+			if flushErr := control.Flush(); flushErr != nil {
+				return nil, errors.Wrap(errWrite, flushErr.Error())
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return kept.bytes(), end.check(resp, events)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// keptAnswer holds an answer as long as it is short.
+type keptAnswer struct {
+	limit int
+	data  []byte
+	long  bool
+}
+
+func (k *keptAnswer) add(p []byte) {
+	if k.long || len(k.data)+len(p) > k.limit {
+		k.long, k.data = true, nil
+		return
+	}
+	k.data = append(k.data, p...)
+}
+
+func (k *keptAnswer) bytes() []byte {
+	if k.long {
+		return nil
+	}
+	if k.data == nil {
+		return []byte{}
+	}
+	return k.data
+}
+
+// endMark keeps the last bytes of a stream.
+type endMark struct{ tail []byte }
+
+func (e *endMark) add(p []byte) {
+	const keep = 32
+	if len(p) >= keep {
+		e.tail = append(e.tail[:0], p[len(p)-keep:]...)
+		return
+	}
+	e.tail = append(e.tail, p...)
+	if len(e.tail) > keep {
+		e.tail = append(e.tail[:0], e.tail[len(e.tail)-keep:]...)
+	}
+}
+
+// check reports a stream that only the end of the connection delimits: its
+// end doesn't show that it is whole, unless an end mark does.
+func (e *endMark) check(resp *http.Response, events bool) error {
+	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor >= 2
+	if delimited || events && bytes.Contains(e.tail, []byte(endOfEvents)) {
+		return nil
+	}
+	return errors.New("the answer has no declared end")
+}
+
+// endClaim records the outcome of a claimed request.
+func (a *Agent) endClaim(c *call, v *verdict.Verdict, answer []byte, status int, contentType string) {
+	if !c.claimed {
+		return
+	}
+	switch {
+	case v.Execution == verdict.NotRun:
+		a.claims.end(c.claim, rpc.ClaimRefused, nil)
+	case status == 0:
+		a.claims.end(c.claim, rpc.ClaimUnknown, nil)
+	default:
+		done := &state.ClaimDone{Claim: c.claim.String(), Status: status, ContentType: contentType}
+		if answer != nil && len(answer) <= int(maxClaimAnswer) {
+			done.Answer, done.AnswerKept = answer, true
+		}
+		a.claims.end(c.claim, rpc.ClaimRan, done)
+	}
+}
--- /dev/null
+++ b/internal/agent/request.go
@@ -0,0 +1,161 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Headers that entries send with a request.
+const (
+	HeaderRequestID   = "Lagoon-Request-Id"
+	HeaderCaller      = "Lagoon-Caller"
+	HeaderPriority    = "Lagoon-Priority"
+	HeaderDeadline    = "Lagoon-Deadline-Ms"
+	HeaderModel       = "Lagoon-Model"
+	HeaderVersion     = "Lagoon-Version"
+	HeaderAdapter     = "Lagoon-Adapter"
+	HeaderCost        = "Lagoon-Cost-Ms"
+	HeaderLong        = "Lagoon-Long"
+	HeaderClaim       = "Lagoon-Claim"
+	HeaderAgent       = "Lagoon-Agent"
+	HeaderFingerprint = "Lagoon-Fingerprint"
+)
+
+// Headers that agents answer with.
+const (
+	// HeaderLoad carries the load, as in
+	// "queue=3 running=5 short_wait_ms=12 agent=77".
+	HeaderLoad = "Lagoon-Load"
+	// HeaderSuspects is how many requests were running when the engine
+	// crashed.
+	HeaderSuspects = "Lagoon-Suspects"
+)
+
+const (
+	// bodyTimeout bounds the time in which an entry sends a request's body.
+	bodyTimeout = 10 * time.Second
+	// maxDeadline bounds the time that a request may take.
+	maxDeadline = time.Hour
+	// requestOverhead is the memory of a waiting request beyond its body.
+	requestOverhead = 8 * state.KiB
+)
+
+// call is a request as the entry sent it.
+type call struct {
+	item        admission.Item
+	body        []byte
+	claim       uuid.UUID
+	claimed     bool
+	fingerprint string
+}
+
+// readCall reads the headers and the body of a request.
+func (a *Agent) readCall(w http.ResponseWriter, r *http.Request, now time.Time) (*call, *verdict.Verdict) {
+	c := &call{fingerprint: r.Header.Get(HeaderFingerprint)}
+	if refusal := c.readClaim(r.Header); refusal != nil {
+		return c, refusal
+	}
+	if refusal := a.readItem(c, r, now); refusal != nil {
+		return c, refusal
+	}
+	control := http.NewResponseController(w)
+	// Not every connection of a test supports deadlines; the body is bounded
+	// in size in any case.
+	_ = control.SetReadDeadline(now.Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(a.cfg.MaxBody)))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return c, verdict.Refuse(verdict.ReasonBodyTooLarge, "the body is larger than "+a.cfg.MaxBody.String())
+	}
+	if err != nil {
+		return c, verdict.Refuse(verdict.ReasonBadRequest, "reading the body failed")
+	}
+	c.body = body
+	c.item.Size = state.Bytes(len(body)) + requestOverhead
+	return c, nil
+}
+
+func (c *call) readClaim(h http.Header) *verdict.Verdict {
+	text := h.Get(HeaderClaim)
+	if text == "" {
+		return nil
+	}
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return verdict.Refuse(verdict.ReasonBadRequest, HeaderClaim+" is no UUID")
+	}
+	c.claim, c.claimed = id, true
+	return nil
+}
+
+func (a *Agent) readItem(c *call, r *http.Request, now time.Time) *verdict.Verdict {
+	h := r.Header
+	class, ok := state.ParseClass(h.Get(HeaderPriority))
+	if !ok && h.Get(HeaderPriority) != "" {
+		return verdict.Refuse(verdict.ReasonBadRequest, HeaderPriority+" is not high, normal or low")
+	}
+	deadline, ok := milliseconds(h, HeaderDeadline, a.cfg.DefaultDeadline)
+	cost, costOK := milliseconds(h, HeaderCost, 0)
+	if !ok || !costOK {
+		return verdict.Refuse(verdict.ReasonBadRequest, "a time in the headers is no number")
+	}
+	if deadline <= 0 {
+		return verdict.Refuse(verdict.ReasonDeadlinePast, "the deadline has passed")
+	}
+	caller := state.CallerName(h.Get(HeaderCaller))
+	c.item = admission.Item{
+		Caller:   caller,
+		Weight:   a.weights.of(caller),
+		Class:    class,
+		Arrived:  now,
+		Deadline: now.Add(min(deadline, maxDeadline)),
+		Cost:     cost,
+		Long:     h.Get(HeaderLong) == "1" || h.Get(HeaderLong) == "true",
+	}
+	return a.readTarget(c, r)
+}
+
+func (a *Agent) readTarget(c *call, r *http.Request) *verdict.Verdict {
+	if a.service {
+		name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
+		if !a.services[state.ServiceName(name)] || !strings.HasPrefix(r.URL.Path, "/v1/services/") {
+			return verdict.Refuse(verdict.ReasonUnknownService, "the upstream doesn't run this service")
+		}
+		return nil
+	}
+	if strings.HasPrefix(r.URL.Path, "/v1/services/") {
+		return verdict.Refuse(verdict.ReasonUnknownService, "the upstream runs no services")
+	}
+	c.item.Key = state.ReplicaKey{
+		Model:   state.ModelName(r.Header.Get(HeaderModel)),
+		Version: state.VersionName(r.Header.Get(HeaderVersion)),
+	}
+	c.item.Adapter = state.AdapterName(r.Header.Get(HeaderAdapter))
+	if c.item.Key.Model == "" {
+		return verdict.Refuse(verdict.ReasonBadRequest, HeaderModel+" is missing")
+	}
+	return nil
+}
+
+func milliseconds(h http.Header, name string, missing time.Duration) (time.Duration, bool) {
+	text := h.Get(name)
+	if text == "" {
+		return missing, true
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n > maxDeadline.Milliseconds()*24 || n < -maxDeadline.Milliseconds()*24 {
+		return 0, false
+	}
+	return time.Duration(n) * time.Millisecond, true
+}
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,218 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	bindRetry         = 200 * time.Millisecond
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	expiryInterval    = 5 * time.Millisecond
+	closeTimeout      = 2 * time.Second
+)
+
+// Agent is a running agent.
+type Agent struct {
+	cfg       Config
+	deps      Deps
+	base      *url.URL
+	process   state.ProcessID
+	region    platform.Stream
+	service   bool
+	services  map[state.ServiceName]bool
+	transport http.RoundTripper
+
+	dispatcher *dispatcher
+	claims     *claims
+	crashes    *crashes
+	weights    *weights
+	usages     usages
+	view       atomic.Pointer[view]
+	// missing holds the adapters that queued requests wait for, by target,
+	// with the time until which they wait.
+	missing sync.Map
+
+	leaving  chan leaveReason
+	shutdown context.Context
+	endRuns  context.CancelFunc
+	control  *control
+	// stopControl ends the control goroutine after the shutdown.
+	stopControl context.CancelFunc
+}
+
+// New returns an agent. It reports which setting is invalid.
+func New(cfg Config, deps Deps) (*Agent, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	base, err := cfg.baseURL()
+	if err != nil {
+		return nil, err
+	}
+	if err := deps.check(cfg); err != nil {
+		return nil, err
+	}
+	deps = deps.withDefaults(cfg)
+	a := &Agent{
+		cfg:       cfg,
+		deps:      deps,
+		base:      base,
+		process:   state.ProcessID{Name: string(cfg.Upstream.Name), Incarnation: cfg.Incarnation},
+		region:    platform.RegionStream(cfg.Upstream.Region),
+		service:   cfg.Upstream.Kind == state.PlainService,
+		services:  make(map[state.ServiceName]bool),
+		transport: deps.Transport,
+		claims:    newClaims(cfg.MaxClaims),
+		leaving:   make(chan leaveReason, 1),
+	}
+	for _, name := range cfg.Upstream.Services {
+		a.services[name] = true
+	}
+	a.start()
+	return a, nil
+}
+
+// start makes the parts that refer to each other.
+func (a *Agent) start() {
+	a.shutdown, a.endRuns = context.WithCancel(context.Background())
+	ctx, stop := context.WithCancel(context.Background())
+	a.stopControl = stop
+	a.view.Store(&view{state: rpc.AgentStarting, token: state.NoOffset})
+	a.dispatcher = newDispatcher(a.deps.Queue, a.cfg.Concurrency, a.cfg.MaxLong, a.isReady)
+	a.control = newControl(ctx, a)
+	a.crashes = newCrashes(a.deps.Engine, a.control.relist)
+	a.weights = &weights{unknown: func() {
+		a.control.post(func() { a.weights.refresh(a.deps.Tables) })
+	}}
+}
+
+// Run binds the control address, serves, and registers. It returns nil after
+// a graceful shutdown, which begins when ctx ends, when the host leaves or
+// when a later agent is registered.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.stopControl()
+	control, err := a.bind(ctx, a.cfg.Upstream.ControlAddr)
+	if err != nil {
+		return ignoreEnd(ctx, err)
+	}
+	defer func() { _ = control.Close() }()
+	traffic, err := a.bind(ctx, a.cfg.Upstream.TrafficAddr)
+	if err != nil {
+		return ignoreEnd(ctx, err)
+	}
+	return a.serveUntilLeft(ctx, control, traffic)
+}
+
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// bind binds an address exclusively. While a predecessor, running or paused,
+// still has it, bind tries again: the agent must not register before its
+// predecessor is dead.
+func (a *Agent) bind(ctx context.Context, addr string) (net.Listener, error) {
+	for attempt := 0; ; attempt++ {
+		listener, err := a.deps.Listen(ctx, addr)
+		if err == nil {
+			return listener, nil
+		}
+		if attempt == 0 {
+			a.deps.Logger.Warn("can't bind yet; a predecessor may still run", "addr", addr, "error", err)
+		}
+		timer := time.NewTimer(bindRetry)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, errors.Wrapf(err, "bind %s", addr)
+		}
+	}
+}
+
+func (a *Agent) serveUntilLeft(ctx context.Context, controlListener, trafficListener net.Listener) error {
+	c := a.control
+	server := a.httpServer()
+	group, running := errgroup.WithContext(c.ctx)
+	group.Go(func() error { return rpc.NewServer(c.methods()).Serve(c.ctx, controlListener) })
+	group.Go(func() error { return serveHTTP(server, trafficListener) })
+	group.Go(func() error { c.run(); return nil })
+	group.Go(func() error { a.expire(c.ctx); return nil })
+	for _, stream := range []platform.Stream{platform.StreamConfig, a.region} {
+		group.Go(func() error { c.follow(stream); return nil })
+	}
+	group.Go(func() error {
+		why := a.awaitEnd(ctx, running)
+		a.shutDown(c, why)
+		closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if server.Shutdown(closeCtx) != nil {
+			_ = server.Close()
+		}
+		a.stopControl()
+		return nil
+	})
+	return errors.Wrap(group.Wait(), "agent")
+}
+
+// awaitEnd waits for a reason to stop.
+func (a *Agent) awaitEnd(ctx, running context.Context) leaveReason {
+	select {
+	case <-ctx.Done():
+		return leaveStop
+	case <-running.Done():
+		return leaveStop
+	case why := <-a.leaving:
+		return why
+	}
+}
+
+func (a *Agent) httpServer() *http.Server {
+	return &http.Server{
+		Handler:           a,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve traffic")
+	}
+	return nil
+}
+
+// expire refuses queued requests in time.
+func (a *Agent) expire(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if a.dispatcher.queued.Load() > 0 {
+				a.dispatcher.tick(now)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/decide/account/account.go
+++ b/internal/decide/account/account.go
@@ -222,8 +222,16 @@
 }
 
 // Register tells the account that the agent's registration is in the log and
-// which intent its predecessors left at that place.
+// which intent its predecessors left at that place. A second call, after an
+// append that was stored twice, raises the token: earlier intents of this
+// agent are void then and the engine has to learn the new token.
 func (a *Account) Register(token state.FencingToken, left state.Intent) {
+	if a.registered {
+		a.intent.inForce = nil
+		a.fenced = false
+		a.token = token
+		return
+	}
 	a.token = token
 	a.registered = true
 	if a.cfg.Fencing == state.FencingEnforced || len(left.Models) == 0 {
