--- a/internal/decide/routing/hedge.go
+++ b/internal/decide/routing/hedge.go
@@ -19,18 +19,45 @@
 
 // HedgeBudget decides on second attempts for slow requests. It is not safe
 // for concurrent use.
-type HedgeBudget struct{ cfg HedgeConfig }
+type HedgeBudget struct {
+	cfg    HedgeConfig
+	tokens float64
+}
 
 // NewHedgeBudget returns a budget that starts empty.
-func NewHedgeBudget(cfg HedgeConfig) *HedgeBudget { return &HedgeBudget{cfg: cfg} }
+func NewHedgeBudget(cfg HedgeConfig) *HedgeBudget {
+	if cfg.Share <= 0 {
+		cfg.Share = 0.05
+	}
+	if cfg.Burst <= 0 {
+		cfg.Burst = 10
+	}
+	if cfg.Factor <= 0 {
+		cfg.Factor = 2
+	}
+	if cfg.Floor <= 0 {
+		cfg.Floor = 50 * time.Millisecond
+	}
+	return &HedgeBudget{cfg: cfg}
+}
 
 // Request counts a first attempt, which earns a share of a hedge.
-func (b *HedgeBudget) Request() {}
+func (b *HedgeBudget) Request() { b.tokens = min(b.tokens+b.cfg.Share, b.cfg.Burst) }
 
 // Delay returns how long to wait for a first token, expected to take expected,
 // before a hedge.
-func (b *HedgeBudget) Delay(expected time.Duration) time.Duration { return 0 }
+func (b *HedgeBudget) Delay(expected time.Duration) time.Duration {
+	return max(b.cfg.Floor, time.Duration(b.cfg.Factor*float64(expected)))
+}
 
 // Take takes a hedge from the budget. It reports false for work that is not
 // repeatable, if the first token has arrived, or if the budget is used up.
-func (b *HedgeBudget) Take(repeatable, started bool) bool { return false }
+func (b *HedgeBudget) Take(repeatable, started bool) bool {
+	// The slack covers the rounding of sums of Share.
+	const slack = 1e-9
+	if !repeatable || started || b.tokens < 1-slack {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/internal/decide/routing/latency.go
+++ b/internal/decide/routing/latency.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 )
 
@@ -29,38 +30,230 @@
 	ReturnSteps int
 }
 
+func (c LatencyConfig) withDefaults() LatencyConfig {
+	if c.Smoothing <= 0 {
+		c.Smoothing = 0.2
+	}
+	if c.MinSamples <= 0 {
+		c.MinSamples = 5
+	}
+	if c.Factor <= 0 {
+		c.Factor = 3
+	}
+	if c.Floor <= 0 {
+		c.Floor = 20 * time.Millisecond
+	}
+	if c.MaxShare <= 0 {
+		c.MaxShare = 0.3
+	}
+	if c.ProbeAfter <= 0 {
+		c.ProbeAfter = 2 * time.Second
+	}
+	if c.ProbeMax <= 0 {
+		c.ProbeMax = 15 * time.Second
+	}
+	if c.ReturnSteps <= 0 {
+		c.ReturnSteps = 4
+	}
+	return c
+}
+
+// upstreamLatency is what an entry measured of one upstream.
+type upstreamLatency struct {
+	samples int
+	// first and between are smoothed, in seconds.
+	first, between float64
+	// ejected is set while the upstream is out of rotation or returning.
+	ejected bool
+	// probing is set while a probe is under way.
+	probing bool
+	// step counts good probes since the ejection.
+	step int
+	// probeAt is when the next probe is due.
+	probeAt time.Time
+	// backoff is the time between probes.
+	backoff time.Duration
+}
+
 // LatencyTracker holds an entry's own measurements of the upstreams that serve
 // one replica key. Upstreams are identified by the caller's indices. It is not
 // safe for concurrent use.
-type LatencyTracker struct{ cfg LatencyConfig }
+type LatencyTracker struct {
+	cfg       LatencyConfig
+	upstreams map[int]*upstreamLatency
+	// scratch holds values while a median is taken.
+	scratch []float64
+}
 
 // NewLatencyTracker returns a tracker without measurements.
-func NewLatencyTracker(cfg LatencyConfig) *LatencyTracker { return &LatencyTracker{cfg: cfg} }
+func NewLatencyTracker(cfg LatencyConfig) *LatencyTracker {
+	return &LatencyTracker{cfg: cfg.withDefaults(), upstreams: make(map[int]*upstreamLatency)}
+}
 
 // Observe adds a measurement: the time to the first token less the predicted
 // queueing, and the mean time between tokens (zero if there was only one).
-func (t *LatencyTracker) Observe(now time.Time, upstream int, first, between time.Duration) {}
+func (t *LatencyTracker) Observe(now time.Time, upstream int, first, between time.Duration) {
+	u := t.upstreams[upstream]
+	if u == nil {
+		u = &upstreamLatency{}
+		t.upstreams[upstream] = u
+	}
+	if u.ejected && !u.probing && u.step == 0 {
+		// The answer belongs to a request sent before the ejection.
+		return
+	}
+	if u.ejected {
+		t.observeProbe(now, upstream, u, first, between)
+		return
+	}
+	u.samples++
+	weight := max(t.cfg.Smoothing, 1/float64(u.samples))
+	u.first += weight * (first.Seconds() - u.first)
+	if between > 0 {
+		if u.between == 0 {
+			u.between = between.Seconds()
+		}
+		u.between += weight * (between.Seconds() - u.between)
+	}
+	if u.samples >= t.cfg.MinSamples && t.slow(upstream, u.first, u.between) {
+		t.eject(now, u)
+	}
+}
 
 // Pending notes that a request has waited for its first token for so long
 // without an answer. It raises the estimate but never lowers it, so that a
 // stopped upstream is noticed before it answers.
-func (t *LatencyTracker) Pending(now time.Time, upstream int, waited time.Duration) {}
+func (t *LatencyTracker) Pending(now time.Time, upstream int, waited time.Duration) {
+	u := t.upstreams[upstream]
+	if u == nil || u.ejected || waited.Seconds() <= u.first {
+		return
+	}
+	t.Observe(now, upstream, waited, 0)
+}
+
+// slow reports whether the latencies are outliers among the upstreams that are
+// in rotation. Medians of fewer than two peers prove nothing.
+func (t *LatencyTracker) slow(upstream int, first, between float64) bool {
+	floor := t.cfg.Floor.Seconds()
+	median, ok := t.median(upstream, func(u *upstreamLatency) float64 { return u.first })
+	if ok && first > t.cfg.Factor*median && first > median+floor {
+		return true
+	}
+	if between == 0 {
+		return false
+	}
+	median, ok = t.median(upstream, func(u *upstreamLatency) float64 { return u.between })
+	return ok && between > t.cfg.Factor*median && between > median+floor/4
+}
+
+func (t *LatencyTracker) median(without int, value func(*upstreamLatency) float64) (float64, bool) {
+	t.scratch = t.scratch[:0]
+	for index, u := range t.upstreams {
+		if index != without && !u.ejected && value(u) > 0 {
+			t.scratch = append(t.scratch, value(u))
+		}
+	}
+	if len(t.scratch) == 0 {
+		return 0, false
+	}
+	slices.Sort(t.scratch)
+	return t.scratch[len(t.scratch)/2], true
+}
+
+// eject takes an upstream out of rotation unless the cap is reached.
+func (t *LatencyTracker) eject(now time.Time, u *upstreamLatency) {
+	out := 0
+	for _, other := range t.upstreams {
+		if other.ejected {
+			out++
+		}
+	}
+	if out+1 > t.maxEjected() {
+		return
+	}
+	u.ejected = true
+	u.step = 0
+	u.backoff = t.cfg.ProbeAfter
+	u.probeAt = now.Add(u.backoff)
+}
+
+// maxEjected is the cap on ejected upstreams. It allows none of three or
+// fewer; Slowdown steers choices among those.
+func (t *LatencyTracker) maxEjected() int {
+	n := len(t.upstreams)
+	return min(int(t.cfg.MaxShare*float64(n)), n-1)
+}
+
+func (t *LatencyTracker) observeProbe(now time.Time, upstream int, u *upstreamLatency, first, between time.Duration) {
+	u.probing = false
+	if t.slow(upstream, first.Seconds(), between.Seconds()) {
+		u.step = 0
+		u.backoff = min(2*u.backoff, t.cfg.ProbeMax)
+		u.probeAt = now.Add(u.backoff)
+		return
+	}
+	u.step++
+	u.backoff = t.cfg.ProbeAfter
+	u.probeAt = now
+	if u.step < t.cfg.ReturnSteps {
+		return
+	}
+	*u = upstreamLatency{samples: 1, first: first.Seconds(), between: between.Seconds()}
+}
 
 // First returns the smoothed time to first token; ok is false without
 // measurements.
-func (t *LatencyTracker) First(upstream int) (latency time.Duration, ok bool) { return 0, false }
+func (t *LatencyTracker) First(upstream int) (latency time.Duration, ok bool) {
+	u := t.upstreams[upstream]
+	if u == nil || u.samples == 0 {
+		return 0, false
+	}
+	return time.Duration(u.first * float64(time.Second)), true
+}
 
 // Slowdown returns how many times slower than the median of its peers an
 // upstream is, at least 1.
-func (t *LatencyTracker) Slowdown(upstream int) float64 { return 1 }
+func (t *LatencyTracker) Slowdown(upstream int) float64 {
+	u := t.upstreams[upstream]
+	if u == nil || u.samples == 0 {
+		return 1
+	}
+	slowdown := 1.0
+	if median, ok := t.median(upstream, func(u *upstreamLatency) float64 { return u.first }); ok {
+		slowdown = max(slowdown, u.first/median)
+	}
+	if median, ok := t.median(upstream, func(u *upstreamLatency) float64 { return u.between }); ok && u.between > 0 {
+		slowdown = max(slowdown, u.between/median)
+	}
+	return slowdown
+}
 
 // Ejected reports whether an upstream gets no request now. While it returns,
 // an ejected upstream admits a probe when one is due and then a growing share
 // of requests; roll is a random number from 0 to 1.
-func (t *LatencyTracker) Ejected(now time.Time, upstream int, roll float64) bool { return false }
+func (t *LatencyTracker) Ejected(now time.Time, upstream int, roll float64) bool {
+	u := t.upstreams[upstream]
+	if u == nil || !u.ejected {
+		return false
+	}
+	if now.Before(u.probeAt) {
+		return true
+	}
+	if u.step == 0 {
+		return false
+	}
+	return roll >= float64(u.step)/float64(t.cfg.ReturnSteps)
+}
 
 // Probe notes that a request was sent to an upstream that was out of rotation.
-func (t *LatencyTracker) Probe(now time.Time, upstream int) {}
+func (t *LatencyTracker) Probe(now time.Time, upstream int) {
+	u := t.upstreams[upstream]
+	if u != nil && u.ejected && u.step == 0 {
+		u.probing = true
+		// Until the probe answers, the next one waits its turn.
+		u.probeAt = now.Add(u.backoff)
+	}
+}
 
 // Forget drops an upstream.
-func (t *LatencyTracker) Forget(upstream int) {}
+func (t *LatencyTracker) Forget(upstream int) { delete(t.upstreams, upstream) }
--- a/internal/decide/routing/prefix.go
+++ b/internal/decide/routing/prefix.go
@@ -1,6 +1,12 @@
 package routing
 
-import "github.com/lagoonvalve/lagoonvalve/internal/state"
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
 
 // PrefixConfig bounds prefix beliefs. Zero values mean the defaults.
 type PrefixConfig struct {
@@ -13,26 +19,101 @@
 	MaxPrefix int
 }
 
+// belief names one block at one upstream.
+type belief struct {
+	block    uint64
+	upstream int
+}
+
 // PrefixBeliefs remembers which upstreams probably hold which prompt prefixes
 // in their caches. A belief is a hint: it may be wrong or missing. It is not
 // safe for concurrent use.
-type PrefixBeliefs struct{ cfg PrefixConfig }
+type PrefixBeliefs struct {
+	cfg PrefixConfig
+	// places holds each belief's place in the ring.
+	places map[belief]int
+	ring   []belief
+	next   int
+}
 
 // NewPrefixBeliefs returns an empty set of beliefs.
-func NewPrefixBeliefs(cfg PrefixConfig) *PrefixBeliefs { return &PrefixBeliefs{cfg: cfg} }
+func NewPrefixBeliefs(cfg PrefixConfig) *PrefixBeliefs {
+	if cfg.MaxBlocks <= 0 {
+		cfg.MaxBlocks = 16384
+	}
+	if cfg.BlockBytes <= 0 {
+		cfg.BlockBytes = 512
+	}
+	if cfg.MaxPrefix <= 0 {
+		cfg.MaxPrefix = 16
+	}
+	return &PrefixBeliefs{cfg: cfg, places: make(map[belief]int)}
+}
 
 // Blocks appends the chained hashes of the leading blocks of a prompt for a
 // replica key to dst.
 func (b *PrefixBeliefs) Blocks(dst []uint64, key state.ReplicaKey, prompt []byte) []uint64 {
+	chain := xxhash.Sum64String(string(key.Model)) ^ bits.RotateLeft64(xxhash.Sum64String(string(key.Version)), 1)
+	for range b.cfg.MaxPrefix {
+		if len(prompt) < b.cfg.BlockBytes {
+			break
+		}
+		chain = bits.RotateLeft64(chain, 7)*0x9e3779b97f4a7c15 ^ xxhash.Sum64(prompt[:b.cfg.BlockBytes])
+		dst = append(dst, chain)
+		prompt = prompt[b.cfg.BlockBytes:]
+	}
 	return dst
 }
 
 // Record notes that an upstream has processed a prompt.
-func (b *PrefixBeliefs) Record(upstream int, blocks []uint64) {}
+func (b *PrefixBeliefs) Record(upstream int, blocks []uint64) {
+	for _, block := range blocks {
+		entry := belief{block: block, upstream: upstream}
+		if at, ok := b.places[entry]; ok {
+			// A renewed belief moves to the young end of the ring.
+			b.ring[at] = belief{upstream: -1}
+		}
+		b.add(entry)
+	}
+}
+
+func (b *PrefixBeliefs) add(entry belief) {
+	if len(b.ring) < b.cfg.MaxBlocks {
+		b.places[entry] = len(b.ring)
+		b.ring = append(b.ring, entry)
+		return
+	}
+	if oldest := b.ring[b.next]; oldest.upstream >= 0 {
+		delete(b.places, oldest)
+	}
+	b.ring[b.next] = entry
+	b.places[entry] = b.next
+	b.next = (b.next + 1) % len(b.ring)
+}
 
 // Share returns the believed share of blocks that an upstream holds.
-func (b *PrefixBeliefs) Share(upstream int, blocks []uint64) float64 { return 0 }
+func (b *PrefixBeliefs) Share(upstream int, blocks []uint64) float64 {
+	for i, block := range blocks {
+		if _, ok := b.places[belief{block: block, upstream: upstream}]; !ok {
+			return float64(i) / float64(len(blocks))
+		}
+	}
+	if len(blocks) == 0 {
+		return 0
+	}
+	return 1
+}
 
 // Forget drops beliefs about an upstream, for instance after its engine
 // restarted.
-func (b *PrefixBeliefs) Forget(upstream int) {}
+func (b *PrefixBeliefs) Forget(upstream int) {
+	for i, entry := range b.ring {
+		if entry.upstream == upstream {
+			delete(b.places, entry)
+			b.ring[i] = belief{upstream: -1}
+		}
+	}
+}
+
+// Len counts the beliefs.
+func (b *PrefixBeliefs) Len() int { return len(b.places) }
--- /dev/null
+++ b/internal/decide/routing/routing_test.go
@@ -0,0 +1,266 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const ms = time.Millisecond
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func candidates(n int) []routing.Candidate {
+	all := make([]routing.Candidate, n)
+	for i := range all {
+		all[i] = routing.Candidate{
+			Replica: i, Queue: i % 7, Sent: i % 3, Slots: 4, Latency: 100 * ms,
+			Locality: routing.Locality(i % 3), AdapterLoaded: true,
+		}
+	}
+	return all
+}
+
+// Guards against a choice that is ejected, excluded or beyond the byte budget,
+// and against no choice where there is one.
+func TestOnlyUsableReplicasAreChosen(t *testing.T) {
+	rng := source()
+	for _, policy := range []routing.Policy{routing.TwoChoices{}, routing.LeastDelay{}} {
+		rapid.Check(t, func(t *rapid.T) {
+			all := candidates(rapid.IntRange(0, 12).Draw(t, "n"))
+			req := routing.Request{Exclude: rapid.IntRange(-1, 3).Draw(t, "exclude"), Remote: rapid.Bool().Draw(t, "remote")}
+			usable := 0
+			ok := func(c routing.Candidate) bool {
+				return !c.Ejected && c.Replica != req.Exclude && (req.Remote || c.Locality != routing.OtherRegion)
+			}
+			for i := range all {
+				all[i].Locality = routing.Locality(rapid.IntRange(0, 2).Draw(t, "locality"))
+				all[i].Ejected = rapid.Bool().Draw(t, "ejected")
+				all[i].Prefix = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "prefix")
+				if ok(all[i]) {
+					usable++
+				}
+			}
+			index, found := policy.Select(rng, all, req)
+			if found != (usable > 0) || found && !ok(all[index]) {
+				t.Fatalf("chose %d (%v) of %+v for %+v", index, found, all, req)
+			}
+		})
+	}
+}
+
+// Guards against a sampled choice much worse than the best one, and against
+// all entries choosing the same replica from the same reports.
+func TestTwoChoicesSpreadsAndAvoidsLoad(t *testing.T) {
+	g := NewWithT(t)
+	rng := source()
+	all := candidates(10)
+	for i := range all {
+		all[i].Locality, all[i].Queue, all[i].Sent = routing.SameDataCentre, 0, 0
+	}
+	all[3].Queue = 40
+	all[4].Latency = 1000 * ms
+	counts := make([]int, len(all))
+	for range 10000 {
+		i, _ := routing.TwoChoices{}.Select(rng, all, routing.Request{Exclude: -1})
+		counts[i]++
+	}
+	g.Expect(counts[3]).To(BeZero())
+	g.Expect(counts[4]).To(BeNumerically("<", 300), "chosen only beside the overloaded one")
+	for i, n := range counts {
+		g.Expect(n).To(BeNumerically("<", 2000), "replica %d", i)
+	}
+}
+
+// Guards against paid traffic without gain, and against a region that keeps
+// its overload to itself.
+func TestLocalityYieldsToLoad(t *testing.T) {
+	g := NewWithT(t)
+	near := routing.Candidate{Replica: 0, Slots: 1, Latency: 100 * ms, AdapterLoaded: true}
+	far := near
+	far.Replica, far.Locality = 1, routing.OtherRegion
+	req := routing.Request{Exclude: -1, Remote: true}
+	i, _ := routing.TwoChoices{}.Select(source(), []routing.Candidate{near, far}, req)
+	g.Expect(i).To(Equal(0))
+	near.Sent = 9
+	i, _ = routing.TwoChoices{}.Select(source(), []routing.Candidate{near, far}, req)
+	g.Expect(i).To(Equal(1))
+	near.Sent, far.Locality, far.Prefix = 0, routing.SameRegion, 1
+	req.Prefill = 50 * ms
+	i, _ = routing.TwoChoices{}.Select(source(), []routing.Candidate{near, far}, req)
+	g.Expect(i).To(Equal(1), "the prefix gain exceeds the penalty of the region")
+}
+
+// Guards against a wrong, unbounded or stale memory of prefixes.
+func TestPrefixBeliefsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	b := routing.NewPrefixBeliefs(routing.PrefixConfig{MaxBlocks: 8, BlockBytes: 4})
+	key := state.ReplicaKey{Model: "m", Version: "1"}
+	common := b.Blocks(nil, key, []byte("aaaabbbbcccc"))
+	fork := b.Blocks(nil, key, []byte("aaaabbbbdddd"))
+	g.Expect(common).To(HaveLen(3))
+	b.Record(1, common)
+	g.Expect(b.Share(1, fork)).To(BeNumerically("~", 2.0/3))
+	g.Expect(b.Share(2, fork)).To(BeZero())
+	g.Expect(b.Share(1, b.Blocks(nil, state.ReplicaKey{Model: "other"}, []byte("aaaabbbb")))).To(BeZero())
+	for i := range 100 {
+		b.Record(2, b.Blocks(nil, key, fmt.Appendf(nil, "%04d", i)))
+		b.Record(2, fork)
+		g.Expect(b.Len()).To(BeNumerically("<=", 8))
+	}
+	for i := range 4 {
+		b.Record(2, b.Blocks(nil, key, fmt.Appendf(nil, "x%03d", i)))
+	}
+	g.Expect(b.Share(2, fork)).To(Equal(1.0), "a renewed belief outlives older ones")
+	g.Expect(b.Share(1, common)).To(BeZero())
+	b.Forget(2)
+	g.Expect(b.Len()).To(BeZero())
+}
+
+func observeAll(t *routing.LatencyTracker, now time.Time, n, slow int) {
+	for i := range n {
+		latency := 100 * ms
+		if i < slow {
+			latency = 1000 * ms
+		}
+		t.Observe(now, i, latency, 0)
+	}
+}
+
+func ejected(t *routing.LatencyTracker, now time.Time, n int) int {
+	out := 0
+	for i := range n {
+		if t.Ejected(now, i, 0.999) {
+			out++
+		}
+	}
+	return out
+}
+
+// Guards against ejection beyond the cap or of the last upstream.
+func TestEjectionIsCapped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(t, "n")
+		slow := rapid.IntRange(0, n).Draw(t, "slow")
+		tracker := routing.NewLatencyTracker(routing.LatencyConfig{})
+		for range 20 {
+			observeAll(tracker, epoch, n, slow)
+		}
+		out := ejected(tracker, epoch, n)
+		if float64(out) > 0.3*float64(n) || out >= n || out > slow {
+			t.Fatalf("%d of %d ejected, %d are slow", out, n, slow)
+		}
+		if slow > 0 && float64(slow) <= 0.3*float64(n) && out != slow {
+			t.Fatalf("%d of %d ejected, %d are slow", out, n, slow)
+		}
+	})
+}
+
+// Guards against a straggler that stays out for ever, returns at once with
+// full traffic, or is sent more than one probe at a time.
+func TestStragglerReturnsSlowly(t *testing.T) {
+	g := NewWithT(t)
+	tracker := routing.NewLatencyTracker(routing.LatencyConfig{})
+	for range 10 {
+		observeAll(tracker, epoch, 10, 1)
+	}
+	g.Expect(tracker.Ejected(epoch, 0, 0)).To(BeTrue())
+	now := epoch.Add(2 * time.Second)
+	g.Expect(tracker.Ejected(now, 0, 0.999)).To(BeFalse(), "a probe is due")
+	tracker.Probe(now, 0)
+	g.Expect(tracker.Ejected(now, 0, 0)).To(BeTrue())
+	tracker.Observe(now, 0, 1000*ms, 0)
+	g.Expect(tracker.Ejected(now.Add(3*time.Second), 0, 0)).To(BeTrue(), "a failed probe doubles the wait")
+	now = now.Add(4 * time.Second)
+	g.Expect(tracker.Ejected(now, 0, 0)).To(BeFalse())
+	tracker.Probe(now, 0)
+	for step := 1; step < 4; step++ {
+		tracker.Observe(now, 0, 100*ms, 0)
+		g.Expect(tracker.Ejected(now, 0, float64(step)/4-0.01)).To(BeFalse())
+		g.Expect(tracker.Ejected(now, 0, float64(step)/4+0.01)).To(BeTrue())
+	}
+	tracker.Observe(now, 0, 100*ms, 0)
+	g.Expect(tracker.Ejected(now, 0, 0.999)).To(BeFalse())
+}
+
+// Guards against stragglers that answer in time but then produce tokens
+// slowly, and against stopped ones that never answer.
+func TestSlowTokensAndSilenceEject(t *testing.T) {
+	g := NewWithT(t)
+	tracker := routing.NewLatencyTracker(routing.LatencyConfig{})
+	for range 10 {
+		for i := range 8 {
+			between := 20 * ms
+			if i == 1 {
+				between = 200 * ms
+			}
+			tracker.Observe(epoch, i, 100*ms, between)
+		}
+	}
+	for range 5 {
+		tracker.Pending(epoch, 2, 2*time.Second)
+	}
+	g.Expect(tracker.Ejected(epoch, 1, 0)).To(BeTrue())
+	g.Expect(ejected(tracker, epoch, 8)).To(Equal(2))
+	g.Expect(tracker.Ejected(epoch, 2, 0)).To(BeTrue())
+}
+
+// Guards against hedges of non-idempotent or started work and beyond the
+// budget.
+func TestHedgesKeepBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := routing.NewHedgeBudget(routing.HedgeConfig{})
+	hedges := 0
+	for range 1000 {
+		b.Request()
+		g.Expect(b.Take(false, false)).To(BeFalse())
+		g.Expect(b.Take(true, true)).To(BeFalse())
+		if b.Take(true, false) {
+			hedges++
+		}
+	}
+	g.Expect(hedges).To(Equal(50))
+}
+
+// Guards against paid volume beyond the budget.
+func TestVolumeBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := routing.NewVolumeBudget(routing.VolumeConfig{PerSecond: 100, Burst: 200})
+	g.Expect(b.Allows(epoch, 200)).To(BeTrue())
+	g.Expect(b.Take(epoch, 150)).To(BeTrue())
+	g.Expect(b.Take(epoch, 100)).To(BeFalse())
+	g.Expect(b.Take(epoch.Add(time.Second), 100)).To(BeTrue())
+	g.Expect(b.Allows(epoch.Add(time.Second), 51)).To(BeFalse())
+}
+
+// Guards against allocation on the path of every request.
+func TestChoiceDoesNotAllocate(t *testing.T) {
+	g := NewWithT(t)
+	rng, all := source(), candidates(35)
+	policy := routing.TwoChoices{}
+	g.Expect(testing.AllocsPerRun(100, func() {
+		policy.Select(rng, all, routing.Request{Exclude: -1, Remote: true})
+	})).To(BeZero())
+}
+
+func BenchmarkRouting(b *testing.B) {
+	for _, n := range []int{1, 5, 35, 140, 560} {
+		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
+			rng, all := source(), candidates(n)
+			policy := routing.TwoChoices{}
+			b.ReportAllocs()
+			for b.Loop() {
+				policy.Select(rng, all, routing.Request{Exclude: -1, Remote: true})
+			}
+		})
+	}
+}
