demo, main: run the whole path in one process

Cause: no command ran the system. Agents send a heartbeat at once when their watcher changes: before, a new agent was unknown to its watcher for up to 5 s. Nil errors are no longer wrapped, since go-faster's Wrap makes an error of them.

--- a/cmd/lagoonvalve/main.go
+++ b/cmd/lagoonvalve/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 )
@@ -14,14 +16,21 @@
 var version = "dev"
 
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	app := &cli.Command{
 		Name:  "lagoonvalve",
 		Usage: "serve rarely used machine-learning models",
 		Commands: []*cli.Command{
+			entryCommand(),
+			agentCommand(),
+			standinCommand(),
+			demoCommand(),
+			checkConfigCommand(),
 			{Name: "version", Usage: "print the version", Action: printVersion},
 		},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
+	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "lagoonvalve:", err)
 		os.Exit(1)
 	}
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -14,6 +14,8 @@
 	// heartbeatPause is the shortest time between heartbeats.
 	heartbeatPause   = time.Second
 	heartbeatTimeout = 2 * time.Second
+	// movedPause is the shortest time between heartbeats to two watchers.
+	movedPause = 100 * time.Millisecond
 )
 
 // heart sends the heartbeats.
@@ -35,11 +37,10 @@
 	c.noteChanges()
 	due := now.Sub(h.sentAt) >= heartbeatInterval
 	changed := h.acked != h.sequence && now.Sub(h.sentAt) >= heartbeatPause
-	if h.busy || !due && !changed {
-		return
-	}
 	addr, ok := c.agent.deps.Watcher()
-	if !ok {
+	// A new watcher knows nothing of this agent until its first heartbeat.
+	moved := addr != h.watcher && now.Sub(h.sentAt) >= movedPause
+	if !ok || h.busy || !due && !changed && !moved {
 		return
 	}
 	if addr != h.watcher {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -170,7 +170,10 @@
 		a.stopControl()
 		return nil
 	})
-	return errors.Wrap(group.Wait(), "agent")
+	if err := group.Wait(); err != nil {
+		return errors.Wrap(err, "agent")
+	}
+	return nil
 }
 
 // awaitEnd waits for a reason to stop.
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -51,8 +51,11 @@
 	var listeners entry.Listeners
 	bind := func(addr string, into *net.Listener) error {
 		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", addr)
+		if err != nil {
+			return errors.Wrap(err, "bind")
+		}
 		*into = listener
-		return errors.Wrap(err, "bind")
+		return nil
 	}
 	if err := bind(cfg.Listen.Control, &listeners.Control); err != nil {
 		return listeners, err
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -54,7 +54,10 @@
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		c.forget(addr, conn)
 	}
-	return errors.Wrapf(decodeError(err), "%s at %s", method, addr)
+	if err != nil {
+		return errors.Wrapf(decodeError(err), "%s at %s", method, addr)
+	}
+	return nil
 }
 
 // Close closes all connections; later calls fail.
