--- a/internal/decide/scaling/evict.go
+++ b/internal/decide/scaling/evict.go
@@ -1,6 +1,8 @@
 package scaling
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -34,17 +36,112 @@
 
 // Evictor chooses what to unload on one upstream. It is not safe for
 // concurrent use.
-type Evictor struct{ cfg EvictConfig }
+type Evictor struct {
+	cfg EvictConfig
+	// early holds the times of evictions before the end of a keep-alive.
+	early []time.Time
+}
 
 // NewEvictor returns an evictor that has evicted nothing.
-func NewEvictor(cfg EvictConfig) *Evictor { return &Evictor{cfg: cfg} }
+func NewEvictor(cfg EvictConfig) *Evictor {
+	if cfg.MaxPerWindow <= 0 {
+		cfg.MaxPerWindow = 2
+	}
+	if cfg.Window <= 0 {
+		cfg.Window = 30 * time.Second
+	}
+	if cfg.MinResident <= 0 {
+		cfg.MinResident = 10 * time.Second
+	}
+	return &Evictor{cfg: cfg}
+}
+
+func (r *Resident) expired(now time.Time) bool {
+	return !r.Busy && !now.Before(r.LastUsed.Add(r.KeepAlive))
+}
 
 // Expired returns the replicas past their keep-alive.
-func (e *Evictor) Expired(now time.Time, residents []Resident) []state.ReplicaKey { return nil }
+func (e *Evictor) Expired(now time.Time, residents []Resident) []state.ReplicaKey {
+	var keys []state.ReplicaKey
+	for i := range residents {
+		if residents[i].expired(now) {
+			keys = append(keys, residents[i].Key)
+		}
+	}
+	return keys
+}
 
 // MakeRoom chooses replicas to unload so that need bytes fit beside free. It
 // returns nothing and false if that cannot be done within the bounds. The
 // choice counts as carried out.
 func (e *Evictor) MakeRoom(now time.Time, need, free state.Bytes, residents []Resident) ([]state.ReplicaKey, bool) {
-	return nil, false
+	e.early = slices.DeleteFunc(e.early, func(at time.Time) bool { return now.Sub(at) >= e.cfg.Window })
+	allowed := e.cfg.MaxPerWindow - len(e.early)
+	var chosen []Resident
+	for _, r := range e.order(now, residents) {
+		if free >= need {
+			break
+		}
+		if !r.expired(now) {
+			if allowed == 0 {
+				break
+			}
+			allowed--
+		}
+		chosen = append(chosen, r)
+		free += r.Size
+	}
+	if free < need {
+		return nil, false
+	}
+	return e.carryOut(now, spare(chosen, free-need)), true
+}
+
+// order lists the replicas that may go: those past their keep-alive first,
+// then by what is lost per second of remaining keep-alive.
+func (e *Evictor) order(now time.Time, residents []Resident) []Resident {
+	var idle []Resident
+	for _, r := range residents {
+		if !r.Busy && now.Sub(r.Loaded) >= e.cfg.MinResident {
+			idle = append(idle, r)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b Resident) int {
+		if a.expired(now) != b.expired(now) {
+			if a.expired(now) {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(loss(now, a), loss(now, b))
+	})
+	return idle
+}
+
+// loss weighs the time to load a replica again by how recently it was used.
+func loss(now time.Time, r Resident) float64 {
+	return (r.Load.Seconds() + 1) / (now.Sub(r.LastUsed).Seconds() + 1)
+}
+
+// spare takes replicas back out of the choice, the most valuable first, while
+// the room without them suffices.
+func spare(chosen []Resident, surplus state.Bytes) []Resident {
+	for i := len(chosen) - 1; i >= 0; i-- {
+		if chosen[i].Size <= surplus {
+			surplus -= chosen[i].Size
+			chosen = slices.Delete(chosen, i, i+1)
+		}
+	}
+	return chosen
+}
+
+func (e *Evictor) carryOut(now time.Time, chosen []Resident) []state.ReplicaKey {
+	var keys []state.ReplicaKey
+	for i := range chosen {
+		if !chosen[i].expired(now) {
+			e.early = append(e.early, now)
+		}
+		keys = append(keys, chosen[i].Key)
+	}
+	return keys
 }
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -3,6 +3,8 @@
 package scaling
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -24,6 +26,22 @@
 	IdleWeight float64
 }
 
+func (c HomeConfig) withDefaults() HomeConfig {
+	if c.MaxWakes <= 0 {
+		c.MaxWakes = 8
+	}
+	if c.Headroom <= 0 {
+		c.Headroom = 0.8
+	}
+	if c.ColdStartWeight <= 0 {
+		c.ColdStartWeight = 10
+	}
+	if c.IdleWeight <= 0 {
+		c.IdleWeight = 1
+	}
+	return c
+}
+
 // Demand is what waits for a model at one entry.
 type Demand struct {
 	Waiting [state.ClassCount]int
@@ -104,5 +122,194 @@
 // Home decides for models. It has no state of its own.
 type Home struct{ Config HomeConfig }
 
+// outlook sums up the supply of a model while a decision is made.
+type outlook struct {
+	// ready and loading count replicas, slots their slots.
+	ready, loading, slots int
+	work                  time.Duration
+	rate                  float64
+	waiting               [state.ClassCount]int
+	firstReady            time.Duration
+}
+
 // Decide returns the wakes and adapter loads for one model.
-func (h Home) Decide(in HomeInput) HomeDecision { return HomeDecision{} }
+func (h Home) Decide(in HomeInput) HomeDecision {
+	cfg := h.Config.withDefaults()
+	view := look(in)
+	var out HomeDecision
+	for _, grant := range wakeOrder(in) {
+		if len(out.Wakes) >= cfg.MaxWakes || !cfg.needsMore(in, view, grant) {
+			break
+		}
+		out.Wakes = append(out.Wakes, Wake{
+			Upstream: grant.Upstream,
+			Benefit:  cfg.benefit(view),
+			ReadyIn:  grant.LoadTime,
+		})
+		view.add(grant)
+	}
+	if view.ready == 0 {
+		out.ReadyIn = view.firstReady
+		out.NoReplica = view.loading == 0 && view.total() > 0
+	}
+	out.Adapters = adapterLoads(in)
+	return out
+}
+
+func look(in HomeInput) outlook {
+	var view outlook
+	for _, d := range in.Demands {
+		view.work += d.Work
+		view.rate += d.Rate
+		for class, n := range d.Waiting {
+			view.waiting[class] += n
+		}
+	}
+	for _, r := range in.Replicas {
+		if r.Draining {
+			continue
+		}
+		switch r.State {
+		case state.ReplicaReady:
+			view.ready++
+		case state.ReplicaLoading:
+			view.noteLoading(r.ReadyIn)
+		default:
+			continue
+		}
+		view.slots += max(r.Slots, 1)
+		view.work += time.Duration(r.Queue) * in.Service
+	}
+	return view
+}
+
+func (v *outlook) noteLoading(readyIn time.Duration) {
+	if v.loading == 0 || readyIn < v.firstReady {
+		v.firstReady = readyIn
+	}
+	v.loading++
+}
+
+func (v *outlook) add(grant Grant) {
+	v.noteLoading(grant.LoadTime)
+	v.slots += max(grant.Slots, 1)
+}
+
+func (v *outlook) total() int {
+	total := 0
+	for _, n := range v.waiting {
+		total += n
+	}
+	return total
+}
+
+// needsMore reports whether a load under grant pays: the minimum is not met,
+// or the backlog with what arrives beyond the supply during the load takes
+// longer on the replicas ready or loading than the load itself.
+func (c HomeConfig) needsMore(in HomeInput, view outlook, grant Grant) bool {
+	if view.ready+view.loading < in.MinReplicas {
+		return true
+	}
+	if view.slots == 0 {
+		return view.total() > 0
+	}
+	offered := view.rate * in.Service.Seconds()
+	excess := offered - c.Headroom*float64(view.slots)
+	backlog := view.work.Seconds()
+	if excess > 0 {
+		backlog += excess * grant.LoadTime.Seconds()
+	}
+	return backlog/float64(view.slots) > c.patience()*grant.LoadTime.Seconds()
+}
+
+// patience is how many load times of backlog a further replica needs. It is 1
+// with the default weights and grows with the weight of idle time.
+func (c HomeConfig) patience() float64 {
+	const defaultRatio = 10
+	return min(max(defaultRatio*c.IdleWeight/c.ColdStartWeight, 0.25), 4)
+}
+
+// classLoss is what a request of each class loses per second of waiting.
+var classLoss = [state.ClassCount]float64{4, 2, 1}
+
+// benefit is what the waiting requests lose per second without a load. Each
+// replica ready or loading already takes its share of them.
+func (c HomeConfig) benefit(view outlook) float64 {
+	loss := 0.0
+	for class, n := range view.waiting {
+		loss += classLoss[class] * float64(n)
+	}
+	return c.ColdStartWeight * loss / float64(view.ready+view.loading+1)
+}
+
+// wakeOrder lists the usable grants without a replica. Each in turn is the one
+// that loads soonest, in a data centre without a replica if that costs at most
+// a fifth more time.
+func wakeOrder(in HomeInput) []Grant {
+	used := make(map[state.UpstreamName]bool, len(in.Replicas))
+	for _, r := range in.Replicas {
+		used[r.Upstream] = true
+	}
+	perCentre := make(map[state.DataCentre]int)
+	var free []Grant
+	for _, g := range in.Grants {
+		switch {
+		case used[g.Upstream]:
+			perCentre[g.DataCentre]++
+		case g.Usable:
+			free = append(free, g)
+		}
+	}
+	slices.SortStableFunc(free, func(a, b Grant) int { return cmp.Compare(a.LoadTime, b.LoadTime) })
+	for i := range free {
+		best := i
+		for j := i + 1; j < len(free) && free[j].LoadTime <= free[i].LoadTime*6/5; j++ {
+			if perCentre[free[j].DataCentre] < perCentre[free[best].DataCentre] {
+				best = j
+			}
+		}
+		chosen := free[best]
+		copy(free[i+1:best+1], free[i:best])
+		free[i] = chosen
+		perCentre[chosen.DataCentre]++
+	}
+	return free
+}
+
+// adapterLoads puts each adapter asked for that no replica has on the ready
+// replica with the shortest queue, counting the adapters placed now.
+func adapterLoads(in HomeInput) []AdapterLoad {
+	var loads []AdapterLoad
+	placed := make(map[state.AdapterName]bool)
+	added := make([]int, len(in.Replicas))
+	for _, r := range in.Replicas {
+		if !r.Draining && r.State == state.ReplicaReady {
+			for _, a := range r.Adapters {
+				placed[a] = true
+			}
+		}
+	}
+	for _, d := range in.Demands {
+		for _, adapter := range d.Adapters {
+			if placed[adapter] {
+				continue
+			}
+			best := -1
+			for i, r := range in.Replicas {
+				if r.Draining || r.State != state.ReplicaReady {
+					continue
+				}
+				if best < 0 || r.Queue+added[i] < in.Replicas[best].Queue+added[best] {
+					best = i
+				}
+			}
+			if best < 0 {
+				return loads
+			}
+			added[best]++
+			placed[adapter] = true
+			loads = append(loads, AdapterLoad{Upstream: in.Replicas[best].Upstream, Adapter: adapter})
+		}
+	}
+	return loads
+}
--- a/internal/decide/scaling/keepalive.go
+++ b/internal/decide/scaling/keepalive.go
@@ -1,6 +1,9 @@
 package scaling
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // KeepAliveConfig holds the settings of keep-alive. Zero values mean the
 // defaults.
@@ -20,16 +23,121 @@
 	Memory float64
 }
 
+func (c KeepAliveConfig) withDefaults() KeepAliveConfig {
+	if c.IdleWeight <= 0 {
+		c.IdleWeight = 1
+	}
+	if c.ColdStartWeight <= 0 {
+		c.ColdStartWeight = 10
+	}
+	if c.Min <= 0 {
+		c.Min = 10 * time.Second
+	}
+	if c.Max <= 0 {
+		c.Max = time.Hour
+	}
+	if c.Start <= 0 {
+		c.Start = 2 * time.Minute
+	}
+	if c.Hysteresis <= 0 {
+		c.Hysteresis = 0.1
+	}
+	if c.Memory <= 0 {
+		c.Memory = 200
+	}
+	return c
+}
+
+const (
+	// gapBuckets covers gaps of 1 s to about 18 h, two buckets per doubling.
+	gapBuckets = 33
+	// minGaps is how many gaps must be known before they decide.
+	minGaps = 4
+)
+
 // KeepAlive derives how long an idle replica stays loaded from the gaps
 // between requests. Its size is fixed. It is not safe for concurrent use.
-type KeepAlive struct{ cfg KeepAliveConfig }
+type KeepAlive struct {
+	cfg KeepAliveConfig
+	// counts and sums hold the decayed gaps by bucket, sums in seconds.
+	counts, sums [gapBuckets]float64
+	total        float64
+	seen         int
+	current      time.Duration
+	// decided is set once current rests on gaps.
+	decided bool
+}
 
 // NewKeepAlive returns a keep-alive without history.
-func NewKeepAlive(cfg KeepAliveConfig) *KeepAlive { return &KeepAlive{cfg: cfg} }
+func NewKeepAlive(cfg KeepAliveConfig) *KeepAlive {
+	cfg = cfg.withDefaults()
+	return &KeepAlive{cfg: cfg, current: cfg.Start}
+}
 
 // Observe adds a gap: the time from the end of the last request of a replica
 // to the next request.
-func (k *KeepAlive) Observe(gap time.Duration) {}
+func (k *KeepAlive) Observe(gap time.Duration) {
+	if k.total >= k.cfg.Memory {
+		keep := 1 - 1/k.cfg.Memory
+		for i := range k.counts {
+			k.counts[i] *= keep
+			k.sums[i] *= keep
+		}
+		k.total *= keep
+	}
+	at := bucketOf(gap)
+	k.counts[at]++
+	k.sums[at] += gap.Seconds()
+	k.total++
+	k.seen++
+}
 
-// Value returns how long an idle replica with the given load time stays.
-func (k *KeepAlive) Value(load time.Duration) time.Duration { return 0 }
+func bucketOf(gap time.Duration) int {
+	if gap <= time.Second {
+		return 0
+	}
+	return min(int(2*math.Log2(gap.Seconds()))+1, gapBuckets-1)
+}
+
+func bucketEnd(at int) time.Duration {
+	return time.Duration(math.Exp2(float64(at)/2) * float64(time.Second))
+}
+
+// Value returns how long an idle replica with the given load time stays. It is
+// the end of a bucket of gaps with the least expected cost, and changes only if
+// that saves more than the hysteresis.
+func (k *KeepAlive) Value(load time.Duration) time.Duration {
+	if k.seen < minGaps {
+		return k.current
+	}
+	best := k.cfg.Min
+	bestCost := k.cost(best, load)
+	for at := range gapBuckets {
+		candidate := min(max(bucketEnd(at), k.cfg.Min), k.cfg.Max)
+		if cost := k.cost(candidate, load); cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	if !k.decided || bestCost < (1-k.cfg.Hysteresis)*k.cost(k.current, load) {
+		k.current, k.decided = best, true
+	}
+	return k.current
+}
+
+// cost is the expected cost per gap of a keep-alive: the idle time up to its
+// end, and a cold start after each longer gap. One endless gap is added to the
+// history, so that of equal values the shorter one is cheaper.
+func (k *KeepAlive) cost(keep, load time.Duration) float64 {
+	cost := k.cfg.IdleWeight * keep.Seconds()
+	for at := range gapBuckets {
+		if k.counts[at] == 0 {
+			continue
+		}
+		if k.sums[at]/k.counts[at] <= keep.Seconds() {
+			cost += k.cfg.IdleWeight * k.sums[at]
+			continue
+		}
+		cost += k.counts[at] * (k.cfg.IdleWeight*keep.Seconds() + k.cfg.ColdStartWeight*load.Seconds())
+	}
+	return cost
+}
