--- a/internal/decide/account/account.go
+++ b/internal/decide/account/account.go
@@ -182,6 +182,10 @@
 	adapters map[state.AdapterName]state.Bytes
 }
 
+// orderVoid marks an order in flight to an engine that has restarted since. It
+// takes no memory, but its answer is still awaited.
+const orderVoid platform.OrderKind = "void"
+
 // order is an order that may not yet have had its effect.
 type order struct {
 	id       OrderID
--- a/internal/decide/account/listing.go
+++ b/internal/decide/account/listing.go
@@ -44,8 +44,13 @@
 	if first {
 		return
 	}
+	for _, o := range a.orders {
+		if o.sent < a.listedAt {
+			o.kind, o.target = orderVoid, target{}
+		}
+	}
 	a.orders = slices.DeleteFunc(a.orders, func(o *order) bool {
-		return o.sent < a.listedAt
+		return o.kind == orderVoid && o.answered != 0
 	})
 	a.predecessorOrders = 0
 	a.predecessor = nil
@@ -141,6 +146,10 @@
 		return
 	}
 	o := a.orders[i]
+	if o.kind == orderVoid {
+		a.orders = slices.Delete(a.orders, i, i+1)
+		return
+	}
 	a.stamp++
 	o.answered, o.outcome, o.at = a.stamp, outcome, now
 	switch {
