--- a/internal/decide/account/account_test.go
+++ b/internal/decide/account/account_test.go
@@ -327,7 +327,7 @@
 		if rapid.Bool().Draw(t, "with adapter") {
 			w.Adapter = adapterOf(w.Key, rapid.IntRange(0, 1).Draw(t, "adapter"))
 		}
-		m.account.Wake(w)
+		_ = m.account.Wake(w)
 		m.tick(t)
 	}
 	tick := func(t *rapid.T) {
@@ -348,6 +348,7 @@
 			m.loseResults()
 			m.settle(t)
 		},
+		"graceful stop":               m.stopGracefully,
 		"revoke what a late load has": m.revokeLate,
 		"deliver late orders": func(t *rapid.T) {
 			for _, msg := range m.engine.messages {
@@ -492,7 +493,7 @@
 	if rapid.Bool().Draw(t, "with adapter") {
 		w.Adapter = adapterOf(w.Key, 1)
 	}
-	m.account.Wake(w)
+	_ = m.account.Wake(w)
 	m.tick(t)
 }
 
@@ -514,6 +515,24 @@
 	m.settle(t)
 }
 
+// stopGracefully checks that the successor of an agent whose orders all ended
+// reserves nothing, unless that agent itself had to reserve or had
+// orders of unknown outcome.
+func (m *machine) stopGracefully(t *rapid.T) {
+	m.settle(t)
+	m.account.Stop()
+	m.settle(t)
+	clean := !m.account.Unsettled() && m.account.Stopped() && m.account.Reserved() == 0
+	m.die(t)
+	if !clean {
+		return
+	}
+	m.stats.graceful++
+	if reserved := m.account.Reserved(); reserved != 0 {
+		t.Fatalf("%d bytes are reserved after a graceful stop", reserved)
+	}
+}
+
 // revokeLate revokes the grants of models whose load may still come.
 func (m *machine) revokeLate(*rapid.T) {
 	for _, g := range m.grants(len(m.log)) {
