--- a/cmd/lagoonvalve/main.go
+++ b/cmd/lagoonvalve/main.go
@@ -16,6 +16,13 @@
 var version = "dev"
 
 func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "lagoonvalve:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := &cli.Command{
@@ -30,10 +37,7 @@
 			{Name: "version", Usage: "print the version", Action: printVersion},
 		},
 	}
-	if err := app.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "lagoonvalve:", err)
-		os.Exit(1)
-	}
+	return app.Run(ctx, os.Args)
 }
 
 func printVersion(_ context.Context, cmd *cli.Command) error {
--- a/design/callers.go
+++ b/design/callers.go
@@ -1,7 +1,7 @@
 package design
 
 import (
-	. "goa.design/goa/v3/dsl" //nolint:revive // The DSL is written to be dot-imported.
+	. "goa.design/goa/v3/dsl"
 )
 
 func requestAttributes() {
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -129,7 +129,10 @@
 func (a *Agent) readTarget(c *call, r *http.Request) *verdict.Verdict {
 	if a.service {
 		name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
-		if !a.services[state.ServiceName(name)] || !strings.HasPrefix(r.URL.Path, "/v1/services/") {
+		// Entries route by the configuration; an agent whose settings list
+		// services checks them again.
+		listed := len(a.services) == 0 || a.services[state.ServiceName(name)]
+		if !listed || !strings.HasPrefix(r.URL.Path, "/v1/services/") {
 			return verdict.Refuse(verdict.ReasonUnknownService, "the upstream doesn't run this service")
 		}
 		return nil
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -42,52 +42,67 @@
 	Engines []*standin.Engine
 	Service *standin.Service
 
-	group  *errgroup.Group
-	stop   context.CancelFunc
 	logger *slog.Logger
+	// layers holds the parts in the order in which they stop: agents end with
+	// records that entries pass on, and entries with records for the log.
+	agents, entries, standins *layer
 }
 
-// Start starts the demo and returns once both entries take requests.
-func Start(ctx context.Context, logger *slog.Logger) (*Demo, error) {
+// layer is a set of parts that stop together.
+type layer struct {
+	group *errgroup.Group
+	ctx   context.Context
+	stop  context.CancelFunc
+}
+
+func newLayer(ctx context.Context) *layer {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	group, running := errgroup.WithContext(running)
-	d := &Demo{group: group, stop: stop, logger: logger}
-	if err := d.start(ctx, running); err != nil {
-		stop()
-		return nil, errors.Join(err, group.Wait())
+	return &layer{group: group, ctx: running, stop: stop}
+}
+
+func (l *layer) end() error {
+	l.stop()
+	return l.group.Wait()
+}
+
+// Start starts the demo and returns once both entries take requests.
+func Start(ctx context.Context, logger *slog.Logger) (*Demo, error) {
+	d := &Demo{logger: logger, agents: newLayer(ctx), entries: newLayer(ctx), standins: newLayer(ctx)}
+	if err := d.start(ctx); err != nil {
+		return nil, errors.Join(err, d.Stop())
 	}
 	return d, nil
 }
 
-// Stop stops all parts gracefully and returns their first error.
+// Stop stops all parts gracefully and returns their errors.
 func (d *Demo) Stop() error {
-	d.stop()
-	return d.group.Wait()
+	return errors.Join(d.agents.end(), d.entries.end(), d.standins.end())
 }
 
-func (d *Demo) start(ctx, running context.Context) error {
+func (d *Demo) start(ctx context.Context) error {
 	l, err := newLayout(ctx)
 	if err != nil {
 		return err
 	}
-	if err := d.startStandins(ctx, running, l); err != nil {
+	if err := d.startStandins(ctx, l); err != nil {
 		return err
 	}
 	if err := seed(ctx, d.Log, l); err != nil {
 		return err
 	}
 	for _, cfg := range l.entries() {
-		d.group.Go(func() error { return roles.RunEntry(running, cfg, d.logger) })
+		d.entries.group.Go(func() error { return roles.RunEntry(d.entries.ctx, cfg, d.logger) })
 		d.Entries = append(d.Entries, cfg.Listen.Callers)
 		d.Operators = append(d.Operators, cfg.Listen.Operators)
 	}
 	for _, cfg := range l.agents() {
-		d.group.Go(func() error { return roles.RunAgent(running, cfg, d.logger) })
+		d.agents.group.Go(func() error { return roles.RunAgent(d.agents.ctx, cfg, d.logger) })
 	}
 	return d.waitReady(ctx)
 }
 
-func (d *Demo) startStandins(ctx, running context.Context, l *layout) error {
+func (d *Demo) startStandins(ctx context.Context, l *layout) error {
 	d.Log = standin.NewLog(standin.LogConfig{AppendsPerSecond: 300})
 	store := standin.NewStore(standin.StoreConfig{BytesPerSecond: 16 * state.GiB})
 	hosts := standin.NewHosts(time.Second, l.hosts()...)
@@ -106,26 +121,17 @@
 			return errors.Wrap(err, "bind stand-in")
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-		d.group.Go(func() error {
+		d.standins.group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return errors.Wrap(err, "serve stand-in")
 			}
 			return nil
 		})
-		context.AfterFunc(running, func() { d.closeLater(server) })
+		context.AfterFunc(d.standins.ctx, func() { _ = server.Close() })
 	}
 	return nil
 }
 
-// closeLater lets the roles stop first, since they end with appends and
-// orders to the stand-ins.
-func (d *Demo) closeLater(server *http.Server) {
-	time.AfterFunc(stopGrace, func() { _ = server.Close() })
-}
-
-// stopGrace is how long the stand-ins outlive the roles' stop.
-const stopGrace = 500 * time.Millisecond
-
 // waitReady waits until both entries are ready and the model runners have
 // their grants.
 func (d *Demo) waitReady(ctx context.Context) error {
@@ -189,7 +195,7 @@
 		"    -d '{\"model\": \"seating\", \"prompt\": \"Where is row 12?\", \"max_tokens\": 8}'\n\n", d.Entries[0])
 }
 
-// settingsOf returns the defaults of an entry or agent for the demo.
+// demoCommon fills the settings that entries and agents share.
 func demoCommon(c settings.Common, l *layout) settings.Common {
 	c.Region = region
 	c.Platform = settings.Platform{Log: "http://" + l.log, Hosts: "http://" + l.hostList, Store: "http://" + l.store}
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -151,7 +151,7 @@
 	s.add(state.EntityCaller, callerName, state.Caller{Name: callerName, Team: teamName, Highest: state.ClassHigh, Weight: 1})
 	s.add(state.EntityService, serviceName, state.Service{
 		Name: serviceName, Team: teamName,
-		Calls: []state.ServiceCall{{Method: "GET", Prefix: "orders", Idempotent: true}, {Method: "POST", Prefix: "issue"}},
+		Calls: []state.ServiceCall{{Method: "GET", Prefix: "/orders", Idempotent: true}, {Method: "POST", Prefix: "/issue"}},
 	})
 	for _, m := range models {
 		s.add(state.EntityModel, string(m.name), state.Model{Name: m.name, Team: teamName, MaxReplicas: 2})
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -65,7 +65,7 @@
 		a.failure = verdict.Refuse(verdict.ReasonBadRequest, "the request can't be sent on")
 		return a
 	}
-	response, err := e.clientFor(e.request).Do(outgoing)
+	response, err := e.clientFor(e.request).Do(outgoing) //nolint:bodyclose // answer.close closes it.
 	a.headAt = time.Now()
 	if err != nil {
 		a.failure = e.sendFailure(ctx, err)
@@ -129,7 +129,7 @@
 	switch {
 	case dialFailed && ctx.Err() == nil:
 		return verdict.Refuse(verdict.ReasonUpstreamFailed, "the upstream's agent can't be reached")
-	case context.Cause(ctx) == context.DeadlineExceeded:
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return verdict.Unknown(verdict.ReasonDeadlineExceeded, "the deadline passed before the answer")
 	case ctx.Err() != nil:
 		return verdict.Unknown(verdict.ReasonCallerGone, "the caller left before the answer")
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -23,7 +23,6 @@
 	region  state.Region
 	// regions lists the control addresses of the other regions' entries.
 	regions map[state.Region]map[state.EntryName]string
-	order   []state.EntryName
 	view    func() *view
 	local   *claimShards
 	caller  rpc.Caller
@@ -55,19 +54,18 @@
 	key := strconv.Itoa(shard)
 	var addresses []string
 	for _, region := range r.regionsFor(shard) {
-		known, ring := r.regions[region], (*membership.Ring)(nil)
 		if region == r.region {
 			current := r.view()
-			known, ring = current.addresses, current.ring
-			addresses = append(addresses, r.addressOf(ring.Owner(membership.RoleClaimOwner, key), known))
+			owner := current.ring.Owner(membership.RoleClaimOwner, key)
+			addresses = append(addresses, r.addressOf(owner, current.addresses))
 			continue
 		}
+		known := r.regions[region]
 		names := make([]state.EntryName, 0, len(known))
 		for name := range known {
 			names = append(names, name)
 		}
-		ring = membership.NewRing(names)
-		first := ring.Owner(membership.RoleClaimOwner, key)
+		first := membership.NewRing(names).Owner(membership.RoleClaimOwner, key)
 		addresses = append(addresses, r.addressOf(first, known))
 		if len(names) > 1 {
 			second := membership.NewRing(without(names, first)).Owner(membership.RoleClaimOwner, key)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -51,7 +51,6 @@
 	appender logclient.Appender
 	logger   *slog.Logger
 	counters counters
-	trail    trail
 }
 
 // counters counts events by metric name.
@@ -59,11 +58,6 @@
 	Add(name string, delta uint64)
 }
 
-// trail records automatic decisions.
-type trail interface {
-	record(a state.Audit)
-}
-
 // control owns the tables of an entry. Only its run goroutine touches them;
 // traffic reads the published view.
 type control struct {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,8 @@
 	// expireInterval is the time between searches for requests that can no
 	// longer be served in time.
 	expireInterval = 20 * time.Millisecond
+	// forgetInterval is the time between searches for unused routes.
+	forgetInterval = 10 * time.Second
 )
 
 // Deps holds what an entry works with.
@@ -218,6 +220,7 @@
 	group.Go(func() error { return e.control.followStream(ctx, e.relay, region) })
 	group.Go(func() error { return e.readHosts(ctx) })
 	group.Go(func() error { return e.keepRooms(ctx) })
+	group.Go(func() error { return e.forgetUnused(ctx) })
 }
 
 func (e *Entry) startServers(ctx context.Context, group *errgroup.Group, listeners Listeners) {
@@ -266,12 +269,27 @@
 	return nil
 }
 
-// keepRooms ends waiting requests in time and forgets unused routes.
+// keepRooms ends waiting requests in time.
 func (e *Entry) keepRooms(ctx context.Context) error {
 	for sleep(ctx, expireInterval) {
 		now := time.Now()
 		e.gateway.routes.each(func(r *route) { r.room.expire(now) })
-		e.gateway.routes.dropIdle(now)
+	}
+	return nil
+}
+
+// forgetUnused drops the routes and loads that are no longer needed.
+func (e *Entry) forgetUnused(ctx context.Context) error {
+	for sleep(ctx, forgetInterval) {
+		e.gateway.routes.dropIdle(time.Now())
+		current := e.control.view()
+		if current == nil {
+			continue
+		}
+		e.gateway.loads.forgetExcept(func(name state.UpstreamName) bool {
+			_, _, ok := current.config.Upstream(name)
+			return ok
+		})
 	}
 	return nil
 }
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -222,7 +224,7 @@
 // pause between attempts; last is the verdict of the attempt before.
 func endedWaiting(ctx context.Context, last *verdict.Verdict) *verdict.Verdict {
 	reason := verdict.ReasonCallerGone
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		reason = verdict.ReasonDeadlineExceeded
 	}
 	return &verdict.Verdict{Execution: last.Execution, Reason: reason, Detail: "while waiting after: " + string(last.Reason)}
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -58,10 +57,3 @@
 	defer s.mu.Unlock()
 	s.values[name] += delta
 }
-
-// snapshot returns a copy of the counters.
-func (s *counterSet) snapshot() map[string]uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return maps.Clone(s.values)
-}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -38,14 +38,6 @@
 	return created
 }
 
-// known returns the route of t, or nil.
-func (t *routeTable) known(key target) *route {
-	key.adapter = ""
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	return t.byTarget[key]
-}
-
 // each calls f with every route.
 func (t *routeTable) each(f func(*route)) {
 	t.mu.RLock()
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -70,9 +70,6 @@
 	return done
 }
 
-// trailers writes headers as trailers, which net/http sends after the body.
-type trailers struct{ header http.Header }
-
 func decodeJSON(r io.Reader, into any) error {
 	return json.NewDecoder(r).Decode(into)
 }
--- a/internal/logclient/tail.go
+++ b/internal/logclient/tail.go
@@ -34,8 +34,11 @@
 	opts = opts.withDefaults()
 	delays := newBackoff()
 	next := from
+	// The first read does not wait, so that the caller soon learns that a
+	// stream without new records has been read to its end.
+	wait := time.Duration(0)
 	for {
-		page, err := log.Read(ctx, stream, next, opts.Limit, opts.Wait)
+		page, err := log.Read(ctx, stream, next, opts.Limit, wait)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -51,6 +54,7 @@
 			continue
 		}
 		delays.Reset()
+		wait = opts.Wait
 		page = after(page, next)
 		if err := handle(page); err != nil {
 			return err
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -110,7 +110,7 @@
 		return conn, nil
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
-	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCall))
+	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCall), quiet)
 	c.conns[addr] = conn
 	return conn, nil
 }
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
 
@@ -15,6 +17,10 @@
 // codeVerdict marks a jsonrpc2 error whose data is a verdict.
 const codeVerdict = -32050
 
+// quiet keeps the library from printing a line for each connection that ends
+// while calls are under way; callers get those errors.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // MethodFunc answers one method.
 type MethodFunc func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -71,7 +77,7 @@
 	}
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
-	peer := jsonrpc2.NewConn(ctx, stream, handler)
+	peer := jsonrpc2.NewConn(ctx, stream, handler, quiet)
 	s.conns[peer] = struct{}{}
 	go func() {
 		<-peer.DisconnectNotify()
