--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,345 @@
+package agent_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/agent"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const claimID = "0190a0a0-0000-7000-8000-000000000001"
+
+var anyone = context.Background()
+
+// inBubble runs a scenario in virtual time.
+func inBubble(t *testing.T, scenario func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		scenario(w)
+		w.end()
+	})
+}
+
+// Guards against a wake that loads nothing and an answer without verdict and
+// load.
+func TestWakeThenServe(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.start()
+		cold := w.request(anyone)
+		w.Expect(cold.verdict()).To(Equal("not-run"))
+		w.Expect(cold.reason()).To(Equal(string(verdict.ReasonNoReplica)))
+		w.Expect(w.wake().State).To(Equal(state.ReplicaLoading))
+		got := w.request(anyone)
+		w.Expect(got.body).To(Equal("answer"))
+		w.Expect(got.verdict()).To(Equal("ran"))
+		w.Expect(got.header.Get(agent.HeaderLoad)).To(Equal("queue=0 running=1 short_wait_ms=0 agent=1"))
+		last := w.caller.beats[len(w.caller.beats)-1]
+		w.Expect(last.State).To(Equal(rpc.AgentServing))
+		w.Expect(last.Replicas).To(HaveLen(1))
+	})
+}
+
+// Guards against a request that starts before its adapter is loaded.
+func TestAdapterLoadsOnDemand(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		got := w.request(anyone, agent.HeaderAdapter, "x")
+		w.Expect(got.body).To(Equal("answer"))
+		w.Expect(w.engine.ordered(platform.OrderLoadAdapter)).To(Equal(1))
+	})
+}
+
+// Guards against new work after a drain order, and against a drain that ends
+// running work.
+func TestDrain(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		release := w.hold()
+		running := w.background()
+		w.call(rpc.MethodDrain, rpc.DrainParams{Draining: true}, &struct{}{})
+		w.Expect(w.request(anyone).reason()).To(Equal(string(verdict.ReasonDraining)))
+		release()
+		w.Expect((<-running).body).To(Equal("answer"))
+		w.call(rpc.MethodDrain, rpc.DrainParams{}, &struct{}{})
+		w.Expect(w.request(anyone).body).To(Equal("answer"))
+	})
+}
+
+// Guards against an untruthful verdict at shutdown: what waits was not run,
+// what runs too long may have run.
+func TestShutdownVerdicts(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.cfg.Concurrency = 1
+		w.awake()
+		w.hold()
+		running, queued := w.background(), w.background()
+		w.stop()
+		waited := <-queued
+		w.Expect(waited.verdict()).To(Equal("not-run"))
+		w.Expect(waited.reason()).To(Equal(string(verdict.ReasonDraining)))
+		cut := <-running
+		w.Expect(cut.verdict()).To(Equal("may-have-run"))
+		w.Expect(cut.reason()).To(Equal(string(verdict.ReasonDraining)))
+	})
+}
+
+// Guards against a graceful stop that leaves an intent behind, for which a
+// successor would reserve memory.
+func TestStopEndsWithEmptyIntent(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.stop()
+		w.Expect(<-w.ended).To(Succeed())
+		records := w.log.streams[region]
+		last := records[len(records)-1]
+		w.Expect(last.Kind).To(Equal(state.KindIntent))
+		w.Expect(decode[state.Intent](last).Models).To(BeEmpty())
+		w.Expect(w.engine.ordered(platform.OrderUnload)).To(BeZero())
+		w.cfg.Incarnation = "second"
+		w.start()
+		var status rpc.AgentStatus
+		w.call(rpc.MethodAgentStatus, struct{}{}, &status)
+		w.Expect(status.Reserved).To(Equal(state.Bytes(50)), "the loaded replica only")
+	})
+}
+
+// Guards against a host that leaves with grants that nobody can move.
+func TestLeavingHostReleasesGrants(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.caller.setLeaving()
+		w.Expect(<-w.ended).To(Succeed())
+		w.ended <- nil
+		w.Expect(w.engine.ordered(platform.OrderUnload)).To(Equal(1))
+		w.Expect(w.log.kinds(region)).To(ContainElement(state.KindRelease))
+	})
+}
+
+// Guards against requests for a replica that no listing has shown, and
+// against a release before a listing shows the unload.
+func TestLateListing(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.start()
+		resume := w.engine.delayListings()
+		w.wake()
+		w.Expect(w.engine.ordered(platform.OrderLoad)).To(Equal(1))
+		w.Expect(w.request(anyone).reason()).To(Equal(string(verdict.ReasonNoReplica)))
+		resume()
+		settle(2 * time.Second)
+		w.Expect(w.request(anyone).body).To(Equal("answer"))
+		resume = w.engine.delayListings()
+		revoke, err := state.NewRecord("r", state.ProcessID{}, state.KindRevoke, state.Revoke{Grant: 0})
+		w.Expect(err).NotTo(HaveOccurred())
+		_, err = w.log.Append(anyone, region, revoke)
+		w.Expect(err).NotTo(HaveOccurred())
+		settle(5 * time.Second)
+		w.Expect(w.engine.ordered(platform.OrderUnload)).To(BeNumerically(">=", 1))
+		w.Expect(w.log.kinds(region)).NotTo(ContainElement(state.KindRelease))
+		resume()
+		settle(5 * time.Second)
+		w.Expect(w.log.kinds(region)).To(ContainElement(state.KindRelease))
+	})
+}
+
+// Guards against a queued request that is run after its deadline, or whose
+// caller is told that it may have run.
+func TestDeadlineInQueue(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.cfg.Concurrency = 1
+		w.awake()
+		release := w.hold()
+		running := w.background()
+		late := w.request(anyone, agent.HeaderDeadline, "50")
+		w.Expect(late.verdict()).To(Equal("not-run"))
+		w.Expect(late.reason()).To(Equal(string(verdict.ReasonDeadlinePast)))
+		release()
+		<-running
+		w.Expect(w.engine.served()).To(Equal(1))
+	})
+}
+
+// Guards against a claim that runs twice.
+func TestClaimRunsOnce(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		release := w.hold()
+		claimed := []string{agent.HeaderClaim, claimID, agent.HeaderAgent, "1", "Idempotency-Key", "k"}
+		first := w.background(claimed...)
+		again := w.request(anyone, claimed...)
+		w.Expect(again.reason()).To(Equal(string(verdict.ReasonClaimInProgress)))
+		w.Expect(again.verdict()).To(Equal("may-have-run"))
+		release()
+		w.Expect((<-first).body).To(Equal("answer"))
+		again = w.request(anyone, claimed...)
+		w.Expect(again.body).To(Equal("answer"))
+		w.Expect(again.verdict()).To(Equal("ran"))
+		w.Expect(w.engine.served()).To(Equal(1))
+		status := w.claimStatus(claimID, "first")
+		w.Expect(status.State).To(Equal(rpc.ClaimRan))
+		w.Expect(string(status.Done.Answer)).To(Equal("answer"))
+	})
+}
+
+func (w *world) claimStatus(id, incarnation string) (result rpc.ClaimStatusResult) {
+	w.call(rpc.MethodClaimStatus, rpc.ClaimStatusParams{Claim: id, Agent: 1, AgentIncarnation: incarnation}, &result)
+	return result
+}
+
+// Guards against a claim that runs after the agent has said that it never
+// will, or after a refusal.
+func TestRefusedClaimNeverRuns(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.Expect(w.claimStatus(claimID, "first").State).To(Equal(rpc.ClaimRefused))
+		claimed := []string{agent.HeaderClaim, claimID, agent.HeaderAgent, "1"}
+		w.Expect(w.request(anyone, claimed...).verdict()).To(Equal("not-run"))
+		const other = "0190a0a0-0000-7000-8000-000000000002"
+		stale := w.request(anyone, agent.HeaderClaim, other, agent.HeaderAgent, "0")
+		w.Expect(stale.verdict()).To(Equal("not-run"))
+		w.Expect(w.request(anyone, agent.HeaderClaim, other, agent.HeaderAgent, "1").verdict()).To(Equal("not-run"))
+		w.Expect(w.engine.served()).To(BeZero())
+	})
+}
+
+// Guards against a restarted agent that calls an earlier incarnation's claim
+// refused, or accepts one that names it.
+func TestAgentRestarted(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.stop()
+		<-w.ended
+		w.cfg.Incarnation = "second"
+		w.start()
+		w.Expect(w.claimStatus(claimID, "first").State).To(Equal(rpc.ClaimUnknown))
+		got := w.request(anyone, agent.HeaderClaim, claimID, agent.HeaderAgent, "1")
+		w.Expect(got.reason()).To(Equal(string(verdict.ReasonConflict)))
+		w.Expect(w.request(anyone).body).To(Equal("answer"), "what is loaded is served")
+	})
+}
+
+func stream(events bool) http.HandlerFunc {
+	return func(out http.ResponseWriter, r *http.Request) {
+		if events {
+			out.Header().Set("Content-Type", "text/event-stream")
+		}
+		_, _ = io.WriteString(out, "data: 1\n\n")
+		_ = http.NewResponseController(out).Flush()
+		<-r.Context().Done()
+	}
+}
+
+// Guards against a broken stream that looks whole, and against a crash whose
+// suspects are not reported.
+func TestEngineCrashInStream(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.engine.handler = stream(true)
+		one, two := w.background(agent.HeaderFingerprint, "a1"), w.background(agent.HeaderFingerprint, "b2")
+		w.engine.crash()
+		for _, done := range []chan answer{one, two} {
+			got := <-done
+			w.Expect(got.err).NotTo(HaveOccurred())
+			w.Expect(got.body).To(Equal("data: 1\n\n"))
+			w.Expect(got.trailer.Get("Lagoon-Verdict")).To(Equal("may-have-run"))
+			w.Expect(got.trailer.Get("Lagoon-Reason")).To(Equal(string(verdict.ReasonUpstreamCrashed)))
+			w.Expect(got.trailer.Get(agent.HeaderSuspects)).To(Equal("2"))
+		}
+		settle(2 * time.Second)
+		w.Expect(w.request(anyone).reason()).To(Equal(string(verdict.ReasonNoReplica)), "nothing is loaded any more")
+		w.Expect(w.wake().Refusal).To(BeNil(), "the grants still hold")
+		w.engine.handler = stream(false)
+		plain := w.background()
+		w.engine.crash()
+		w.Expect((<-plain).err).To(HaveOccurred(), "the connection must be cut")
+	})
+}
+
+// Guards against work that goes on for a caller who left, and against a slot
+// that is never given back.
+func TestCallerLeaves(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.cfg.Concurrency = 1
+		w.awake()
+		gone := make(chan struct{})
+		w.engine.handler = func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			close(gone)
+		}
+		ctx, leave := context.WithCancel(anyone)
+		go w.request(ctx)
+		synctest.Wait()
+		leave()
+		<-gone
+		w.hold()()
+		w.Expect(w.request(anyone).body).To(Equal("answer"))
+	})
+}
+
+// Guards against an agent that is useless while the log is down, and against
+// orders before the registration is in the log.
+func TestLogOutageAtStart(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.engine.replicas = []platform.EngineReplica{{ReplicaKey: modelA, State: state.ReplicaReady, Size: 50}}
+		w.log.set(func(l *fakeLog) { l.down = true })
+		w.start()
+		w.Expect(w.request(anyone).body).To(Equal("answer"))
+		w.engine.crash()
+		settle(2 * time.Second)
+		w.Expect(w.wake().Refusal.Reason).To(Equal(verdict.ReasonNotReady))
+		w.Expect(w.engine.orders).To(BeEmpty())
+		w.log.set(func(l *fakeLog) { l.down, l.lose = false, true })
+		settle(10 * time.Second)
+		w.log.set(func(l *fakeLog) { l.lose = false })
+		settle(10 * time.Second)
+		w.Expect(w.wake().Refusal).To(BeNil())
+		w.Expect(w.request(anyone).body).To(Equal("answer"))
+	})
+}
+
+// Guards against a successor that registers while a paused predecessor still
+// has the control address.
+func TestPausedPredecessor(t *testing.T) {
+	inBubble(t, func(w *world) {
+		paused, err := w.net.Listen(anyone, controlAddr)
+		w.Expect(err).NotTo(HaveOccurred())
+		w.start()
+		settle(time.Minute)
+		w.Expect(w.log.kinds(region)).NotTo(ContainElement(state.KindAgentStart))
+		_ = paused.Close()
+		settle(2 * time.Second)
+		w.Expect(w.log.kinds(region)).To(ContainElement(state.KindAgentStart))
+	})
+}
+
+// Guards against "may have run" for a request that no engine could have seen.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		_ = w.engine.server.Close()
+		got := w.request(anyone)
+		w.Expect(got.verdict()).To(Equal("not-run"))
+		w.Expect(got.reason()).To(Equal(string(verdict.ReasonUpstreamFailed)))
+	})
+}
+
+// Guards against a plain service that is asked for models or for other
+// services.
+func TestPlainService(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.cfg.Upstream.Kind, w.cfg.Upstream.Services = state.PlainService, []state.ServiceName{"orders"}
+		w.start()
+		w.Expect(w.wake().Refusal).NotTo(BeNil())
+		w.Expect(w.request(anyone).reason()).To(Equal(string(verdict.ReasonUnknownService)))
+		w.Expect(w.engine.orders).To(BeEmpty())
+	})
+}
--- /dev/null
+++ b/internal/agent/fakes_test.go
@@ -0,0 +1,353 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// memNet is a network in memory, so that tests run in virtual time.
+type memNet struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+}
+
+type memListener struct {
+	addr   string
+	net    *memNet
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+type memAddr string
+
+func (memAddr) Network() string  { return "mem" }
+func (a memAddr) String() string { return string(a) }
+
+func (n *memNet) Listen(_ context.Context, addr string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[addr] != nil {
+		return nil, errors.New("address in use")
+	}
+	l := &memListener{addr: addr, net: n, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[addr] = l
+	return l, nil
+}
+
+func (n *memNet) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mu.Lock()
+		delete(l.net.listeners, l.addr)
+		l.net.mu.Unlock()
+	})
+	return nil
+}
+
+func (l *memListener) Addr() net.Addr { return memAddr(l.addr) }
+
+// fakeLog is the log and the appender.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[platform.Stream][]state.Positioned
+	down    bool
+	lose    bool // store, but lose the answer
+}
+
+func (l *fakeLog) set(change func(*fakeLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+}
+
+func (l *fakeLog) Append(_ context.Context, stream platform.Stream, records ...state.Record) ([]state.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, platform.ErrUnavailable
+	}
+	var offsets []state.Offset
+	for _, r := range records {
+		offset := state.Offset(len(l.streams[stream]))
+		l.streams[stream] = append(l.streams[stream], state.Positioned{Offset: offset, Record: r})
+		offsets = append(offsets, offset)
+	}
+	if l.lose {
+		return nil, platform.ErrUnknownOutcome
+	}
+	return offsets, nil
+}
+
+// port is the log's reading side.
+type port struct{ *fakeLog }
+
+func (p port) Append(ctx context.Context, stream platform.Stream, records []state.Record) (state.Offset, error) {
+	offsets, err := p.fakeLog.Append(ctx, stream, records...)
+	return offsets[0], err
+}
+
+func (p port) Read(ctx context.Context, stream platform.Stream, from state.Offset, _ int, wait time.Duration) (platform.Page, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		p.mu.Lock()
+		down, all := p.down, slices.Clone(p.streams[stream])
+		p.mu.Unlock()
+		if down {
+			return platform.Page{}, platform.ErrUnavailable
+		}
+		end := state.Offset(len(all))
+		if end > from || time.Now().After(deadline) || ctx.Err() != nil {
+			return platform.Page{Records: all[min(from, end):], Next: end, End: end}, ctx.Err()
+		}
+		time.Sleep(10 * time.Millisecond) // virtual time
+	}
+}
+
+func (l *fakeLog) kinds(stream platform.Stream) []state.Kind {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var kinds []state.Kind
+	for _, p := range l.streams[stream] {
+		kinds = append(kinds, p.Kind)
+	}
+	return kinds
+}
+
+// fakeTables applies records without the checks of the real tables.
+type fakeTables struct {
+	versions map[state.ReplicaKey]state.ModelVersion
+	grants   []state.Grant
+	token    state.Offset
+	start    state.AgentStart
+	started  bool
+	intent   state.Intent
+}
+
+func decode[T any](p state.Positioned) (body T) {
+	if err := json.Unmarshal(p.Body, &body); err != nil {
+		panic(err)
+	}
+	return body
+}
+
+func (t *fakeTables) Apply(_ platform.Stream, p state.Positioned) error {
+	switch p.Kind {
+	case state.KindAgentStart:
+		t.token, t.start, t.started = p.Offset, decode[state.AgentStart](p), true
+	case state.KindIntent:
+		t.intent = decode[state.Intent](p)
+	case state.KindGrant:
+		body := decode[state.GrantBody](p)
+		t.grants = append(t.grants, state.Grant{ID: p.Offset, ReplicaKey: body.ReplicaKey, Upstream: body.Upstream})
+	case state.KindRevoke:
+		body := decode[state.Revoke](p)
+		for i := range t.grants {
+			t.grants[i].Revoked = t.grants[i].Revoked || t.grants[i].ID == body.Grant
+		}
+	case state.KindRelease:
+		body := decode[state.Release](p)
+		t.grants = slices.DeleteFunc(t.grants, func(g state.Grant) bool { return g.ID == body.Grant })
+	}
+	return nil
+}
+
+func (t *fakeTables) Complete() bool                                    { return true }
+func (t *fakeTables) Grants(state.UpstreamName) []state.Grant           { return slices.Clone(t.grants) }
+func (t *fakeTables) Intent(state.UpstreamName) state.Intent            { return t.intent }
+func (t *fakeTables) Model(state.ModelName) (m state.Model, ok bool)    { return m, false }
+func (t *fakeTables) LargestAdapter(state.ModelName) state.Bytes        { return 1 }
+func (t *fakeTables) Draining(state.UpstreamName, state.HostName) bool  { return false }
+func (t *fakeTables) Caller(state.CallerName) (c state.Caller, ok bool) { return c, false }
+func (t *fakeTables) Registration(state.UpstreamName) (state.FencingToken, state.AgentStart, bool) {
+	return t.token, t.start, t.started
+}
+
+func (t *fakeTables) Version(k state.ReplicaKey) (state.ModelVersion, bool) {
+	v, ok := t.versions[k]
+	return v, ok
+}
+
+func (t *fakeTables) Adapter(name state.AdapterName) (state.Adapter, bool) {
+	return state.Adapter{Name: name, Size: 1}, name != ""
+}
+
+// fakeEngine carries out orders at once and answers requests by handler.
+type fakeEngine struct {
+	net *memNet
+
+	mu          sync.Mutex
+	incarnation int
+	replicas    []platform.EngineReplica
+	orders      []platform.Order
+	// delay holds listings back until it is closed.
+	delay    chan struct{}
+	requests int
+	handler  http.HandlerFunc
+	server   *http.Server
+}
+
+func (e *fakeEngine) statusLocked() platform.EngineStatus {
+	return platform.EngineStatus{
+		Incarnation: fmt.Sprint(e.incarnation),
+		Memory:      100,
+		Replicas:    slices.Clone(e.replicas),
+	}
+}
+
+func (e *fakeEngine) Status(ctx context.Context) (platform.EngineStatus, error) {
+	e.mu.Lock()
+	delay := e.delay
+	e.mu.Unlock()
+	if delay != nil {
+		select {
+		case <-delay:
+		case <-ctx.Done():
+			return platform.EngineStatus{}, ctx.Err()
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.statusLocked(), nil
+}
+
+// delayListings holds listings back until the returned function is called.
+func (e *fakeEngine) delayListings() (resume func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delay := make(chan struct{})
+	e.delay = delay
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.delay = nil
+		close(delay)
+	}
+}
+
+func (e *fakeEngine) Do(_ context.Context, o platform.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	at := slices.IndexFunc(e.replicas, func(r platform.EngineReplica) bool { return r.ReplicaKey == o.ReplicaKey })
+	switch {
+	case o.Kind == platform.OrderLoad && at < 0:
+		e.replicas = append(e.replicas, platform.EngineReplica{
+			ReplicaKey: o.ReplicaKey, State: state.ReplicaReady, Size: o.Size,
+		})
+	case o.Kind == platform.OrderUnload && at >= 0:
+		e.replicas = slices.Delete(slices.Clone(e.replicas), at, at+1)
+	case o.Kind == platform.OrderLoadAdapter && at >= 0:
+		e.replicas[at].Adapters = append(e.replicas[at].Adapters, o.Adapter)
+	}
+	return nil
+}
+
+func (e *fakeEngine) ordered(kind platform.OrderKind) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for _, o := range e.orders {
+		if o.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *fakeEngine) served() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests
+}
+
+func (e *fakeEngine) start() {
+	listener, err := e.net.Listen(context.Background(), "engine:80")
+	if err != nil {
+		panic(err)
+	}
+	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		e.requests++
+		handler := e.handler
+		e.mu.Unlock()
+		// The server notices a client that left only after the body's end.
+		_, _ = io.Copy(io.Discard, r.Body)
+		handler(w, r)
+	})}
+	go func() { _ = e.server.Serve(listener) }()
+}
+
+// crash ends all connections and comes back empty.
+func (e *fakeEngine) crash() {
+	e.mu.Lock()
+	e.incarnation++
+	e.replicas = nil
+	e.mu.Unlock()
+	_ = e.server.Close()
+	e.start()
+}
+
+// fakeCaller answers heartbeats.
+type fakeCaller struct {
+	mu      sync.Mutex
+	beats   []rpc.Heartbeat
+	leaving bool
+}
+
+func (c *fakeCaller) Call(_ context.Context, _, method string, params, result any) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if method != rpc.MethodHeartbeat {
+		return rpc.ErrUnreachable
+	}
+	c.beats = append(c.beats, params.(rpc.Heartbeat))
+	result.(*rpc.HeartbeatResult).Leaving = c.leaving
+	return nil
+}
+
+func (c *fakeCaller) setLeaving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -170,7 +170,7 @@
 		a.stopControl()
 		return nil
 	})
-	return errors.Wrap(group.Wait(), "agent")
+	return group.Wait()
 }
 
 // awaitEnd waits for a reason to stop.
--- a/internal/decide/account/account_test.go
+++ b/internal/decide/account/account_test.go
@@ -348,6 +348,9 @@
 			m.loseResults()
 			m.settle(t)
 		},
+		"hasty successor":             m.hastySuccessor,
+		"same model again":            m.sameModelAgain,
+		"listing from before a load":  m.earlyListing,
 		"graceful stop":               m.stopGracefully,
 		"revoke what a late load has": m.revokeLate,
 		"deliver late orders": func(t *rapid.T) {
@@ -515,6 +518,90 @@
 	m.settle(t)
 }
 
+// hastySuccessor lets a successor act while an order of its predecessor is
+// late, with only the listing from its start.
+func (m *machine) hastySuccessor(t *rapid.T) {
+	m.orderOut(t)
+	if rapid.Bool().Draw(t, "revoke") {
+		m.revokeLate(t)
+	}
+	late := m.engine.messages
+	m.stats.successions++
+	m.succeed()
+	m.landAll()
+	m.account.Observe(m.now, m.account.Listing(), m.engine.status())
+	m.tick(t)
+	before := rapid.Bool().Draw(t, "late order before the fence")
+	if before {
+		m.deliverAll(t, late)
+	}
+	fence := m.engine.messages[len(late):]
+	m.deliverAll(t, fence)
+	m.receiveAll()
+	m.wakeAny(t)
+	m.landAll()
+	m.deliverAll(t, m.engine.messages)
+}
+
+// sameModelAgain lets a successor load what its predecessor's late order
+// loads, give it back, and then receives the late order.
+func (m *machine) sameModelAgain(t *rapid.T) {
+	m.orderOut(t)
+	if len(m.engine.messages) == 0 {
+		return
+	}
+	late := m.engine.messages[len(m.engine.messages)-1]
+	m.die(t)
+	_ = m.account.Wake(account.Wish{Key: late.order.ReplicaKey, Benefit: 10, Since: m.now})
+	m.settle(t)
+	m.revokeLate(t)
+	m.settle(t)
+	m.settle(t)
+	m.deliverAll(t, m.engine.messages)
+}
+
+// earlyListing lets a listing from before a load arrive after its answer.
+func (m *machine) earlyListing(t *rapid.T) {
+	m.orderOut(t)
+	stamp, status := m.account.Listing(), m.engine.status()
+	m.deliverAll(t, m.engine.messages)
+	for _, msg := range m.engine.messages {
+		m.engine.finish(msg.order.ReplicaKey, false)
+	}
+	m.receiveAll()
+	m.account.Observe(m.now, stamp, status)
+	m.wakeAny(t)
+	m.wakeAny(t)
+	m.deliverAll(t, m.engine.messages)
+}
+
+// receiveAll lets the agent receive all answers to its orders.
+func (m *machine) receiveAll() {
+	m.engine.messages = slices.DeleteFunc(m.engine.messages, func(msg *message) bool {
+		if msg.agent != m.agent || !msg.answered {
+			return false
+		}
+		m.result(msg, msg.outcome)
+		return true
+	})
+}
+
+func (m *machine) landAll() {
+	for len(m.appends) > 0 {
+		m.land(0)
+	}
+	m.readLog(len(m.log))
+}
+
+func (m *machine) deliverAll(t *rapid.T, msgs []*message) {
+	for _, msg := range msgs {
+		if !msg.delivered {
+			m.engine.deliver(msg)
+			m.check(t)
+		}
+	}
+}
+
 // stopGracefully checks that the successor of an agent whose orders all ended
 // reserves nothing, unless that agent itself had to reserve or had
 // orders of unknown outcome.
@@ -549,10 +636,7 @@
 // dead agents and of those whose answer was lost.
 func (m *machine) settle(t *rapid.T) {
 	for range 4 {
-		for len(m.appends) > 0 {
-			m.land(0)
-		}
-		m.readLog(len(m.log))
+		m.landAll()
 		m.now = m.now.Add(100 * time.Millisecond)
 		m.tick(t)
 		msgs := m.engine.messages
@@ -618,3 +702,26 @@
 		})
 	}
 }
+
+// Guards against a release that rests on a listing from before the unload.
+func TestReleaseNeedsLaterListing(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	a := account.New(account.Config{Upstream: upstream, Memory: capacity, Fencing: state.FencingIgnored}, catalogue{}, nil)
+	a.Register(1, state.Intent{})
+	a.SetGrants([]state.Grant{{ID: 0, ReplicaKey: key(0), Upstream: upstream, Revoked: true}})
+	shown := platform.EngineStatus{Incarnation: "1", Replicas: []platform.EngineReplica{
+		{ReplicaKey: key(0), State: state.ReplicaReady},
+	}}
+	empty := platform.EngineStatus{Incarnation: "1"}
+	unused := func(state.ReplicaKey, state.AdapterName) account.Use { return account.Use{KeepAlive: time.Hour} }
+	a.Observe(now, a.Listing(), shown)
+	early := a.Listing()
+	unload := a.Tick(now, unused)
+	g.Expect(unload).To(HaveLen(1))
+	a.Result(now, unload[0].(account.SendOrder).ID, account.Done)
+	a.Observe(now, early, empty)
+	g.Expect(a.Tick(now, unused)).To(BeEmpty())
+	a.Observe(now, a.Listing(), empty)
+	g.Expect(a.Tick(now, unused)).To(ConsistOf(account.AppendRelease{Release: state.Release{Grant: 0, Agent: 1}}))
+}
--- a/internal/decide/account/listing.go
+++ b/internal/decide/account/listing.go
@@ -66,6 +66,7 @@
 	for key := range a.listed {
 		if !seen[key] && !a.unloadSince(target{key: key}, stamp) {
 			delete(a.listed, key)
+			delete(a.backoff, target{key: key})
 		}
 	}
 }
@@ -95,6 +96,7 @@
 		gone := !slices.Contains(entry.Adapters, name)
 		if gone && !a.unloadSince(target{entry.ReplicaKey, name}, stamp) {
 			delete(r.adapters, name)
+			delete(a.backoff, target{entry.ReplicaKey, name})
 		}
 	}
 }
@@ -111,6 +113,7 @@
 // or done is taken first, since it is settled by its answer. Otherwise one of
 // unknown outcome took effect, or else one of a predecessor.
 func (a *Account) appeared(t target, stamp Stamp) {
+	delete(a.backoff, t)
 	if inFlight, _ := a.loads(t); inFlight > 0 {
 		return
 	}
@@ -155,9 +158,11 @@
 	switch {
 	case outcome == Stale:
 		a.superseded = true
-	case outcome == Refused:
+	case outcome == Refused || o.isLoad() || o.isUnload():
+		// The next listing ends the wait if it shows the order's effect.
 		a.backoff[o.target] = now.Add(retryOrder)
-	case outcome == Done && o.kind == platform.OrderRole:
+	}
+	if outcome == Done && o.kind == platform.OrderRole {
 		a.fenced, a.fence = true, o.answered
 	}
 	if outcome == Stale || outcome == Refused || o.kind == platform.OrderRole {
