agent: bound bodies and slow readers, add benchmarks

Cause: bodies were read without a common bound, a slow entry could hold an answer beyond its deadline, and control took the queue's lock. Change: a bound on the memory of bodies, a write deadline, a channel that wakes the dispatcher; benchmarks of the relay, open streams and the account's tick.

--- /dev/null
+++ b/internal/agent/bench_test.go
@@ -0,0 +1,157 @@
+package agent_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/agent"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// bareCopy is the least that a relay does: it sends the request on and copies
+// the answer with a flush after each read.
+func bareCopy(base string) http.Handler {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	buffers := sync.Pool{New: func() any { return new([16 << 10]byte) }}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		out, _ := http.NewRequestWithContext(r.Context(), r.Method, base+r.URL.Path, r.Body)
+		out.ContentLength = r.ContentLength
+		resp, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		for name, values := range resp.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(resp.StatusCode)
+		buf := buffers.Get().(*[16 << 10]byte)
+		defer buffers.Put(buf)
+		for {
+			n, err := resp.Body.Read(buf[:])
+			_, _ = w.Write(buf[:n])
+			_ = http.NewResponseController(w).Flush()
+			if err != nil {
+				return
+			}
+		}
+	})
+}
+
+func benchAgent(b *testing.B, base string, concurrency int) http.Handler {
+	a, err := agent.New(agent.Config{
+		Upstream: state.Upstream{
+			Name: "u1", Kind: state.PlainService, Region: "north",
+			ControlAddr: controlAddr, TrafficAddr: trafficAddr, Services: []state.ServiceName{"s"},
+		},
+		BaseURL:     base,
+		Concurrency: concurrency,
+	}, agent.Deps{
+		Log:      port{&fakeLog{}},
+		Appender: &fakeLog{},
+		Tables:   &fakeTables{},
+		Caller:   &fakeCaller{},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return a
+}
+
+var answers = map[string]func(w http.ResponseWriter){
+	"whole=1KiB": func(w http.ResponseWriter) { _, _ = io.WriteString(w, strings.Repeat("x", 1<<10)) },
+	"whole=1MiB": func(w http.ResponseWriter) {
+		w.Header().Set("Content-Length", "1048576")
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+	},
+	"events=64": func(w http.ResponseWriter) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for range 64 {
+			_, _ = io.WriteString(w, "data: token\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+	},
+}
+
+func BenchmarkRelay(b *testing.B) {
+	for name, write := range answers {
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { write(w) }))
+		b.Run("bare/"+name, func(b *testing.B) { benchRelay(b, bareCopy(engine.URL)) })
+		b.Run("agent/"+name, func(b *testing.B) { benchRelay(b, benchAgent(b, engine.URL, 64)) })
+		engine.Close()
+	}
+}
+
+func benchRelay(b *testing.B, relay http.Handler) {
+	server := httptest.NewServer(relay)
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := client.Post(server.URL+"/v1/services/s/x", "application/json", strings.NewReader("{}"))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				b.Errorf("status %d", resp.StatusCode)
+			}
+		}
+	})
+}
+
+// BenchmarkOpenStreams reports the memory of an open stream through a relay,
+// with the client's and the engine's share of it.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 200
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		stream(true)(w, r)
+	}))
+	defer engine.Close()
+	relays := map[string]http.Handler{"bare": bareCopy(engine.URL), "agent": benchAgent(b, engine.URL, streams)}
+	for name, relay := range relays {
+		b.Run(name, func(b *testing.B) {
+			server := httptest.NewServer(relay)
+			defer server.Close()
+			for b.Loop() {
+				b.ReportMetric(float64(openStreams(b, server.URL, streams)), "B/stream")
+			}
+		})
+	}
+}
+
+func openStreams(b *testing.B, url string, streams int) uint64 {
+	before := memoryInUse()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for range streams {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/services/s/x", strings.NewReader("{}"))
+		resp, err := client.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_, _ = io.ReadFull(resp.Body, make([]byte, 5))
+	}
+	return (memoryInUse() - before) / uint64(streams)
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -25,6 +25,9 @@
 	// unreachableSlot is how long a load may go on without a slot.
 	unreachableSlot = 10 * time.Second
 	eventBacklog    = 256
+	// defaultLoadRate is assumed, in bytes per second, until the first load
+	// is measured.
+	defaultLoadRate = float64(512 * state.MiB)
 )
 
 // control owns the account and the tables. Its methods run on its goroutine
@@ -57,6 +60,7 @@
 		ctx:          ctx,
 		events:       make(chan func(), eventBacklog),
 		phase:        rpc.AgentStarting,
+		loadRate:     defaultLoadRate,
 		registration: registration{token: state.NoOffset},
 		appended:     make(map[string]uint64),
 		loadStarted:  make(map[state.ReplicaKey]time.Time),
@@ -227,7 +231,7 @@
 	}
 	if !next.equal(c.agent.view.Load()) {
 		c.agent.view.Store(next)
-		c.agent.dispatcher.tick(time.Now())
+		c.agent.wakeDispatcher()
 	}
 }
 
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -94,17 +94,14 @@
 		return
 	}
 	rate := float64(order.Weights) / took
-	if c.loadRate > 0 {
-		rate = rateWeight*rate + (1-rateWeight)*c.loadRate
-	}
-	c.loadRate = rate
+	c.loadRate = rateWeight*rate + (1-rateWeight)*c.loadRate
 }
 
-// readyIn predicts when a load ends. Zero means that nothing is known.
+// readyIn predicts when a load ends.
 func (c *control) readyIn(now time.Time, key state.ReplicaKey) time.Duration {
 	version, ok := c.tables.Version(key)
 	if !ok || c.loadRate <= 0 {
-		return 0
+		return tickInterval
 	}
 	whole := time.Duration(float64(version.Weights) / c.loadRate * float64(time.Second))
 	started, loading := c.loadStarted[key]
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -34,6 +34,7 @@
 func (a *Agent) run(w http.ResponseWriter, r *http.Request, c *call) {
 	ctx, cancel := a.runContext(r.Context(), c)
 	defer cancel(nil)
+	_ = http.NewResponseController(w).SetWriteDeadline(c.item.Deadline.Add(writeGrace))
 	started := a.crashes.start()
 	defer a.crashes.finish(started)
 	var sent atomic.Bool
@@ -43,7 +44,8 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.ContentLength >= 0 && resp.ContentLength <= wholeAnswer && !isEventStream(resp) {
+	short := resp.ContentLength >= 0 && resp.ContentLength <= wholeAnswer && !isEventStream(resp)
+	if short || resp.Body == http.NoBody {
 		a.relayWhole(ctx, w, c, started, resp)
 		return
 	}
@@ -149,9 +151,7 @@
 func (a *Agent) fail(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, sent bool, err error) {
 	v, suspects := a.explain(ctx, started, sent, err)
 	a.endClaim(c, v, nil, 0, "")
-	if suspects > 0 {
-		w.Header().Set(HeaderSuspects, strconv.Itoa(suspects))
-	}
+	c.setSuspects(w.Header(), suspects)
 	a.refuse(w, v)
 }
 
@@ -179,14 +179,17 @@
 			v.Reason, v.Detail = verdict.ReasonUpstreamCrashed, "the engine crashed"
 			return v, suspects
 		}
-		v.Reason, v.Detail = verdict.ReasonStreamCut, "the upstream's answer broke off"
+		v.Reason, v.Detail = verdict.ReasonStreamCut, "the upstream's answer broke off or never came"
 	}
 	return v, 0
 }
 
 // relayWhole reads a short answer to its end before it passes it on.
 func (a *Agent) relayWhole(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, resp *http.Response) {
-	body := make([]byte, resp.ContentLength)
+	var body []byte
+	if resp.Body != http.NoBody {
+		body = make([]byte, resp.ContentLength)
+	}
 	if _, err := io.ReadFull(resp.Body, body); err != nil {
 		a.fail(ctx, w, c, started, true, err)
 		return
@@ -213,7 +216,7 @@
 	}
 	trailers := events || resp.ContentLength < 0
 	if trailers {
-		h["Trailer"] = []string{verdict.HeaderVerdict, verdict.HeaderReason, HeaderSuspects}
+		h["Trailer"] = []string{verdict.HeaderVerdict, verdict.HeaderReason, HeaderSuspects, HeaderFingerprint}
 	}
 	w.WriteHeader(resp.StatusCode)
 	kept, err := copyAnswer(w, resp, events)
@@ -232,8 +235,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	v.SetHeaders(h)
-	if suspects > 0 {
-		h.Set(HeaderSuspects, strconv.Itoa(suspects))
+	c.setSuspects(h, suspects)
+}
+
+// setSuspects says that this request and others ran when the engine crashed.
+func (c *call) setSuspects(h http.Header, suspects int) {
+	if suspects == 0 {
+		return
+	}
+	h.Set(HeaderSuspects, strconv.Itoa(suspects))
+	if c.fingerprint != "" {
+		h.Set(HeaderFingerprint, c.fingerprint)
 	}
 }
 
@@ -256,6 +268,11 @@
 			if _, writeErr := w.Write(buf[:n]); writeErr != nil {
 				return nil, errors.Wrap(errWrite, writeErr.Error())
 			}
+			// A full buffer of an answer of known length is seldom the end
+			// of what has arrived.
+			if err == nil && n == len(buf) && resp.ContentLength > 0 && !events {
+				continue
+			}
 			if flushErr := control.Flush(); flushErr != nil {
 				return nil, errors.Wrap(errWrite, flushErr.Error())
 			}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -48,6 +48,12 @@
 	maxDeadline = time.Hour
 	// requestOverhead is the memory of a waiting request beyond its body.
 	requestOverhead = 8 * state.KiB
+	// bodyFactor bounds the bodies in memory as a multiple of the queue's
+	// bytes: as much again for those that are being read or are running.
+	bodyFactor = 2
+	// writeGrace is how long after its deadline an answer may be written to
+	// an entry that reads slowly.
+	writeGrace = 5 * time.Second
 )
 
 // call is a request as the entry sent it.
@@ -57,6 +63,8 @@
 	claim       uuid.UUID
 	claimed     bool
 	fingerprint string
+	// reserved is what the call takes of the memory for bodies.
+	reserved int64
 }
 
 // readCall reads the headers and the body of a request.
@@ -68,6 +76,9 @@
 	if refusal := a.readItem(c, r, now); refusal != nil {
 		return c, refusal
 	}
+	if !a.reserveBody(c, r) {
+		return c, verdict.Refuse(verdict.ReasonQueueFull, "the agent's memory for requests is full")
+	}
 	control := http.NewResponseController(w)
 	// Not every connection of a test supports deadlines; the body is bounded
 	// in size in any case.
@@ -86,6 +97,16 @@
 	return c, nil
 }
 
+// reserveBody takes memory for the body before it is read. A body of unknown
+// length takes the most that it may have.
+func (a *Agent) reserveBody(c *call, r *http.Request) bool {
+	c.reserved = int64(a.cfg.MaxBody)
+	if r.ContentLength >= 0 {
+		c.reserved = min(r.ContentLength, c.reserved)
+	}
+	return a.bodies.Add(c.reserved) <= bodyFactor*int64(a.cfg.QueueBytes)
+}
+
 func (c *call) readClaim(h http.Header) *verdict.Verdict {
 	text := h.Get(HeaderClaim)
 	if text == "" {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -46,6 +46,9 @@
 	// missing holds the adapters that queued requests wait for, by target,
 	// with the time until which they wait.
 	missing sync.Map
+	// bodies is the memory of the requests that are being read or served.
+	bodies  atomic.Int64
+	changed chan struct{}
 
 	leaving  chan leaveReason
 	shutdown context.Context
@@ -80,6 +83,7 @@
 		transport: deps.Transport,
 		claims:    newClaims(cfg.MaxClaims),
 		leaving:   make(chan leaveReason, 1),
+		changed:   make(chan struct{}, 1),
 	}
 	for _, name := range cfg.Upstream.Services {
 		a.services[name] = true
@@ -201,7 +205,16 @@
 	return nil
 }
 
-// expire refuses queued requests in time.
+// wakeDispatcher lets queued requests start after a change of the view. The
+// control goroutine takes no lock of traffic.
+func (a *Agent) wakeDispatcher() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+// expire refuses queued requests in time and starts those that can start.
 func (a *Agent) expire(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
@@ -211,6 +224,8 @@
 			if a.dispatcher.queued.Load() > 0 {
 				a.dispatcher.tick(now)
 			}
+		case <-a.changed:
+			a.dispatcher.tick(time.Now())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -23,7 +23,10 @@
 // ServeHTTP answers a request of an entry.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	// The connection may still have the write deadline of its last request.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	c, refusal := a.readCall(w, r, now)
+	defer a.bodies.Add(-c.reserved)
 	if refusal == nil {
 		refusal = a.check(c, r)
 	}
