account, agent: count orders of a restarted engine until they are answered

Cause: an order whose call outlives an engine restart may reach the new engine; its memory was not counted. A repeated append could put an older intent back in force unnoticed. A request could start just after its deadline. Change: such orders stay counted until their call ends; an intent read again replaces the one in force; the dispatcher checks the deadline at the start. Measured: go test -race ./internal/agent and go test ./internal/decide/account pass.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -321,6 +321,21 @@
 	})
 }
 
+// Guards against orders of an agent that has a registered successor.
+func TestSuccessorEndsOrders(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.start()
+		start, err := state.NewRecord("s", state.ProcessID{Name: "u1", Incarnation: "second"}, state.KindAgentStart,
+			state.AgentStart{Upstream: "u1", Incarnation: "second"})
+		w.Expect(err).NotTo(HaveOccurred())
+		_, err = w.log.Append(anyone, region, start)
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(<-w.ended).To(Succeed())
+		w.ended <- nil
+		w.Expect(w.engine.orders).To(BeEmpty())
+	})
+}
+
 // Guards against "may have run" for a request that no engine could have seen.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	inBubble(t, func(w *world) {
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -10,6 +10,9 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
+// errPastDeadline refuses a request that waited too long.
+var errPastDeadline = verdict.Refuse(verdict.ReasonDeadlinePast, "the deadline passed in the queue")
+
 // dispatcher lets queued requests start as the upstream has room. Its lock is
 // taken by traffic only; control reads the counters.
 type dispatcher struct {
@@ -90,6 +93,10 @@
 		if w == nil {
 			continue
 		}
+		if !it.Deadline.After(now) {
+			d.decide(it.ID, errPastDeadline)
+			continue
+		}
 		delete(d.waiters, it.ID)
 		d.running.Add(1)
 		if it.Long {
@@ -149,7 +156,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, it := range d.queue.Expire(now) {
-		d.decide(it.ID, verdict.Refuse(verdict.ReasonDeadlinePast, "the deadline passed in the queue"))
+		d.decide(it.ID, errPastDeadline)
 	}
 	d.startLocked(now)
 }
--- a/internal/agent/follow.go
+++ b/internal/agent/follow.go
@@ -99,15 +99,22 @@
 	case state.KindAgentStart:
 		c.registered(p.Offset, left)
 	case state.KindIntent:
-		sequence, ok := c.appended[p.ID]
-		if !ok || c.account == nil {
-			return
-		}
-		delete(c.appended, p.ID)
-		if c.tables.Intent(c.agent.cfg.Upstream.Name).Agent == c.registration.token {
-			c.account.IntentRead(sequence)
-			return
+		if c.account != nil {
+			c.ownIntent(p.ID)
 		}
+	}
+}
+
+func (c *control) ownIntent(id string) {
+	inForce := c.tables.Intent(c.agent.cfg.Upstream.Name)
+	sequence, waiting := c.appended[id]
+	delete(c.appended, id)
+	switch {
+	case !waiting:
+		c.account.IntentFound(inForce)
+	case inForce.Agent == c.registration.token:
+		c.account.IntentRead(sequence)
+	default:
 		c.account.IntentFailed(sequence)
 	}
 }
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -107,7 +107,7 @@
 var ownHeaders = []string{HeaderAgent, HeaderClaim, HeaderCost, HeaderLong, HeaderFingerprint, HeaderCaller}
 
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -195,6 +196,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(a.deps.Logger.Handler(), slog.LevelDebug),
 	}
 }
 
--- a/internal/decide/account/account.go
+++ b/internal/decide/account/account.go
@@ -182,10 +182,6 @@
 	adapters map[state.AdapterName]state.Bytes
 }
 
-// orderVoid marks an order in flight to an engine that has restarted since. It
-// takes no memory, but its answer is still awaited.
-const orderVoid platform.OrderKind = "void"
-
 // order is an order that may not yet have had its effect.
 type order struct {
 	id       OrderID
@@ -196,6 +192,9 @@
 	answered Stamp // 0 while in flight
 	outcome  Outcome
 	at       time.Time // when it was sent, later when it was answered
+	// old says that the engine has restarted since. Without a definite
+	// answer the order is void; with one it reached the new engine.
+	old bool
 }
 
 type slot struct {
--- a/internal/decide/account/fulfil.go
+++ b/internal/decide/account/fulfil.go
@@ -33,7 +33,7 @@
 		return cmds, len(cmds) > 0 || a.freeing() > 0
 	}
 	if ask, wait := a.askSlot(now, w); wait {
-		return ask, true
+		return ask, a.slots[w.Key].pending
 	}
 	if !a.canSend() || a.loadsInFlight() >= a.cfg.MaxLoads {
 		return nil, true
--- a/internal/decide/account/intent.go
+++ b/internal/decide/account/intent.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// IntentFound says that the log holds an intent of this agent that the account
+// did not wait for: an append that was repeated and stored twice.
+func (a *Account) IntentFound(in state.Intent) {
+	if in.Agent == a.token {
+		a.intent.inForce = &in
+	}
+}
+
 // IntentFailed says that the intent was not stored and never will be.
 func (a *Account) IntentFailed(sequence uint64) {
 	a.intent.appended = slices.DeleteFunc(a.intent.appended, func(p AppendIntent) bool {
--- a/internal/decide/account/listing.go
+++ b/internal/decide/account/listing.go
@@ -35,8 +35,8 @@
 }
 
 // engineRestarted forgets what was loaded. An order that was sent before the
-// last listing of the old engine went to that engine and is void; a later one
-// may have reached the new engine and stays counted.
+// last listing of the old engine went to that engine and is void, unless its
+// call still runs. A later one may have reached the new engine.
 func (a *Account) engineRestarted(incarnation string) {
 	first := a.incarnation == ""
 	a.incarnation = incarnation
@@ -45,13 +45,9 @@
 		return
 	}
 	for _, o := range a.orders {
-		if o.sent < a.listedAt {
-			o.kind, o.target = orderVoid, target{}
-		}
+		o.old = o.old || o.sent < a.listedAt
 	}
-	a.orders = slices.DeleteFunc(a.orders, func(o *order) bool {
-		return o.kind == orderVoid && o.answered != 0
-	})
+	a.orders = slices.DeleteFunc(a.orders, func(o *order) bool { return o.old && o.answered != 0 })
 	a.predecessorOrders = 0
 	a.predecessor = nil
 	a.fenced = false
@@ -149,7 +145,7 @@
 		return
 	}
 	o := a.orders[i]
-	if o.kind == orderVoid {
+	if o.old && (outcome == Unknown || o.kind == platform.OrderRole) {
 		a.orders = slices.Delete(a.orders, i, i+1)
 		return
 	}
