--- a/internal/decide/account/listing.go
+++ b/internal/decide/account/listing.go
@@ -35,8 +35,8 @@
 }
 
 // engineRestarted forgets what was loaded. An order that was sent before the
-// last listing of the old engine went to that engine and is void; a later one
-// may have reached the new engine and stays counted.
+// last listing of the old engine went to that engine and is void, unless its
+// call still runs. A later one may have reached the new engine.
 func (a *Account) engineRestarted(incarnation string) {
 	first := a.incarnation == ""
 	a.incarnation = incarnation
@@ -45,13 +45,9 @@
 		return
 	}
 	for _, o := range a.orders {
-		if o.sent < a.listedAt {
-			o.kind, o.target = orderVoid, target{}
-		}
+		o.old = o.old || o.sent < a.listedAt
 	}
-	a.orders = slices.DeleteFunc(a.orders, func(o *order) bool {
-		return o.kind == orderVoid && o.answered != 0
-	})
+	a.orders = slices.DeleteFunc(a.orders, func(o *order) bool { return o.old && o.answered != 0 })
 	a.predecessorOrders = 0
 	a.predecessor = nil
 	a.fenced = false
@@ -66,6 +62,7 @@
 	for key := range a.listed {
 		if !seen[key] && !a.unloadSince(target{key: key}, stamp) {
 			delete(a.listed, key)
+			delete(a.backoff, target{key: key})
 		}
 	}
 }
@@ -95,6 +92,7 @@
 		gone := !slices.Contains(entry.Adapters, name)
 		if gone && !a.unloadSince(target{entry.ReplicaKey, name}, stamp) {
 			delete(r.adapters, name)
+			delete(a.backoff, target{entry.ReplicaKey, name})
 		}
 	}
 }
@@ -111,6 +109,7 @@
 // or done is taken first, since it is settled by its answer. Otherwise one of
 // unknown outcome took effect, or else one of a predecessor.
 func (a *Account) appeared(t target, stamp Stamp) {
+	delete(a.backoff, t)
 	if inFlight, _ := a.loads(t); inFlight > 0 {
 		return
 	}
@@ -146,7 +145,7 @@
 		return
 	}
 	o := a.orders[i]
-	if o.kind == orderVoid {
+	if o.old && (outcome == Unknown || o.kind == platform.OrderRole) {
 		a.orders = slices.Delete(a.orders, i, i+1)
 		return
 	}
@@ -155,9 +154,11 @@
 	switch {
 	case outcome == Stale:
 		a.superseded = true
-	case outcome == Refused:
+	case outcome == Refused || o.isLoad() || o.isUnload():
+		// The next listing ends the wait if it shows the order's effect.
 		a.backoff[o.target] = now.Add(retryOrder)
-	case outcome == Done && o.kind == platform.OrderRole:
+	}
+	if outcome == Done && o.kind == platform.OrderRole {
 		a.fenced, a.fence = true, o.answered
 	}
 	if outcome == Stale || outcome == Refused || o.kind == platform.OrderRole {
