bench: run the decision code in virtual time against a naive version

Cause: the policies need figures at both of today's sizes and at one region of the two-year size. Change: an event heap, fake upstreams and weight store, the real decision code around them, the naive version, and an oracle or a run without the fault where a target needs one. The region's swing peaks at an eighth of 11,000 requests/s.

--- /dev/null
+++ b/internal/bench/agent.go
@@ -0,0 +1,348 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// ours is the version under test: the decision code over the fake platform.
+type ours struct {
+	*world
+	entries   []*entry
+	agents    []*agent
+	homes     []*home
+	broker    *scaling.Broker
+	published [][]int
+	rng       *rand.Rand
+	attempts  uint64
+}
+
+func newOurs(w *world) *ours {
+	o := &ours{world: w, rng: w.rng, published: make([][]int, w.size.models)}
+	// The broker has run for longer than its waiting time when a run begins.
+	o.broker = scaling.NewBroker(epoch.Add(-time.Minute), "bench", scaling.BrokerConfig{})
+	for _, u := range w.ups {
+		o.agents = append(o.agents, newAgent(o, u))
+	}
+	for model := range w.size.models {
+		o.homes = append(o.homes, newHome(o, model))
+		o.publish(model)
+	}
+	for id := range w.size.entries {
+		o.entries = append(o.entries, newEntry(o, id))
+	}
+	w.every(200*time.Millisecond, o.tickHomes)
+	w.every(time.Second, o.tickAgents)
+	return o
+}
+
+func (o *ours) arrive(r *request) { o.entries[r.entry].arrive(r) }
+
+func (o *ours) publish(model int) {
+	var ready []int
+	for _, id := range o.grants[model] {
+		if rep := o.ups[id].replicas[model]; rep != nil && rep.ready && !o.ups[id].lost {
+			ready = append(ready, id)
+		}
+	}
+	o.published[model] = ready
+}
+
+// changed tells the entries of a changed replica set after the home's delay.
+func (o *ours) changed(model int) {
+	o.after(100*time.Millisecond, func() {
+		o.publish(model)
+		for _, e := range o.entries {
+			e.pump(model)
+		}
+	})
+}
+
+// attempt is one send of a request to an upstream.
+type attempt struct {
+	id     uint64
+	r      *request
+	entry  *entry
+	up     *upstream
+	item   admission.Item
+	sentAt time.Time
+	wait   time.Duration
+	began  time.Time
+	exec   *execution
+	long   bool
+	number int
+	over   bool
+	// isFirst is set once the attempt has produced the first token.
+	isFirst bool
+}
+
+// agent is the queue and the memory before one upstream.
+type agent struct {
+	o           *ours
+	u           *upstream
+	queue       *admission.Queue
+	waiting     map[uint64]*attempt
+	keep        map[int]*scaling.KeepAlive
+	lastUsed    map[int]time.Time
+	evictor     *scaling.Evictor
+	runningLong int
+	running     map[uint64]*attempt
+	ticking     bool
+	waking      map[int]time.Time
+}
+
+func newAgent(o *ours, u *upstream) *agent {
+	a := &agent{o: o, u: u, waiting: make(map[uint64]*attempt), keep: make(map[int]*scaling.KeepAlive), lastUsed: make(map[int]time.Time), running: make(map[uint64]*attempt), waking: make(map[int]time.Time)}
+	a.queue = admission.NewQueue(admission.Config{MaxRequests: 8 * slotsPerRunner, Concurrency: slotsPerRunner})
+	a.evictor = scaling.NewEvictor(scaling.EvictConfig{})
+	return a
+}
+
+// offer queues an attempt that arrives, or refuses it.
+func (a *agent) offer(at *attempt) {
+	rep := a.u.replicas[at.r.model]
+	switch {
+	case a.u.lost:
+		at.entry.refused(at, verdict.Refuse(verdict.ReasonUpstreamFailed, "connection refused"))
+		return
+	case rep == nil || !rep.ready:
+		a.answer(at, verdict.Refuse(verdict.ReasonNoReplica, "not loaded"))
+		return
+	}
+	if last, ok := a.lastUsed[at.r.model]; ok && rep.users == 0 {
+		a.keepAlive(at.r.model).Observe(a.o.now.Sub(last))
+	}
+	shed, refusal := a.queue.Offer(a.o.now, at.item, a.busyFor())
+	for _, it := range shed {
+		a.drop(it, verdict.ReasonShed)
+	}
+	if refusal != nil {
+		a.answer(at, refusal)
+		return
+	}
+	rep.users++
+	a.waiting[at.id] = at
+	a.pump()
+	a.tick()
+}
+
+// busyFor predicts when the running work has freed the slots.
+func (a *agent) busyFor() time.Duration {
+	if len(a.u.running) < slotsPerRunner {
+		return 0
+	}
+	var left time.Duration
+	for _, at := range a.running {
+		left += max(at.item.Cost-a.o.now.Sub(at.began), 0)
+	}
+	return left / slotsPerRunner
+}
+
+func (a *agent) answer(at *attempt, v *verdict.Verdict) {
+	a.o.after(a.o.delay(at.entry.id, a.u), func() { at.entry.refused(at, v) })
+}
+
+func (a *agent) drop(it admission.Item, reason verdict.Reason) {
+	at := a.waiting[it.ID]
+	delete(a.waiting, it.ID)
+	a.release(at)
+	a.answer(at, verdict.Refuse(reason, ""))
+}
+
+func (a *agent) release(at *attempt) {
+	if rep := a.u.replicas[at.r.model]; rep != nil {
+		rep.users--
+		rep.lastUsed = a.o.now
+	}
+	a.lastUsed[at.r.model] = a.o.now
+}
+
+// tick expires waiting items while there are any.
+func (a *agent) tick() {
+	if a.ticking || a.queue.Len() == 0 {
+		return
+	}
+	a.ticking = true
+	a.o.after(50*time.Millisecond, func() {
+		a.ticking = false
+		for _, it := range a.queue.Expire(a.o.now) {
+			a.drop(it, verdict.ReasonDeadlineExceeded)
+		}
+		a.tick()
+	})
+}
+
+func (a *agent) fits(it admission.Item) bool {
+	return !it.Long || estimate.LongLimit{}.Fits(slotsPerRunner, a.runningLong)
+}
+
+func (a *agent) pump() {
+	for len(a.u.running) < slotsPerRunner && !a.u.lost {
+		it, ok := a.queue.Next(a.o.now, a.fits)
+		if !ok {
+			return
+		}
+		at := a.waiting[it.ID]
+		delete(a.waiting, it.ID)
+		a.start(at)
+	}
+}
+
+func (a *agent) start(at *attempt) {
+	at.began = a.o.now
+	at.wait = a.o.now.Sub(at.sentAt)
+	a.running[at.id] = at
+	if at.item.Long {
+		a.markLong(at)
+	}
+	at.exec = a.u.run(at.r, func() {
+		a.o.after(a.o.delay(at.entry.id, a.u), func() { at.entry.firstToken(at) })
+	}, func(ok bool) { a.finished(at, ok) })
+	a.o.after(at.entry.longSince(at.r.model), func() {
+		if !at.exec.over {
+			a.markLong(at)
+		}
+	})
+}
+
+func (a *agent) markLong(at *attempt) {
+	if !at.long {
+		at.long = true
+		a.runningLong++
+	}
+}
+
+func (a *agent) finished(at *attempt, ok bool) {
+	delete(a.running, at.id)
+	if at.long {
+		a.runningLong--
+	}
+	a.release(at)
+	service := a.o.now.Sub(at.began)
+	load := a.queue.Len() + len(a.u.running)
+	reported := a.o.now
+	a.o.after(a.o.delay(at.entry.id, a.u), func() { at.entry.finished(at, ok, service) })
+	a.o.after(a.o.delay(at.entry.id, a.u)+a.o.exp.reportDelay, func() { at.entry.report(a.u.id, load, reported) })
+	a.pump()
+}
+
+// cancel ends an attempt that lost to another one.
+func (a *agent) cancel(at *attempt) {
+	if a.queue.Remove(at.id) {
+		delete(a.waiting, at.id)
+		a.release(at)
+		return
+	}
+	if at.exec != nil {
+		at.exec.end(false)
+	}
+}
+
+func (a *agent) keepAlive(model int) *scaling.KeepAlive {
+	k := a.keep[model]
+	if k == nil {
+		k = scaling.NewKeepAlive(scaling.KeepAliveConfig{})
+		a.keep[model] = k
+	}
+	return k
+}
+
+func (a *agent) residents() []scaling.Resident {
+	var all []scaling.Resident
+	for model, rep := range a.u.replicas {
+		work, _ := a.o.loadWork(model, a.u.id)
+		all = append(all, scaling.Resident{
+			Key: modelKey(model), Size: 1, Busy: !rep.ready || rep.users > 0,
+			Loaded: rep.loadedAt, LastUsed: rep.lastUsed, Load: work,
+			KeepAlive: a.keepAlive(model).Value(work),
+		})
+	}
+	slices.SortFunc(all, func(x, y scaling.Resident) int { return modelOf(x.Key) - modelOf(y.Key) })
+	return all
+}
+
+func (a *agent) unload(keys []state.ReplicaKey) {
+	for _, key := range keys {
+		model := modelOf(key)
+		a.u.unload(model)
+		a.o.changed(model)
+	}
+}
+
+// wake loads a model if there is room and, for remote weights, a store slot.
+func (a *agent) wake(model int, benefit float64) bool {
+	if a.u.lost || a.u.replicas[model] != nil || !a.waking[model].IsZero() {
+		return false
+	}
+	free := replicasPerRunner - len(a.u.replicas) - len(a.waking)
+	if free < 1 {
+		keys, ok := a.evictor.MakeRoom(a.o.now, 1, state.Bytes(free), a.residents())
+		if !ok {
+			return false
+		}
+		a.unload(keys)
+	}
+	a.waking[model] = a.o.now
+	if last, ok := a.lastUsed[model]; ok {
+		a.keepAlive(model).Observe(a.o.now.Sub(last))
+		delete(a.lastUsed, model)
+	}
+	a.requestSlot(model, benefit)
+	return true
+}
+
+func (a *agent) requestSlot(model int, benefit float64) {
+	if _, remote := a.o.loadWork(model, a.u.id); !remote {
+		a.load(model, "")
+		return
+	}
+	if waiting := a.o.homes[model].benefit(); waiting > 0 {
+		benefit = waiting
+	}
+	answer := a.o.broker.Request(a.o.now, scaling.SlotRequest{Upstream: state.UpstreamName(modelName(a.u.id)), Key: modelKey(model), Benefit: benefit})
+	if answer.Slot == "" {
+		a.o.after(answer.RetryAfter, func() { a.requestSlot(model, benefit) })
+		return
+	}
+	a.load(model, answer.Slot)
+}
+
+func (a *agent) load(model int, slot string) {
+	over := false
+	if slot != "" {
+		a.renew(slot, &over)
+	}
+	started := a.o.now
+	a.u.load(model, func(bool) {
+		over = true
+		delete(a.waking, model)
+		a.o.broker.Release(a.o.now, slot)
+		a.o.homes[model].loaded(a.u.id, a.o.now.Sub(started))
+		a.o.changed(model)
+	})
+}
+
+func (a *agent) renew(slot string, over *bool) {
+	a.o.after(2*time.Second, func() {
+		if !*over {
+			a.o.broker.Renew(a.o.now, slot)
+			a.renew(slot, over)
+		}
+	})
+}
+
+// tickAgents unloads what is past its keep-alive.
+func (o *ours) tickAgents() {
+	for _, a := range o.agents {
+		if len(a.u.replicas) > 0 && !a.u.lost {
+			a.unload(a.evictor.Expired(o.now, a.residents()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/home.go
@@ -0,0 +1,136 @@
+package bench
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// home decides on the replicas of one model.
+type home struct {
+	o       *ours
+	model   int
+	arrived int
+	rate    float64
+	// stretch is how much longer than expected recent loads took.
+	stretch float64
+	readyIn time.Duration
+	blocked map[int]time.Time
+	// supply is the slots of replicas ready or loading.
+	supply int
+	quiet  bool
+}
+
+func newHome(o *ours, model int) *home {
+	return &home{o: o, model: model, stretch: 1, blocked: make(map[int]time.Time), quiet: true}
+}
+
+func modelName(i int) string { return strconv.Itoa(i) }
+
+func modelKey(i int) state.ReplicaKey {
+	return state.ReplicaKey{Model: state.ModelName(modelName(i)), Version: "1"}
+}
+
+func modelOf(key state.ReplicaKey) int {
+	i, err := strconv.Atoi(string(key.Model))
+	if err != nil {
+		panic(err)
+	}
+	return i
+}
+
+// noteArrival counts demand; the first request of a quiet model is decided on
+// at once.
+func (h *home) noteArrival() {
+	h.arrived++
+	if h.quiet {
+		h.quiet = false
+		h.o.after(time.Millisecond, h.decide)
+	}
+}
+
+func (o *ours) tickHomes() {
+	for _, h := range o.homes {
+		h.rate += 0.2 * (float64(h.arrived)/0.2 - h.rate)
+		h.arrived = 0
+		h.quiet = h.rate < 0.01
+		if !h.quiet {
+			h.decide()
+		}
+	}
+}
+
+func (h *home) demands() []scaling.Demand {
+	var all []scaling.Demand
+	for _, e := range h.o.entries {
+		if q := e.queues[h.model]; q != nil && q.Len() > 0 {
+			all = append(all, scaling.Demand{Waiting: q.Waiting(), Work: q.Work()})
+		}
+	}
+	return append(all, scaling.Demand{Rate: h.rate})
+}
+
+// benefit is what the waiting requests lose per second.
+func (h *home) benefit() float64 {
+	loss := 0.0
+	for _, d := range h.demands() {
+		for class, n := range d.Waiting {
+			loss += float64(int(4)>>class) * float64(n)
+		}
+	}
+	return loss
+}
+
+func (h *home) loadTime(up int) time.Duration {
+	work, remote := h.o.loadWork(h.model, up)
+	if !remote {
+		return work
+	}
+	return scale(work, h.stretch)
+}
+
+func (h *home) input() scaling.HomeInput {
+	in := scaling.HomeInput{Demands: h.demands(), Service: time.Second}
+	for _, id := range h.o.grants[h.model] {
+		u, a := h.o.ups[id], h.o.agents[id]
+		g := scaling.Grant{Upstream: state.UpstreamName(strconv.Itoa(id)), DataCentre: state.DataCentre(strconv.Itoa(u.centre)), LoadTime: h.loadTime(id), Slots: slotsPerRunner}
+		g.Usable = !u.lost && h.o.now.After(h.blocked[id])
+		in.Grants = append(in.Grants, g)
+		rep, waking := u.replicas[h.model], a.waking[h.model]
+		switch {
+		case u.lost:
+		case rep != nil && rep.ready:
+			in.Replicas = append(in.Replicas, scaling.Replica{Upstream: g.Upstream, State: state.ReplicaReady, Slots: slotsPerRunner, Queue: rep.users})
+		case !waking.IsZero():
+			left := max(g.LoadTime-h.o.now.Sub(waking), 100*time.Millisecond)
+			in.Replicas = append(in.Replicas, scaling.Replica{Upstream: g.Upstream, State: state.ReplicaLoading, Slots: slotsPerRunner, ReadyIn: left})
+		}
+	}
+	return in
+}
+
+func (h *home) decide() {
+	in := h.input()
+	out := scaling.Home{}.Decide(in)
+	h.supply = slotsPerRunner * (len(in.Replicas) + len(out.Wakes))
+	h.readyIn = out.ReadyIn
+	for _, wake := range out.Wakes {
+		id, err := strconv.Atoi(string(wake.Upstream))
+		if err != nil {
+			panic(err)
+		}
+		if !h.o.agents[id].wake(h.model, wake.Benefit) {
+			h.blocked[id] = h.o.now.Add(time.Second)
+		}
+	}
+}
+
+// loaded learns from the time of a finished load.
+func (h *home) loaded(up int, took time.Duration) {
+	work, remote := h.o.loadWork(h.model, up)
+	if remote {
+		h.stretch = max(1, took.Seconds()/work.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/bench/workload.go
@@ -0,0 +1,195 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// size is a deployment.
+type size struct {
+	name                    string
+	regions, centres        int
+	runners, models, active int
+	entries                 int
+	// rate is the usual arrivals per second.
+	rate float64
+	// maxGrants bounds the grants of a model.
+	maxGrants int
+	// quick scales the length of long experiments.
+	quick float64
+}
+
+// sizes are today's deployments and one region of the two-year size: an eighth
+// of its runners, entries and peak, which the tenfold swing reaches.
+var sizes = []size{
+	{name: "ticketing", regions: 3, centres: 3, runners: 20, models: 60, active: 12, entries: 3, rate: 12, maxGrants: 6, quick: 1},
+	{name: "archive", regions: 3, centres: 3, runners: 12, models: 25, active: 8, entries: 3, rate: 7, maxGrants: 5, quick: 1},
+	{name: "region", regions: 1, centres: 3, runners: 1500, models: 590, active: 300, entries: 44, rate: 137.5, maxGrants: 35, quick: 0.1},
+}
+
+const (
+	slotsPerRunner    = 8
+	replicasPerRunner = 3
+)
+
+// request is one arrival and how it ended.
+type request struct {
+	id         uint64
+	model      int
+	caller     state.CallerName
+	class      state.Class
+	entry      int
+	arrived    time.Time
+	deadline   time.Time
+	prefill    time.Duration
+	total      time.Duration
+	long       bool
+	repeatable bool
+	volume     state.Bytes
+
+	runs    int
+	started bool
+	first   time.Duration
+	ended   bool
+}
+
+// experiment describes demand and faults over time.
+type experiment struct {
+	name string
+	// length of the arrivals; the run continues until all have ended.
+	length time.Duration
+	// rate multiplies the usual rate.
+	rate func(at time.Duration) float64
+	// burst sends requests to a cold model within burstOver.
+	burst     int
+	burstAt   time.Duration
+	burstOver time.Duration
+	// longShare of the requests take longFactor times as long.
+	longShare, longFactor float64
+	// slowShare of the upstreams are slowFactor times slower in a window.
+	slowShare, slowFactor float64
+	slowFrom, slowTo      time.Duration
+	reportDelay           time.Duration
+	// storeSpeed is the speed of the store; zero means 1.
+	storeSpeed float64
+	// coldModels get a request each around the middle of the run.
+	coldModels int
+	// lostAt is when a data centre is lost; zero means never.
+	lostAt           time.Duration
+	logFrom, logTo   time.Duration
+	exact, preloaded bool
+	// onceShare is the share of non-idempotent work; zero means 0.05.
+	onceShare float64
+}
+
+func steady(time.Duration) float64 { return 1 }
+
+// swing rises tenfold within 5 s, stays for 40 s and falls within 5 s.
+func swing(at time.Duration) float64 {
+	up := min(max((at-20*time.Second).Seconds()/5, 0), 1)
+	down := min(max((at-65*time.Second).Seconds()/5, 0), 1)
+	return 1 + 9*(up-down)
+}
+
+var experiments = []experiment{
+	{name: "broadcast", length: 60 * time.Second, rate: steady, burst: 400, burstAt: 20 * time.Second, burstOver: 2 * time.Second},
+	{name: "swing", length: 90 * time.Second, rate: swing},
+	{name: "stragglers", length: 90 * time.Second, rate: func(time.Duration) float64 { return 3 }, slowShare: 0.1, slowFactor: 10, slowFrom: 30 * time.Second, slowTo: 60 * time.Second, reportDelay: 5 * time.Second},
+	{name: "long", length: 120 * time.Second, rate: func(time.Duration) float64 { return 2 }, longShare: 0.02, longFactor: 50},
+	{name: "slow-store", length: 90 * time.Second, rate: steady, storeSpeed: 0.5, coldModels: 12},
+	{name: "centre-lost", length: 90 * time.Second, rate: func(time.Duration) float64 { return 2 }, lostAt: 30 * time.Second},
+	{name: "log-down", length: 720 * time.Second, rate: steady, logFrom: 60 * time.Second, logTo: 660 * time.Second},
+}
+
+// arrivals draws the requests of an experiment; the same seed draws the same.
+func arrivals(seed uint64, s size, e experiment) []*request {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	weights := zipf(s.active)
+	var all []*request
+	at := time.Duration(0)
+	for {
+		at += time.Duration(rng.ExpFloat64() / (s.rate * e.rate(at)) * float64(time.Second))
+		if at >= e.length {
+			break
+		}
+		all = append(all, draw(rng, s, e, pick(rng, weights), at))
+	}
+	for i := range e.burst {
+		spread := time.Duration(float64(e.burstOver) * float64(i) / float64(e.burst))
+		all = append(all, draw(rng, s, e, s.models-1, e.burstAt+spread))
+	}
+	for i := range e.coldModels {
+		all = append(all, draw(rng, s, e, s.models-1-i, e.length/2+time.Duration(i)*100*time.Millisecond))
+	}
+	for i, r := range all {
+		r.id = uint64(i + 1)
+	}
+	return all
+}
+
+func draw(rng *rand.Rand, s size, e experiment, model int, at time.Duration) *request {
+	prefill := time.Duration((0.08 + 0.12*rng.Float64()) * float64(time.Second))
+	decode := time.Duration(0.6 * math.Exp(0.5*rng.NormFloat64()) * float64(time.Second))
+	caller := rng.IntN(20)
+	once := e.onceShare
+	if once == 0 {
+		once = 0.05
+	}
+	r := &request{
+		model: model, caller: callerName(caller), entry: rng.IntN(s.entries),
+		arrived: epoch.Add(at), prefill: prefill, total: prefill + decode,
+		repeatable: rng.Float64() >= once, volume: state.Bytes(2000 + rng.IntN(8000)),
+	}
+	deadline := []time.Duration{5 * time.Second, 15 * time.Second, 30 * time.Second}[rng.IntN(3)]
+	switch roll := rng.Float64(); {
+	case roll < 0.2:
+		r.class = state.ClassHigh
+	case roll < 0.8:
+		r.class = state.ClassNormal
+	default:
+		r.class = state.ClassLow
+	}
+	// Half of the long requests come from a batch caller of their own, the
+	// rest cannot be told in advance.
+	if roll := rng.Float64(); roll < e.longShare {
+		r.long = true
+		r.total = prefill + time.Duration(e.longFactor*float64(decode))
+		deadline = 4 * time.Minute
+		if roll < e.longShare/2 {
+			r.caller = "batch"
+		}
+	}
+	r.deadline = r.arrived.Add(deadline)
+	return r
+}
+
+func callerName(i int) state.CallerName {
+	return state.CallerName("caller-" + string(rune('a'+i)))
+}
+
+// zipf returns cumulative weights of n models, the k-th in proportion 1/k.
+func zipf(n int) []float64 {
+	sums := make([]float64, n)
+	total := 0.0
+	for i := range sums {
+		total += 1 / float64(i+1)
+		sums[i] = total
+	}
+	for i := range sums {
+		sums[i] /= total
+	}
+	return sums
+}
+
+func pick(rng *rand.Rand, sums []float64) int {
+	roll := rng.Float64()
+	for i, sum := range sums {
+		if roll < sum {
+			return i
+		}
+	}
+	return len(sums) - 1
+}
