estimate: calibrate predictions by the upstream's own first tokens

Cause: with stragglers, agents admitted by usual service times; work admitted on a tenfold slower engine ended late. Change: an agent multiplies predicted costs by how much slower than usual its first tokens are now.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -96,6 +96,7 @@
 	running     map[uint64]*attempt
 	ticking     bool
 	waking      map[int]time.Time
+	speed       estimate.Calibration
 }
 
 func newAgent(o *ours, u *upstream) *agent {
@@ -119,6 +120,7 @@
 	if last, ok := a.lastUsed[at.r.model]; ok && rep.users == 0 {
 		a.keepAlive(at.r.model).Observe(a.o.now.Sub(last))
 	}
+	at.item.Cost = scale(at.item.Cost, a.speed.Factor())
 	shed, refusal := a.queue.Offer(a.o.now, at.item, a.busyFor())
 	for _, it := range shed {
 		a.drop(it, verdict.ReasonShed)
@@ -203,6 +205,7 @@
 		a.markLong(at)
 	}
 	at.exec = a.u.run(at.r, func() {
+		a.speed.Observe(a.o.now.Sub(at.began))
 		a.o.after(a.o.delay(at.entry.id, a.u), func() { at.entry.firstToken(at) })
 	}, func(ok bool) { a.finished(at, ok) })
 	a.o.after(at.entry.longSince(at.r.model), func() {
--- /dev/null
+++ b/internal/decide/estimate/calibration.go
@@ -0,0 +1,35 @@
+package estimate
+
+import "time"
+
+// Calibration tells how much slower than usual an upstream is now, from the
+// times to first token that its agent measures beside it. It is not safe for
+// concurrent use.
+type Calibration struct {
+	// usual follows the median of all measurements slowly, recent quickly.
+	usual, recent medianTracker
+}
+
+// The steps of both medians per measurement. A tenfold slowdown shows in the
+// recent one after about ten measurements; the usual one moves by a twentieth
+// of that, so it is about right for the length of a disturbance.
+const (
+	usualStep  = 0.0125
+	recentStep = 0.25
+)
+
+// Observe adds the time from the start of service to the first token.
+func (c *Calibration) Observe(first time.Duration) {
+	c.usual.addStep(first.Seconds(), usualStep)
+	c.recent.addStep(first.Seconds(), recentStep)
+}
+
+// Factor is by how much to multiply predicted service times, at least 1.
+func (c *Calibration) Factor() float64 {
+	// Below twice the usual time, the noise of single measurements prevails.
+	const noise = 2
+	if c.usual.value <= 0 || c.recent.value < noise*c.usual.value {
+		return 1
+	}
+	return c.recent.value / c.usual.value
+}
--- a/internal/decide/estimate/estimate.go
+++ b/internal/decide/estimate/estimate.go
@@ -217,13 +217,16 @@
 	count int
 }
 
-func (m *medianTracker) add(x float64) {
+func (m *medianTracker) add(x float64) { m.addStep(x, 0.05) }
+
+// addStep moves by at least the share least of the value.
+func (m *medianTracker) addStep(x, least float64) {
 	m.count++
 	if m.count == 1 {
 		m.value = x
 		return
 	}
-	step := m.value * max(0.05, 1/float64(m.count))
+	step := m.value * max(least, 1/float64(m.count))
 	if x > m.value {
 		m.value += min(step, x-m.value)
 	} else {
--- a/internal/decide/estimate/estimate_test.go
+++ b/internal/decide/estimate/estimate_test.go
@@ -66,3 +66,22 @@
 	}
 	g.Expect(estimate.LongLimit{Share: 1}.Max(8)).To(Equal(7))
 }
+
+// Guards against a straggler that keeps promising its usual speed, and against
+// noise or an end of the disturbance that go unnoticed.
+func TestCalibrationFollowsSlowdown(t *testing.T) {
+	g := NewWithT(t)
+	var c estimate.Calibration
+	g.Expect(c.Factor()).To(Equal(1.0))
+	feed := func(n int, first time.Duration) {
+		for i := range n {
+			c.Observe(first + time.Duration(i%5)*first/10)
+		}
+	}
+	feed(100, 100*time.Millisecond)
+	g.Expect(c.Factor()).To(Equal(1.0))
+	feed(12, time.Second)
+	g.Expect(c.Factor()).To(BeNumerically(">", 5))
+	feed(12, 100*time.Millisecond)
+	g.Expect(c.Factor()).To(Equal(1.0))
+}
