scaling: wake while demand exceeds the supply

Cause: a further replica was woken only once the backlog was a load time long; by then requests with short deadlines were refused. Change: a home also wakes while the arrivals fill the replicas ready or loading beyond the headroom.

--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -204,8 +204,8 @@
 }
 
 // needsMore reports whether a load under grant pays: the minimum is not met,
-// or the backlog with what arrives beyond the supply during the load takes
-// longer on the replicas ready or loading than the load itself.
+// demand fills the replicas ready or loading beyond the headroom, or their
+// backlog takes longer than the load itself.
 func (c HomeConfig) needsMore(in HomeInput, view outlook, grant Grant) bool {
 	if view.ready+view.loading < in.MinReplicas {
 		return true
@@ -214,11 +214,12 @@
 		return view.total() > 0
 	}
 	offered := view.rate * in.Service.Seconds()
-	excess := offered - c.Headroom*float64(view.slots)
-	backlog := view.work.Seconds()
-	if excess > 0 {
-		backlog += excess * grant.LoadTime.Seconds()
+	if offered > c.patience()*c.Headroom*float64(view.slots) {
+		// The demand exceeds the supply, so the backlog grows until a
+		// further replica is ready, however small it is now.
+		return true
 	}
+	backlog := view.work.Seconds()
 	return backlog/float64(view.slots) > c.patience()*grant.LoadTime.Seconds()
 }
 
