routing: age the queue of an upstream that sends no reports

Cause: reports come with answers, so an entry that took a replica for full and sent nothing there took it for full for ever. Change: a queue reported more than a second ago shrinks as fast as the slots serve it.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -17,6 +17,7 @@
 type view struct {
 	queue    int
 	reported time.Time
+	received time.Time
 	// open holds the entry's unfinished attempts there by send time.
 	open map[uint64]time.Time
 	sent int
@@ -176,11 +177,12 @@
 	}
 	for _, id := range e.o.published[model] {
 		v := e.view(id)
-		if v.queue+v.sent >= window {
+		queue := routing.AgedQueue(v.queue, slotsPerRunner, e.o.now.Sub(v.received), service)
+		if queue+v.sent >= window {
 			continue
 		}
 		e.scratch = append(e.scratch, routing.Candidate{
-			Replica: id, Queue: v.queue, Sent: v.sent, Slots: slotsPerRunner,
+			Replica: id, Queue: queue, Sent: v.sent, Slots: slotsPerRunner,
 			Latency:  scale(service, e.tracker.Slowdown(id)),
 			Locality: e.locality(id), AdapterLoaded: true,
 			Ejected: e.tracker.Ejected(e.o.now, id, e.o.rng.Float64()),
@@ -284,7 +286,7 @@
 	if at.Before(v.reported) {
 		return
 	}
-	v.queue, v.reported, v.sent = load, at, 0
+	v.queue, v.reported, v.received, v.sent = load, at, e.o.now, 0
 	for _, sent := range v.open {
 		if sent.After(at) {
 			v.sent++
--- a/internal/decide/routing/candidate.go
+++ b/internal/decide/routing/candidate.go
@@ -43,6 +43,18 @@
 	Ejected bool
 }
 
+// AgedQueue is what probably remains of a queue reported some time ago. After
+// a second of silence it shrinks as fast as the slots serve it: an entry that
+// sends nothing gets no reports, and must not take a replica for full for ever.
+func AgedQueue(queue, slots int, age, service time.Duration) int {
+	const fresh = time.Second
+	if age <= fresh || queue <= 0 {
+		return queue
+	}
+	drained := float64(max(slots, 1)) * float64(age-fresh) / float64(max(service, time.Millisecond))
+	return max(queue-int(min(drained, float64(queue))), 0)
+}
+
 // Request is what a choice needs to know of a request.
 type Request struct {
 	// Prefill is the predicted time to process the prompt without a cache.
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -231,6 +231,14 @@
 	g.Expect(hedges).To(Equal(50))
 }
 
+// Guards against a replica that an entry takes for full for ever.
+func TestQueueAges(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(routing.AgedQueue(24, 8, time.Second, time.Second)).To(Equal(24))
+	g.Expect(routing.AgedQueue(24, 8, 2*time.Second, time.Second)).To(Equal(16))
+	g.Expect(routing.AgedQueue(24, 8, time.Hour, time.Second)).To(Equal(0))
+}
+
 // Guards against paid volume beyond the budget.
 func TestVolumeBudget(t *testing.T) {
 	g := NewWithT(t)
