--- a/internal/decide/estimate/estimate_test.go
+++ b/internal/decide/estimate/estimate_test.go
@@ -22,7 +22,7 @@
 	g := NewWithT(t)
 	e := estimate.New(estimate.Config{})
 	got := e.Estimate(estimate.Key{Model: "m", Caller: "a"}, 0)
-	g.Expect(got).To(Equal(estimate.Estimate{Tokens: 128, Service: time.Second}))
+	g.Expect(got).To(Equal(estimate.Estimate{Tokens: 128, Service: 500 * time.Millisecond}))
 	observe(e, "a", 50, 300*time.Millisecond)
 	other := e.Estimate(estimate.Key{Model: "m", Caller: "new"}, 0)
 	g.Expect(other.Service).To(BeNumerically("~", 300*time.Millisecond, 20*time.Millisecond), "a new caller starts from its model")
@@ -66,3 +66,22 @@
 	}
 	g.Expect(estimate.LongLimit{Share: 1}.Max(8)).To(Equal(7))
 }
+
+// Guards against a straggler that keeps promising its usual speed, and against
+// noise or an end of the disturbance that go unnoticed.
+func TestCalibrationFollowsSlowdown(t *testing.T) {
+	g := NewWithT(t)
+	var c estimate.Calibration
+	g.Expect(c.Factor()).To(Equal(1.0))
+	feed := func(n int, first time.Duration) {
+		for i := range n {
+			c.Observe(first + time.Duration(i%5)*first/10)
+		}
+	}
+	feed(100, 100*time.Millisecond)
+	g.Expect(c.Factor()).To(Equal(1.0))
+	feed(12, time.Second)
+	g.Expect(c.Factor()).To(BeNumerically(">", 5))
+	feed(12, 100*time.Millisecond)
+	g.Expect(c.Factor()).To(Equal(1.0))
+}
