ctl: check settings files, and add ctl and check-config to main

Cause: operators check a settings file before a roll-out. Change: add the subcommand check-config and list both subcommands in main.

--- a/cmd/lagoonvalve/main.go
+++ b/cmd/lagoonvalve/main.go
@@ -8,6 +8,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctl"
 )
 
 // version is the release; the linker sets it for release builds.
@@ -19,6 +21,8 @@
 		Usage: "serve rarely used machine-learning models",
 		Commands: []*cli.Command{
 			{Name: "version", Usage: "print the version", Action: printVersion},
+			ctl.Command(),
+			ctl.CheckConfigCommand(),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
