--- a/cmd/lagoonvalve/main.go
+++ b/cmd/lagoonvalve/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctl"
 )
 
 // version is the release; the linker sets it for release builds.
@@ -35,6 +37,8 @@
 			demoCommand(),
 			checkConfigCommand(),
 			{Name: "version", Usage: "print the version", Action: printVersion},
+			ctl.Command(),
+			ctl.CheckConfigCommand(),
 		},
 	}
 	return app.Run(ctx, os.Args)
