--- a/cmd/lagoonvalve/main.go
+++ b/cmd/lagoonvalve/main.go
@@ -35,7 +35,6 @@
 			agentCommand(),
 			standinCommand(),
 			demoCommand(),
-			checkConfigCommand(),
 			{Name: "version", Usage: "print the version", Action: printVersion},
 			ctl.Command(),
 			ctl.CheckConfigCommand(),
--- a/cmd/lagoonvalve/roles.go
+++ b/cmd/lagoonvalve/roles.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
-	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
@@ -135,39 +133,3 @@
 	<-ctx.Done()
 	return running.Stop()
 }
-
-func checkConfigCommand() *cli.Command {
-	return &cli.Command{
-		Name:      "check-config",
-		Usage:     "report every mistake of a settings file",
-		ArgsUsage: "FILE",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "role", Usage: "entry or agent; default by the file's [upstream] table"},
-		},
-		Action: func(_ context.Context, cmd *cli.Command) error {
-			path := cmd.Args().First()
-			if path == "" {
-				return errors.New("check-config: want a settings file")
-			}
-			role := cmd.String("role")
-			if role == "" {
-				role = roleOf(path)
-			}
-			if err := roles.Check(path, role); err != nil {
-				return err
-			}
-			_, err := fmt.Fprintf(cmd.Root().Writer, "%s: no mistakes (%s)\n", path, role)
-			return err
-		},
-	}
-}
-
-// roleOf guesses the role that a settings file is for: only an agent's has an
-// [upstream] table.
-func roleOf(path string) string {
-	data, err := os.ReadFile(path)
-	if err == nil && strings.Contains("\n"+string(data), "\n[upstream]") {
-		return "agent"
-	}
-	return "entry"
-}
--- a/internal/roles/standin.go
+++ b/internal/roles/standin.go
@@ -10,7 +10,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
-	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/standin"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -98,14 +97,3 @@
 		return nil, errors.Errorf("unknown stand-in %q; want one of log, store, hosts, engine, service", kind)
 	}
 }
-
-// Check reads a settings file of either role and reports every mistake.
-func Check(path, role string) error {
-	var err error
-	if role == "agent" {
-		_, err = settings.Load[settings.Agent](path)
-	} else {
-		_, err = settings.Load[settings.Entry](path)
-	}
-	return err
-}
