entry: carry out the operators' language, keep the audit trail

Cause: the language had no tables to read and nothing to change. Change: tables for queries, with the parts of the other entries and the names of those that did not answer; changes, prewarm, unload and quarantine; explain for models and requests; audit trail and counts per caller written to the log.

--- a/design/operators.go
+++ b/design/operators.go
@@ -33,8 +33,7 @@
 
 var statementResult = Type("StatementResult", func() {
 	Attribute("columns", ArrayOf(String))
-	Attribute("rows", ArrayOf(ArrayOf(String)))
-	Attribute("message", String, "What a command did.")
+	Attribute("rows", ArrayOf(ArrayOf(Any)))
 	Attribute("incomplete", ArrayOf(String), "Entries that did not answer in time.")
 	Required("columns", "rows", "incomplete")
 })
--- a/gen/http/cli/entry/cli.go
+++ b/gen/http/cli/entry/cli.go
@@ -33,8 +33,8 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers completions --caller \"Dolor quod modi voluptates corporis.\" --authorization \"Similique rerum dolor similique quis aperiam eius.\" --deadline-ms 5000 --priority \"high\" --idempotency-key \"Dolorum voluptatem nihil voluptates ad.\" --stream \"goa.png\"" + "\n" +
-		os.Args[0] + " " + "operators operate --body '{\n      \"statement\": \"show loaded by model\"\n   }' --authorization \"Cupiditate libero voluptates non ducimus et quia.\"" + "\n" +
+	return os.Args[0] + " " + "callers completions --caller \"Aut incidunt non sit facilis.\" --authorization \"Dolor quod modi voluptates corporis.\" --deadline-ms 5000 --priority \"high\" --idempotency-key \"Rerum dolor similique quis aperiam.\" --stream \"goa.png\"" + "\n" +
+		os.Args[0] + " " + "operators operate --body '{\n      \"statement\": \"show loaded by model\"\n   }' --authorization \"Voluptas esse explicabo cupiditate libero voluptates non.\"" + "\n" +
 		os.Args[0] + " " + "health live" + "\n" +
 		""
 }
@@ -333,7 +333,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers completions --caller \"Dolor quod modi voluptates corporis.\" --authorization \"Similique rerum dolor similique quis aperiam eius.\" --deadline-ms 5000 --priority \"high\" --idempotency-key \"Dolorum voluptatem nihil voluptates ad.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers completions --caller \"Aut incidunt non sit facilis.\" --authorization \"Dolor quod modi voluptates corporis.\" --deadline-ms 5000 --priority \"high\" --idempotency-key \"Rerum dolor similique quis aperiam.\" --stream \"goa.png\"")
 }
 
 func callersChatUsage() {
@@ -361,7 +361,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --caller \"Aut et quas saepe facilis voluptatibus.\" --authorization \"Reprehenderit vero et.\" --deadline-ms 5000 --priority \"low\" --idempotency-key \"Numquam numquam sit eos delectus dolores.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --caller \"Nostrum ducimus.\" --authorization \"Voluptatem nihil voluptates ad ut aut.\" --deadline-ms 5000 --priority \"normal\" --idempotency-key \"Saepe facilis voluptatibus rerum reprehenderit vero et.\" --stream \"goa.png\"")
 }
 
 func callersCallUsage() {
@@ -393,7 +393,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --service \"Itaque voluptatum dolorem.\" --path \"Officia excepturi mollitia quia.\" --caller \"Quam quasi quam saepe doloremque et vel.\" --authorization \"Quis et ea veniam suscipit nemo et.\" --deadline-ms 5000 --priority \"low\" --idempotency-key \"Omnis enim.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --service \"Nihil corporis accusantium.\" --path \"Itaque voluptatum dolorem.\" --caller \"Officia excepturi mollitia quia.\" --authorization \"Quam quasi quam saepe doloremque et vel.\" --deadline-ms 5000 --priority \"normal\" --idempotency-key \"Et ea veniam suscipit nemo et hic.\" --stream \"goa.png\"")
 }
 
 func callersModelsUsage() {
@@ -444,7 +444,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators operate --body '{\n      \"statement\": \"show loaded by model\"\n   }' --authorization \"Cupiditate libero voluptates non ducimus et quia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators operate --body '{\n      \"statement\": \"show loaded by model\"\n   }' --authorization \"Voluptas esse explicabo cupiditate libero voluptates non.\"")
 }
 
 func operatorsListUsage() {
@@ -468,7 +468,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators list --kind \"adapter\" --after \"Ea earum porro pariatur incidunt.\" --limit 324 --authorization \"Vel quis commodi eligendi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators list --kind \"team\" --after \"Consequuntur vero nihil sunt consequuntur itaque aut.\" --limit 600 --authorization \"Necessitatibus exercitationem ut perspiciatis qui.\"")
 }
 
 func operatorsGetUsage() {
@@ -490,7 +490,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get --kind \"service\" --name \"Incidunt sapiente ut.\" --authorization \"Et eos provident officiis eum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators get --kind \"model\" --name \"Rem perferendis maxime veritatis natus possimus.\" --authorization \"Rerum rerum neque consequuntur necessitatibus.\"")
 }
 
 func operatorsPutUsage() {
@@ -518,7 +518,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators put --body \"Et repudiandae ex quos enim architecto eligendi.\" --kind \"upstream\" --name \"Porro aut nemo velit sunt rem est.\" --authorization \"Ut laborum sed.\" --if-match \"Voluptate perferendis deserunt placeat velit corporis.\" --reason \"Ipsam cupiditate ut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators put --body \"Atque sunt sed in incidunt sed.\" --kind \"version\" --name \"Cupiditate ut consequatur sunt veritatis.\" --authorization \"Quia commodi repudiandae qui et.\" --if-match \"Ex quos enim architecto eligendi rerum omnis.\" --reason \"Praesentium voluptas.\"")
 }
 
 func operatorsDeleteUsage() {
@@ -544,7 +544,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators delete --kind \"model\" --name \"Sunt consequuntur dolor quas suscipit quia.\" --authorization \"Voluptas aut.\" --if-match \"Illum molestias qui delectus accusantium perferendis.\" --reason \"Dolore qui et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operators delete --kind \"service\" --name \"Qui et explicabo.\" --authorization \"Molestias velit et harum quia facilis.\" --if-match \"Dolorem eaque necessitatibus voluptates.\" --reason \"Ipsa molestias corrupti sunt eius qui.\"")
 }
 
 // healthUsage displays the usage of the health command and its subcommands.
--- a/gen/http/operators/client/cli.go
+++ b/gen/http/operators/client/cli.go
@@ -143,7 +143,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsPutBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Et repudiandae ex quos enim architecto eligendi.\"")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Atque sunt sed in incidunt sed.\"")
 		}
 	}
 	var kind string
--- a/gen/http/operators/client/types.go
+++ b/gen/http/operators/client/types.go
@@ -21,10 +21,8 @@
 // OperateResponseBody is the type of the "operators" service "operate"
 // endpoint HTTP response body.
 type OperateResponseBody struct {
-	Columns []string   `form:"columns,omitempty" json:"columns,omitempty" xml:"columns,omitempty"`
-	Rows    [][]string `form:"rows,omitempty" json:"rows,omitempty" xml:"rows,omitempty"`
-	// What a command did.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	Columns []string `form:"columns,omitempty" json:"columns,omitempty" xml:"columns,omitempty"`
+	Rows    [][]any  `form:"rows,omitempty" json:"rows,omitempty" xml:"rows,omitempty"`
 	// Entries that did not answer in time.
 	Incomplete []string `form:"incomplete,omitempty" json:"incomplete,omitempty" xml:"incomplete,omitempty"`
 }
@@ -83,16 +81,14 @@
 // NewOperateStatementResultOK builds a "operators" service "operate" endpoint
 // result from a HTTP "OK" response.
 func NewOperateStatementResultOK(body *OperateResponseBody) *operators.StatementResult {
-	v := &operators.StatementResult{
-		Message: body.Message,
-	}
+	v := &operators.StatementResult{}
 	v.Columns = make([]string, len(body.Columns))
 	for i, val := range body.Columns {
 		v.Columns[i] = val
 	}
-	v.Rows = make([][]string, len(body.Rows))
+	v.Rows = make([][]any, len(body.Rows))
 	for i, val := range body.Rows {
-		v.Rows[i] = make([]string, len(val))
+		v.Rows[i] = make([]any, len(val))
 		for j, val := range val {
 			v.Rows[i][j] = val
 		}
--- a/gen/http/operators/server/types.go
+++ b/gen/http/operators/server/types.go
@@ -23,10 +23,8 @@
 // OperateResponseBody is the type of the "operators" service "operate"
 // endpoint HTTP response body.
 type OperateResponseBody struct {
-	Columns []string   `form:"columns" json:"columns" xml:"columns"`
-	Rows    [][]string `form:"rows" json:"rows" xml:"rows"`
-	// What a command did.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	Columns []string `form:"columns" json:"columns" xml:"columns"`
+	Rows    [][]any  `form:"rows" json:"rows" xml:"rows"`
 	// Entries that did not answer in time.
 	Incomplete []string `form:"incomplete" json:"incomplete" xml:"incomplete"`
 }
@@ -76,9 +74,7 @@
 // NewOperateResponseBody builds the HTTP response body from the result of the
 // "operate" endpoint of the "operators" service.
 func NewOperateResponseBody(res *operators.StatementResult) *OperateResponseBody {
-	body := &OperateResponseBody{
-		Message: res.Message,
-	}
+	body := &OperateResponseBody{}
 	if res.Columns != nil {
 		body.Columns = make([]string, len(res.Columns))
 		for i, val := range res.Columns {
@@ -88,15 +84,15 @@
 		body.Columns = []string{}
 	}
 	if res.Rows != nil {
-		body.Rows = make([][]string, len(res.Rows))
+		body.Rows = make([][]any, len(res.Rows))
 		for i, val := range res.Rows {
-			body.Rows[i] = make([]string, len(val))
+			body.Rows[i] = make([]any, len(val))
 			for j, val := range val {
 				body.Rows[i][j] = val
 			}
 		}
 	} else {
-		body.Rows = [][]string{}
+		body.Rows = [][]any{}
 	}
 	if res.Incomplete != nil {
 		body.Incomplete = make([]string, len(res.Incomplete))
--- a/gen/operators/service.go
+++ b/gen/operators/service.go
@@ -128,9 +128,7 @@
 // StatementResult is the result type of the operators service operate method.
 type StatementResult struct {
 	Columns []string
-	Rows    [][]string
-	// What a command did.
-	Message *string
+	Rows    [][]any
 	// Entries that did not answer in time.
 	Incomplete []string
 }
--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -139,6 +139,9 @@
 	return out
 }
 
+// Waiting counts the requests that wait for an answer.
+func (o *Owner) Waiting() int { return len(o.waiting) }
+
 // Truncated raises T0. Keys that are too old from now on are forgotten, since
 // no claim of theirs is ever granted again.
 func (o *Owner) Truncated(t0 time.Time) {
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -128,6 +128,24 @@
 	})
 }
 
+// waiting counts the requests that wait at this entry's shards.
+func (s *claimShards) waiting(ctx context.Context) map[int]int {
+	reply := make(chan map[int]int, 1)
+	s.post(ctx, func(context.Context, time.Time) {
+		counts := make(map[int]int, len(s.shards))
+		for number := range s.shards {
+			counts[number] = s.shards[number].owner.Waiting()
+		}
+		reply <- counts
+	})
+	select {
+	case counts := <-reply:
+		return counts
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 func (s *claimShards) shard(ctx context.Context, number int, now time.Time) *claimShard {
 	shard, ok := s.shards[number]
 	if !ok {
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -31,6 +31,8 @@
 	watched  time.Time
 	reported time.Time
 	demands  map[state.ModelName]demandNoted
+	// hosts is the last reading of the host list.
+	hosts []platform.HostInfo
 }
 
 type demandNoted struct {
@@ -60,6 +62,7 @@
 type hostsRead struct{ hosts []platform.HostInfo }
 
 func (e hostsRead) apply(c *control, now time.Time) {
+	c.fleet.hosts = e.hosts
 	c.fleet.fleet.Hosts(e.hosts, now)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,7 +15,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/lagoonvalve/lagoonvalve/gen/operators"
+	"github.com/lagoonvalve/lagoonvalve/internal/audit"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
@@ -26,7 +26,6 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
-	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
 const (
@@ -72,6 +71,9 @@
 	relay   *logclient.Relay
 	router  *claimRouter
 	counts  *counterSet
+	ledger  *ledger
+	trail   *audit.Trail
+	reports *audit.Reporter
 }
 
 // New returns an entry. It does nothing before Run.
@@ -87,6 +89,9 @@
 		caller: deps.Caller, appender: e.writer, logger: deps.Logger, counters: e.counts,
 	}, time.Now())
 	e.shards = newClaimShards(self, deps.Log, e.writer, deps.Caller, e.agentAddress, deps.Logger)
+	e.ledger = newLedger(time.Now())
+	e.trail = audit.NewTrail(self, cfg.Region, auditAppender{e.writer}, audit.Options{})
+	e.reports = audit.NewReporter(e.ledger.counts, self, cfg.Region, auditAppender{e.writer})
 	e.gateway = e.newGateway(self)
 	return e
 }
@@ -120,7 +125,7 @@
 			defaultCaller:   state.Caller{Name: "anonymous", Highest: state.ClassNormal, Weight: 1},
 		},
 		view:       e.control.view,
-		sink:       requestSink{meter: e.deps.Meter},
+		sink:       requestSink{meter: e.deps.Meter, ledger: e.ledger},
 		client:     newTrafficClient(true),
 		onceClient: newTrafficClient(false),
 		limiter:    admission.NewLimiter(admission.LimiterConfig{PerCaller: limits.CallerInFlight, PerModel: limits.ModelInFlight}),
@@ -219,13 +224,14 @@
 	group.Go(func() error { return e.control.followStream(ctx, e.relay, platform.StreamConfig) })
 	group.Go(func() error { return e.control.followStream(ctx, e.relay, region) })
 	group.Go(func() error { return e.readHosts(ctx) })
+	group.Go(func() error { return e.flushAudit(ctx) })
 	group.Go(func() error { return e.keepRooms(ctx) })
 	group.Go(func() error { return e.forgetUnused(ctx) })
 }
 
 func (e *Entry) startServers(ctx context.Context, group *errgroup.Group, listeners Listeners) {
 	callersServer := newHTTPServer(callersHandler(callersAPI{gateway: e.gateway}, e.readiness))
-	api := operatorsAPI{control: e.control, tokens: e.cfg.Tokens, run: e.statements()}
+	api := operatorsAPI{control: e.control, tokens: e.cfg.Tokens, run: statements{e}, change: e.change}
 	operatorsServer := newHTTPServer(operatorsHandler(api, e.readiness, e.deps.Metrics))
 	group.Go(func() error { return serveHTTP(ctx, callersServer, listeners.Callers) })
 	group.Go(func() error { return serveHTTP(ctx, operatorsServer, listeners.Operators) })
@@ -243,6 +249,7 @@
 		e.deps.Logger.Warn("requests were still in flight at the end of the drain", "error", err)
 		sleepPlain(e.cfg.Shutdown.StopTimeout.Std())
 	}
+	e.flushLast()
 }
 
 // sleepPlain gives refused requests the time to reach their callers.
@@ -294,15 +301,6 @@
 	return nil
 }
 
-// statements returns the runner of the operators' language.
-func (e *Entry) statements() statementRunner { return noStatements{} }
-
-type noStatements struct{}
-
-func (noStatements) runStatement(context.Context, settings.Token, string) (*operators.StatementResult, error) {
-	return nil, verdict.Refuse(verdict.ReasonBadRequest, "statements are not served here")
-}
-
 // Ready waits until the entry takes requests or ctx ends.
 func (e *Entry) Ready(ctx context.Context) error {
 	for e.readiness() != nil {
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -59,7 +59,7 @@
 
 // outcomeSink hears how each request ended.
 type outcomeSink interface {
-	ended(req *request, v *verdict.Verdict, firstToken, total time.Duration)
+	ended(e *execution, v *verdict.Verdict)
 	retried(req *request, reason verdict.Reason)
 	hedged(req *request, result telemetry.HedgeResult)
 }
@@ -134,7 +134,7 @@
 	defer cancel()
 	e := &execution{gateway: g, request: req, exchange: x}
 	v := e.run(ctx, current)
-	g.sink.ended(req, v, e.firstToken, time.Since(req.arrived))
+	g.sink.ended(e, v)
 	return e.finish(v)
 }
 
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -185,7 +185,7 @@
 	for key, h := range c.homes.byKey {
 		c.decideHome(h, now)
 		h.answer(c, now)
-		if now.Sub(h.lastUsed) > homeIdle && len(h.parked) == 0 {
+		if now.Sub(h.lastUsed) > homeIdle && len(h.parked) == 0 && len(h.replicas) == 0 {
 			delete(c.homes.byKey, key)
 		}
 	}
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/audit"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -18,9 +19,24 @@
 }
 
 // requestSink passes what happens to requests on to the metrics.
-type requestSink struct{ meter Meter }
+type requestSink struct {
+	meter  Meter
+	ledger *ledger
+}
 
-func (s requestSink) ended(req *request, v *verdict.Verdict, firstToken, _ time.Duration) {
+func (s requestSink) ended(e *execution, v *verdict.Verdict) {
+	req, firstToken := e.request, e.firstToken
+	now := time.Now()
+	failure := v
+	if v.Execution == verdict.Ran && v.Reason == verdict.ReasonOK {
+		failure = nil
+	}
+	outcome, _ := audit.OutcomeOf(failure, now.After(req.deadline))
+	s.ledger.add(ended{
+		id: req.id, at: now, caller: req.caller.Name, target: req.target.String(), adapter: req.target.adapter,
+		class: req.class, verdict: *v, outcome: outcome, attempts: e.attempts, upstream: e.lastTried,
+		fingerprint: req.fingerprint, firstToken: firstToken, total: now.Sub(req.arrived),
+	})
 	if s.meter == nil {
 		return
 	}
--- a/internal/entry/methods.go
+++ b/internal/entry/methods.go
@@ -20,6 +20,7 @@
 		rpc.MethodClaim:     rpc.Method(e.shards.ask),
 		rpc.MethodClaimDone: rpc.Method(e.claimOutcome),
 		rpc.MethodStoreSlot: rpc.Method(e.storeSlot),
+		rpc.MethodQuery:     rpc.Method(e.query),
 	}
 	maps.Copy(all, e.relay.Methods())
 	return all
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -19,6 +19,9 @@
 	tokens  []settings.Token
 	// run carries out a statement of the operators' language.
 	run statementRunner
+	// change makes a change of the configuration and notes it in the audit
+	// trail.
+	change func(ctx context.Context, change state.ConfigChange) (state.Outcome, error)
 }
 
 // statementRunner runs a statement for an operator.
@@ -117,19 +120,19 @@
 	if err != nil {
 		return nil, verdict.Refuse(verdict.ReasonBadRequest, "the value is not valid JSON")
 	}
-	return a.change(ctx, p.Authorization, state.ConfigChange{
+	return a.changeEntity(ctx, p.Authorization, state.ConfigChange{
 		Entity: state.EntityKind(p.Kind), Name: p.Name, Value: value,
 	}, p.IfMatch, p.Reason)
 }
 
 // Delete implements operators.Service.
 func (a operatorsAPI) Delete(ctx context.Context, p *operators.DeletePayload) (*operators.ChangeResult, error) {
-	return a.change(ctx, p.Authorization, state.ConfigChange{
+	return a.changeEntity(ctx, p.Authorization, state.ConfigChange{
 		Entity: state.EntityKind(p.Kind), Name: p.Name,
 	}, &p.IfMatch, p.Reason)
 }
 
-func (a operatorsAPI) change(ctx context.Context, authorization *string, change state.ConfigChange, ifMatch, reason *string) (*operators.ChangeResult, error) {
+func (a operatorsAPI) changeEntity(ctx context.Context, authorization *string, change state.ConfigChange, ifMatch, reason *string) (*operators.ChangeResult, error) {
 	who, err := a.authorize(authorization, neededRole(change.Entity))
 	if err != nil {
 		return nil, err
@@ -144,7 +147,7 @@
 	}
 	change.Actor = who.Name
 	change.Team = teamOf(who)
-	outcome, err := a.control.changeConfig(ctx, change)
+	outcome, err := a.change(ctx, change)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	healthserver "github.com/lagoonvalve/lagoonvalve/gen/http/health/server"
 	operatorsserver "github.com/lagoonvalve/lagoonvalve/gen/http/operators/server"
 	"github.com/lagoonvalve/lagoonvalve/gen/operators"
+	"github.com/lagoonvalve/lagoonvalve/internal/oplang"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -50,6 +51,10 @@
 // its work may have run. goa's own errors are about requests that it could
 // not decode, so nothing has run.
 func formatError(ctx context.Context, err error) goahttp.Statuser {
+	var mistake *oplang.Mistake
+	if errors.As(err, &mistake) {
+		return mistakeBody(ctx, mistake)
+	}
 	var decodeError *goa.ServiceError
 	var v *verdict.Verdict
 	if !errors.As(err, &v) && errors.As(err, &decodeError) {
@@ -65,6 +70,31 @@
 	return &errorBody{Body: body, status: v.Reason.HTTPStatus()}
 }
 
+// mistakeAnswer is the error answer to a statement with a mistake.
+type mistakeAnswer struct {
+	Error mistakeError `json:"error"`
+}
+
+type mistakeError struct {
+	verdict.BodyError
+	Mistake *oplang.Mistake `json:"mistake"`
+}
+
+// StatusCode implements goahttp.Statuser.
+func (*mistakeAnswer) StatusCode() int { return http.StatusBadRequest }
+
+func mistakeBody(ctx context.Context, mistake *oplang.Mistake) goahttp.Statuser {
+	v := verdict.Refuse(oplang.CodeMistake, mistake.Error())
+	if x := exchangeOf(ctx); x != nil {
+		v.SetHeaders(x.answer.Header())
+		x.answer.override = http.StatusBadRequest
+	}
+	return &mistakeAnswer{Error: mistakeError{
+		BodyError: verdict.BodyError{Code: v.Reason, Verdict: v.Execution.String(), Message: v.Detail},
+		Mistake:   mistake,
+	}}
+}
+
 // callersHandler serves callers' requests and health.
 func callersHandler(api callers.Service, ready func() error) http.Handler {
 	mux := goahttp.NewMuxer()
--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -38,7 +38,14 @@
 
 type waiter struct {
 	// ready gets nil when the request may go, or the verdict that ends it.
-	ready   chan *verdict.Verdict
+	ready chan *verdict.Verdict
+	waitingGroup
+}
+
+// waitingGroup is what operators group waiting requests by.
+type waitingGroup struct {
+	caller  state.CallerName
+	class   state.Class
 	adapter state.AdapterName
 }
 
@@ -53,7 +60,10 @@
 // enter waits until the request may be sent, its deadline or its caller's
 // leaving. loadWait is the predicted time until a replica is ready.
 func (w *waitingRoom) enter(ctx context.Context, item admission.Item, loadWait time.Duration) *verdict.Verdict {
-	mine := &waiter{ready: make(chan *verdict.Verdict, 1), adapter: item.Adapter}
+	mine := &waiter{
+		ready:        make(chan *verdict.Verdict, 1),
+		waitingGroup: waitingGroup{caller: item.Caller, class: item.Class, adapter: item.Adapter},
+	}
 	if refusal := w.offer(time.Now(), item, mine, loadWait); refusal != nil {
 		return refusal
 	}
@@ -152,6 +162,17 @@
 	return w.queue.Waiting(), w.queue.Work(), w.outstanding
 }
 
+// groups counts the waiting requests for operators.
+func (w *waitingRoom) groups() map[waitingGroup]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := make(map[waitingGroup]int)
+	for _, mine := range w.waiters {
+		counts[mine.waitingGroup]++
+	}
+	return counts
+}
+
 func (w *waitingRoom) release(now time.Time) {
 	limit := int(w.window * float64(w.replicas))
 	for w.outstanding < limit {
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -335,13 +335,13 @@
 // PingResult answers a ping with the same about the receiver.
 type PingResult = PingParams
 
-// QueryParams asks an entry for its own part of an operator's query.
+// QueryParams asks an entry for its own rows of a table.
 type QueryParams struct {
-	Statement string `json:"statement"`
+	Table string `json:"table"`
 }
 
-// QueryResult is an entry's part of a query's answer.
+// QueryResult holds an entry's rows. The cells are text; both sides know the
+// columns and their types.
 type QueryResult struct {
-	Columns []string   `json:"columns"`
-	Rows    [][]string `json:"rows"`
+	Rows [][]string `json:"rows"`
 }
