--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -137,7 +137,12 @@
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, value any) bool {
-	err := json.NewDecoder(io.LimitReader(r.Body, maxRequest)).Decode(value)
+	// The server notices that a caller left only after the body is read to its
+	// end, which a JSON decoder does not do.
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequest))
+	if err == nil {
+		err = json.Unmarshal(body, value)
+	}
 	if err != nil {
 		http.Error(w, "body not readable as JSON", http.StatusBadRequest)
 		return false
