--- /dev/null
+++ b/internal/standin/platform_test.go
@@ -0,0 +1,128 @@
+package standin_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/standin"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+var (
+	_ platform.Log      = (*standin.Log)(nil)
+	_ platform.HostList = (*standin.Hosts)(nil)
+	_ platform.Engine   = (*standin.Engine)(nil)
+	_ standin.Fetcher   = (*standin.Store)(nil)
+	_ standin.Fetcher   = (*standin.HTTPFetcher)(nil)
+)
+
+// post sends body to handler without a network; aborted tells that the
+// handler ended the connection.
+func post(ctx context.Context, handler http.Handler, path, body string, header ...string) (answer *httptest.ResponseRecorder, aborted bool) {
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	answer = httptest.NewRecorder()
+	defer func() { aborted = recover() != nil }()
+	handler.ServeHTTP(answer, req)
+	return answer, false
+}
+
+// Guards against a log that takes more than its rate, keeps more than its
+// retention, or wakes no waiting reader.
+func TestLogLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		log := standin.NewLog(standin.LogConfig{AppendsPerSecond: 10, Burst: 1, RetainFor: time.Minute})
+		_, err := log.Append(t.Context(), "s", []state.Record{{ID: "a"}, {ID: "b"}})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = log.Append(t.Context(), "s", []state.Record{{ID: "c"}})
+		g.Expect(errors.Is(err, platform.ErrUnavailable)).To(BeTrue())
+		began := time.Now()
+		time.AfterFunc(5*time.Second, func() { _, _ = log.Append(t.Context(), "s", []state.Record{{ID: "d"}}) })
+		page, err := log.Read(t.Context(), "s", 2, 10, 10*time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Records[0].ID).To(Equal("d"))
+		g.Expect(time.Since(began)).To(Equal(5 * time.Second))
+		time.Sleep(57 * time.Second)
+		page, err = log.Read(t.Context(), "s", 0, 10, 0)
+		g.Expect(errors.Is(err, platform.ErrTruncated)).To(BeTrue())
+		g.Expect(page.Oldest).To(Equal(state.Offset(2)))
+	})
+}
+
+// Guards against a store that is faster or slower than the platform's.
+func TestStoreSharesItsSpeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := standin.NewStore(standin.StoreConfig{LoadsPerSecond: 1000, BytesPerSecond: state.GiB})
+		loads := func(count int, load func() error) time.Duration {
+			began := time.Now()
+			done := make(chan error, count)
+			for range count {
+				go func() { done <- load() }()
+			}
+			for range count {
+				g.Expect(<-done).To(Succeed())
+			}
+			return time.Since(began)
+		}
+		weights := func() error { return store.FetchWeights(t.Context(), 4*state.GiB) }
+		adapter := func() error { return store.FetchAdapter(t.Context()) }
+		slack := 20 * time.Millisecond
+		g.Expect(loads(4, weights)).To(BeNumerically("~", 4*time.Second, slack))
+		g.Expect(loads(8, weights)).To(BeNumerically("~", 8*time.Second, slack))
+		g.Expect(loads(30, adapter)).To(BeNumerically("~", 8*time.Millisecond, time.Millisecond))
+		g.Expect(loads(90, adapter)).To(BeNumerically("~", 24*time.Millisecond, time.Millisecond))
+		store.SetFaults(standin.StoreFaults{Slowdown: 3})
+		g.Expect(loads(1, weights)).To(BeNumerically("~", 12*time.Second, slack))
+		limited := standin.NewStore(standin.StoreConfig{})
+		tiny := func() error { return limited.FetchWeights(t.Context(), 1) }
+		g.Expect(loads(7, tiny)).To(BeNumerically("~", 2*time.Second, slack), "3 loads a second")
+	})
+}
+
+// Guards against a host list that shows changes too early or never.
+func TestHostsLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		hosts := standin.NewHosts(10*time.Second, platform.HostInfo{Name: "a"}, platform.HostInfo{Name: "b"})
+		hosts.Set(platform.HostInfo{Name: "a", State: platform.HostLeaving})
+		hosts.Remove("b")
+		time.Sleep(9 * time.Second)
+		list, err := hosts.Hosts(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(list).To(HaveLen(2))
+		time.Sleep(time.Second)
+		list, err = hosts.Hosts(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(list).To(Equal([]platform.HostInfo{{Name: "a", State: platform.HostLeaving}}))
+	})
+}
+
+// Guards against a fault switch that resets the others, and against doubled
+// work that the service does not show.
+func TestServiceCountsAndFaults(t *testing.T) {
+	g := NewWithT(t)
+	service := standin.NewService("tickets", "order")
+	service.SetFaults(standin.ServiceFaults{FailNext: 1})
+	answer, _ := post(t.Context(), service, standin.PathFaults, `{"lose_next":1}`)
+	g.Expect(answer.Code).To(Equal(http.StatusOK))
+	g.Expect(service.Faults()).To(Equal(standin.ServiceFaults{FailNext: 1, LoseNext: 1}))
+	_, aborted := post(t.Context(), service, "/issue", `{"order":"7"}`)
+	g.Expect(aborted).To(BeTrue())
+	answer, _ = post(t.Context(), service, "/issue", `{"order":"7"}`)
+	g.Expect(answer.Code).To(Equal(http.StatusInternalServerError))
+	_, _ = post(t.Context(), service, "/issue", `{}`, standin.HeaderIdempotencyKey, "k")
+	g.Expect(service.Executions()).To(Equal(map[string]int{"7": 2, "k": 1}))
+}
