agent: let requests wait for an evicted adapter; test heartbeats and replays

Cause: a request for an adapter that had been evicted was refused until its next load, because its usage stayed closed. Change: usage opens again once a listing settles the unload; a hook for the keep-alive of a replica; tests of the heartbeat rate, whole streams, broken connections and rpc calls.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -124,6 +124,10 @@
 	// SlotOwner returns the control address of the entry that hands out
 	// store slots; without one, loads need no slot.
 	SlotOwner func() (addr string, ok bool)
+	// KeepAlive says how long an idle replica of a model that sets no
+	// keep-alive stays loaded; default Config.KeepAlive. It is called on each
+	// tick.
+	KeepAlive func(key state.ReplicaKey) time.Duration
 	// Burst decides on evictions before the end of keep-alive; default none.
 	Burst account.BurstRule
 	// Transport carries requests to the upstream; default one made for it.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -43,7 +43,8 @@
 		w.Expect(got.body).To(Equal("answer"))
 		w.Expect(got.verdict()).To(Equal("ran"))
 		w.Expect(got.header.Get(agent.HeaderLoad)).To(Equal("queue=0 running=1 short_wait_ms=0 agent=1"))
-		last := w.caller.beats[len(w.caller.beats)-1]
+		beats := w.caller.sent()
+		last := beats[len(beats)-1]
 		w.Expect(last.State).To(Equal(rpc.AgentServing))
 		w.Expect(last.Replicas).To(HaveLen(1))
 	})
@@ -59,6 +60,50 @@
 	})
 }
 
+// Guards against a request for an evicted adapter that is refused instead of
+// waiting for the next load.
+func TestEvictedAdapterLoadsAgain(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.cfg.Upstream.Memory = 51 // one replica and one adapter
+		w.awake()
+		for _, name := range []string{"x", "y", "x"} {
+			w.Expect(w.request(anyone, agent.HeaderAdapter, name).body).To(Equal("answer"))
+			settle(2 * time.Second)
+		}
+		w.Expect(w.engine.ordered(platform.OrderUnloadAdapter)).To(Equal(2))
+	})
+}
+
+// Guards against heartbeats that stop or that follow each other too fast.
+func TestHeartbeatRate(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		before := len(w.caller.sent())
+		settle(20 * time.Second)
+		w.Expect(len(w.caller.sent()) - before).To(BeNumerically("~", 4, 1))
+		before = len(w.caller.sent())
+		for i := range 40 {
+			w.call(rpc.MethodDrain, rpc.DrainParams{Draining: i%2 == 0}, &struct{}{})
+			settle(100 * time.Millisecond)
+		}
+		w.Expect(len(w.caller.sent()) - before).To(BeNumerically("<=", 5))
+	})
+}
+
+// Guards against a whole stream without its end or without its verdict.
+func TestWholeStream(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.engine.handle(func(out http.ResponseWriter, _ *http.Request) {
+			out.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(out, "data: 1\n\ndata: [DONE]\n\n")
+		})
+		got := w.request(anyone)
+		w.Expect(got.body).To(HaveSuffix("data: [DONE]\n\n"))
+		w.Expect(got.trailer.Get("Lagoon-Verdict")).To(Equal("ran"))
+	})
+}
+
 // Guards against new work after a drain order, and against a drain that ends
 // running work.
 func TestDrain(t *testing.T) {
@@ -100,8 +145,7 @@
 		w.awake()
 		w.stop()
 		w.Expect(<-w.ended).To(Succeed())
-		records := w.log.streams[region]
-		last := records[len(records)-1]
+		last := w.log.last(region)
 		w.Expect(last.Kind).To(Equal(state.KindIntent))
 		w.Expect(decode[state.Intent](last).Models).To(BeEmpty())
 		w.Expect(w.engine.ordered(platform.OrderUnload)).To(BeZero())
@@ -195,6 +239,20 @@
 	return result
 }
 
+// Guards against net/http sending a request with an Idempotency-Key a second
+// time when a used connection breaks.
+func TestBrokenConnectionIsNotReplayed(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.Expect(w.request(anyone).body).To(Equal("answer"))
+		w.engine.handle(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		claimed := []string{agent.HeaderClaim, claimID, agent.HeaderAgent, "1", "Idempotency-Key", "k"}
+		w.Expect(w.request(anyone, claimed...).verdict()).To(Equal("may-have-run"))
+		w.Expect(w.engine.served()).To(Equal(2))
+		w.Expect(w.claimStatus(claimID, "first").State).To(Equal(rpc.ClaimUnknown))
+	})
+}
+
 // Guards against a claim that runs after the agent has said that it never
 // will, or after a refusal.
 func TestRefusedClaimNeverRuns(t *testing.T) {
@@ -243,7 +301,7 @@
 func TestEngineCrashInStream(t *testing.T) {
 	inBubble(t, func(w *world) {
 		w.awake()
-		w.engine.handler = stream(true)
+		w.engine.handle(stream(true))
 		one, two := w.background(agent.HeaderFingerprint, "a1"), w.background(agent.HeaderFingerprint, "b2")
 		w.engine.crash()
 		for _, done := range []chan answer{one, two} {
@@ -257,7 +315,7 @@
 		settle(2 * time.Second)
 		w.Expect(w.request(anyone).reason()).To(Equal(string(verdict.ReasonNoReplica)), "nothing is loaded any more")
 		w.Expect(w.wake().Refusal).To(BeNil(), "the grants still hold")
-		w.engine.handler = stream(false)
+		w.engine.handle(stream(false))
 		plain := w.background()
 		w.engine.crash()
 		w.Expect((<-plain).err).To(HaveOccurred(), "the connection must be cut")
@@ -271,10 +329,10 @@
 		w.cfg.Concurrency = 1
 		w.awake()
 		gone := make(chan struct{})
-		w.engine.handler = func(_ http.ResponseWriter, r *http.Request) {
+		w.engine.handle(func(_ http.ResponseWriter, r *http.Request) {
 			<-r.Context().Done()
 			close(gone)
-		}
+		})
 		ctx, leave := context.WithCancel(anyone)
 		go w.request(ctx)
 		synctest.Wait()
@@ -296,7 +354,7 @@
 		w.engine.crash()
 		settle(2 * time.Second)
 		w.Expect(w.wake().Refusal.Reason).To(Equal(verdict.ReasonNotReady))
-		w.Expect(w.engine.orders).To(BeEmpty())
+		w.Expect(w.engine.allOrders()).To(BeEmpty())
 		w.log.set(func(l *fakeLog) { l.down, l.lose = false, true })
 		settle(10 * time.Second)
 		w.log.set(func(l *fakeLog) { l.lose = false })
@@ -332,7 +390,7 @@
 		w.Expect(err).NotTo(HaveOccurred())
 		w.Expect(<-w.ended).To(Succeed())
 		w.ended <- nil
-		w.Expect(w.engine.orders).To(BeEmpty())
+		w.Expect(w.engine.allOrders()).To(BeEmpty())
 	})
 }
 
@@ -355,6 +413,6 @@
 		w.start()
 		w.Expect(w.wake().Refusal).NotTo(BeNil())
 		w.Expect(w.request(anyone).reason()).To(Equal(string(verdict.ReasonUnknownService)))
-		w.Expect(w.engine.orders).To(BeEmpty())
+		w.Expect(w.engine.allOrders()).To(BeEmpty())
 	})
 }
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -50,6 +50,7 @@
 	loadStarted map[state.ReplicaKey]time.Time
 	loadRate    float64 // bytes of weights per second, measured
 	slots       map[state.ReplicaKey]string
+	shut        map[target]struct{} // what no request may use
 	heart       heart
 }
 
@@ -65,6 +66,7 @@
 		appended:     make(map[string]uint64),
 		loadStarted:  make(map[state.ReplicaKey]time.Time),
 		slots:        make(map[state.ReplicaKey]string),
+		shut:         make(map[target]struct{}),
 	}
 	if !a.service {
 		c.account = account.New(account.Config{
@@ -147,6 +149,9 @@
 		u.InFlight = max(int(in.inFlight.Load()), 0)
 		u.LastUsed = in.last()
 	}
+	if c.agent.deps.KeepAlive != nil {
+		u.KeepAlive = c.agent.deps.KeepAlive(key)
+	}
 	if model, known := c.tables.Model(key.Model); known && model.KeepAlive > 0 {
 		u.KeepAlive = model.KeepAlive.Std()
 	}
@@ -208,16 +213,13 @@
 	c.post(func() { c.listingAt = time.Time{} })
 }
 
-// openUsages lets requests use replicas and adapters that are ready and not
-// being unloaded.
+// openUsages lets requests use what is not being unloaded any more. A request
+// for an adapter that is gone may then wait for its next load.
 func (c *control) openUsages() {
-	for _, r := range c.account.Replicas() {
-		if r.State != state.ReplicaReady {
-			continue
-		}
-		c.agent.usages.of(target{key: r.ReplicaKey}).open()
-		for _, name := range r.Adapters {
-			c.agent.usages.of(target{r.ReplicaKey, name}).open()
+	for t := range c.shut {
+		if !c.account.Unloading(t.key, t.adapter) {
+			c.agent.usages.of(t).open()
+			delete(c.shut, t)
 		}
 	}
 }
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -144,6 +144,12 @@
 	}
 }
 
+func (l *fakeLog) last(stream platform.Stream) state.Positioned {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams[stream][len(l.streams[stream])-1]
+}
+
 func (l *fakeLog) kinds(stream platform.Stream) []state.Kind {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -278,7 +284,10 @@
 	case o.Kind == platform.OrderUnload && at >= 0:
 		e.replicas = slices.Delete(slices.Clone(e.replicas), at, at+1)
 	case o.Kind == platform.OrderLoadAdapter && at >= 0:
-		e.replicas[at].Adapters = append(e.replicas[at].Adapters, o.Adapter)
+		e.replicas[at].Adapters = append(slices.Clone(e.replicas[at].Adapters), o.Adapter)
+	case o.Kind == platform.OrderUnloadAdapter && at >= 0:
+		e.replicas[at].Adapters = slices.DeleteFunc(slices.Clone(e.replicas[at].Adapters),
+			func(name state.AdapterName) bool { return name == o.Adapter })
 	}
 	return nil
 }
@@ -295,6 +304,18 @@
 	return count
 }
 
+func (e *fakeEngine) allOrders() []platform.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+func (e *fakeEngine) handle(handler http.HandlerFunc) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.handler = handler
+}
+
 func (e *fakeEngine) served() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -346,6 +367,12 @@
 	return nil
 }
 
+func (c *fakeCaller) sent() []rpc.Heartbeat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.beats)
+}
+
 func (c *fakeCaller) setLeaving() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -51,7 +51,7 @@
 		caller:      &fakeCaller{},
 		client:      &http.Client{Transport: &http.Transport{DialContext: n.Dial}},
 	}
-	w.engine.handler = func(out http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(out, "answer") }
+	w.engine.handle(func(out http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(out, "answer") })
 	w.engine.start()
 	w.cfg = agent.Config{
 		Upstream: state.Upstream{
@@ -173,12 +173,12 @@
 // hold makes the engine keep requests until the returned function is called.
 func (w *world) hold() (release func()) {
 	gate := make(chan struct{})
-	w.engine.handler = func(out http.ResponseWriter, r *http.Request) {
+	w.engine.handle(func(out http.ResponseWriter, r *http.Request) {
 		select {
 		case <-gate:
 			_, _ = io.WriteString(out, "answer")
 		case <-r.Context().Done():
 		}
-	}
+	})
 	return func() { close(gate) }
 }
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -38,9 +38,12 @@
 func (c *control) sendOrder(now time.Time, cmd account.SendOrder) {
 	order := cmd.Order
 	unload := order.Kind == platform.OrderUnload || order.Kind == platform.OrderUnloadAdapter
-	if unload && !c.agent.usages.of(target{order.ReplicaKey, order.Adapter}).shut() {
-		c.account.Result(now, cmd.ID, account.Refused)
-		return
+	if t := (target{order.ReplicaKey, order.Adapter}); unload {
+		if !c.agent.usages.of(t).shut() {
+			c.account.Result(now, cmd.ID, account.Refused)
+			return
+		}
+		c.shut[t] = struct{}{}
 	}
 	if order.Kind == platform.OrderLoad {
 		c.loadStarted[order.ReplicaKey] = now
@@ -64,9 +67,7 @@
 		c.agent.deps.Logger.Warn("order failed", "kind", cmd.Order.Kind,
 			"model", cmd.Order.Model, "version", cmd.Order.Version, "error", err)
 	}
-	if outcome == account.Refused || outcome == account.Stale {
-		c.agent.usages.of(target{cmd.Order.ReplicaKey, cmd.Order.Adapter}).open()
-	}
+	c.openUsages()
 	if cmd.Order.Kind == platform.OrderLoad {
 		c.measureLoad(now, cmd.Order, err)
 		c.returnSlot(cmd.Order.ReplicaKey)
--- a/internal/decide/account/view.go
+++ b/internal/decide/account/view.go
@@ -47,6 +47,12 @@
 	return all
 }
 
+// Unloading reports whether an unload is out whose effect no listing has
+// shown yet.
+func (a *Account) Unloading(key state.ReplicaKey, adapter state.AdapterName) bool {
+	return a.unloading(target{key, adapter})
+}
+
 // Capacity is the memory that the account shares out.
 func (a *Account) Capacity() state.Bytes { return a.capacity }
 
