estimate: notice a slow engine before its first tokens arrive

Cause: a tenfold slower engine also shows it tenfold later; until then its agent admitted as usual. Change: a first token that takes three times as long as usual is observed while it is still missing, and the recent median moves in larger steps.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -213,10 +213,19 @@
 	if at.item.Long {
 		a.markLong(at)
 	}
+	began, first := at.began, false
 	at.exec = a.u.run(at.r, func() {
-		a.speed.Observe(a.o.now.Sub(at.began))
+		first = true
+		a.speed.Observe(a.o.now.Sub(began))
 		a.o.after(a.o.delay(at.entry.id, a.u), func() { at.entry.firstToken(at) })
 	}, func(ok bool) { a.finished(at, ok) })
+	if patience := a.speed.Patience(); patience > 0 {
+		a.o.after(patience, func() {
+			if !first && !at.exec.over {
+				a.speed.Observe(a.o.now.Sub(began))
+			}
+		})
+	}
 	a.o.after(at.entry.longSince(at.r.model), func() {
 		if !at.exec.over {
 			a.markLong(at)
--- a/internal/decide/estimate/calibration.go
+++ b/internal/decide/estimate/calibration.go
@@ -11,11 +11,11 @@
 }
 
 // The steps of both medians per measurement. A tenfold slowdown shows in the
-// recent one after about ten measurements; the usual one moves by a twentieth
-// of that, so it is about right for the length of a disturbance.
+// recent one after about six measurements; the usual one moves so little that
+// it is about right for the length of a disturbance.
 const (
 	usualStep  = 0.0125
-	recentStep = 0.25
+	recentStep = 0.5
 )
 
 // Observe adds the time from the start of service to the first token.
@@ -24,6 +24,11 @@
 	c.recent.addStep(first.Seconds(), recentStep)
 }
 
+// Patience is how long to wait for a first token before the wait itself is
+// observed: an upstream that slows down tenfold shows it late otherwise. It is
+// zero without measurements.
+func (c *Calibration) Patience() time.Duration { return 3 * seconds(c.usual.value) }
+
 // Factor is by how much to multiply predicted service times, at least 1.
 func (c *Calibration) Factor() float64 {
 	// Below twice the usual time, the noise of single measurements prevails.
