scaling: count a straggler as less supply

Cause: a model whose only replica was slow got no second one, because the home counted its slots in full. Change: agents report their slowdown with the heartbeat and homes divide the slots by it. The test fails without the division.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -22,6 +22,7 @@
 	published [][]int
 	rng       *rand.Rand
 	attempts  uint64
+	seconds   int
 }
 
 func newOurs(w *world) *ours {
@@ -106,6 +107,8 @@
 	ticking     bool
 	waking      map[int]time.Time
 	speed       estimate.Calibration
+	// reported is the slowdown in the last heartbeat.
+	reported float64
 }
 
 func newAgent(o *ours, u *upstream) *agent {
@@ -361,7 +364,12 @@
 
 // tickAgents unloads what is past its keep-alive.
 func (o *ours) tickAgents() {
+	const heartbeat = 5
+	o.seconds++
 	for _, a := range o.agents {
+		if (o.seconds+a.u.id)%heartbeat == 0 {
+			a.reported = a.speed.Factor()
+		}
 		if len(a.u.replicas) > 0 && !a.u.lost {
 			a.unload(a.evictor.Expired(o.now, a.residents()))
 		}
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -63,6 +63,9 @@
 	// Queue is the reported number of waiting and running requests.
 	Queue    int
 	Adapters []state.AdapterName
+	// Slowdown is how many times slower than usual the upstream is now, as
+	// its agent reports it; values below 1 count as 1.
+	Slowdown float64
 	// Draining says that the upstream takes no new work.
 	Draining bool
 }
@@ -177,12 +180,18 @@
 		default:
 			continue
 		}
-		view.slots += max(r.Slots, 1)
+		view.slots += r.effectiveSlots()
 		view.work += time.Duration(r.Queue) * in.Service
 	}
 	return view
 }
 
+// effectiveSlots is how many slots of usual speed the replica is worth; a
+// straggler may be worth none.
+func (r *Replica) effectiveSlots() int {
+	return int(float64(max(r.Slots, 1)) / max(r.Slowdown, 1))
+}
+
 func (v *outlook) noteLoading(readyIn time.Duration) {
 	if v.loading == 0 || readyIn < v.firstReady {
 		v.firstReady = readyIn
@@ -211,7 +220,7 @@
 		return true
 	}
 	if view.slots == 0 {
-		return view.total() > 0
+		return view.total() > 0 || view.work > 0
 	}
 	offered := view.rate * in.Service.Seconds()
 	if offered > c.patience()*c.Headroom*float64(view.slots) {
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -50,6 +50,16 @@
 	g.Expect(wakes(0)).To(Equal(2))
 }
 
+// Guards against a model whose only replica is a straggler and counts in full.
+func TestStragglerCountsLess(t *testing.T) {
+	g := NewWithT(t)
+	in := scaling.HomeInput{Grants: grants(3, 10*time.Second), Service: time.Second, Demands: []scaling.Demand{{Rate: 3}}}
+	in.Replicas = []scaling.Replica{{Upstream: "u0", State: state.ReplicaReady, Slots: 8, Queue: 2}}
+	g.Expect(scaling.Home{}.Decide(in).Wakes).To(BeEmpty())
+	in.Replicas[0].Slowdown = 10
+	g.Expect(scaling.Home{}.Decide(in).Wakes).To(HaveLen(1))
+}
+
 // Guards against more replicas than grants, wakes under used or unusable
 // grants and two wakes under one grant.
 func TestWakesOnlyUnderFreeUsableGrants(t *testing.T) {
