--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -39,7 +39,9 @@
 		v.alter(&e)
 	}
 	w := newWorld(seed, s, e)
-	w.warm(e.preloaded)
+	if !e.sessions {
+		w.warm(e.preloaded)
+	}
 	var system version
 	if v.naive {
 		system = newNaive(w)
@@ -75,6 +77,10 @@
 			if len(opts.Experiments) > 0 && !slices.Contains(opts.Experiments, e.name) {
 				continue
 			}
+			if e.sessions && s.quick < 1 {
+				// Hours of ticks at the large size take too long.
+				continue
+			}
 			if s.quick < 1 {
 				e = shorten(e, s.quick)
 			}
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -12,6 +12,9 @@
 	readyAt  time.Time
 	loadedAt time.Time
 	lastUsed time.Time
+	// running counts requests in slots; idleSince is when it fell to zero.
+	running   int
+	idleSince time.Time
 	// users counts requests that run or wait there.
 	users int
 }
@@ -45,6 +48,10 @@
 	x := &execution{r: r, up: u, onFinish: onFinish}
 	u.w.noteColdStart(r)
 	u.running[x] = struct{}{}
+	if rep := u.replicas[r.model]; rep != nil {
+		u.w.closeIdle(rep)
+		rep.running++
+	}
 	if len(u.running) > slotsPerRunner {
 		u.w.result.overfull++
 	}
@@ -71,6 +78,8 @@
 	delete(x.up.running, x)
 	if rep := x.up.replicas[x.r.model]; rep != nil {
 		rep.lastUsed = x.up.w.now
+		rep.running--
+		rep.idleSince = x.up.w.now
 	}
 	x.up.account()
 	x.onFinish(ok)
@@ -98,6 +107,9 @@
 	for _, x := range ordered {
 		x.end(false)
 	}
+	for _, rep := range u.replicas {
+		u.w.closeIdle(rep)
+	}
 	clear(u.replicas)
 	u.account()
 }
@@ -117,7 +129,7 @@
 			return
 		}
 		rep.ready, rep.readyAt = true, u.w.now
-		rep.loadedAt, rep.lastUsed = u.w.now, u.w.now
+		rep.loadedAt, rep.lastUsed, rep.idleSince = u.w.now, u.w.now, u.w.now
 		done(true)
 	}
 	work, remote := u.w.loadWork(model, u.id)
@@ -129,10 +141,21 @@
 }
 
 func (u *upstream) unload(model int) {
+	if rep := u.replicas[model]; rep != nil {
+		u.w.closeIdle(rep)
+	}
 	delete(u.replicas, model)
 	u.account()
 }
 
+// closeIdle adds the idle span of a replica that ends now.
+func (w *world) closeIdle(rep *replica) {
+	if rep.ready && rep.running == 0 {
+		w.result.replicaIdle += w.now.Sub(rep.idleSince)
+		rep.idleSince = w.now
+	}
+}
+
 // store is the weight store: it starts 3 loads a second and runs 4 at full
 // speed; more share that speed.
 type store struct {
@@ -328,7 +351,7 @@
 			if n == 0 || len(u.replicas) >= replicasPerRunner {
 				continue
 			}
-			u.replicas[model] = &replica{model: model, ready: true, readyAt: epoch, loadedAt: epoch, lastUsed: epoch}
+			u.replicas[model] = &replica{model: model, ready: true, readyAt: epoch, loadedAt: epoch, lastUsed: epoch, idleSince: epoch}
 			u.account()
 			n--
 		}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -22,6 +22,10 @@
 	crossed                      state.Bytes
 	first, shortTotal, coldFirst *hdrhistogram.Histogram
 	idle                         time.Duration
+	// replicaIdle sums the time that replicas are ready with nothing running,
+	// and oracleIdle the same for an oracle that knows all gaps and weighs
+	// them with the default weights.
+	replicaIdle, oracleIdle time.Duration
 	// coldStart is the time from the first request of the burst's model to
 	// the first start of service, less a round trip.
 	coldStart  time.Duration
@@ -53,11 +57,32 @@
 	}
 }
 
-// bestLoad is the shortest load time of the burst's model under its grants.
-func (w *world) bestLoad() time.Duration {
+// oracleIdle keeps one replica of a model over a gap if the idle time costs
+// less than the cold start.
+func (w *world) oracleIdle(all []*request) time.Duration {
+	ordered := slices.Clone(all)
+	slices.SortFunc(ordered, func(a, b *request) int { return a.arrived.Compare(b.arrived) })
+	busyUntil := make(map[int]time.Time)
+	var idle time.Duration
+	for _, r := range ordered {
+		until, seen := busyUntil[r.model]
+		gap := r.arrived.Sub(until)
+		const costRatio = 10
+		if seen && gap > 0 && gap < costRatio*w.bestLoad(r.model) {
+			idle += gap
+		}
+		if end := r.arrived.Add(r.total); end.After(until) {
+			busyUntil[r.model] = end
+		}
+	}
+	return idle
+}
+
+// bestLoad is the shortest load time of a model under its grants.
+func (w *world) bestLoad(model int) time.Duration {
 	best := time.Duration(math.MaxInt64)
-	for _, up := range w.grants[w.size.models-1] {
-		work, _ := w.loadWork(w.size.models-1, up)
+	for _, up := range w.grants[model] {
+		work, _ := w.loadWork(model, up)
 		best = min(best, work)
 	}
 	return best
@@ -126,10 +151,14 @@
 }
 
 func (w *world) close(all []*request) {
-	w.result.bestLoad = w.bestLoad()
+	w.result.bestLoad = w.bestLoad(w.size.models - 1)
+	w.result.oracleIdle = w.oracleIdle(all)
 	for _, u := range w.ups {
 		u.account()
 		w.result.idle += u.idle
+		for _, rep := range u.replicas {
+			w.closeIdle(rep)
+		}
 	}
 	for _, r := range all {
 		w.result.offered[r.class]++
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -56,6 +56,9 @@
 		t.target(s, e, "p99 total / without stragglers", ratio(quantile(o.ours.shortTotal, 99), quantile(o.base.shortTotal, 99)), 2, true)
 	case "long":
 		t.target(s, e, "p99 of short work / without long", ratio(quantile(o.ours.shortTotal, 99), quantile(o.base.shortTotal, 99)), 1.5, true)
+	case "quiet-day":
+		t.target(s, e, "idle replica hours / oracle", ratio(o.ours.replicaIdle, o.ours.oracleIdle), 1.3, true)
+		t.target(s, e, "(the naive version's) idle replica hours / oracle", ratio(o.naive.replicaIdle, o.naive.oracleIdle), 1.3, true)
 	case "broadcast":
 		t.target(s, e, "(cold start - round trip) / best load", ratio(o.ours.coldStart, o.ours.bestLoad), 1.2, true)
 	}
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -81,6 +81,9 @@
 	lostAt           time.Duration
 	logFrom, logTo   time.Duration
 	exact, preloaded bool
+	// sessions replaces steady demand by sessions on rarely used models, and
+	// nothing is loaded before the run.
+	sessions bool
 	// onceShare is the share of non-idempotent work; zero means 0.05.
 	onceShare float64
 }
@@ -101,6 +104,7 @@
 	{name: "long", length: 120 * time.Second, rate: func(time.Duration) float64 { return 2 }, longShare: 0.02, longFactor: 50},
 	{name: "slow-store", length: 90 * time.Second, rate: steady, storeSpeed: 0.5, coldModels: 12},
 	{name: "centre-lost", length: 90 * time.Second, rate: func(time.Duration) float64 { return 2 }, lostAt: 30 * time.Second},
+	{name: "quiet-day", length: 6 * time.Hour, rate: steady, sessions: true},
 	{name: "log-down", length: 720 * time.Second, rate: steady, logFrom: 60 * time.Second, logTo: 660 * time.Second},
 }
 
@@ -110,13 +114,16 @@
 	weights := zipf(s.active)
 	var all []*request
 	at := time.Duration(0)
-	for {
+	for !e.sessions {
 		at += time.Duration(rng.ExpFloat64() / (s.rate * e.rate(at)) * float64(time.Second))
 		if at >= e.length {
 			break
 		}
 		all = append(all, draw(rng, s, e, pick(rng, weights), at))
 	}
+	if e.sessions {
+		all = append(all, sessions(rng, s, e)...)
+	}
 	for i := range e.burst {
 		spread := time.Duration(float64(e.burstOver) * float64(i) / float64(e.burst))
 		all = append(all, draw(rng, s, e, s.models-1, e.burstAt+spread))
@@ -130,6 +137,26 @@
 	return all
 }
 
+// sessions draws for each model sessions of a few requests, with a mean gap of
+// 2 min to 2 h between sessions that is the model's own.
+func sessions(rng *rand.Rand, s size, e experiment) []*request {
+	var all []*request
+	for model := range s.models {
+		gap := 2 * time.Minute * time.Duration(math.Exp2(6*rng.Float64()))
+		at := time.Duration(rng.ExpFloat64() * float64(gap))
+		for at < e.length {
+			for range 3 + rng.IntN(12) {
+				if at < e.length {
+					all = append(all, draw(rng, s, e, model, at))
+				}
+				at += time.Duration(rng.ExpFloat64() * float64(12*time.Second))
+			}
+			at += time.Duration(rng.ExpFloat64() * float64(gap))
+		}
+	}
+	return all
+}
+
 func draw(rng *rand.Rand, s size, e experiment, model int, at time.Duration) *request {
 	prefill := time.Duration((0.08 + 0.12*rng.Float64()) * float64(time.Second))
 	decode := time.Duration(0.6 * math.Exp(0.5*rng.NormFloat64()) * float64(time.Second))
