state, claims: schedules under faults against naive readings

Cause: the schedules found two claims refused as not run although the owner had read, or could have lost, an earlier claim of the key. Conclusion: not run is only said where the table is complete for the key.

--- a/internal/decide/claims/apply.go
+++ b/internal/decide/claims/apply.go
@@ -83,6 +83,21 @@
 	case mine:
 		o.voidOwn(c, now)
 	}
+	if other, ok := o.inLine[key]; ok {
+		// Its own record will be void by position, or is voided when it is
+		// read, since nobody waits for it any more.
+		delete(o.inLine, key)
+		o.unqueue(other.record)
+		o.meet(other, c, out)
+	}
+}
+
+// unqueue drops a claim record that has not been sent.
+func (o *Owner) unqueue(record string) {
+	if i := slices.IndexFunc(o.queue, func(r state.Record) bool { return r.ID == record }); i >= 0 {
+		o.queue = slices.Delete(o.queue, i, i+1)
+		delete(o.unread, record)
+	}
 }
 
 // claimant returns the request that waits for its own claim record.
@@ -245,17 +260,25 @@
 }
 
 func (o *Owner) giveUp(w *waiter, out *Commands) {
-	switch w.phase {
-	case waitTable:
-		// The table may lack an earlier sending that ran.
+	switch {
+	case o.tooOld(w.key):
+		// Retention has caught up with the key while the request waited, so
+		// the table may lack an earlier sending that ran.
+		o.unqueue(w.record)
+		o.end(w, out, verdict.Unknown(verdict.ReasonKeyTooOld, "the idempotency key is older than the log's retention"))
+		return
+	case !o.caughtUp:
+		// The same, because the reading has begun again.
+		o.unqueue(w.record)
 		o.end(w, out, verdict.Unknown(verdict.ReasonNotReady, "the claim owner has not read the log yet"))
+		return
+	}
+	switch w.phase {
 	case waitClaim:
 		// The table has no live claim of the key, and the id of the one made
 		// here is never handed out: a queued record is dropped, and one that
 		// is read later is voided. So this sending is never dispatched.
-		if i := slices.IndexFunc(o.queue, func(r state.Record) bool { return r.ID == w.record }); i >= 0 {
-			o.queue = slices.Delete(o.queue, i, i+1)
-		}
+		o.unqueue(w.record)
 		o.end(w, out, verdict.Refuse(verdict.ReasonLogUnavailable, "the log did not confirm the claim in time"))
 	case waitVoid:
 		// The agent has refused the earlier claim for good, and this sending
--- /dev/null
+++ b/internal/decide/claims/machine_test.go
@@ -0,0 +1,473 @@
+package claims_test
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// TestMain fixes the seed and the number of schedules, so that every run
+// gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "4000", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+// sending is one request with a key, as an entry sees it.
+type sending struct {
+	ticket  claims.Ticket
+	claim   state.Claim
+	claimID string
+	replies int
+	given   bool
+	verdict *verdict.Verdict
+	// asked is the request's place in the history.
+	asked int64
+}
+
+type owner struct {
+	*claims.Owner
+	name string
+	pos  int
+}
+
+type question struct {
+	owner *owner
+	q     claims.Question
+}
+
+// world runs two owners, two agents and entries over a small log that fails in
+// every way that the platform's may.
+type world struct {
+	t         *rapid.T
+	now       time.Time
+	log       []state.Positioned
+	oldest    int
+	downTill  time.Time
+	late      [][]state.Record
+	owners    []*owner
+	agents    map[state.UpstreamName]*claims.Seen
+	runs      map[state.UpstreamName]int
+	sendings  []*sending
+	dispatch  []*sending
+	running   []*sending
+	questions []question
+	ran       map[string]int
+	ranClaims map[string]bool
+	keys      []string
+	claimAt   map[string]int
+	random    *rand.Rand
+	clock     int64
+	history   []porcupine.Operation
+}
+
+// event is an input of the sequential model: a request for a claim with its
+// reply, or the start of the work of a claim.
+type event struct {
+	key, claim  string
+	start, done bool
+}
+
+// place returns the next place in the history.
+func (w *world) place() int64 {
+	w.clock++
+	return w.clock
+}
+
+func (w *world) record(from, to int64, e event) {
+	w.history = append(w.history, porcupine.Operation{Input: e, Call: from, Return: to})
+}
+
+// register is the sequential model of a key: the claim granted last, and
+// whether its work has started.
+type register struct {
+	claim   string
+	started bool
+}
+
+var claimModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(event).key
+			byKey[key] = append(byKey[key], op)
+		}
+		return slices.Collect(maps.Values(byKey))
+	},
+	Init: func() any { return register{} },
+	Step: func(s, input, _ any) (bool, any) {
+		now, e := s.(register), input.(event)
+		switch {
+		case e.done:
+			return now.started, now
+		case e.start:
+			return !now.started && now.claim == e.claim, register{e.claim, true}
+		}
+		return !now.started, register{claim: e.claim}
+	},
+}
+
+func key(at time.Time, n byte) string {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<16)
+	id[6], id[8], id[15] = 0x70, 0x80, n
+	return id.String()
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: epoch, agents: map[state.UpstreamName]*claims.Seen{}, runs: map[state.UpstreamName]int{},
+		ran: map[string]int{}, ranClaims: map[string]bool{}, claimAt: map[string]int{},
+		random: rand.New(rand.NewPCG(1, 2)),
+	}
+	for n := range byte(3) {
+		w.keys = append(w.keys, key(epoch, n))
+	}
+	for range 2 {
+		w.owners = append(w.owners, &owner{})
+		w.restartOwner(w.owners[len(w.owners)-1])
+	}
+	w.restartAgent("a")
+	w.restartAgent("b")
+	return w
+}
+
+func (w *world) pick(n int, label string) int { return rapid.IntRange(0, n-1).Draw(w.t, label) }
+
+func (w *world) restartOwner(o *owner) {
+	o.name = fmt.Sprint("owner", w.random.Uint32())
+	o.Owner = claims.NewOwner(state.ProcessID{Name: "o", Incarnation: o.name}, claims.DefaultSettings(), w.random)
+	w.begin(o)
+}
+
+func (w *world) begin(o *owner) {
+	o.pos = w.oldest
+	o.Begin(w.t0())
+}
+
+func (w *world) t0() time.Time {
+	if w.oldest == 0 {
+		return time.Time{}
+	}
+	return w.log[min(w.oldest, len(w.log)-1)].Time
+}
+
+func (w *world) restartAgent(name state.UpstreamName) {
+	w.runs[name]++
+	w.agents[name] = claims.NewSeen(w.incarnation(name), claims.DefaultSettings())
+	kept := w.running[:0]
+	for _, s := range w.running {
+		if s.claim.Upstream != name {
+			kept = append(kept, s)
+		}
+	}
+	w.running = kept
+}
+
+func (w *world) incarnation(name state.UpstreamName) string { return fmt.Sprint(name, w.runs[name]) }
+
+// do carries out an owner's commands.
+func (w *world) do(o *owner, c claims.Commands) {
+	for _, r := range c.Replies {
+		s := w.sendings[r.Ticket]
+		s.replies++
+		s.verdict, s.claimID = r.Result.Refusal, r.Result.Granted
+		if s.claimID != "" {
+			w.record(s.asked, w.place(), event{key: s.claim.Key, claim: s.claimID})
+		} else if s.verdict.Execution == verdict.Ran {
+			w.record(s.asked, w.place(), event{key: s.claim.Key, done: true})
+		}
+		if s.replies > 1 || (s.verdict == nil) == (s.claimID == "") {
+			w.t.Fatalf("sending %d: reply %d is %+v", r.Ticket, s.replies, r.Result)
+		}
+		if s.claimID != "" {
+			w.dispatch = append(w.dispatch, s)
+		}
+		if done := r.Result.Done; done != nil && done.AnswerKept && string(done.Answer) != s.claim.Key {
+			w.t.Fatalf("key %s got the answer of %s", s.claim.Key, done.Answer)
+		}
+		w.checkKnown(o, s)
+	}
+	for _, q := range c.Questions {
+		w.questions = append(w.questions, question{o, q})
+	}
+	if len(c.Append) > 0 {
+		w.append(o, c.Append)
+	}
+}
+
+// checkKnown guards I5 for resends: an owner that has read the claim of work
+// that ran must not call a resend of the same request not run.
+func (w *world) checkKnown(o *owner, s *sending) {
+	if s.verdict == nil || s.verdict.Execution != verdict.NotRun || s.verdict.Reason == verdict.ReasonKeyReused {
+		return
+	}
+	for id := range w.ranClaims {
+		at, stored := w.claimAt[id]
+		if stored && at < o.pos && at >= w.oldest && w.keyOf(at) == s.claim.Key {
+			w.t.Fatalf("sending %d was called not run (%s), but %s ran and its claim was read", s.ticket, s.verdict, id)
+		}
+	}
+}
+
+func (w *world) keyOf(at int) string {
+	body, _ := state.DecodeBody[state.Claim](w.log[at].Record)
+	return body.Key
+}
+
+func (w *world) append(o *owner, batch []state.Record) {
+	if w.now.Before(w.downTill) {
+		w.do(o, o.Appended(batch, claims.AppendRefused, w.now))
+		return
+	}
+	switch w.pick(5, "append outcome") {
+	case 0:
+		w.do(o, o.Appended(batch, claims.AppendRefused, w.now))
+	case 1:
+		w.store(batch)
+		w.do(o, o.Appended(batch, claims.AppendUnknown, w.now))
+	case 2:
+		w.late = append(w.late, batch)
+		w.do(o, o.Appended(batch, claims.AppendUnknown, w.now))
+	default:
+		w.store(batch)
+		w.do(o, o.Appended(batch, claims.AppendStored, w.now))
+	}
+}
+
+func (w *world) store(batch []state.Record) {
+	for _, r := range batch {
+		if r.Kind == state.KindClaim {
+			w.claimAt[r.ID] = len(w.log)
+		}
+		w.log = append(w.log, state.Positioned{Offset: state.Offset(len(w.log)), Time: w.now, Record: r})
+	}
+}
+
+func (w *world) ask(t *rapid.T) {
+	name := state.UpstreamName(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "agent"))
+	s := &sending{asked: w.place(), ticket: claims.Ticket(len(w.sendings)), claim: state.Claim{
+		Caller: "c", Key: rapid.SampledFrom(w.keys).Draw(t, "key"), Upstream: name,
+		Fingerprint:      uint64(w.pick(10, "fingerprint") / 9),
+		Entry:            state.ProcessID{Name: "e", Incarnation: fmt.Sprint(len(w.sendings))},
+		AgentIncarnation: w.incarnation(name),
+	}}
+	w.sendings = append(w.sendings, s)
+	o := w.owners[w.pick(2, "owner")]
+	w.do(o, o.Ask(s.ticket, rpc.ClaimParams{Claim: s.claim, Deadline: w.now.Add(30 * time.Second)}, w.now))
+}
+
+func (w *world) read(o *owner, limit int) {
+	if o.pos < w.oldest {
+		w.begin(o)
+	}
+	for ; limit > 0 && o.pos < len(w.log); limit-- {
+		p := w.log[o.pos]
+		o.pos++
+		w.do(o, o.Apply(p, w.now))
+	}
+	if o.pos == len(w.log) {
+		w.do(o, o.CaughtUp(w.now))
+	}
+	o.Truncated(w.t0())
+}
+
+// deliver brings a dispatch to its agent, possibly a second time later.
+func (w *world) deliver(t *rapid.T) {
+	if len(w.dispatch) == 0 {
+		t.Skip()
+	}
+	i := w.pick(len(w.dispatch), "dispatch")
+	s := w.dispatch[i]
+	if rapid.Bool().Draw(t, "once") {
+		w.dispatch = append(w.dispatch[:i], w.dispatch[i+1:]...)
+	}
+	if v := w.agents[s.claim.Upstream].Start(s.claimID, s.claim.AgentIncarnation, w.now); v != nil {
+		if s.verdict == nil || v.Execution == verdict.NotRun {
+			s.verdict = v
+		}
+		return
+	}
+	w.ran[s.claim.Key]++
+	w.ranClaims[s.claimID] = true
+	at := w.place()
+	w.record(at, at, event{key: s.claim.Key, claim: s.claimID, start: true})
+	w.running = append(w.running, s)
+}
+
+// giveUp lets an entry drop a claim that it has not dispatched.
+func (w *world) giveUp(t *rapid.T) {
+	if len(w.dispatch) == 0 {
+		t.Skip()
+	}
+	i := w.pick(len(w.dispatch), "given up")
+	s := w.dispatch[i]
+	if w.ranClaims[s.claimID] || s.verdict != nil {
+		t.Skip()
+	}
+	w.dispatch = append(w.dispatch[:i], w.dispatch[i+1:]...)
+	s.verdict = verdict.Refuse(verdict.ReasonDeadlinePast, "")
+	o := w.owners[w.pick(2, "owner")]
+	void := &state.ClaimVoid{Claim: s.claimID, Witness: s.claim.Entry}
+	w.do(o, o.Outcome(rpc.ClaimOutcomeParams{Key: s.claim.Key, Void: void}, s.claim.Entry, w.now))
+}
+
+func (w *world) finish(t *rapid.T) {
+	if len(w.running) == 0 {
+		t.Skip()
+	}
+	i := w.pick(len(w.running), "finished")
+	s := w.running[i]
+	w.running = append(w.running[:i], w.running[i+1:]...)
+	done := state.ClaimDone{Claim: s.claimID, Status: 200, Answer: []byte(s.claim.Key), AnswerKept: true}
+	w.agents[s.claim.Upstream].Finish(done, w.now)
+	if rapid.Bool().Draw(t, "entry reports") {
+		o := w.owners[w.pick(2, "owner")]
+		w.do(o, o.Outcome(rpc.ClaimOutcomeParams{Key: s.claim.Key, Done: &done}, s.claim.Entry, w.now))
+	}
+}
+
+func (w *world) answer(t *rapid.T) {
+	if len(w.questions) == 0 {
+		t.Skip()
+	}
+	i := w.pick(len(w.questions), "question")
+	q := w.questions[i]
+	w.questions = append(w.questions[:i], w.questions[i+1:]...)
+	answer := w.agents[q.q.Upstream].Status(q.q.Params, w.now)
+	switch w.pick(4, "answer") {
+	case 0: // The question arrives, its answer is lost.
+		w.do(q.owner, q.owner.AgentAnswered(q.q.Params.Claim, nil, w.now))
+	case 1: // The answer comes twice.
+		w.do(q.owner, q.owner.AgentAnswered(q.q.Params.Claim, &answer, w.now))
+		fallthrough
+	default:
+		w.do(q.owner, q.owner.AgentAnswered(q.q.Params.Claim, &answer, w.now))
+	}
+}
+
+func (w *world) truncate(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "minutes")) * time.Minute)
+	w.store([]state.Record{{ID: "filler", Kind: state.KindAudit}})
+	w.oldest += w.pick(len(w.log)-w.oldest, "truncated")
+}
+
+func (w *world) tick(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{60, 10, 60, 60, 300, 60, 60, 3000}).Draw(t, "ms")) * time.Millisecond)
+	for _, o := range w.owners {
+		if w.pick(8, "paused") < 7 {
+			w.do(o, o.Tick(w.now))
+		}
+	}
+}
+
+func (w *world) fault(t *rapid.T) {
+	o := w.owners[w.pick(2, "owner")]
+	switch w.pick(7, "fault") {
+	case 0:
+		w.truncate(t)
+	case 1:
+		w.downTill = w.now.Add(2 * time.Second)
+	case 2: // A repeated read.
+		o.pos = max(w.oldest, o.pos-3)
+	case 3:
+		for _, s := range w.sendings {
+			s.given = true // Its entry sees the connection break.
+		}
+		w.restartOwner(o)
+	case 4:
+		w.restartAgent("a")
+	default: // A late append.
+		if len(w.late) > 0 {
+			w.store(w.late[0])
+			w.late = w.late[1:]
+		}
+	}
+}
+
+// check holds after every step.
+func (w *world) check(*rapid.T) {
+	for key, n := range w.ran {
+		if n > 1 {
+			w.t.Fatalf("I6: key %s ran %d times", key, n)
+		}
+	}
+	for _, s := range w.sendings {
+		if s.verdict != nil && s.verdict.Execution == verdict.NotRun && w.ranClaims[s.claimID] {
+			w.t.Fatalf("I5: sending %d is called not run (%s) but ran", s.ticket, s.verdict)
+		}
+	}
+}
+
+// Guards I5 and I6 against pauses, deaths, lost answers, late and repeated
+// messages, outages and truncation of the log in any order, and I3 against a
+// request that an owner forgets.
+func TestClaimsUnderFaults(t *testing.T) {
+	granted, resent, voided := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.t = t
+		read := func(t *rapid.T) {
+			limit := rapid.SampledFrom([]int{100, 1, 100, 3, 100}).Draw(t, "limit")
+			w.read(w.owners[w.pick(2, "reader")], limit)
+		}
+		for _, o := range w.owners {
+			w.read(o, 1)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": w.check, "ask": w.ask, "ask again": w.ask, "tick": w.tick, "tick again": w.tick,
+			"read": read, "read more": read, "read on": read, "read still": read,
+			"deliver": w.deliver, "deliver more": w.deliver, "give up": w.giveUp, "finish": w.finish,
+			"answer": w.answer, "answer more": w.answer, "fault": w.fault,
+		})
+		w.now = w.now.Add(3 * time.Second)
+		for _, o := range w.owners {
+			w.do(o, o.Tick(w.now))
+		}
+		for _, s := range w.sendings {
+			if s.replies == 0 && !s.given {
+				t.Fatalf("I3: sending %d never got a reply", s.ticket)
+			}
+			if s.claimID != "" {
+				granted++
+			}
+			if s.verdict != nil && s.verdict.Execution == verdict.Ran {
+				resent++
+			}
+		}
+		for _, p := range w.log {
+			if p.Kind == state.KindClaimVoid {
+				voided++
+			}
+		}
+		if !porcupine.CheckOperations(claimModel, w.history) {
+			t.Fatalf("the history of claims and starts is not linearizable: %+v", w.history)
+		}
+	})
+	if granted < 1000 || resent < 100 || voided < 100 {
+		t.Fatalf("the schedules reach too little: %d granted, %d answered from outcomes, %d voids", granted, resent, voided)
+	}
+	t.Logf("%d granted, %d answered from outcomes, %d voids", granted, resent, voided)
+}
--- a/internal/decide/claims/seen.go
+++ b/internal/decide/claims/seen.go
@@ -69,10 +69,14 @@
 
 func (s *Seen) expired(made time.Time) bool { return s.now.Sub(made) > s.settings.Window }
 
-// Start is called right before work of a claim is started. A non-nil verdict
-// forbids the start.
-func (s *Seen) Start(claim string, now time.Time) *verdict.Verdict {
+// Start is called right before work of a claim is started. agent is the
+// incarnation that the claim names. A non-nil verdict forbids the start.
+func (s *Seen) Start(claim, agent string, now time.Time) *verdict.Verdict {
 	s.advance(now)
+	if agent != s.incarnation {
+		// An earlier incarnation may have got this dispatch too.
+		return verdict.Unknown(verdict.ReasonClaimUnknown, "the claim names an earlier run of the agent")
+	}
 	id, err := uuid.Parse(claim)
 	if err != nil || id.Version() != 7 {
 		// The form of an id never changes, so this one is never started.
