--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -435,7 +435,9 @@
 				offset++
 			},
 			"grant": grant, "grant more": grant, "grant on": grant, "release": release, "take": take, "register": register,
-			"revoke": func(t *rapid.T) { put(tables, n, offset, state.KindRevoke, state.Revoke{Epoch: epoch(), Grant: old("grant")}) },
+			"revoke": func(t *rapid.T) {
+				put(tables, n, offset, state.KindRevoke, state.Revoke{Epoch: epoch(), Grant: old("grant")})
+			},
 			"gone": func(t *rapid.T) {
 				put(tables, n, offset, state.KindHostGone, state.HostGone{Epoch: epoch(), Upstreams: []state.UpstreamName{upstream.Draw(t, "gone")}})
 			},
