decide, state: scenarios and benchmarks

Cause: rules that schedules do not show need their own checks. Measured: `go test ./internal/...` passes.

--- /dev/null
+++ b/internal/decide/claims/owner_test.go
@@ -0,0 +1,88 @@
+package claims_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Guards against keys of the wrong form or time, and against a window that
+// forgets too early.
+func TestKeysAndWindow(t *testing.T) {
+	g := NewWithT(t)
+	o := claims.NewOwner(state.ProcessID{Name: "o"}, claims.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
+	o.Begin(epoch)
+	o.CaughtUp(epoch)
+	ask := func(key string) *verdict.Verdict {
+		out := o.Ask(1, rpc.ClaimParams{Claim: state.Claim{Key: key}}, epoch)
+		if len(out.Replies) == 0 {
+			return nil
+		}
+		return out.Replies[0].Result.Refusal
+	}
+	g.Expect(ask("k").Reason).To(Equal(verdict.ReasonKeyInvalid))
+	g.Expect(ask("6ba7b810-9dad-11d1-80b4-00c04fd430c8").Reason).To(Equal(verdict.ReasonKeyInvalid))
+	g.Expect(ask(key(epoch.Add(5*time.Minute+time.Second), 1)).Reason).To(Equal(verdict.ReasonKeyInvalid))
+	old := ask(key(epoch.Add(5*time.Minute), 1))
+	g.Expect(old.Reason).To(Equal(verdict.ReasonKeyTooOld))
+	g.Expect(old.Execution).To(Equal(verdict.MayHaveRun))
+}
+
+// Guards against an agent whose table grows without bound or that starts a
+// claim that it has forgotten, also when its clock is set back.
+func TestSeenIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := claims.NewSeen("1", claims.DefaultSettings())
+	for i := range byte(100) {
+		id := key(epoch, i)
+		g.Expect(s.Start(id, "1", epoch)).To(BeNil())
+		g.Expect(s.Start(id, "1", epoch).Execution).To(Equal(verdict.MayHaveRun))
+		s.Finish(state.ClaimDone{Claim: id, Answer: make([]byte, 5000), AnswerKept: true}, epoch)
+	}
+	status := s.Status(rpc.ClaimStatusParams{Claim: key(epoch, 1), AgentIncarnation: "1"}, epoch)
+	g.Expect(status.State).To(Equal(rpc.ClaimRan))
+	g.Expect(status.Done.AnswerKept).To(BeFalse())
+	g.Expect(s.Len()).To(Equal(100))
+	s.Status(rpc.ClaimStatusParams{Claim: key(epoch.Add(31*time.Minute), 1), AgentIncarnation: "1"}, epoch.Add(31*time.Minute))
+	g.Expect(s.Len()).To(Equal(1))
+	g.Expect(s.Start(key(epoch, 1), "1", epoch).Execution).To(Equal(verdict.MayHaveRun), "forgotten, clock set back")
+	g.Expect(s.Start(key(epoch.Add(31*time.Minute), 1), "1", epoch).Execution).To(Equal(verdict.NotRun))
+	g.Expect(s.Start(key(epoch.Add(31*time.Minute), 2), "0", epoch).Execution).To(Equal(verdict.MayHaveRun))
+}
+
+// BenchmarkClaimBatch measures 256 claims from the request to the grant.
+func BenchmarkClaimBatch(b *testing.B) {
+	b.ReportAllocs()
+	o := claims.NewOwner(state.ProcessID{Name: "o"}, claims.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
+	o.Begin(time.Time{})
+	o.CaughtUp(epoch)
+	offset, ticket, now := state.Offset(0), claims.Ticket(0), epoch
+	for b.Loop() {
+		now = now.Add(time.Second)
+		var batch []state.Record
+		for i := range 256 {
+			p := rpc.ClaimParams{Claim: state.Claim{Caller: "c", Key: key(now, byte(i))}}
+			batch = append(batch, o.Ask(ticket, p, now).Append...)
+			ticket++
+		}
+		granted := 0
+		for _, r := range batch {
+			out := o.Apply(state.Positioned{Offset: offset, Time: now, Record: r}, now)
+			granted += len(out.Replies)
+			offset++
+		}
+		if granted != 256 {
+			b.Fatalf("%d granted", granted)
+		}
+		if offset%(256*100) == 0 {
+			o.Truncated(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/membership/membership_test.go
@@ -0,0 +1,224 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+var start = time.Unix(1000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func names(n int) []state.EntryName {
+	var list []state.EntryName
+	for i := range n {
+		list = append(list, state.EntryName(fmt.Sprint("e", i)))
+	}
+	return list
+}
+
+// Guards against roles that move without need when an entry leaves, that
+// depend on the order of entries, or that pile up on few entries.
+func TestOwnershipIsStable(t *testing.T) {
+	g := NewWithT(t)
+	all := names(20)
+	reversed := slices.Clone(all)
+	slices.Reverse(reversed)
+	ring, other, without := membership.NewRing(all), membership.NewRing(reversed), membership.NewRing(all[1:])
+	counts := map[state.EntryName]int{}
+	for i := range 4000 {
+		key := fmt.Sprint("model", i)
+		owner := ring.Owner(membership.RoleHome, key)
+		counts[owner]++
+		g.Expect(other.Owner(membership.RoleHome, key)).To(Equal(owner))
+		g.Expect(ring.Rank(membership.RoleHome, key, owner)).To(Equal(0))
+		if owner != all[0] {
+			g.Expect(without.Owner(membership.RoleHome, key)).To(Equal(owner))
+		}
+	}
+	for name, n := range counts {
+		g.Expect(n).To(BeNumerically("~", 200, 80), string(name))
+	}
+	g.Expect(ring.Rank(membership.RoleHome, "k", "nobody")).To(Equal(-1))
+	g.Expect(membership.NewRing(nil).Owner(membership.RoleHome, "k")).To(BeEmpty())
+}
+
+// Guards against a one-way cut in which one side keeps the other in roles,
+// against late messages of an ended run, and against an entry that leaves
+// or dies and keeps its roles.
+func TestEntriesBySilence(t *testing.T) {
+	g := NewWithT(t)
+	e := membership.NewEntries("self", membership.DefaultSettings())
+	word := func(run string) rpc.PingParams { return rpc.PingParams{From: "b", Incarnation: run, Config: 9} }
+	e.Answered(word("1"), start)
+	g.Expect(e.Live(start)).To(Equal([]state.EntryName{"b", "self"}))
+	e.Pinged(word("1"), after(2500*time.Millisecond))
+	g.Expect(e.Health("b", after(2500*time.Millisecond))).To(Equal(membership.Suspect))
+	g.Expect(e.Live(after(2500*time.Millisecond))).To(HaveLen(2), "a suspect keeps its roles")
+	e.Pinged(word("1"), after(3*time.Second))
+	g.Expect(e.Health("b", after(3*time.Second))).To(Equal(membership.Dead), "its pings come, its answers do not")
+
+	e.Answered(word("2"), after(4*time.Second))
+	g.Expect(e.Health("b", after(4*time.Second))).To(Equal(membership.Live))
+	old := word("1")
+	old.Leaving = true
+	e.Answered(old, after(5*time.Second))
+	g.Expect(e.Health("b", after(5*time.Second))).To(Equal(membership.Live), "an ended run says nothing")
+	last := word("2")
+	last.Leaving, last.Config = true, 3
+	e.Pinged(last, after(5*time.Second))
+	e.Answered(word("2"), after(5*time.Second))
+	g.Expect(e.Health("b", after(5*time.Second))).To(Equal(membership.Leaving))
+	g.Expect(e.Live(after(5 * time.Second))).To(Equal([]state.EntryName{"self"}))
+	peer, _ := e.Peer("b")
+	g.Expect(peer.Config).To(Equal(state.Offset(9)), "overtaken messages do not move the offset back")
+}
+
+func upstream(name string) state.Upstream {
+	return state.Upstream{Name: state.UpstreamName(name), Host: state.HostName("h-" + name), TrafficAddr: name + ":1"}
+}
+
+func beat(run string, token state.FencingToken, sequence uint64, models ...state.ModelName) rpc.Heartbeat {
+	h := rpc.Heartbeat{Upstream: "u", Incarnation: run, Agent: token, Sequence: sequence, State: rpc.AgentServing, Full: len(models) > 0}
+	for _, m := range models {
+		h.Replicas = append(h.Replicas, state.Replica{ReplicaKey: state.ReplicaKey{Model: m, Version: "1"}, Upstream: "u", State: state.ReplicaReady})
+	}
+	return h
+}
+
+func changed(a *membership.Agents, ring *membership.Ring) (list []string) {
+	for _, batch := range a.Changes(ring) {
+		for _, c := range batch.Changes {
+			list = append(list, fmt.Sprint(batch.Home, " ", c.Replica.Model, " ", c.Gone))
+		}
+	}
+	return list
+}
+
+// Guards against homes that keep replicas of restarted, silent, draining or
+// leaving agents, that miss replicas after an overtaken or lost message, or
+// that are told nothing when they take over a model.
+func TestAgentsReportChanges(t *testing.T) {
+	g := NewWithT(t)
+	a, ring := membership.NewAgents(membership.DefaultSettings()), membership.NewRing([]state.EntryName{"home"})
+	a.Watch(slices.Values([]state.Upstream{upstream("u")}), start)
+	g.Expect(a.Health("u", start)).To(Equal(membership.Unknown))
+	observe := func(h rpc.Heartbeat, d time.Duration) rpc.HeartbeatResult {
+		answer, ok := a.Observe(h, after(d))
+		g.Expect(ok).To(BeTrue())
+		return answer
+	}
+	g.Expect(observe(beat("1", 5, 1), 0).SendFull).To(BeTrue(), "an unknown list")
+	g.Expect(observe(beat("1", 5, 2, "m", "n"), 0).SendFull).To(BeFalse())
+	g.Expect(changed(a, ring)).To(Equal([]string{"home m false", "home n false"}))
+	observe(beat("1", 5, 1, "x"), 0)
+	g.Expect(changed(a, ring)).To(BeEmpty(), "an overtaken heartbeat")
+	g.Expect(observe(beat("1", 5, 2), time.Second).SendFull).To(BeFalse(), "the sequence is known")
+
+	moved := membership.NewRing([]state.EntryName{"other"})
+	batches := a.Changes(moved)
+	g.Expect(batches).To(HaveLen(1), "a new home gets everything")
+	a.Undelivered(batches[0])
+	g.Expect(changed(a, moved)).To(HaveLen(2), "a lost batch is sent again")
+	a.Forget("other")
+	g.Expect(changed(a, moved)).To(HaveLen(2), "a restarted home is told again")
+
+	observe(beat("2", 8, 1, "m"), 2*time.Second)
+	g.Expect(changed(a, moved)).To(Equal([]string{"other m false", "other n true"}), "a restart")
+	observe(beat("1", 5, 9, "n"), 2*time.Second)
+	g.Expect(changed(a, moved)).To(BeEmpty(), "a late heartbeat of the predecessor")
+	a.SetLeaving(func(state.HostName) bool { return true })
+	g.Expect(changed(a, moved)).To(Equal([]string{"other m true"}))
+	g.Expect(observe(beat("2", 8, 1), 3*time.Second).Leaving).To(BeTrue())
+	a.SetLeaving(func(state.HostName) bool { return false })
+	g.Expect(changed(a, moved)).To(Equal([]string{"other m false"}))
+	a.Tick(after(17 * time.Second))
+	g.Expect(changed(a, moved)).To(BeEmpty())
+	g.Expect(a.Health("u", after(17*time.Second))).To(Equal(membership.Suspect))
+	a.Tick(after(18 * time.Second))
+	g.Expect(changed(a, moved)).To(Equal([]string{"other m true"}), "silence")
+	g.Expect(a.Reports(after(18 * time.Second))[0].Health).To(Equal(membership.Dead))
+}
+
+// Guards against host.gone on the word of the list alone, of the watchers
+// alone, of one reading of a list that lags behind a new host, or of one of
+// two agents of a host, and against grants on a leaving host.
+func TestFleetNeedsListAndSilence(t *testing.T) {
+	g := NewWithT(t)
+	u, twin := upstream("u"), upstream("twin")
+	twin.Host = u.Host
+	listed := []platform.HostInfo{{Name: u.Host, State: platform.HostLive}}
+	judge := func(f *membership.Fleet, d time.Duration) membership.Health {
+		return f.Health(slices.Values([]state.Upstream{u, twin}), after(d))["u"]
+	}
+	report := func(f *membership.Fleet, d time.Duration, health ...membership.Health) {
+		for i, h := range health {
+			f.Report(membership.AgentReport{Upstream: []state.UpstreamName{"u", "twin"}[i], Health: h}, after(d))
+		}
+	}
+	f := membership.NewFleet(membership.DefaultSettings())
+	report(f, 0, membership.Live, membership.Live)
+	f.Hosts(listed, start)
+	g.Expect(judge(f, 0)).To(Equal(membership.Live))
+	report(f, time.Second, membership.Dead, membership.Dead)
+	g.Expect(judge(f, time.Second)).To(Equal(membership.Live), "a former watcher's silence")
+	report(f, 11*time.Second, membership.Dead, membership.Dead)
+	g.Expect(judge(f, 11*time.Second)).To(Equal(membership.Dead), "the list still has the host")
+	f.Hosts(nil, after(12*time.Second))
+	g.Expect(judge(f, 12*time.Second)).To(Equal(membership.Dead), "one reading")
+	f.Hosts(nil, after(20*time.Second))
+	report(f, 20*time.Second, membership.Dead, membership.Live)
+	g.Expect(judge(f, 20*time.Second)).To(Equal(membership.Dead), "an agent of the host is alive")
+	report(f, 31*time.Second, membership.Dead, membership.Dead)
+	f.Hosts(nil, after(31*time.Second))
+	g.Expect(judge(f, 31*time.Second)).To(Equal(membership.Gone))
+	g.Expect(judge(f, 42*time.Second)).To(Equal(membership.Unknown), "no fresh reports")
+	f.Hosts([]platform.HostInfo{{Name: u.Host, State: platform.HostLeaving}}, after(43*time.Second))
+	report(f, 43*time.Second, membership.Live, membership.Live)
+	g.Expect(judge(f, 43*time.Second)).To(Equal(membership.Leaving))
+}
+
+// BenchmarkHeartbeat measures an unchanged heartbeat at a watcher of 34
+// agents, and the changes of one second.
+func BenchmarkHeartbeat(b *testing.B) {
+	a, ring := membership.NewAgents(membership.DefaultSettings()), membership.NewRing(names(350))
+	var watched []state.Upstream
+	for i := range 34 {
+		watched = append(watched, upstream(fmt.Sprint("u", i)))
+	}
+	a.Watch(slices.Values(watched), start)
+	h := beat("1", 5, 2, "m", "n", "o")
+	for _, u := range watched {
+		h.Upstream = u.Name
+		a.Observe(h, start)
+	}
+	h = beat("1", 5, 2)
+	h.Upstream = "u0"
+	b.Run("observe", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			a.Observe(h, start)
+		}
+	})
+	b.Run("changes", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			a.Changes(ring)
+		}
+	})
+	b.Run("owner-of-350", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			ring.Owner(membership.RoleHome, "model")
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/quarantine/tracker_test.go
@@ -0,0 +1,43 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/quarantine"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// Guards against a request that goes on to crash upstreams, and against
+// quarantine of its neighbours, of requests on one faulty upstream, and for
+// crashes of long ago.
+func TestCrashAttribution(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	settings := quarantine.DefaultSettings()
+	settings.MaxSuspects = 64
+	tracker := quarantine.NewTracker(settings)
+	crash := func(after time.Duration, name state.UpstreamName, running ...uint64) (guilty []uint64) {
+		for _, q := range tracker.Crashed(quarantine.Crash{Upstream: name, Running: running, Time: start.Add(after)}) {
+			g.Expect(q.Until).To(Equal(start.Add(after + time.Hour)))
+			guilty = append(guilty, q.Fingerprint)
+		}
+		return guilty
+	}
+	g.Expect(crash(0, "a", 666, 1, 2, 3)).To(BeEmpty())
+	tracker.Completed(2)
+	g.Expect(crash(time.Second, "a", 666, 1)).To(BeEmpty(), "one upstream twice")
+	g.Expect(crash(time.Minute, "b", 2, 666, 4, 666)).To(Equal([]uint64{666}), "a cleared neighbour stays free")
+	g.Expect(crash(10*time.Minute+time.Second, "c", 1, 3)).To(BeEmpty(), "old crashes do not count")
+	g.Expect(crash(11*time.Minute, "d", 3)).To(Equal([]uint64{3}))
+	tracker.Tick(start.Add(time.Hour))
+	g.Expect(tracker.Suspects()).To(BeZero())
+
+	for i := range uint64(100) {
+		crash(2*time.Hour, "e", i)
+	}
+	g.Expect(tracker.Suspects()).To(Equal(64))
+	g.Expect(quarantine.Fingerprint("a", "POST", "/x", nil)).NotTo(Equal(quarantine.Fingerprint("aP", "OST", "/x", nil)))
+}
