logclient: let relays answer the first read of a tail

Cause: a tail's first read had no wait, which relays pass on to the log; TestRelayServesManyReaders saw 58 reads of the log instead of fewer than 20. Change: the first read waits 1 ms.

--- a/internal/logclient/tail.go
+++ b/internal/logclient/tail.go
@@ -15,6 +15,10 @@
 // asked in a busy loop.
 const emptyPause = 20 * time.Millisecond
 
+// firstWait is the long poll of a tail's first read. It is not zero, since
+// relays pass reads without wait on to the log.
+const firstWait = time.Millisecond
+
 func (o TailOptions) withDefaults() TailOptions {
 	setDefault(&o.Limit, 500)
 	setDefault(&o.Wait, 10*time.Second)
@@ -34,9 +38,9 @@
 	opts = opts.withDefaults()
 	delays := newBackoff()
 	next := from
-	// The first read does not wait, so that the caller soon learns that a
+	// The first read hardly waits, so that the caller soon learns that a
 	// stream without new records has been read to its end.
-	wait := time.Duration(0)
+	wait := min(firstWait, opts.Wait)
 	for {
 		page, err := log.Read(ctx, stream, next, opts.Limit, wait)
 		if ctx.Err() != nil {
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -80,7 +80,9 @@
 	defer client.Close()
 	entries := newDirectory(client, entryAddresses(cfg.Common))
 	log := logclient.NewRelayClient(client, entries.addresses)
-	writer := logclient.NewWriter(log, logclient.WriterConfig{})
+	// Entries put the records of many agents into one append, so the agent
+	// does not wait for more of its own.
+	writer := logclient.NewWriter(log, logclient.WriterConfig{Delay: -1})
 	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWriting()
 	go func() {
