entry, quarantine: attribute crashes and quarantine what causes them

Cause: crashes were reported by agents but not attributed; a neighbour retried beside the culprit could be in quarantine for an hour. Quarantines go to the streams of all regions. One fingerprint of the whole request instead of two kinds.

--- a/internal/decide/quarantine/api.go
+++ b/internal/decide/quarantine/api.go
@@ -13,15 +13,26 @@
 	Crashes int
 	// Memory is how long a crash counts; default 10 min.
 	Memory time.Duration
-	// For is how long a quarantine lasts; default 1 h.
+	// First is how long the first quarantine of a request lasts; default
+	// 1 min. It is short, because a neighbour that was retried beside the
+	// culprit can be in two crashes as well.
+	First time.Duration
+	// For is how long each further one lasts; default 1 h. One more crash
+	// within Forget leads to it.
 	For time.Duration
+	// Forget is how long a quarantine is remembered after its end; default
+	// 24 h.
+	Forget time.Duration
 	// MaxSuspects bounds the suspects; default 4096.
 	MaxSuspects int
 }
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{Crashes: 2, Memory: 10 * time.Minute, For: time.Hour, MaxSuspects: 4096}
+	return Settings{
+		Crashes: 2, Memory: 10 * time.Minute, First: time.Minute, For: time.Hour,
+		Forget: 24 * time.Hour, MaxSuspects: 4096,
+	}
 }
 
 // Crash is the death of an upstream's engine with the fingerprints of all
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -40,11 +40,13 @@
 type Tracker struct {
 	settings Settings
 	suspects map[uint64]*suspect
+	// ended holds the end of the last quarantine of each request.
+	ended map[uint64]time.Time
 }
 
 // NewTracker returns a tracker that suspects nothing.
 func NewTracker(settings Settings) *Tracker {
-	return &Tracker{settings: settings, suspects: map[uint64]*suspect{}}
+	return &Tracker{settings: settings, suspects: map[uint64]*suspect{}, ended: map[uint64]time.Time{}}
 }
 
 // Crashed notes a crash and returns the fingerprints to quarantine, in order.
@@ -57,17 +59,37 @@
 		s := t.suspect(fingerprint)
 		s.crashes[c.Upstream] = c.Time
 		s.last = c.Time
-		if len(s.crashes) < t.settings.Crashes {
+		_, repeated := t.ended[fingerprint]
+		if len(s.crashes) < t.settings.Crashes && !repeated {
 			continue
 		}
 		delete(t.suspects, fingerprint)
-		guilty = append(guilty, state.Quarantine{
-			Fingerprint: fingerprint, Until: c.Time.Add(t.settings.For), Actor: Actor,
-		})
+		lasts := t.settings.First
+		if repeated {
+			lasts = t.settings.For
+		}
+		t.remember(fingerprint, c.Time.Add(lasts))
+		guilty = append(guilty, state.Quarantine{Fingerprint: fingerprint, Until: c.Time.Add(lasts), Actor: Actor})
 	}
 	return guilty
 }
 
+// remember notes a quarantine. At the bound the one that ended first makes
+// room.
+func (t *Tracker) remember(fingerprint uint64, until time.Time) {
+	if _, known := t.ended[fingerprint]; !known && len(t.ended) >= t.settings.MaxSuspects {
+		var first uint64
+		var at time.Time
+		for f, end := range t.ended {
+			if at.IsZero() || end.Before(at) || end.Equal(at) && f < first {
+				first, at = f, end
+			}
+		}
+		delete(t.ended, first)
+	}
+	t.ended[fingerprint] = until
+}
+
 func (t *Tracker) suspect(fingerprint uint64) *suspect {
 	if s, ok := t.suspects[fingerprint]; ok {
 		return s
@@ -93,14 +115,23 @@
 	delete(t.suspects, oldest)
 }
 
-// Completed clears a request that ran to its end.
-func (t *Tracker) Completed(fingerprint uint64) { delete(t.suspects, fingerprint) }
+// Completed clears a request that ran to its end, also of its earlier
+// quarantine.
+func (t *Tracker) Completed(fingerprint uint64) {
+	delete(t.suspects, fingerprint)
+	delete(t.ended, fingerprint)
+}
 
 // Suspects returns the number of suspects.
 func (t *Tracker) Suspects() int { return len(t.suspects) }
 
-// Tick forgets crashes that no longer count.
+// Tick forgets crashes and quarantines that no longer count.
 func (t *Tracker) Tick(now time.Time) {
+	for fingerprint, end := range t.ended {
+		if now.Sub(end) >= t.settings.Forget {
+			delete(t.ended, fingerprint)
+		}
+	}
 	for fingerprint, s := range t.suspects {
 		for upstream, at := range s.crashes {
 			if now.Sub(at) >= t.settings.Memory {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -231,6 +231,9 @@
 
 // noteFailure learns from an attempt without an answer.
 func (e *execution) noteFailure(a *answer) {
+	if a.failure.Reason == verdict.ReasonUpstreamCrashed {
+		e.suspects.crashed(e.request.fingerprint, a.replica.Upstream)
+	}
 	switch {
 	case a.failure.Execution == verdict.MayHaveRun:
 		e.mayHaveRun = true
@@ -256,9 +259,13 @@
 	watch := &tokenWatch{started: a.sentAt, kept: &e.kept, keep: e.claim != ""}
 	size, err := relayBody(w, io.TeeReader(a.response.Body, watch), watch)
 	v := streamVerdict(ctx, a.response.Trailer, err)
+	if v.Reason == verdict.ReasonUpstreamCrashed {
+		e.suspects.crashed(e.request.fingerprint, a.replica.Upstream)
+	}
 	if v.Execution != verdict.Ran {
 		return v
 	}
+	e.suspects.completed(e.request.fingerprint)
 	w.start()
 	setTrailers(w.Header(), v)
 	e.learnFrom(a, watch, size)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -51,6 +51,8 @@
 	appender logclient.Appender
 	logger   *slog.Logger
 	counters counters
+	// quarantine writes a quarantine to the streams of all regions.
+	quarantine func(ctx context.Context, body state.Quarantine) error
 }
 
 // counters counts events by metric name.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,7 @@
 		platform.StreamConfig, platform.RegionStream(cfg.Region))
 	e.control = newControl(e.controlConfig(self), controlDeps{
 		caller: deps.Caller, appender: e.writer, logger: deps.Logger, counters: e.counts,
+		quarantine: e.quarantineAutomatically,
 	}, time.Now())
 	e.shards = newClaimShards(self, deps.Log, e.writer, deps.Caller, e.agentAddress, deps.Logger)
 	e.ledger = newLedger(time.Now())
@@ -198,6 +199,7 @@
 	}
 	e.gateway.kick = followers.kick
 	e.gateway.touch = followers.touch
+	e.gateway.suspects = newSuspects(e, running)
 	e.router.running = running
 
 	group, groupCtx := errgroup.WithContext(running)
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/quarantine"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -29,9 +30,11 @@
 	// a new waiting request.
 	kick func(target)
 	// touch keeps a target's replica set up to date while it is used.
-	touch  func(target)
-	sink   outcomeSink
-	client *http.Client
+	touch func(target)
+	sink  outcomeSink
+	// suspects hears of requests that were running in crashed upstreams.
+	suspects *suspects
+	client   *http.Client
 	// onceClient makes a new connection for each request.
 	onceClient *http.Client
 	loads      loadTable
@@ -110,7 +113,6 @@
 	req.target = target{service: service.Name}
 	method := exchangeOf(ctx).request.Method
 	req.idempotent = isIdempotentCall(service, method, path)
-	req.fingerprint = contentHash(name+" "+method+" "+path, req.body)
 	if !req.idempotent && req.key == "" {
 		return verdict.Refuse(verdict.ReasonKeyRequired, "this call may not be repeated; send an Idempotency-Key (UUIDv7)")
 	}
@@ -127,6 +129,9 @@
 	req.query = x.request.URL.RawQuery
 	req.header = x.request.Header
 	req.number = g.nextNumber.Add(1)
+	// The caller is left out: whoever sends a request that crashes upstreams,
+	// it crashes them.
+	req.fingerprint = quarantine.Fingerprint("", req.method, req.path, req.body)
 	if refusal := current.identify(req, attrs, g.cfg.defaultCaller); refusal != nil {
 		return refusal
 	}
--- a/internal/entry/methods.go
+++ b/internal/entry/methods.go
@@ -21,6 +21,7 @@
 		rpc.MethodClaimDone: rpc.Method(e.claimOutcome),
 		rpc.MethodStoreSlot: rpc.Method(e.storeSlot),
 		rpc.MethodQuery:     rpc.Method(e.query),
+		rpc.MethodCrash:     rpc.Method(e.crash),
 	}
 	maps.Copy(all, e.relay.Methods())
 	return all
@@ -87,6 +88,11 @@
 	return result, err
 }
 
+func (e *Entry) crash(ctx context.Context, p rpc.CrashParams) (struct{}, error) {
+	e.control.post(ctx, crashReported{params: p})
+	return struct{}{}, nil
+}
+
 // agentAddress finds the control address of an upstream's agent.
 func (e *Entry) agentAddress(name state.UpstreamName) (string, bool) {
 	current := e.control.view()
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -136,7 +136,6 @@
 	r.body = body
 	r.maxTokens = parsed.MaxTokens
 	r.stream = parsed.Stream
-	r.fingerprint = contentHash(parsed.Model, prompt)
 	r.idempotent = r.key == ""
 	return parsed.Model, nil
 }
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -23,6 +23,7 @@
 	MethodPing        = "entry.ping"
 	MethodQuery       = "entry.query"
 	MethodReport      = "decider.report"
+	MethodCrash       = "quarantine.crash"
 )
 
 // Methods that agents serve.
@@ -335,6 +336,15 @@
 // PingResult answers a ping with the same about the receiver.
 type PingResult = PingParams
 
+// CrashParams tells the owner of a fingerprint's attribution that a request
+// was running in an upstream that crashed, or that it ran to its end.
+type CrashParams struct {
+	Fingerprint uint64             `json:"fingerprint"`
+	Upstream    state.UpstreamName `json:"upstream,omitempty"`
+	// Completed clears the request.
+	Completed bool `json:"completed,omitempty"`
+}
+
 // QueryParams asks an entry for its own rows of a table.
 type QueryParams struct {
 	Table string `json:"table"`
