claims, entry: a refusal of a resent request says what is known of the work

Cause: a request with an idempotency key that was refused before its claim (queue full, deadline, log away) was reported as not run, although an earlier sending of it may have run through another entry. Change: such a refusal asks the claim's owner whether the key was ever claimed, at most 300 ms; unless it was not, the verdict is that the work may have run. A claim that another owner made since this owner's last read is not seen; that needs two owners of a shard at once.

--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -180,8 +180,12 @@
 		return out
 	}
 	if len(o.waiting) >= o.settings.MaxWaiting {
-		// This sending ends here without a claim.
-		out.refuse(t, verdict.Refuse(verdict.ReasonQueueFull, "too many claims wait").WithRetryAfter(o.settings.GiveUpAfter))
+		refusal := verdict.Unknown(verdict.ReasonQueueFull, "too many claims wait")
+		if o.Unseen(p.Claim.Caller, p.Claim.Key) {
+			// Neither this sending nor an earlier one got a claim.
+			refusal.Execution = verdict.NotRun
+		}
+		out.refuse(t, refusal.WithRetryAfter(o.settings.GiveUpAfter))
 		return out
 	}
 	until := now.Add(o.settings.GiveUpAfter)
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -110,6 +110,30 @@
 	return rpc.ClaimResult{}, last
 }
 
+// lookupTimeout bounds the question whether a key was ever claimed, which only
+// a refusal waits for.
+const lookupTimeout = 300 * time.Millisecond
+
+// unseen implements claimClient.
+func (r *claimRouter) unseen(caller state.CallerName, key string) bool {
+	ctx, cancel := context.WithTimeout(r.running, lookupTimeout)
+	defer cancel()
+	params := rpc.ClaimLookupParams{Caller: caller, Key: key}
+	for _, address := range r.owners(claims.ShardOf(caller, key)) {
+		var result rpc.ClaimLookupResult
+		var err error
+		if address == "" {
+			result, err = r.local.lookup(ctx, params)
+		} else {
+			err = r.caller.Call(ctx, address, rpc.MethodClaimLookup, params, &result)
+		}
+		if !errors.Is(err, rpc.ErrUnreachable) {
+			return err == nil && result.Unseen
+		}
+	}
+	return false
+}
+
 // outcomeTimeout bounds telling an owner how a claim ended.
 const outcomeTimeout = 5 * time.Second
 
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -25,9 +25,26 @@
 	// outcome tells the owner how a claim ended. It does not wait; a lost
 	// outcome costs a later resend a question to the agent.
 	outcome(params rpc.ClaimOutcomeParams)
+	// unseen reports whether it is known that a key was never claimed.
+	unseen(caller state.CallerName, key string) bool
 	self() state.ProcessID
 }
 
+// aboutWork makes a refusal of a request with an idempotency key say what is
+// known of the work: an earlier sending of the request may have run although
+// this one was refused before its claim.
+func (e *execution) aboutWork(v *verdict.Verdict) *verdict.Verdict {
+	if e.request.idempotent || e.consulted || v.Execution != verdict.NotRun {
+		return v
+	}
+	if e.claims.unseen(e.request.caller.Name, e.request.key) {
+		return v
+	}
+	known := *v
+	known.Execution = verdict.MayHaveRun
+	return &known
+}
+
 // openClaim gets the right to send the request to replica once. A verdict
 // means that there is none: a refusal, or the outcome of an earlier run.
 func (e *execution) openClaim(ctx context.Context, replica rpc.ReplicaAt) *verdict.Verdict {
@@ -47,6 +64,7 @@
 		},
 		Deadline: e.request.deadline,
 	})
+	e.consulted = err == nil
 	switch {
 	case err != nil:
 		// This attempt sends nothing, but without the owner's answer an earlier
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// lookup tells whether a key was ever claimed.
+func (s *claimShards) lookup(ctx context.Context, params rpc.ClaimLookupParams) (rpc.ClaimLookupResult, error) {
+	reply := make(chan bool, 1)
+	s.post(ctx, func(running context.Context, now time.Time) {
+		shard := s.shard(running, claims.ShardOf(params.Caller, params.Key), now)
+		reply <- shard.owner.Unseen(params.Caller, params.Key)
+	})
+	select {
+	case unseen := <-reply:
+		return rpc.ClaimLookupResult{Unseen: unseen}, nil
+	case <-ctx.Done():
+		return rpc.ClaimLookupResult{}, ctx.Err()
+	}
+}
+
 // outcome notes how a claim ended.
 func (s *claimShards) outcome(ctx context.Context, params rpc.ClaimOutcomeParams, from state.ProcessID) {
 	s.post(ctx, func(running context.Context, now time.Time) {
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -39,6 +39,8 @@
 	firstToken time.Duration
 	// final is set by a refusal that a further attempt can't change.
 	final bool
+	// consulted is set once the claim's owner has said what it knows.
+	consulted bool
 	// claim is the record id of the open claim of a request that may not be
 	// repeated.
 	claim string
@@ -49,6 +51,10 @@
 // run returns the verdict of the request. The answer has been relayed if the
 // verdict says that it ran.
 func (e *execution) run(ctx context.Context, current *view) *verdict.Verdict {
+	return e.aboutWork(e.runOnce(ctx, current))
+}
+
+func (e *execution) runOnce(ctx context.Context, current *view) *verdict.Verdict {
 	if refusal := e.admit(current, e.request); refusal != nil {
 		return refusal
 	}
--- a/internal/entry/methods.go
+++ b/internal/entry/methods.go
@@ -19,6 +19,9 @@
 		rpc.MethodReport:    rpc.Method(e.report),
 		rpc.MethodClaim:     rpc.Method(e.shards.ask),
 		rpc.MethodClaimDone: rpc.Method(e.claimOutcome),
+
+		rpc.MethodClaimLookup: rpc.Method(e.shards.lookup),
+
 		rpc.MethodStoreSlot: rpc.Method(e.storeSlot),
 		rpc.MethodQuery:     rpc.Method(e.query),
 		rpc.MethodCrash:     rpc.Method(e.crash),
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -19,6 +19,7 @@
 	MethodDemand      = "home.demand"
 	MethodClaim       = "claims.claim"
 	MethodClaimDone   = "claims.done"
+	MethodClaimLookup = "claims.lookup"
 	MethodStoreSlot   = "store.slot"
 	MethodPing        = "entry.ping"
 	MethodQuery       = "entry.query"
@@ -206,6 +207,18 @@
 	Done *state.ClaimDone `json:"done,omitempty"`
 }
 
+// ClaimLookupParams asks a claim owner whether a key was ever claimed.
+type ClaimLookupParams struct {
+	Caller state.CallerName `json:"caller"`
+	Key    string           `json:"key"`
+}
+
+// ClaimLookupResult answers ClaimLookupParams.
+type ClaimLookupResult struct {
+	// Unseen says that no claim of the key was made.
+	Unseen bool `json:"unseen"`
+}
+
 // ClaimOutcomeParams reports the outcome of a claim to its owner.
 type ClaimOutcomeParams struct {
 	Caller state.CallerName `json:"caller"`
