rpc: count the bytes between processes

Cause: the control budget of 3 KB/s per daemon could not be measured. Change: counted connections feed the metric lagoonvalve_control_bytes_total of an entry.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,8 @@
 	Metrics http.Handler
 	// Meter measures requests.
 	Meter Meter
+	// Counter counts the bytes between processes.
+	Counter rpc.ByteCounter
 	// Retention is how long the log keeps records.
 	Retention time.Duration
 }
@@ -237,7 +239,9 @@
 	operatorsServer := newHTTPServer(operatorsHandler(api, e.readiness, e.deps.Metrics))
 	group.Go(func() error { return serveHTTP(ctx, callersServer, listeners.Callers) })
 	group.Go(func() error { return serveHTTP(ctx, operatorsServer, listeners.Operators) })
-	group.Go(func() error { return rpc.NewServer(e.methods()).Serve(ctx, listeners.Control) })
+	control := rpc.NewServer(e.methods())
+	control.Counter = e.deps.Counter
+	group.Go(func() error { return control.Serve(ctx, listeners.Control) })
 }
 
 // stop drains the entry. Peers hear that it is leaving with the next pings.
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -34,6 +34,7 @@
 		return err
 	}
 	caller := rpc.NewClient()
+	caller.Counter = meter
 	defer caller.Close()
 	e := entry.New(cfg, entry.Deps{
 		Log:       platform.NewHTTPLog(cfg.Platform.Log, platform.HTTPOptions{}),
@@ -42,6 +43,7 @@
 		Logger:    logger,
 		Metrics:   meter.Handler(),
 		Meter:     meter,
+		Counter:   meter,
 		Retention: logRetention,
 	})
 	return e.Run(ctx, listeners)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -29,7 +29,10 @@
 
 // Client keeps one connection to each process that it calls.
 type Client struct {
-	dialer net.Dialer
+	// Counter counts the bytes of the connections; nil counts none. It is
+	// set before the first call.
+	Counter ByteCounter
+	dialer  net.Dialer
 
 	mu     sync.Mutex
 	conns  map[string]*jsonrpc2.Conn
@@ -109,7 +112,7 @@
 		_ = raw.Close()
 		return conn, nil
 	}
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(counted(raw, c.Counter), jsonrpc2.VSCodeObjectCodec{})
 	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCall), quiet)
 	c.conns[addr] = conn
 	return conn, nil
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -37,6 +37,9 @@
 
 // Server answers jsonrpc2 calls on a listener.
 type Server struct {
+	// Counter counts the bytes of the connections; nil counts none. It is
+	// set before Serve.
+	Counter ByteCounter
 	methods map[string]MethodFunc
 
 	mu     sync.Mutex
@@ -75,7 +78,7 @@
 		_ = conn.Close()
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(counted(conn, s.Counter), jsonrpc2.VSCodeObjectCodec{})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
 	peer := jsonrpc2.NewConn(ctx, stream, handler, quiet)
 	s.conns[peer] = struct{}{}
