agent: ask for a missing adapter at once; tighten three tests

Cause: three broken variants passed the tests: work kept for a caller who left, requests refused late, and requests started before their adapter. Change: the tests bound the virtual time and the order of events; a queued request tells the control goroutine which adapter it lacks. Measured: go test -race -count=2 ./... passes.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -54,9 +54,12 @@
 func TestAdapterLoadsOnDemand(t *testing.T) {
 	inBubble(t, func(w *world) {
 		w.awake()
-		got := w.request(anyone, agent.HeaderAdapter, "x")
-		w.Expect(got.body).To(Equal("answer"))
-		w.Expect(w.engine.ordered(platform.OrderLoadAdapter)).To(Equal(1))
+		w.engine.handle(func(out http.ResponseWriter, _ *http.Request) {
+			if w.engine.ordered(platform.OrderLoadAdapter) == 1 {
+				_, _ = io.WriteString(out, "loaded")
+			}
+		})
+		w.Expect(w.request(anyone, agent.HeaderAdapter, "x").body).To(Equal("loaded"))
 	})
 }
 
@@ -203,7 +206,9 @@
 		w.awake()
 		release := w.hold()
 		running := w.background()
+		asked := time.Now()
 		late := w.request(anyone, agent.HeaderDeadline, "50")
+		w.Expect(time.Since(asked)).To(BeNumerically("<", 100*time.Millisecond))
 		w.Expect(late.verdict()).To(Equal("not-run"))
 		w.Expect(late.reason()).To(Equal(string(verdict.ReasonDeadlinePast)))
 		release()
@@ -336,8 +341,10 @@
 		ctx, leave := context.WithCancel(anyone)
 		go w.request(ctx)
 		synctest.Wait()
+		left := time.Now()
 		leave()
 		<-gone
+		w.Expect(time.Since(left)).To(BeNumerically("<", time.Second), "before the deadline")
 		w.hold()()
 		w.Expect(w.request(anyone).body).To(Equal("answer"))
 	})
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -218,7 +218,7 @@
 	return state.Adapter{Name: name, Size: 1}, name != ""
 }
 
-// fakeEngine carries out orders at once and answers requests by handler.
+// fakeEngine carries out orders at once, but for adapter loads, and answers requests by handler.
 type fakeEngine struct {
 	net *memNet
 
@@ -272,6 +272,9 @@
 }
 
 func (e *fakeEngine) Do(_ context.Context, o platform.Order) error {
+	if o.Kind == platform.OrderLoadAdapter {
+		time.Sleep(5 * time.Millisecond) // virtual time
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, o)
--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -62,13 +62,9 @@
 	if a.service {
 		return c.checkAgent(r, view)
 	}
-	adapters, ok := view.ready[c.item.Key]
-	if !ok {
+	if _, ok := view.ready[c.item.Key]; !ok {
 		return verdict.Refuse(verdict.ReasonNoReplica, "the model version is not ready here")
 	}
-	if c.item.Adapter != "" && !adapters[c.item.Adapter] {
-		a.wantAdapter(c.item)
-	}
 	return c.checkAgent(r, view)
 }
 
@@ -141,6 +137,9 @@
 		return refusal
 	}
 	c.item = waiter.item
+	if !a.isReady(c.item) {
+		a.wantAdapter(c.item)
+	}
 	select {
 	case refusal = <-waiter.decided:
 		return refusal
@@ -164,10 +163,14 @@
 	return a.view.Load().ready[it.Key][it.Adapter]
 }
 
-// wantAdapter asks for the load of an adapter. A full event queue loses the
-// wish; the control tick repeats it while a request waits for the adapter.
+// wantAdapter asks for the load of an adapter. If the event queue is full, the
+// next tick of the control goroutine finds the wish.
 func (a *Agent) wantAdapter(it admission.Item) {
 	a.missing.Store(target{it.Key, it.Adapter}, it.Deadline)
+	select {
+	case a.control.events <- func() {}:
+	default:
+	}
 }
 
 // refuse answers with a verdict.
