scaling: wait for twelve gaps before leaving the start keep-alive

Cause: after four gaps, models in steady use left the start value; short pauses then unloaded them, and with a slow store loading again took long. Change: twelve gaps decide, and the least keep-alive falls to 2 s to keep the idle hours.

--- a/internal/decide/scaling/keepalive.go
+++ b/internal/decide/scaling/keepalive.go
@@ -12,7 +12,7 @@
 	IdleWeight float64
 	// ColdStartWeight is the cost of one second of cold start; default 10.
 	ColdStartWeight float64
-	// Min and Max bound the keep-alive; defaults 4 s and 1 h.
+	// Min and Max bound the keep-alive; defaults 2 s and 1 h.
 	Min, Max time.Duration
 	// Start is the keep-alive without history; default 2 min.
 	Start time.Duration
@@ -31,7 +31,7 @@
 		c.ColdStartWeight = 10
 	}
 	if c.Min <= 0 {
-		c.Min = 4 * time.Second
+		c.Min = 2 * time.Second
 	}
 	if c.Max <= 0 {
 		c.Max = time.Hour
@@ -52,7 +52,7 @@
 	// gapBuckets covers gaps of 1 s to about 18 h, two buckets per doubling.
 	gapBuckets = 33
 	// minGaps is how many gaps must be known before they decide.
-	minGaps = 4
+	minGaps = 12
 )
 
 // KeepAlive derives how long an idle replica stays loaded from the gaps
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -124,7 +124,7 @@
 	g.Expect(scaling.NewKeepAlive(scaling.KeepAliveConfig{}).Value(time.Second)).To(Equal(2 * time.Minute))
 	none := scaling.KeepAliveConfig{}
 	g.Expect(value(none, 40*time.Second, 20*time.Second)).To(And(BeNumerically(">=", 40*time.Second), BeNumerically("<", time.Minute)))
-	g.Expect(value(none, 1000*time.Second, 20*time.Second)).To(Equal(4*time.Second), "a cold start costs less than the idle time")
+	g.Expect(value(none, 1000*time.Second, 20*time.Second)).To(Equal(2*time.Second), "a cold start costs less than the idle time")
 	archive := scaling.KeepAliveConfig{ColdStartWeight: 100}
 	g.Expect(value(archive, 1000*time.Second, 20*time.Second)).To(BeNumerically(">=", 1000*time.Second))
 	k := scaling.NewKeepAlive(none)
