--- /dev/null
+++ b/internal/verdict/document_test.go
@@ -0,0 +1,31 @@
+package verdict_test
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Guards against a reason that callers cannot look up, a documented one that
+// does not exist, and a wrong status in the document.
+func TestDocumentListsEveryReason(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile("../../docs/verdicts.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	rows := regexp.MustCompile("(?m)^\\| `(\\w+)` \\| (\\d+) \\| [^|]{10,} \\| [^|]{10,} \\|$").FindAllStringSubmatch(string(data), -1)
+	documented := make(map[verdict.Reason]string)
+	for _, row := range rows {
+		documented[verdict.Reason(row[1])] = row[2]
+	}
+	g.Expect(rows).To(HaveLen(len(documented)), "a reason has two rows")
+	existing := make(map[verdict.Reason]string)
+	for _, reason := range verdict.Reasons() {
+		existing[reason] = fmt.Sprint(reason.HTTPStatus())
+	}
+	g.Expect(documented).To(Equal(existing))
+}
