--- a/internal/oplang/parse_test.go
+++ b/internal/oplang/parse_test.go
@@ -16,12 +16,16 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-const document = "../../docs/oplang.md"
+const (
+	document     = "../../docs/oplang.md"
+	dayDocument  = "../../docs/operators.md"
+	statementTag = "(?s)```oplang\n(.*?)```"
+)
 
 // examples returns the documented statements.
-func examples(t testing.TB) []string {
+func examples(t testing.TB, path string) []string {
 	t.Helper()
-	blocks := regexp.MustCompile("(?s)```oplang\n(.*?)```").FindAllStringSubmatch(readDocument(t), -1)
+	blocks := regexp.MustCompile(statementTag).FindAllStringSubmatch(readDocument(t, path), -1)
 	var statements []string
 	for _, block := range blocks {
 		statements = append(statements, strings.Split(strings.TrimSpace(block[1]), "\n")...)
@@ -29,9 +33,9 @@
 	return statements
 }
 
-func readDocument(t testing.TB) string {
+func readDocument(t testing.TB, path string) string {
 	t.Helper()
-	data, err := os.ReadFile(filepath.Clean(document))
+	data, err := os.ReadFile(filepath.Clean(path))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,8 +46,12 @@
 // statements, tables, entities and keys that the document leaves out.
 func TestDocumentedExamplesParseAndCoverTheGrammar(t *testing.T) {
 	g := NewWithT(t)
-	statements := examples(t)
+	statements := examples(t, document)
 	used := make(map[string]bool)
+	for _, text := range examples(t, dayDocument) {
+		_, err := oplang.Parse(text)
+		g.Expect(err).NotTo(HaveOccurred(), text)
+	}
 	for _, text := range statements {
 		s, err := oplang.Parse(text)
 		g.Expect(err).NotTo(HaveOccurred(), text)
@@ -58,7 +66,7 @@
 	for _, table := range oplang.Tables {
 		g.Expect(statements).To(ContainElement(HavePrefix("show "+table)), table)
 	}
-	text := readDocument(t)
+	text := readDocument(t, document)
 	for _, kind := range []state.EntityKind{"model", "version", "adapter", "caller", "service", "upstream", "team"} {
 		g.Expect(statements).To(ContainElement(HavePrefix("create " + string(kind) + " ")))
 		for _, key := range oplang.Keys(kind) {
@@ -132,7 +140,7 @@
 // Guards against a panic on any input, against a mistake without a place in
 // the statement and against a statement of more or less than one kind.
 func FuzzParse(f *testing.F) {
-	for _, text := range examples(f) {
+	for _, text := range examples(f, document) {
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
