state: rename ReplicaKey.String to Path

Cause: Grant, Replica and GrantBody embed ReplicaKey and printed as the bare key, which also hid a changed published view from the test of grants. Change: ReplicaKey has Path, no String. Measured: a revoke that writes into a published view now fails TestGrantsMatchNaiveReading; before it passed. Conclusion: no String method on embedded types.

--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -136,6 +136,8 @@
 	g.Expect(changed(a, moved)).To(Equal([]string{"other m false", "other n true"}), "a restart")
 	observe(beat("1", 5, 9, "n"), 2*time.Second)
 	g.Expect(changed(a, moved)).To(BeEmpty(), "a late heartbeat of the predecessor")
+	observe(beat("0", 3, 9, "n"), 2*time.Second)
+	g.Expect(changed(a, moved)).To(BeEmpty(), "a predecessor that this watcher never saw")
 	a.SetLeaving(func(state.HostName) bool { return true })
 	g.Expect(changed(a, moved)).To(Equal([]string{"other m true"}))
 	g.Expect(observe(beat("2", 8, 1), 3*time.Second).Leaving).To(BeTrue())
--- a/internal/state/keys.go
+++ b/internal/state/keys.go
@@ -2,8 +2,9 @@
 
 import "strings"
 
-// String returns "model/version", the key of a version.
-func (k ReplicaKey) String() string { return string(k.Model) + "/" + string(k.Version) }
+// Path returns "model/version", the key of a version. It is not a String
+// method, because structs that embed a ReplicaKey would print as their key.
+func (k ReplicaKey) Path() string { return string(k.Model) + "/" + string(k.Version) }
 
 // ParseReplicaKey reads "model/version".
 func ParseReplicaKey(text string) (key ReplicaKey, ok bool) {
