claims, placement: checks for given-up claims and first grants

Cause: four broken variants passed the tests. Change: a scenario for claims that are given up while the table changes, and one for scarce memory. Measured: each of the four variants (no guard for retention, none for a new reading, no void of own claims, no first round of grants) fails a test now.

--- a/internal/decide/claims/owner_test.go
+++ b/internal/decide/claims/owner_test.go
@@ -35,6 +35,34 @@
 	g.Expect(old.Execution).To(Equal(verdict.MayHaveRun))
 }
 
+// Guards against "not run" from an owner whose table may lack an earlier
+// claim, because its reading began again or retention overtook the key, and
+// against a claim that is given up and stays open.
+func TestGivenUpClaims(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		meanwhile func(*claims.Owner)
+		want      verdict.Execution
+		voids     int
+	}{
+		{func(*claims.Owner) {}, verdict.NotRun, 1},
+		{func(o *claims.Owner) { o.Begin(time.Time{}) }, verdict.MayHaveRun, 1},
+		{func(o *claims.Owner) { o.Truncated(epoch) }, verdict.MayHaveRun, 0},
+	} {
+		o := claims.NewOwner(state.ProcessID{Name: "o"}, claims.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
+		o.Begin(time.Time{})
+		o.CaughtUp(epoch)
+		o.Ask(1, rpc.ClaimParams{Claim: state.Claim{Key: key(epoch, 1)}}, epoch)
+		batch := o.Tick(epoch.Add(50 * time.Millisecond)).Append
+		g.Expect(batch).To(HaveLen(1))
+		o.Appended(batch, claims.AppendUnknown, epoch)
+		c.meanwhile(o)
+		g.Expect(o.Tick(epoch.Add(2 * time.Second)).Replies[0].Result.Refusal.Execution).To(Equal(c.want))
+		o.Apply(state.Positioned{Time: epoch, Record: batch[0]}, epoch.Add(3*time.Second))
+		g.Expect(o.Tick(epoch.Add(4 * time.Second)).Append).To(HaveLen(c.voids))
+	}
+}
+
 // Guards against an agent whose table grows without bound or that starts a
 // claim that it has forgotten, also when its clock is set back.
 func TestSeenIsBounded(t *testing.T) {
--- a/internal/decide/placement/plan_test.go
+++ b/internal/decide/placement/plan_test.go
@@ -280,6 +280,21 @@
 	}
 }
 
+// Guards against a second grant of one model where another has none.
+func TestFirstGrantsComeFirst(t *testing.T) {
+	g := NewWithT(t)
+	r := newRegion()
+	r.in.Settings.Oversubscription = 1
+	r.upstream(0, 1, state.GiB)
+	r.upstream(1, 1, state.GiB)
+	r.model("a", 2, state.GiB)
+	r.model("b", 2, state.GiB)
+	p := r.tick(t)
+	g.Expect(p.Grants).To(HaveLen(2))
+	g.Expect(p.Grants[0].Model).NotTo(Equal(p.Grants[1].Model))
+	g.Expect(p.Shortfalls).To(HaveLen(2))
+}
+
 // BenchmarkPlan measures a decider's tick: one at rest, where all grants are
 // in force, and one that has to place every model.
 func BenchmarkPlan(b *testing.B) {
