entry: try the same replica again when there is no other; test the gateway

Cause: with one ready replica, a request that the replica had refused once excluded it and waited until its deadline; found by TestFullReplicaIsWaitedFor. Change: an excluded replica is taken when it is the only one. Tests of the gateway in virtual time with fake agents and claims.

--- /dev/null
+++ b/internal/entry/gateway_test.go
@@ -0,0 +1,416 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const testKey = "01a23f3e-9db5-74b5-a5af-632e745ca894"
+
+// fakeAgents answers the gateway's requests by the address of the replica.
+type fakeAgents struct {
+	mu     sync.Mutex
+	calls  []string
+	answer map[string]func(*http.Request) (*http.Response, error)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (f *fakeAgents) RoundTrip(r *http.Request) (*http.Response, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, r.URL.Host)
+	answer := f.answer[r.URL.Host]
+	f.mu.Unlock()
+	return answer(r)
+}
+
+func reply(status int, v *verdict.Verdict, body io.Reader) *http.Response {
+	h := http.Header{"Content-Type": {"text/plain"}}
+	if v != nil {
+		v.SetHeaders(h)
+	}
+	return &http.Response{StatusCode: status, Header: h, Body: io.NopCloser(body), Trailer: http.Header{}}
+}
+
+func served(text string) func(*http.Request) (*http.Response, error) {
+	return func(*http.Request) (*http.Response, error) {
+		return reply(http.StatusOK, &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonOK}, strings.NewReader(text)), nil
+	}
+}
+
+func refused(reason verdict.Reason) func(*http.Request) (*http.Response, error) {
+	return func(*http.Request) (*http.Response, error) {
+		return reply(reason.HTTPStatus(), verdict.Refuse(reason, "test"), strings.NewReader("{}")), nil
+	}
+}
+
+func broken(*http.Request) (*http.Response, error) { return nil, errors.New("connection reset") }
+
+// inTurn answers with the next of answers and stays with the last.
+func inTurn(answers ...func(*http.Request) (*http.Response, error)) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		next := answers[0]
+		if len(answers) > 1 {
+			answers = answers[1:]
+		}
+		return next(r)
+	}
+}
+
+// fakeClaims grants every claim, or answers with result.
+type fakeClaims struct {
+	result   *rpc.ClaimResult
+	err      error
+	neverRan bool
+	asked    int
+	outcomes []rpc.ClaimOutcomeParams
+}
+
+func (f *fakeClaims) claim(context.Context, rpc.ClaimParams) (rpc.ClaimResult, error) {
+	f.asked++
+	if f.result != nil || f.err != nil {
+		result := rpc.ClaimResult{}
+		if f.result != nil {
+			result = *f.result
+		}
+		return result, f.err
+	}
+	return rpc.ClaimResult{Granted: "claim-1"}, nil
+}
+func (f *fakeClaims) outcome(p rpc.ClaimOutcomeParams)     { f.outcomes = append(f.outcomes, p) }
+func (f *fakeClaims) unseen(state.CallerName, string) bool { return f.neverRan }
+func (f *fakeClaims) self() state.ProcessID                { return state.ProcessID{Name: "entry-1"} }
+
+// sinkSpy remembers the verdicts.
+type sinkSpy struct{ verdicts []*verdict.Verdict }
+
+func (s *sinkSpy) ended(_ *execution, v *verdict.Verdict) { s.verdicts = append(s.verdicts, v) }
+func (s *sinkSpy) retried(*request, verdict.Reason)       {}
+func (s *sinkSpy) hedged(*request, telemetry.HedgeResult) {}
+
+type gatewayBench struct {
+	*gateway
+	agents *fakeAgents
+	claims *fakeClaims
+	sink   *sinkSpy
+	target target
+}
+
+// newGatewayBench returns a gateway with one replica at each of addresses.
+func newGatewayBench(t *testing.T, agents *fakeAgents, addresses ...string) *gatewayBench {
+	t.Helper()
+	config := state.NewConfig()
+	current := &view{config: config.View(), region: state.NewRegionTables().View(), ready: true, ring: membership.NewRing(nil)}
+	b := &gatewayBench{agents: agents, claims: &fakeClaims{}, sink: &sinkSpy{}, target: target{service: "tickets"}}
+	client := &http.Client{Transport: agents}
+	b.gateway = &gateway{
+		cfg:  gatewayConfig{bodyLimit: state.MiB, defaultDeadline: 30 * time.Second},
+		view: func() *view { return current }, claims: b.claims, sink: b.sink,
+		kick: func(target) {}, touch: func(target) {},
+		client: client, onceClient: client,
+		limiter:   admission.NewLimiter(admission.LimiterConfig{}),
+		estimator: estimate.New(estimate.Config{}), retries: retry.NewBudget(retry.Config{}),
+		hedges: routing.NewHedgeBudget(routing.HedgeConfig{}), volume: routing.NewVolumeBudget(routing.VolumeConfig{}),
+	}
+	b.gateway.cfg.route = routeConfig{slots: 4, place: "dc", region: "north", seed: 1, loads: &b.loads}
+	b.suspects = newSuspects(&Entry{counts: newCounterSet()}, t.Context())
+	var replicas []rpc.ReplicaAt
+	for _, address := range addresses {
+		replicas = append(replicas, rpc.ReplicaAt{
+			Replica: state.Replica{Upstream: state.UpstreamName(address)}, TrafficAddr: address, DataCentre: "dc", Region: "north",
+		})
+	}
+	current.services = map[state.ServiceName][]rpc.ReplicaAt{"tickets": replicas}
+	return b
+}
+
+// send takes a request through the gateway. The idempotent one may be
+// repeated; the other carries an idempotency key.
+func (b *gatewayBench) send(ctx context.Context, idempotent bool, change func(*request)) (*httptest.ResponseRecorder, error) {
+	recorder := httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/services/tickets/issue", http.NoBody)
+	x := &exchange{request: r, answer: &answerWriter{ResponseWriter: recorder}}
+	ctx = context.WithValue(ctx, exchangeKey{}, x)
+	now := time.Now()
+	req := &request{id: "r1", target: b.target, arrived: now, deadline: now.Add(30 * time.Second), idempotent: idempotent, body: []byte("{}")}
+	if !idempotent {
+		req.key = testKey
+	}
+	if change != nil {
+		change(req)
+	}
+	err := func() (err error) {
+		defer func() {
+			if p := recover(); p != nil {
+				err = p.(error)
+			}
+		}()
+		return b.serve(ctx, b.view(), attributes{}, req)
+	}()
+	return recorder, err
+}
+
+func agentsOf(answers map[string]func(*http.Request) (*http.Response, error)) *fakeAgents {
+	return &fakeAgents{answer: answers}
+}
+
+type answers = map[string]func(*http.Request) (*http.Response, error)
+
+// Guards against a refused attempt ending a request that has time left, and
+// against the use of the retry budget for waiting.
+func TestFullReplicaIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		agents := agentsOf(answers{"a": inTurn(refused(verdict.ReasonQueueFull), refused(verdict.ReasonQueueFull), served("done"))})
+		b := newGatewayBench(t, agents, "a")
+		b.retries = retry.NewBudget(retry.Config{Burst: 0.001})
+		got, err := b.send(t.Context(), true, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got.Body.String()).To(Equal("done"))
+		g.Expect(agents.calls).To(HaveLen(3))
+	})
+}
+
+// Guards against a second run of work that may not be repeated, and against a
+// claim being given up whose work may have run.
+func TestBrokenAttemptOfClaimedRequestIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		agents := agentsOf(answers{"a": broken, "b": served("second")})
+		b := newGatewayBench(t, agents, "a")
+		_, err := b.send(t.Context(), false, nil)
+		g.Expect(verdict.Of(err).Execution).To(Equal(verdict.MayHaveRun))
+		g.Expect(agents.calls).To(HaveLen(1))
+		g.Expect(b.claims.outcomes).To(BeEmpty())
+	})
+}
+
+// Guards against "not run" for a request whose first attempt may have run and
+// whose second was refused.
+func TestEarlierAttemptDecidesVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newGatewayBench(t, agentsOf(answers{"a": inTurn(broken, refused(verdict.ReasonQuarantined))}), "a")
+		_, err := b.send(t.Context(), true, nil)
+		v := verdict.Of(err)
+		g.Expect(v.Reason).To(Equal(verdict.ReasonQuarantined))
+		g.Expect(v.Execution).To(Equal(verdict.MayHaveRun))
+	})
+}
+
+// Guards against a refusal of a resent request that calls its work not run
+// although an earlier sending may have run.
+func TestRefusalOfResentRequestAsksOwner(t *testing.T) {
+	for _, neverRan := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newGatewayBench(t, agentsOf(nil), "a")
+			b.claims.neverRan = neverRan
+			b.stopping.Store(true)
+			_, err := b.send(t.Context(), false, nil)
+			want := verdict.MayHaveRun
+			if neverRan {
+				want = verdict.NotRun
+			}
+			g.Expect(verdict.Of(err).Execution).To(Equal(want))
+		})
+	}
+}
+
+// Guards against dispatch without a claim while its owner is away, and against
+// calling such a request not run.
+func TestNoDispatchWithoutClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		agents := agentsOf(answers{"a": served("ran")})
+		b := newGatewayBench(t, agents, "a")
+		b.claims.err = rpc.ErrUnreachable
+		_, err := b.send(t.Context(), false, nil)
+		g.Expect(verdict.Of(err).Execution).To(Equal(verdict.MayHaveRun))
+		g.Expect(agents.calls).To(BeEmpty())
+		g.Expect(b.claims.asked).To(Equal(1))
+	})
+}
+
+// Guards against a resend that runs the work again or gets another answer
+// than the first.
+func TestKeptAnswerIsReplayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		agents := agentsOf(answers{"a": served("ran")})
+		b := newGatewayBench(t, agents, "a")
+		b.claims.result = &rpc.ClaimResult{
+			Refusal: &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan},
+			Done:    &state.ClaimDone{Status: http.StatusCreated, Answer: []byte("first"), AnswerKept: true},
+		}
+		got, err := b.send(t.Context(), false, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got.Code).To(Equal(http.StatusCreated))
+		g.Expect(got.Body.String()).To(Equal("first"))
+		g.Expect(agents.calls).To(BeEmpty())
+	})
+}
+
+// Guards against a cut answer that looks whole, and against its repetition
+// after the caller has received a part.
+func TestCutAnswerAborts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		cut := func(*http.Request) (*http.Response, error) {
+			body := io.MultiReader(strings.NewReader("half"), iotestError{})
+			return reply(http.StatusOK, nil, body), nil
+		}
+		agents := agentsOf(answers{"a": inTurn(cut, served("whole"))})
+		b := newGatewayBench(t, agents, "a")
+		got, err := b.send(t.Context(), true, nil)
+		g.Expect(err).To(MatchError(http.ErrAbortHandler))
+		g.Expect(got.Body.String()).To(Equal("half"))
+		g.Expect(agents.calls).To(HaveLen(1))
+		g.Expect(b.sink.verdicts[0].Execution).To(Equal(verdict.MayHaveRun))
+	})
+}
+
+type iotestError struct{}
+
+func (iotestError) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+// Guards against a request that is lost when its replica's agent is gone, and
+// against a dial failure counting as a run.
+func TestUnreachableAgentIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		unreachable := func(*http.Request) (*http.Response, error) {
+			return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+		}
+		b := newGatewayBench(t, agentsOf(answers{"a": unreachable, "b": served("done")}), "a", "b")
+		for range 8 {
+			got, err := b.send(t.Context(), false, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(got.Body.String()).To(Equal("done"))
+		}
+		for _, outcome := range b.claims.outcomes {
+			g.Expect(outcome.Void != nil || outcome.Done != nil).To(BeTrue())
+		}
+	})
+}
+
+// Guards against two answers to one caller, and against a hedge that leaves
+// the slower attempt running.
+func TestHedgeCancelsSlowerAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var cancelled sync.WaitGroup
+		cancelled.Add(1)
+		slow := func(r *http.Request) (*http.Response, error) {
+			<-r.Context().Done()
+			cancelled.Done()
+			return nil, r.Context().Err()
+		}
+		agents := agentsOf(answers{"a": served("A"), "b": served("B")})
+		b := newGatewayBench(t, agents, "a", "b")
+		b.target = target{key: state.ReplicaKey{Model: "m", Version: "v"}}
+		route := b.routes.of(b.target, b.cfg.route)
+		route.setReplicas(1, b.view().services["tickets"], &b.loads)
+		streamed := func(r *request) { r.stream = true }
+		for range 60 {
+			_, err := b.send(t.Context(), true, streamed)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		agents.answer["a"] = slow
+		for len(agents.calls) < 1000 {
+			before := len(agents.calls)
+			got, err := b.send(t.Context(), true, streamed)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(got.Body.String()).To(Equal("B"))
+			if len(agents.calls) == before+2 {
+				cancelled.Wait()
+				return
+			}
+		}
+		t.Fatal("no request was hedged")
+	})
+}
+
+// Guards against upstream work that goes on after its caller has left, and
+// against a waiting request that outlives its deadline.
+func TestCallerAndDeadlineEndRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ended := make(chan struct{})
+		hang := func(r *http.Request) (*http.Response, error) {
+			<-r.Context().Done()
+			close(ended)
+			return nil, r.Context().Err()
+		}
+		b := newGatewayBench(t, agentsOf(answers{"a": hang}), "a")
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, leave)
+		_, err := b.send(ctx, true, nil)
+		<-ended
+		g.Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonCallerGone))
+
+		empty := newGatewayBench(t, agentsOf(nil))
+		started := time.Now()
+		stop := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(expireInterval):
+					empty.routes.each(func(r *route) { r.room.expire(time.Now()) })
+				}
+			}
+		}()
+		_, err = empty.send(t.Context(), true, func(r *request) { r.deadline = started.Add(2 * time.Second) })
+		close(stop)
+		g.Expect(verdict.Of(err).Execution).To(Equal(verdict.NotRun))
+		g.Expect(time.Since(started)).To(BeNumerically("<=", 2*time.Second+expireInterval))
+	})
+}
+
+// Guards against headers of one connection and tokens of callers reaching the
+// upstream, and against kept connections for work that may not be repeated.
+func TestOutgoingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var sent *http.Request
+		capture := func(r *http.Request) (*http.Response, error) {
+			sent = r
+			body, _ := io.ReadAll(r.Body)
+			return reply(http.StatusOK, nil, bytes.NewReader(body)), nil
+		}
+		b := newGatewayBench(t, agentsOf(answers{"a": capture}), "a")
+		kept := &fakeAgents{answer: answers{"a": refused(verdict.ReasonInternal)}}
+		b.client = &http.Client{Transport: kept}
+		_, err := b.send(t.Context(), false, func(r *request) {
+			r.header = http.Header{"Authorization": {"Bearer secret"}, "Connection": {"close"}, "X-Own": {"1"}}
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(kept.calls).To(BeEmpty())
+		g.Expect(sent.Header.Get(headerClaim)).To(Equal("claim-1"))
+		g.Expect(sent.Header).NotTo(HaveKey("Authorization"))
+		g.Expect(sent.Header).NotTo(HaveKey("Connection"))
+	})
+}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -148,12 +148,18 @@
 		r.candidates = append(r.candidates, r.candidate(now, i, replica, set.loads[i], req, cfg))
 	}
 	policy := routing.TwoChoices{Config: cfg.delay}
-	chosen, ok := policy.Select(r.rng, r.candidates, routing.Request{
+	wanted := routing.Request{
 		Prefill: req.cost,
 		Volume:  state.Bytes(len(req.body)),
 		Remote:  remote,
 		Exclude: excluded,
-	})
+	}
+	chosen, ok := policy.Select(r.rng, r.candidates, wanted)
+	if !ok && excluded >= 0 {
+		// The replica that was tried before is better than none.
+		wanted.Exclude = -1
+		chosen, ok = policy.Select(r.rng, r.candidates, wanted)
+	}
 	if !ok {
 		return rpc.ReplicaAt{}, nil, false
 	}
