--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -17,19 +17,6 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-const claimID = "0190a0a0-0000-7000-8000-000000000001"
-
-var anyone = context.Background()
-
-// inBubble runs a scenario in virtual time.
-func inBubble(t *testing.T, scenario func(w *world)) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t)
-		scenario(w)
-		w.end()
-	})
-}
-
 // Guards against a wake that loads nothing and an answer without verdict and
 // load.
 func TestWakeThenServe(t *testing.T) {
@@ -239,11 +226,6 @@
 	})
 }
 
-func (w *world) claimStatus(id, incarnation string) (result rpc.ClaimStatusResult) {
-	w.call(rpc.MethodClaimStatus, rpc.ClaimStatusParams{Claim: id, Agent: 1, AgentIncarnation: incarnation}, &result)
-	return result
-}
-
 // Guards against net/http sending a request with an Idempotency-Key a second
 // time when a used connection breaks.
 func TestBrokenConnectionIsNotReplayed(t *testing.T) {
@@ -290,17 +272,6 @@
 	})
 }
 
-func stream(events bool) http.HandlerFunc {
-	return func(out http.ResponseWriter, r *http.Request) {
-		if events {
-			out.Header().Set("Content-Type", "text/event-stream")
-		}
-		_, _ = io.WriteString(out, "data: 1\n\n")
-		_ = http.NewResponseController(out).Flush()
-		<-r.Context().Done()
-	}
-}
-
 // Guards against a broken stream that looks whole, and against a crash whose
 // suspects are not reported.
 func TestEngineCrashInStream(t *testing.T) {
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -182,3 +182,32 @@
 	})
 	return func() { close(gate) }
 }
+
+const claimID = "0190a0a0-0000-7000-8000-000000000001"
+
+var anyone = context.Background()
+
+// inBubble runs a scenario in virtual time.
+func inBubble(t *testing.T, scenario func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		scenario(w)
+		w.end()
+	})
+}
+
+func (w *world) claimStatus(id, incarnation string) (result rpc.ClaimStatusResult) {
+	w.call(rpc.MethodClaimStatus, rpc.ClaimStatusParams{Claim: id, Agent: 1, AgentIncarnation: incarnation}, &result)
+	return result
+}
+
+func stream(events bool) http.HandlerFunc {
+	return func(out http.ResponseWriter, r *http.Request) {
+		if events {
+			out.Header().Set("Content-Type", "text/event-stream")
+		}
+		_, _ = io.WriteString(out, "data: 1\n\n")
+		_ = http.NewResponseController(out).Flush()
+		<-r.Context().Done()
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -103,7 +103,12 @@
 	a.control = newControl(ctx, a)
 	a.crashes = newCrashes(a.deps.Engine, a.control.relist)
 	a.weights = &weights{unknown: func() {
-		a.control.post(func() { a.weights.refresh(a.deps.Tables) })
+		// If the event queue is full, the next page of the configuration
+		// stream refreshes the weights.
+		select {
+		case a.control.events <- func() { a.weights.refresh(a.deps.Tables) }:
+		default:
+		}
 	}}
 }
 
--- a/internal/decide/account/account_test.go
+++ b/internal/decide/account/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -16,19 +17,14 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	set := func(name, value string) {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
 	given := make(map[string]bool)
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
 	defaults := map[string]string{
 		"rapid.seed": "20261204", "rapid.checks": "1500", "rapid.steps": "60", "rapid.nofailfile": "true",
 	}
 	for name, value := range defaults {
-		if !given[name] {
-			set(name, value)
+		if !given[name] && flag.Set(name, value) != nil {
+			panic("unknown flag " + name)
 		}
 	}
 	os.Exit(m.Run())
@@ -84,3 +80,42 @@
 	a.Observe(now, a.Listing(), empty)
 	g.Expect(a.Tick(now, unused)).To(ConsistOf(account.AppendRelease{Release: state.Release{Grant: 0, Agent: 1}}))
 }
+
+// sameSize gives every model the same footprint.
+type sameSize struct{ catalogue }
+
+func (sameSize) Version(k state.ReplicaKey) (state.ModelVersion, bool) {
+	return state.ModelVersion{Model: k.Model, Name: k.Version, Weights: 9, KVHeadroom: 1}, true
+}
+
+// BenchmarkTick is a tick with nothing to do but to look at all replicas.
+func BenchmarkTick(b *testing.B) {
+	for _, replicas := range []int{10, 50, 200} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			memory := state.Bytes(10 * replicas)
+			a := account.New(account.Config{
+				Upstream: upstream, Memory: memory, Fencing: state.FencingEnforced,
+			}, sameSize{}, nil)
+			a.Register(1, state.Intent{})
+			status := platform.EngineStatus{Incarnation: "1", Memory: memory}
+			var grants []state.Grant
+			for i := range replicas {
+				k := state.ReplicaKey{Model: state.ModelName(fmt.Sprintf("m%d", i)), Version: "v1"}
+				grants = append(grants, state.Grant{ID: state.Offset(i), ReplicaKey: k, Upstream: upstream})
+				status.Replicas = append(status.Replicas, platform.EngineReplica{ReplicaKey: k, State: state.ReplicaReady})
+			}
+			a.SetGrants(grants)
+			a.Observe(now, a.Listing(), status)
+			use := func(state.ReplicaKey, state.AdapterName) account.Use { return account.Use{KeepAlive: time.Hour} }
+			a.Result(now, a.Tick(now, use)[0].(account.SendOrder).ID, account.Done)
+			a.Observe(now, a.Listing(), status)
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(a.Tick(now, use)) > 0 {
+					b.Fatal("the tick ordered something")
+				}
+			}
+		})
+	}
+}
--- a/internal/decide/account/engine_test.go
+++ b/internal/decide/account/engine_test.go
@@ -47,14 +47,13 @@
 
 // message is an order on its way to the engine and back.
 type message struct {
-	agent       int
-	id          account.OrderID
-	order       platform.Order
-	incarnation int // of the engine that it was sent to
-	delivered   bool
-	answered    bool // the engine has answered
-	outcome     account.Outcome
-	gaveUp      bool // the agent took it as unknown
+	agent     int
+	id        account.OrderID
+	order     platform.Order
+	delivered bool
+	answered  bool // the engine has answered
+	outcome   account.Outcome
+	gaveUp    bool // the agent took it as unknown
 }
 
 // fakeEngine carries out every order that it accepts, and so shows any
--- a/internal/decide/account/machine_test.go
+++ b/internal/decide/account/machine_test.go
@@ -236,7 +236,7 @@
 		}
 	}
 	m.engine.messages = append(m.engine.messages, &message{
-		agent: m.agent, id: cmd.ID, order: order, incarnation: m.engine.incarnation,
+		agent: m.agent, id: cmd.ID, order: order,
 	})
 	if !m.engine.enforced && m.outstanding() > 1 {
 		t.Fatal("more than one order in flight on an engine that ignores tokens")
