scaling: wake a model whose requests were refused

Cause: the first requests for a cold model were refused for their short deadlines, so nothing waited and nothing was woken until a patient request came; with short deadlines only, the model never loaded. A home also waited for its next tick after an agent refused a wake. Change: demand counts requests refused for want of a ready replica, and they wake a model without replicas; rpc.Backlog gets the field. The test fails without the count.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -117,6 +117,9 @@
 		delete(e.waiting, it.ID)
 	}
 	if refusal != nil {
+		if len(e.o.published[r.model]) == 0 {
+			e.o.homes[r.model].refused++
+		}
 		e.o.end(r, outcomeRefused)
 		return
 	}
--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -14,6 +14,7 @@
 	model   int
 	arrived int
 	rate    float64
+	refused int
 	// stretch is how much longer than expected recent loads took.
 	stretch float64
 	readyIn time.Duration
@@ -69,7 +70,7 @@
 			all = append(all, scaling.Demand{Waiting: q.Waiting(), Work: q.Work()})
 		}
 	}
-	return append(all, scaling.Demand{Rate: h.rate})
+	return append(all, scaling.Demand{Rate: h.rate, Refused: h.refused})
 }
 
 // benefit is what the waiting requests lose per second.
@@ -114,8 +115,10 @@
 func (h *home) decide() {
 	in := h.input()
 	out := scaling.Home{}.Decide(in)
+	h.refused = 0
 	h.supply = slotsPerRunner * (len(in.Replicas) + len(out.Wakes))
 	h.readyIn = out.ReadyIn
+	refused := false
 	for _, wake := range out.Wakes {
 		id, err := strconv.Atoi(string(wake.Upstream))
 		if err != nil {
@@ -123,8 +126,13 @@
 		}
 		if !h.o.agents[id].wake(h.model, wake.Benefit) {
 			h.blocked[id] = h.o.now.Add(time.Second)
+			refused = true
 		}
 	}
+	if refused {
+		// Another grant may do; the next tick would be a cold start late.
+		h.o.after(2*time.Millisecond, h.decide)
+	}
 }
 
 // loaded learns from the time of a finished load.
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -48,7 +48,12 @@
 	// Work is the predicted service time of the waiting requests.
 	Work time.Duration
 	// Rate is the arrivals per second of the last seconds.
-	Rate     float64
+	Rate float64
+	// Refused counts requests refused for want of a ready replica since the
+	// last report. They wake a model like waiting ones: their callers come
+	// back, and a model asked for only with short deadlines would otherwise
+	// never be loaded.
+	Refused  int
 	Adapters []state.AdapterName
 }
 
@@ -131,6 +136,7 @@
 	ready, loading, slots int
 	work                  time.Duration
 	rate                  float64
+	refused               int
 	waiting               [state.ClassCount]int
 	firstReady            time.Duration
 }
@@ -164,6 +170,7 @@
 	for _, d := range in.Demands {
 		view.work += d.Work
 		view.rate += d.Rate
+		view.refused += d.Refused
 		for class, n := range d.Waiting {
 			view.waiting[class] += n
 		}
@@ -220,7 +227,7 @@
 		return true
 	}
 	if view.slots == 0 {
-		return view.total() > 0 || view.work > 0
+		return view.total() > 0 || view.work > 0 || view.refused > 0
 	}
 	offered := view.rate * in.Service.Seconds()
 	if offered > c.patience()*c.Headroom*float64(view.slots) {
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -50,6 +50,14 @@
 	g.Expect(wakes(0)).To(Equal(2))
 }
 
+// Guards against a model that never loads because all of its callers are
+// refused for their short deadlines.
+func TestRefusedRequestsWake(t *testing.T) {
+	g := NewWithT(t)
+	in := scaling.HomeInput{Grants: grants(3, 10*time.Second), Service: time.Second, Demands: []scaling.Demand{{Refused: 1}}}
+	g.Expect(scaling.Home{}.Decide(in).Wakes).To(HaveLen(1))
+}
+
 // Guards against a model whose only replica is a straggler and counts in full.
 func TestStragglerCountsLess(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -117,6 +117,9 @@
 	Work state.Duration `json:"work"`
 	// Rate is the arrivals per second of the last seconds.
 	Rate float64 `json:"rate"`
+	// Refused counts requests refused for want of a ready replica since the
+	// last report.
+	Refused int `json:"refused,omitempty"`
 	// Adapters lists the adapters asked for.
 	Adapters []state.AdapterName `json:"adapters,omitempty"`
 }
