bench: predict a cold model's wait from its best usable grant

Cause: entries refused requests for a cold model by half of its load time from the store, although most grants load from a cache in one or two seconds. Change: the entry uses the home's estimate for the best grant that is not blocked.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -108,7 +108,7 @@
 	h := e.o.homes[r.model]
 	wait := h.readyIn
 	if len(e.o.published[r.model]) == 0 && h.readyIn == 0 {
-		wait = e.o.loads[r.model] / 2
+		wait = h.expectedLoad()
 	}
 	q.SetConcurrency(max(h.supply/e.o.size.entries, 1))
 	shed, refusal := q.Offer(e.o.now, e.item(r, r.id), wait)
--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -92,6 +92,17 @@
 	return scale(work, h.stretch)
 }
 
+// expectedLoad is the load time under the best grant that is not blocked.
+func (h *home) expectedLoad() time.Duration {
+	best := h.o.loads[h.model]
+	for _, id := range h.o.grants[h.model] {
+		if !h.o.ups[id].lost && h.o.now.After(h.blocked[id]) {
+			best = min(best, h.loadTime(id))
+		}
+	}
+	return best
+}
+
 func (h *home) input() scaling.HomeInput {
 	in := scaling.HomeInput{Demands: h.demands(), Service: time.Second}
 	for _, id := range h.o.grants[h.model] {
