--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -14,6 +14,7 @@
 	model   int
 	arrived int
 	rate    float64
+	refused int
 	// stretch is how much longer than expected recent loads took.
 	stretch float64
 	readyIn time.Duration
@@ -69,7 +70,7 @@
 			all = append(all, scaling.Demand{Waiting: q.Waiting(), Work: q.Work()})
 		}
 	}
-	return append(all, scaling.Demand{Rate: h.rate})
+	return append(all, scaling.Demand{Rate: h.rate, Refused: h.refused})
 }
 
 // benefit is what the waiting requests lose per second.
@@ -91,6 +92,17 @@
 	return scale(work, h.stretch)
 }
 
+// expectedLoad is the load time under the best grant that is not blocked.
+func (h *home) expectedLoad() time.Duration {
+	best := h.o.loads[h.model]
+	for _, id := range h.o.grants[h.model] {
+		if !h.o.ups[id].lost && h.o.now.After(h.blocked[id]) {
+			best = min(best, h.loadTime(id))
+		}
+	}
+	return best
+}
+
 func (h *home) input() scaling.HomeInput {
 	in := scaling.HomeInput{Demands: h.demands(), Service: time.Second}
 	for _, id := range h.o.grants[h.model] {
@@ -114,8 +126,10 @@
 func (h *home) decide() {
 	in := h.input()
 	out := scaling.Home{}.Decide(in)
+	h.refused = 0
 	h.supply = slotsPerRunner * (len(in.Replicas) + len(out.Wakes))
 	h.readyIn = out.ReadyIn
+	refused := false
 	for _, wake := range out.Wakes {
 		id, err := strconv.Atoi(string(wake.Upstream))
 		if err != nil {
@@ -123,8 +137,13 @@
 		}
 		if !h.o.agents[id].wake(h.model, wake.Benefit) {
 			h.blocked[id] = h.o.now.Add(time.Second)
+			refused = true
 		}
 	}
+	if refused {
+		// Another grant may do; the next tick would be a cold start late.
+		h.o.after(2*time.Millisecond, h.decide)
+	}
 }
 
 // loaded learns from the time of a finished load.
