entry: pass a refused request on to another region once

Cause: a region without a usable upstream refused requests that another region could serve. Change: a request that would be refused for want of capacity or time goes to an entry of another region, within the byte budget for paid traffic, never twice and never in the lowest class; the other region admits, claims and routes it as its own. Weighed: sending to the other region's agents directly saves a hop, but needs their registrations for claims and their homes' replica sets. Measured: TestRefusedRequestIsForwardedOnce passes; without the mark of forwarded requests, or with the lowest class let through, it fails.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -118,6 +118,9 @@
 	if e.claim != "" {
 		h.Set(headerClaim, e.claim)
 	}
+	if e.forwarded {
+		h.Set(headerForwarded, string(e.cfg.route.region))
+	}
 	return outgoing, nil
 }
 
@@ -285,15 +288,16 @@
 		return
 	}
 	e.firstToken = watch.first
+	if a.replica.Region != e.cfg.route.region {
+		e.takeVolume(now, state.Bytes(size)+state.Bytes(len(e.request.body)))
+		return
+	}
 	if e.request.stream {
 		e.route.observe(now, a.replica.Upstream, watch.first, watch.between(), e.request)
 	} else {
 		e.route.observe(now, a.replica.Upstream, scaleWhole(total, size), 0, e.request)
 	}
 	e.learn(e.request, watch.chunks, total)
-	if a.replica.Region != e.cfg.route.region {
-		e.takeVolume(now, state.Bytes(size)+state.Bytes(len(e.request.body)))
-	}
 }
 
 // wholeReference is the answer size at which the latencies of whole answers
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -147,6 +147,11 @@
 		seed:   rand.Uint64(),
 		loads:  &g.loads,
 	}
+	for _, peer := range e.cfg.Peers {
+		if peer.Region != e.cfg.Region && peer.Callers != "" {
+			g.cfg.remotes = append(g.cfg.remotes, remoteEntry{name: peer.Name, region: peer.Region, callers: peer.Callers})
+		}
+	}
 	e.router = &claimRouter{
 		process: self,
 		name:    state.EntryName(e.cfg.Name),
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -39,6 +39,8 @@
 	firstToken time.Duration
 	// final is set by a refusal that a further attempt can't change.
 	final bool
+	// forwarded says that the attempt goes to an entry of another region.
+	forwarded bool
 	// consulted is set once the claim's owner has said what it knows.
 	consulted bool
 	// claim is the record id of the open claim of a request that may not be
@@ -51,7 +53,7 @@
 // run returns the verdict of the request. The answer has been relayed if the
 // verdict says that it ran.
 func (e *execution) run(ctx context.Context, current *view) *verdict.Verdict {
-	return e.aboutWork(e.runOnce(ctx, current))
+	return e.aboutWork(e.forward(ctx, e.runOnce(ctx, current)))
 }
 
 func (e *execution) runOnce(ctx context.Context, current *view) *verdict.Verdict {
@@ -60,6 +62,9 @@
 	}
 	defer e.release(e.request)
 	e.route = e.routes.of(e.request.target, e.cfg.route)
+	if t := e.request.target; t.service != "" && len(current.services[t.service]) == 0 {
+		return verdict.Refuse(verdict.ReasonNoCapacity, "no upstream of this region runs the service")
+	}
 	e.route.lastUsed.Store(e.request.arrived.UnixNano())
 	e.route.arrivals.add(e.request.arrived)
 	e.route.fillBlocks(e.request)
@@ -157,6 +162,9 @@
 	set := e.route.set.Load()
 	if set == nil || len(set.replicas) == 0 {
 		e.kick(e.request.target)
+		if e.route.noCapacity.Load() && len(e.cfg.remotes) > 0 {
+			return verdict.Refuse(verdict.ReasonNoCapacity, "no upstream of this region can load the model now")
+		}
 	}
 	req := e.request
 	return e.route.room.enter(ctx, admission.Item{
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -138,6 +138,7 @@
 
 func (f *followers) apply(route *route, result rpc.DemandResult) {
 	route.loadWait.Store(int64(result.ReadyIn.Std()))
+	route.noCapacity.Store(result.Refusal != nil)
 	if result.Refusal != nil {
 		route.loadWait.Store(int64(max(result.ReadyIn.Std(), result.Refusal.RetryAfter)))
 	}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	// headerForwarded marks a request that an entry of another region passed
+	// on; it is not passed on again.
+	headerForwarded = "Lagoon-Forwarded"
+	// forwardLeast is the time to the deadline below which a request is not
+	// passed on: the round trip between regions and some service.
+	forwardLeast = 250 * time.Millisecond
+)
+
+// remoteEntry is an entry of another region.
+type remoteEntry struct {
+	name   state.EntryName
+	region state.Region
+	// callers is its address for callers' requests.
+	callers string
+}
+
+// forward sends a request that this region refused to an entry of another
+// region, which treats it as its own: it admits, claims and routes it. The gain
+// is an answer in place of a refusal; a byte budget bounds what it costs. A
+// request of the lowest class is not worth paid traffic.
+func (e *execution) forward(ctx context.Context, refusal *verdict.Verdict) *verdict.Verdict {
+	if !e.mayForward(refusal) {
+		return refusal
+	}
+	for _, remote := range e.remoteEntries() {
+		at := rpc.ReplicaAt{
+			Replica:     state.Replica{Upstream: state.UpstreamName("entry/" + string(remote.name))},
+			TrafficAddr: remote.callers,
+			Region:      remote.region,
+			Agent:       state.NoOffset,
+		}
+		e.forwarded = true
+		v := e.relay(ctx, e.do(ctx, at, &upstreamLoad{}))
+		if v.Execution != verdict.NotRun || ctx.Err() != nil || e.exchange.answer.started {
+			return v
+		}
+		if v.Reason != verdict.ReasonUpstreamFailed {
+			// The other region could not serve it either; the own region's
+			// refusal tells the caller more.
+			return refusal
+		}
+	}
+	return refusal
+}
+
+func (e *execution) mayForward(refusal *verdict.Verdict) bool {
+	req := e.request
+	if refusal.Execution != verdict.NotRun || e.consulted || req.header.Get(headerForwarded) != "" {
+		return false
+	}
+	switch refusal.Reason {
+	case verdict.ReasonNoReplica, verdict.ReasonNoCapacity, verdict.ReasonDeadlineUnmet, verdict.ReasonQueueFull:
+	default:
+		return false
+	}
+	volume := state.Bytes(len(req.body))
+	return req.class < state.ClassLow && time.Until(req.deadline) > forwardLeast && e.remoteAllowed(time.Now(), volume)
+}
+
+// remoteEntries lists an entry of each other region, in an order that spreads
+// the load.
+func (e *execution) remoteEntries() []remoteEntry {
+	all := e.cfg.remotes
+	if len(all) == 0 {
+		return nil
+	}
+	start := int(e.request.number % uint64(len(all)))
+	var chosen []remoteEntry
+	seen := make(map[state.Region]bool)
+	for i := range all {
+		remote := all[(start+i)%len(all)]
+		if !seen[remote.region] {
+			seen[remote.region] = true
+			chosen = append(chosen, remote)
+		}
+	}
+	return chosen
+}
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -57,7 +57,9 @@
 	bodyLimit       state.Bytes
 	defaultDeadline time.Duration
 	defaultCaller   state.Caller
-	route           routeConfig
+	// remotes lists the entries of other regions that take requests.
+	remotes []remoteEntry
+	route   routeConfig
 }
 
 // outcomeSink hears how each request ended.
--- a/internal/entry/gateway_test.go
+++ b/internal/entry/gateway_test.go
@@ -160,6 +160,9 @@
 	if change != nil {
 		change(req)
 	}
+	if req.header != nil {
+		r.Header = req.header
+	}
 	err := func() (err error) {
 		defer func() {
 			if p := recover(); p != nil {
@@ -414,3 +417,41 @@
 		g.Expect(sent.Header).NotTo(HaveKey("Connection"))
 	})
 }
+
+// Guards against a refusal while another region could serve the request, and
+// against a request that is passed on twice, that costs paid traffic in the
+// lowest class, or whose work may have run here.
+func TestRefusedRequestIsForwardedOnce(t *testing.T) {
+	cases := map[string]struct {
+		change  func(*request)
+		local   func(*http.Request) (*http.Response, error)
+		forward bool
+	}{
+		"no upstream in the region": {forward: true},
+		"already forwarded":         {change: func(r *request) { r.header = http.Header{headerForwarded: {"south"}} }},
+		"lowest class":              {change: func(r *request) { r.class = state.ClassLow }},
+		"may have run here":         {local: inTurn(broken, broken)},
+	}
+	for name, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			agents := agentsOf(answers{"a": c.local, "far": served("far away")})
+			addresses := []string{"a"}
+			if c.local == nil {
+				addresses = nil
+			}
+			b := newGatewayBench(t, agents, addresses...)
+			b.cfg.remotes = []remoteEntry{{name: "entry-9", region: "south", callers: "far"}}
+			b.claims.neverRan = true
+			got, err := b.send(t.Context(), false, c.change)
+			if c.forward {
+				g.Expect(err).NotTo(HaveOccurred(), name)
+				g.Expect(got.Body.String()).To(Equal("far away"), name)
+				g.Expect(b.claims.asked).To(BeZero(), name)
+				return
+			}
+			g.Expect(err).To(HaveOccurred(), name)
+			g.Expect(agents.calls).NotTo(ContainElement("far"), name)
+		})
+	}
+}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -31,7 +31,9 @@
 	// loadWait is the predicted time until a replica is ready, in
 	// nanoseconds; zero if one is.
 	loadWait atomic.Int64
-	arrivals rateMeter
+	// noCapacity says that the home has found no grant that can be used.
+	noCapacity atomic.Bool
+	arrivals   rateMeter
 
 	mu         sync.Mutex
 	rng        *rand.Rand
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,10 @@
 	DataCentre state.DataCentre `toml:"data_centre" validate:"required"`
 	// Control is the entry's jsonrpc2 address, "host:port". Required.
 	Control string `toml:"control" validate:"required,dial_address"`
+	// Callers is the entry's HTTP address for callers, "host:port". Requests
+	// that this region can't serve go there if the entry is of another
+	// region. Default: none go there.
+	Callers string `toml:"callers" validate:"omitempty,dial_address"`
 }
 
 // TLS holds the certificates by the other side of the connection.
