scaling: count a straggler as no supply and tell entries of it

Cause: a slow replica of a little used model had slots enough for its throughput, so no second one was woken, and entries of a large region seldom measure an upstream often enough to avoid it. Change: from a slowdown of 3 a replica counts as no supply; entries use the slowdown of the heartbeat, which the replica set carries (new field in rpc.Heartbeat and rpc.ReplicaAt). The test fails without the threshold.

--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -193,9 +193,15 @@
 	return view
 }
 
-// effectiveSlots is how many slots of usual speed the replica is worth; a
-// straggler may be worth none.
+// stragglerSlowdown is the slowdown from which a replica counts as no supply:
+// whatever its throughput, requests there miss their latency.
+const stragglerSlowdown = 3
+
+// effectiveSlots is how many slots of usual speed the replica is worth.
 func (r *Replica) effectiveSlots() int {
+	if r.Slowdown >= stragglerSlowdown {
+		return 0
+	}
 	return int(float64(max(r.Slots, 1)) / max(r.Slowdown, 1))
 }
 
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -66,6 +66,8 @@
 	g.Expect(scaling.Home{}.Decide(in).Wakes).To(BeEmpty())
 	in.Replicas[0].Slowdown = 10
 	g.Expect(scaling.Home{}.Decide(in).Wakes).To(HaveLen(1))
+	in.Demands[0].Rate, in.Replicas[0].Slowdown = 0.1, 4
+	g.Expect(scaling.Home{}.Decide(in).Wakes).To(HaveLen(1), "its throughput suffices but not its latency")
 }
 
 // Guards against more replicas than grants, wakes under used or unusable
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -74,7 +74,10 @@
 	Agent    state.FencingToken `json:"agent"`
 	Queue    int                `json:"queue"`
 	Running  int                `json:"running"`
-	Replicas []state.Replica    `json:"replicas,omitempty"`
+	// Slowdown is how many times slower than usual the engine is; zero means
+	// that it is not.
+	Slowdown float64         `json:"slowdown,omitempty"`
+	Replicas []state.Replica `json:"replicas,omitempty"`
 	// Full says that Replicas is the whole list.
 	Full bool `json:"full,omitempty"`
 }
@@ -102,6 +105,9 @@
 	Region           state.Region       `json:"region"`
 	Agent            state.FencingToken `json:"agent"`
 	AgentIncarnation string             `json:"agent_incarnation"`
+	// Slowdown is the one in the agent's last heartbeat. Homes count such a
+	// replica less, and entries avoid it.
+	Slowdown float64 `json:"slowdown,omitempty"`
 }
 
 // ChangesParams carries replica changes to a home.
