bench: check that an overload leaves no oscillation

Cause: after an overload, refusals and loads could come in waves. Change: a test runs the swing at today's sizes and demands that 99% of the requests later than 30 s after it get their first token within 2 s.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -86,3 +86,33 @@
 		}
 	}
 }
+
+// Guards against oscillation after an overload: once demand is back to normal,
+// refusals and late answers must end, not come in waves.
+func TestNoOscillationAfterOverload(t *testing.T) {
+	g := NewWithT(t)
+	e := find(t, "swing")
+	e.length = 150 * time.Second
+	for _, s := range sizes[:2] {
+		all := arrivals(5, s, e)
+		w := newWorld(5, s, e)
+		w.warm(false)
+		o := newOurs(w)
+		for _, r := range all {
+			w.after(r.arrived.Sub(epoch), func() { o.arrive(r) })
+		}
+		w.runUntil(epoch.Add(e.length + 40*time.Second))
+		after, inTime := 0, 0
+		for _, r := range all {
+			if r.arrived.Sub(epoch) < 100*time.Second {
+				continue
+			}
+			after++
+			if r.ended && r.started && r.first < 2*time.Second {
+				inTime++
+			}
+		}
+		g.Expect(after).To(BeNumerically(">", 100))
+		g.Expect(float64(inTime)).To(BeNumerically(">=", 0.99*float64(after)), s.name)
+	}
+}
