entry, agent: follow the upstream's pace, adopt what is loaded

Change: agents measure their pace and scale predictions; heartbeats, replica sets, homes and routing use the slowdown; requests refused for want of a replica wake models; a new home first asks the agents of the grants; lost changes are sent again, and an entry that loses a home forgets it. An engine's word that a model is not loaded is a refusal as not run.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -21,9 +21,14 @@
 	// ready reports whether the replica and adapter of an item are loaded.
 	ready func(admission.Item) bool
 
+	// pace scales predictions while the upstream is slower than usual.
+	pace pace
+
 	mu      sync.Mutex
 	queue   Queue
 	waiters map[uint64]*waiter
+	// started holds the requests that run.
+	started map[uint64]startedItem
 	closed  *verdict.Verdict
 
 	nextID  atomic.Uint64
@@ -48,19 +53,27 @@
 		ready:       ready,
 		queue:       queue,
 		waiters:     make(map[uint64]*waiter),
+		started:     make(map[uint64]startedItem),
 	}
 }
 
+// startedItem is a request that runs.
+type startedItem struct {
+	at   time.Time
+	cost time.Duration
+}
+
 // offer queues a request and starts what has room.
 func (d *dispatcher) offer(now time.Time, it admission.Item) (*waiter, *verdict.Verdict) {
 	it.ID = d.nextID.Add(1)
+	it.Cost = time.Duration(float64(it.Cost) * d.pace.factor())
 	w := &waiter{item: it, decided: make(chan *verdict.Verdict, 1)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed != nil {
 		return nil, d.closed
 	}
-	shed, refusal := d.queue.Offer(now, it, d.wait())
+	shed, refusal := d.queue.Offer(now, it, d.busyForLocked(now))
 	if refusal == nil {
 		d.waiters[it.ID] = w
 	}
@@ -74,12 +87,17 @@
 	return w, nil
 }
 
-// wait predicts how long a new request waits.
-func (d *dispatcher) wait() time.Duration {
-	if int(d.running.Load()) < d.concurrency {
+// busyForLocked predicts when the running work has freed room. The queue adds
+// what its own items take.
+func (d *dispatcher) busyForLocked(now time.Time) time.Duration {
+	if len(d.started) < d.concurrency {
 		return 0
 	}
-	return d.queue.Work() / time.Duration(d.concurrency)
+	var left time.Duration
+	for _, s := range d.started {
+		left += max(0, s.cost-now.Sub(s.at))
+	}
+	return left / time.Duration(d.concurrency)
 }
 
 // startLocked starts queued requests while there is room.
@@ -98,6 +116,7 @@
 			continue
 		}
 		delete(d.waiters, it.ID)
+		d.started[it.ID] = startedItem{at: now, cost: it.Cost}
 		d.running.Add(1)
 		if it.Long {
 			d.long.Add(1)
@@ -131,6 +150,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.running.Add(-1)
+	delete(d.started, it.ID)
 	if it.Long {
 		d.long.Add(-1)
 	}
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -28,9 +29,19 @@
 	acked    uint64
 	state    rpc.AgentState
 	token    state.FencingToken
+	slowdown float64
 	replicas []state.Replica
 }
 
+// slowdownStep rounds a slowdown down to a power of two, so that a heartbeat
+// follows large changes only. Less than twice as slow as usual counts as none.
+func slowdownStep(factor float64) float64 {
+	if factor < 2 {
+		return 0
+	}
+	return math.Exp2(math.Floor(math.Log2(factor)))
+}
+
 // beat sends a heartbeat if one is due.
 func (c *control) beat(now time.Time) {
 	h := &c.heart
@@ -63,13 +74,15 @@
 	if c.account != nil {
 		replicas = c.account.Replicas()
 	}
-	same := h.state == c.phase && h.token == c.registration.token &&
+	slowdown := slowdownStep(c.agent.dispatcher.pace.factor())
+	same := h.state == c.phase && h.slowdown == slowdown && h.token == c.registration.token &&
 		slices.EqualFunc(h.replicas, replicas, sameReplica)
 	if same {
 		return
 	}
 	h.sequence++
 	h.state, h.token, h.replicas = c.phase, c.registration.token, replicas
+	h.slowdown = slowdown
 }
 
 func sameReplica(x, y state.Replica) bool {
@@ -85,6 +98,7 @@
 		Agent:       c.registration.token,
 		Queue:       int(c.agent.dispatcher.queued.Load()),
 		Running:     int(c.agent.dispatcher.running.Load()),
+		Slowdown:    c.heart.slowdown,
 		Full:        full,
 	}
 	if full {
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -38,6 +38,10 @@
 	started := a.crashes.start()
 	defer a.crashes.finish(started)
 	var sent atomic.Bool
+	arrived := func() {}
+	if c.stream {
+		arrived = a.dispatcher.pace.firstToken()
+	}
 	resp, err := a.transport.RoundTrip(a.outgoing(ctx, r, c, &sent))
 	if err != nil {
 		a.fail(ctx, w, c, started, sent.Load(), err)
@@ -49,7 +53,7 @@
 		a.relayWhole(ctx, w, c, started, resp)
 		return
 	}
-	a.relayStream(ctx, w, c, started, resp)
+	a.relayStream(ctx, w, c, started, resp, arrived)
 }
 
 // runContext ends the run at its deadline, at shutdown and when the caller
@@ -104,7 +108,7 @@
 }
 
 // ownHeaders concern the agent, not the upstream.
-var ownHeaders = []string{HeaderAgent, HeaderClaim, HeaderCost, HeaderLong, HeaderFingerprint, HeaderCaller}
+var ownHeaders = []string{HeaderAgent, HeaderClaim, HeaderCost, HeaderLong, HeaderFingerprint, HeaderCaller, HeaderStream}
 
 var hopHeaders = []string{
 	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -146,6 +150,19 @@
 	return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonOK}
 }
 
+// codeNotLoaded is the error code of an engine that does not have the model of
+// a request loaded. It says so before it runs anything.
+const codeNotLoaded = `"model_not_loaded"`
+
+// outcomeOfWhole is the verdict of a short answer. An engine that restarted or
+// evicted the model since its last listing has run nothing.
+func (a *Agent) outcomeOfWhole(status int, body []byte) *verdict.Verdict {
+	if !a.service && status == http.StatusNotFound && bytes.Contains(body, []byte(codeNotLoaded)) {
+		return verdict.Refuse(verdict.ReasonNoReplica, "the engine does not have the model loaded")
+	}
+	return outcomeOf(status)
+}
+
 // fail answers a request for which no whole answer arrived and nothing was
 // passed on.
 func (a *Agent) fail(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, sent bool, err error) {
@@ -194,7 +211,12 @@
 		a.fail(ctx, w, c, started, true, err)
 		return
 	}
-	v := outcomeOf(resp.StatusCode)
+	v := a.outcomeOfWhole(resp.StatusCode, body)
+	if v.Execution == verdict.NotRun {
+		a.endClaim(c, v, nil, 0, "")
+		a.refuse(w, v)
+		return
+	}
 	a.endClaim(c, v, body, resp.StatusCode, resp.Header.Get("Content-Type"))
 	a.copyAnswerHeaders(w.Header(), resp.Header)
 	v.SetHeaders(w.Header())
@@ -206,7 +228,7 @@
 // relayStream passes an answer on as it arrives. Its verdict follows in the
 // trailer. A broken event stream ends without its end mark and with a trailer
 // that says so; any other broken answer ends the connection.
-func (a *Agent) relayStream(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, resp *http.Response) {
+func (a *Agent) relayStream(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, resp *http.Response, arrived func()) {
 	h := w.Header()
 	a.copyAnswerHeaders(h, resp.Header)
 	events := isEventStream(resp)
@@ -219,7 +241,7 @@
 		h["Trailer"] = []string{verdict.HeaderVerdict, verdict.HeaderReason, HeaderSuspects, HeaderFingerprint}
 	}
 	w.WriteHeader(resp.StatusCode)
-	kept, err := copyAnswer(w, resp, events)
+	kept, err := copyAnswer(w, resp, events, arrived)
 	if err == nil {
 		v := outcomeOf(resp.StatusCode)
 		a.endClaim(c, v, kept, resp.StatusCode, resp.Header.Get("Content-Type"))
@@ -253,8 +275,8 @@
 var errWrite = errors.New("entry closed the connection")
 
 // copyAnswer passes the body on with a flush after each read. It returns the
-// body if it is short enough to be kept.
-func copyAnswer(w http.ResponseWriter, resp *http.Response, events bool) ([]byte, error) {
+// body if it is short enough to be kept, and calls arrived at the first part.
+func copyAnswer(w http.ResponseWriter, resp *http.Response, events bool, arrived func()) ([]byte, error) {
 	buf := copyBuffers.Get().(*[copyBuffer]byte)
 	defer copyBuffers.Put(buf)
 	control := http.NewResponseController(w)
@@ -263,6 +285,7 @@
 	for {
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
+			arrived()
 			kept.add(buf[:n])
 			end.add(buf[:n])
 			if _, writeErr := w.Write(buf[:n]); writeErr != nil {
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -36,6 +36,8 @@
 	// HeaderLoad carries the load, as in
 	// "queue=3 running=5 short_wait_ms=12 agent=77".
 	HeaderLoad = "Lagoon-Load"
+	// HeaderStream is "true" if the answer is to be a stream.
+	HeaderStream = "Lagoon-Stream"
 	// HeaderSuspects is how many requests were running when the engine
 	// crashed.
 	HeaderSuspects = "Lagoon-Suspects"
@@ -63,13 +65,16 @@
 	claim       uuid.UUID
 	claimed     bool
 	fingerprint string
+	// stream says that the answer is to be a stream, whose first token shows
+	// the upstream's pace.
+	stream bool
 	// reserved is what the call takes of the memory for bodies.
 	reserved int64
 }
 
 // readCall reads the headers and the body of a request.
 func (a *Agent) readCall(w http.ResponseWriter, r *http.Request, now time.Time) (*call, *verdict.Verdict) {
-	c := &call{fingerprint: r.Header.Get(HeaderFingerprint)}
+	c := &call{fingerprint: r.Header.Get(HeaderFingerprint), stream: r.Header.Get(HeaderStream) == "true"}
 	if refusal := c.readClaim(r.Header); refusal != nil {
 		return c, refusal
 	}
--- a/internal/decide/membership/agents.go
+++ b/internal/decide/membership/agents.go
@@ -24,6 +24,8 @@
 	complete bool
 	state    rpc.AgentState
 	replicas map[state.ReplicaKey]state.Replica
+	// slowdown is the one of the last heartbeat.
+	slowdown float64
 	leaving  bool
 	silent   bool
 }
@@ -126,6 +128,7 @@
 	}
 	known.complete = h.Full || known.complete && h.Sequence == known.sequence
 	known.sequence, known.token, known.state = h.Sequence, h.Agent, h.State
+	known.slowdown = h.Slowdown
 	known.seen, known.silent = now, false
 	if h.Full {
 		known.replicas = make(map[state.ReplicaKey]state.Replica, len(h.Replicas))
@@ -156,6 +159,7 @@
 			Region:           known.upstream.Region,
 			Agent:            known.token,
 			AgentIncarnation: known.runs.current,
+			Slowdown:         known.slowdown,
 		}}
 	}
 }
@@ -239,7 +243,7 @@
 
 func sameChange(a, b rpc.ReplicaChange) bool {
 	return a.Gone == b.Gone && a.Replica.State == b.Replica.State && a.Replica.Agent == b.Replica.Agent &&
-		a.Replica.AgentIncarnation == b.Replica.AgentIncarnation &&
+		a.Replica.AgentIncarnation == b.Replica.AgentIncarnation && a.Replica.Slowdown == b.Replica.Slowdown &&
 		slices.Equal(a.Replica.Adapters, b.Replica.Adapters)
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -31,6 +31,7 @@
 	headerAgent       = "Lagoon-Agent"
 	headerFingerprint = "Lagoon-Fingerprint"
 	headerWeight      = "Lagoon-Weight"
+	headerStream      = "Lagoon-Stream"
 )
 
 // answer is the head of an agent's answer, or the verdict that there is none.
@@ -112,6 +113,7 @@
 	h.Set(headerVersion, string(req.target.key.Version))
 	h.Set(headerAdapter, string(req.target.adapter))
 	h.Set(headerCost, strconv.FormatInt(req.cost.Milliseconds(), 10))
+	h.Set(headerStream, strconv.FormatBool(req.stream))
 	h.Set(headerLong, strconv.FormatBool(req.long))
 	h.Set(headerFingerprint, strconv.FormatUint(req.fingerprint, 16))
 	h.Set(headerAgent, strconv.FormatInt(int64(replica.Agent), 10))
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -167,7 +167,7 @@
 		}
 	}
 	req := e.request
-	return e.route.room.enter(ctx, admission.Item{
+	refusal := e.route.room.enter(ctx, admission.Item{
 		ID:       req.number,
 		Caller:   req.caller.Name,
 		Weight:   req.caller.Weight,
@@ -180,6 +180,11 @@
 		Key:      req.target.key,
 		Adapter:  req.target.adapter,
 	}, time.Duration(e.route.loadWait.Load()))
+	if refusal != nil && refusal.Reason == verdict.ReasonDeadlineUnmet && (set == nil || len(set.replicas) == 0) {
+		e.route.refused.Add(1)
+		e.kick(req.target)
+	}
+	return refusal
 }
 
 // send makes one attempt at a chosen replica.
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -80,6 +80,7 @@
 		}
 		backlog := rpc.Backlog{
 			Waiting: waiting, Work: state.Duration(work), Rate: route.arrivals.perSecond(now),
+			Refused:  int(route.refused.Swap(0)),
 			Adapters: route.room.adapters(),
 		}
 		if !f.ask(t, route, backlog, kicked) {
@@ -105,7 +106,7 @@
 // reports false if the home did not answer.
 func (f *followers) ask(t target, route *route, backlog rpc.Backlog, kicked chan struct{}) bool {
 	wait := pollQuiet
-	if backlog.Waiting != [state.ClassCount]int{} {
+	if backlog.Waiting != [state.ClassCount]int{} || backlog.Refused > 0 {
 		wait = pollWaiting
 	}
 	var known uint64
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -43,6 +43,11 @@
 	lastUsed time.Time
 	loadTime time.Duration
 	decision scaling.HomeDecision
+	// probing counts the agents that have not yet said what they have loaded;
+	// until probeUntil the home decides nothing, so that it wakes no second
+	// replica beside one that an earlier home has woken.
+	probing    int
+	probeUntil time.Time
 }
 
 type demandSeen struct {
@@ -72,6 +77,8 @@
 	byKey  map[state.ReplicaKey]*home
 	// wakes are the orders that the last decisions made.
 	wakes []wakeOrder
+	// probes are the questions of new homes.
+	probes []command
 	// versions makes the versions of sets of different homes differ.
 	versions uint64
 }
@@ -121,7 +128,11 @@
 }
 
 func (e demandReceived) apply(c *control, now time.Time) {
-	h := c.homes.of(e.params.ReplicaKey)
+	h, known := c.homes.byKey[e.params.ReplicaKey]
+	if !known {
+		h = c.homes.of(e.params.ReplicaKey)
+		c.probe(h, now)
+	}
 	h.lastUsed = now
 	h.demands[e.params.Entry] = demandSeen{backlog: e.params.Backlog, at: now}
 	c.decideHome(h, now)
@@ -148,9 +159,12 @@
 		result.Replicas = h.ready(c.config.View())
 	}
 	if len(h.ready(c.config.View())) == 0 {
-		result.ReadyIn = state.Duration(h.readyIn(now))
+		result.ReadyIn = state.Duration(max(h.decision.ReadyIn, wakePoll))
+		if h.decision.ReadyIn == 0 {
+			result.ReadyIn = state.Duration(h.readyIn(now))
+		}
 	}
-	if h.decision.NoReplica {
+	if h.decision.NoReplica && h.probing == 0 {
 		result.Refusal = verdict.Refuse(verdict.ReasonNoCapacity, "no upstream can load the model now").WithRetryAfter(refusedFor)
 	}
 	return result
@@ -194,6 +208,9 @@
 // decideHome decides which grants to wake for one model.
 func (c *control) decideHome(h *home, now time.Time) {
 	h.expire(now)
+	if h.probing > 0 && now.Before(h.probeUntil) {
+		return
+	}
 	config := c.config.View()
 	in := h.input(c, config, now)
 	h.decision = c.homes.policy.Decide(in)
@@ -235,7 +252,7 @@
 	for _, demand := range h.demands {
 		b := demand.backlog
 		in.Demands = append(in.Demands, scaling.Demand{
-			Waiting: b.Waiting, Work: b.Work.Std(), Rate: b.Rate, Adapters: b.Adapters,
+			Waiting: b.Waiting, Work: b.Work.Std(), Rate: b.Rate, Refused: b.Refused, Adapters: b.Adapters,
 		})
 		for _, n := range b.Waiting {
 			waiting += n
@@ -252,6 +269,7 @@
 			ReadyIn:  max(0, replica.readyAt.Sub(now)),
 			Slots:    startSlots,
 			Queue:    replica.queue,
+			Slowdown: replica.at.Slowdown,
 			Adapters: replica.at.Adapters,
 			Draining: config.Drained(name),
 		})
@@ -316,6 +334,10 @@
 
 // runWakes sends the ordered wakes.
 func (c *control) runWakes(ctx context.Context) {
+	for _, probe := range c.homes.probes {
+		c.start(ctx, probe)
+	}
+	c.homes.probes = c.homes.probes[:0]
 	for _, order := range c.homes.wakes {
 		started := c.start(ctx, func(ctx context.Context) event {
 			ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
@@ -413,6 +435,7 @@
 		return ok
 	}
 	if ok && known.at.State == change.Replica.State && known.at.Agent == change.Replica.Agent &&
+		known.at.Slowdown == change.Replica.Slowdown &&
 		slices.Equal(known.at.Adapters, change.Replica.Adapters) {
 		return false
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -119,6 +119,7 @@
 	if !slices.Equal(live, c.peers.live) {
 		c.deps.logger.Info("live entries of the region changed", "entries", len(live))
 		c.peers.setLive(live)
+		c.loseHomes()
 		c.dirty = true
 	}
 	if now.Sub(c.peers.pinged) < pingInterval {
@@ -163,6 +164,11 @@
 type pingAnswered struct{ answer rpc.PingResult }
 
 func (e pingAnswered) apply(c *control, now time.Time) {
+	before, known := c.peers.entries.Peer(e.answer.From)
+	if known && before.Incarnation != e.answer.Incarnation {
+		// The entry has restarted and knows nothing as a home.
+		c.agents.Forget(e.answer.From)
+	}
 	c.peers.entries.Answered(e.answer, now)
 	c.peers.learn(e.answer.Peers...)
 }
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -31,6 +31,9 @@
 	// loadWait is the predicted time until a replica is ready, in
 	// nanoseconds; zero if one is.
 	loadWait atomic.Int64
+	// refused counts requests refused for want of a ready replica since the
+	// last report to the home.
+	refused atomic.Int64
 	// noCapacity says that the home has found no grant that can be used.
 	noCapacity atomic.Bool
 	arrivals   rateMeter
@@ -180,7 +183,7 @@
 		Queue:         int(load.reported.Load()),
 		Sent:          int(load.sent.Load()),
 		Slots:         cfg.slots,
-		Latency:       time.Duration(float64(req.cost) * tracker.Slowdown(n)),
+		Latency:       time.Duration(float64(req.cost) * max(tracker.Slowdown(n), replica.Slowdown)),
 		Locality:      localityOf(replica, cfg),
 		AdapterLoaded: req.target.adapter == "" || slices.Contains(replica.Adapters, req.target.adapter),
 		Prefix:        r.beliefs.Share(n, req.blocks),
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -26,6 +26,7 @@
 	}
 	c.fleet.watched = now
 	c.agents.Watch(c.ownUpstreams(), now)
+	c.agents.SetLeaving(c.fleet.fleet.HostLeaving)
 	c.agents.Tick(now)
 	for _, batch := range c.agents.Changes(c.peers.ring) {
 		c.sendChanges(ctx, batch)
@@ -71,12 +72,11 @@
 	})
 }
 
-// changesLost is a batch that did not reach its home. The home's next answer
-// to a poll or the agent's refusal corrects its picture; counting shows how
-// often that is needed.
+// changesLost is a batch that did not reach its home; it is sent again.
 type changesLost struct{ batch membership.HomeBatch }
 
 func (e changesLost) apply(c *control, _ time.Time) {
+	c.agents.Undelivered(e.batch)
 	c.deps.counters.Add("lagoonvalve_replica_changes_lost_total", uint64(len(e.batch.Changes)))
 }
 
