oplang: name the winner when the wanted revision is already replaced

Cause: a change with "if revision N" that reached an entry after the winner was refused by the executor itself, with a conflict that named nobody; one that raced in the log was refused with the winner's name. Which one an operator got depended on timing. Change: the executor asks the changer to check the change with the wanted revision and passes its conflict on. Conclusion: a conflict names the winner whichever way it is found.

--- /dev/null
+++ b/cmd/lagoonvalve/layout_test.go
@@ -0,0 +1,231 @@
+//go:build linux
+
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// layoutOptions are the arguments of "fleet".
+type layoutOptions struct {
+	entries, runners int
+	fencing, memory  string
+	retain           int
+	service          bool
+	replicas         int
+}
+
+// cmdFleet starts a system: the stand-ins log, hosts, store, engine-N and
+// service, the entries entry-N and the agents runner-N and tickets-1. Arguments:
+// entries=N runners=N fencing=enforced|ignored memory=SIZE retain=RECORDS
+// replicas=N service=yes. The models seating (4 GiB, loads in 2 s) and trams
+// (2 GiB, 1 s) are configured by ctl.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	f := ts.Value(fleetKey{}).(*fleet)
+	opts := layoutOptions{entries: 1, runners: 1, fencing: "enforced", memory: "16GiB", replicas: 1}
+	for key, value := range pairs(ts, args) {
+		number, _ := strconv.Atoi(value)
+		switch key {
+		case "entries":
+			opts.entries = number
+		case "runners":
+			opts.runners = number
+		case "fencing":
+			opts.fencing = value
+		case "memory":
+			opts.memory = value
+		case "retain":
+			opts.retain = number
+		case "replicas":
+			opts.replicas = number
+		case "service":
+			opts.service = value == "yes"
+		default:
+			ts.Fatalf("fleet: unknown key %q", key)
+		}
+	}
+	ts.Check(f.build(opts))
+}
+
+func pairs(ts *testscript.TestScript, args []string) map[string]string {
+	all := make(map[string]string, len(args))
+	for _, arg := range args {
+		key, value, ok := strings.Cut(arg, "=")
+		if !ok {
+			ts.Fatalf("want KEY=VALUE, have %q", arg)
+		}
+		all[key] = value
+	}
+	return all
+}
+
+func (f *fleet) build(opts layoutOptions) error {
+	if err := f.standins(opts); err != nil {
+		return err
+	}
+	for i := range opts.entries {
+		f.add(fmt.Sprintf("entry-%d", i+1))
+	}
+	for i := range opts.entries {
+		if err := f.startEntry(fmt.Sprintf("entry-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	for i := range opts.entries {
+		if err := f.ready(fmt.Sprintf("entry-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	if err := f.configure(opts); err != nil {
+		return err
+	}
+	if err := f.startAgents(opts); err != nil {
+		return err
+	}
+	return f.awaitGrants(opts)
+}
+
+func (f *fleet) standins(opts layoutOptions) error {
+	var hosts []string
+	for i := range opts.runners {
+		hosts = append(hosts, "--host", fmt.Sprintf("host-%d", i+1))
+	}
+	hosts = append(hosts, "--host", "host-tickets", "--data-centre", "north-1")
+	kinds := [][]string{{"log", "log", "--retain-records", strconv.Itoa(opts.retain)}, append([]string{"hosts", "hosts"}, hosts...), {"store", "store"}}
+	for i := range opts.runners {
+		name := fmt.Sprintf("engine-%d", i+1)
+		kinds = append(kinds, []string{name, "engine", "--name", name, "--memory", opts.memory, "--fencing", opts.fencing})
+	}
+	if opts.service {
+		kinds = append(kinds, []string{"service", "service"})
+	}
+	for _, kind := range kinds {
+		p := f.add(kind[0])
+		p.args = append([]string{"standin", kind[1], "--listen", p.addr}, kind[2:]...)
+		if kind[1] == "engine" {
+			p.args = append(p.args, "--store", "http://"+f.processes["store"].addr)
+		}
+		if err := f.launch(p); err != nil {
+			return err
+		}
+	}
+	for _, kind := range kinds {
+		p := f.processes[kind[0]]
+		if !poll(startLimit, func() bool { return f.get("http://"+p.addr+"/faults", 200) }) {
+			return errors.Errorf("%s does not answer", p.name)
+		}
+	}
+	return nil
+}
+
+// common returns the settings that entries and agents share.
+func (f *fleet) common(p *process, host string) string {
+	text := fmt.Sprintf("name = %q\nhost = %q\nregion = %q\ndata_centre = \"north-1\"\n", p.name, host, region)
+	text += fmt.Sprintf("[listen]\ncallers = %q\noperators = %q\ncontrol = %q\n", p.addr, p.operators, p.control)
+	text += fmt.Sprintf("[platform]\nlog = \"http://%s\"\nhosts = \"http://%s\"\n", f.processes["log"].addr, f.processes["hosts"].addr)
+	text += "[shutdown]\ndrain_timeout = \"20s\"\n"
+	for _, name := range f.order {
+		if strings.HasPrefix(name, "entry-") {
+			text += fmt.Sprintf("[[peers]]\nname = %q\nregion = %q\ndata_centre = \"north-1\"\ncontrol = %q\n", name, region, f.processes[name].control)
+		}
+	}
+	return text
+}
+
+func (f *fleet) startEntry(name string) error {
+	p := f.processes[name]
+	return f.startRole("entry", p, f.common(p, "host-"+name)+"[limits]\nbody_bytes = \"64KiB\"\n")
+}
+
+func (f *fleet) startRole(role string, p *process, settings string) error {
+	path := filepath.Join(f.dir, p.name+".toml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return errors.Wrap(err, "settings file")
+	}
+	p.args = []string{role, "--config", path}
+	return f.launch(p)
+}
+
+func (f *fleet) ready(entry string) error {
+	p := f.processes[entry]
+	if !poll(startLimit, func() bool { return f.get("http://"+p.addr+"/readyz", 204) }) {
+		return errors.Errorf("%s is not ready", entry)
+	}
+	return nil
+}
+
+func (f *fleet) startAgents(opts layoutOptions) error {
+	for i := range opts.runners {
+		name := fmt.Sprintf("runner-%d", i+1)
+		backend := f.processes[fmt.Sprintf("engine-%d", i+1)].addr
+		upstream := fmt.Sprintf("[upstream]\nkind = \"model-runner\"\nurl = \"http://%s\"\nmemory = %q\nfencing = %q\n", backend, opts.memory, opts.fencing)
+		p := f.processes[name]
+		if err := f.startRole("agent", p, f.common(p, fmt.Sprintf("host-%d", i+1))+upstream); err != nil {
+			return err
+		}
+	}
+	if !opts.service {
+		return nil
+	}
+	upstream := fmt.Sprintf("[upstream]\nkind = \"service\"\nurl = \"http://%s\"\n", f.processes["service"].addr)
+	p := f.processes["tickets-1"]
+	return f.startRole("agent", p, f.common(p, "host-tickets")+upstream)
+}
+
+// configure creates the entities by the operators' language.
+func (f *fleet) configure(opts layoutOptions) error {
+	statements := []string{
+		"create team venues",
+		"create caller box-office team=venues highest=high",
+	}
+	for model, weights := range map[string]string{"seating": "4GiB", "trams": "2GiB"} {
+		statements = append(statements,
+			fmt.Sprintf("create model %s team=venues max_replicas=%d", model, opts.replicas),
+			fmt.Sprintf("create version %s/v1 weights=%s kv_headroom=1GiB", model, weights),
+			fmt.Sprintf("activate %s v1", model))
+	}
+	place := func(name, kind, host, rest string) string {
+		p := f.add(name)
+		return fmt.Sprintf("create upstream %s kind=%s host=%s region=%s data_centre=north-1 traffic_addr=%s control_addr=%s %s",
+			name, kind, host, region, p.addr, p.control, rest)
+	}
+	for i := range opts.runners {
+		statements = append(statements, place(fmt.Sprintf("runner-%d", i+1), "model-runner", fmt.Sprintf("host-%d", i+1),
+			"memory="+opts.memory+" fencing="+opts.fencing))
+	}
+	if opts.service {
+		statements = append(statements, "create service tickets team=venues idempotent=GET:/orders non_idempotent=POST:/issue",
+			place("tickets-1", "service", "host-tickets", "services=tickets"))
+	}
+	for _, statement := range statements {
+		if out, err := f.ctl("entry-1", statement); err != nil {
+			return errors.Wrapf(err, "%s: %s", statement, out)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) awaitGrants(opts layoutOptions) error {
+	agents := opts.runners
+	if opts.service {
+		agents++
+	}
+	stream := platform.RegionStream(region)
+	granted := func() bool {
+		return f.records(stream, state.KindGrant) >= 2 && f.records(stream, state.KindAgentStart) >= agents
+	}
+	if !poll(startLimit, granted) {
+		return errors.New("no grants, or an agent did not register")
+	}
+	return nil
+}
--- a/internal/oplang/execute.go
+++ b/internal/oplang/execute.go
@@ -135,10 +135,6 @@
 		return Table{}, err
 	}
 	options := s.options()
-	if wanted, ok := options.Revision(); ok && state.Revision(wanted) != revision {
-		detail := fmt.Sprintf("%s %s has revision %d, not %d", ed.entity, ed.name, revision, wanted)
-		return Table{}, verdict.Refuse(verdict.ReasonConflict, detail)
-	}
 	change := state.ConfigChange{
 		Entity: ed.entity, Name: ed.name, Expected: revision,
 		Actor: operator.Name, Team: operator.Team, Reason: options.Reason(),
@@ -148,6 +144,9 @@
 			return Table{}, err
 		}
 	}
+	if wanted, ok := options.Revision(); ok && state.Revision(wanted) != revision {
+		return Table{}, e.wrongRevision(ctx, change, state.Revision(wanted))
+	}
 	after, err := e.Changer.Change(ctx, change, options.DryRun())
 	if err != nil {
 		return Table{}, errors.Wrapf(err, "change %s %s", ed.entity, ed.name)
@@ -155,6 +154,19 @@
 	return changed(change, after, options.DryRun()), nil
 }
 
+// wrongRevision returns the refusal of a change that wants another revision
+// than the present one. The changer's check names who made the present one.
+func (e *Executor) wrongRevision(ctx context.Context, change state.ConfigChange, wanted state.Revision) error {
+	present := change.Expected
+	change.Expected = wanted
+	_, err := e.Changer.Change(ctx, change, true)
+	if v := verdict.Of(err); err != nil && v.Reason == verdict.ReasonConflict {
+		return err
+	}
+	detail := fmt.Sprintf("%s %s has revision %d, not %d", change.Entity, change.Name, present, wanted)
+	return verdict.Refuse(verdict.ReasonConflict, detail)
+}
+
 func changed(change state.ConfigChange, revision state.Revision, dryRun bool) Table {
 	columns := []Column{
 		{Name: "entity"}, {Name: "name"}, {Name: "revision", Kind: KindInt},
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -20,6 +20,8 @@
 const (
 	PathCompletions     = "/v1/completions"
 	PathChatCompletions = "/v1/chat/completions"
+	// PathCounters gives the counters of an engine.
+	PathCounters = "/counters"
 	// HeaderPriority has the class of a request.
 	HeaderPriority = "Lagoon-Priority"
 	// defaultMaxTokens is the length of an answer whose request gives none.
@@ -84,11 +86,29 @@
 		e.serveStatus(w, r)
 	case PathFaults:
 		e.serveFaults(w, r)
+	case PathCounters:
+		writeJSON(w, http.StatusOK, e.counters())
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+// EngineCounters are the counters of an engine since its process started.
+type EngineCounters struct {
+	// Started is how many requests began to run.
+	Started int `json:"started"`
+	// MemoryRefusals is how many orders did not fit the memory.
+	MemoryRefusals int `json:"memory_refusals"`
+	// Crashes is how often the engine crashed.
+	Crashes int `json:"crashes"`
+}
+
+func (e *Engine) counters() EngineCounters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return EngineCounters{Started: e.started, MemoryRefusals: e.refused, Crashes: e.restarts}
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order platform.Order
 	if !readJSON(w, r, &order) {
