entry: count requests in flight without a race at a planned stop

Cause: serve added to a wait group that drain was already waiting for. A request that came in at that moment was not waited for, and the race detector ended the process with code 66. The end of an answer is also written after its handler returns, when the connections could already be closed. Change: an own counter refuses what enters after the stop has begun; servers get up to 1 s for connections to become idle before they are closed. Measured: go test -race ./cmd/lagoonvalve -run TestScripts/entry-term failed twice before (data race, exit code 66) and passes now; go test -race -count=2 ./internal/entry passes. Conclusion: a stop waits for exactly the requests that it accepted.

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -38,8 +38,7 @@
 	routes     routeTable
 
 	nextNumber atomic.Uint64
-	stopping   atomic.Bool
-	inFlight   sync.WaitGroup
+	inFlight   inFlight
 
 	mu        sync.Mutex
 	limiter   *admission.Limiter
@@ -119,8 +118,10 @@
 
 // serve takes a parsed request through admission, waiting and attempts.
 func (g *gateway) serve(ctx context.Context, current *view, attrs attributes, req *request) error {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
+	entered := g.inFlight.enter()
+	if entered {
+		defer g.inFlight.leave()
+	}
 	x := exchangeOf(ctx)
 	req.method = x.request.Method
 	req.path = x.request.URL.Path
@@ -133,16 +134,16 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline, context.DeadlineExceeded)
 	defer cancel()
 	e := &execution{gateway: g, request: req, exchange: x}
-	v := e.run(ctx, current)
+	v := verdict.Refuse(verdict.ReasonDraining, "this entry is stopping")
+	if entered {
+		v = e.run(ctx, current)
+	}
 	g.sink.ended(e, v)
 	return e.finish(v)
 }
 
 // admit applies the limits and predictions that precede waiting.
 func (g *gateway) admit(current *view, req *request) *verdict.Verdict {
-	if g.stopping.Load() {
-		return verdict.Refuse(verdict.ReasonDraining, "this entry is stopping")
-	}
 	if current.quarantined(req.fingerprint, req.arrived) {
 		return verdict.Refuse(verdict.ReasonQuarantined, "this request has crashed upstreams before")
 	}
@@ -225,14 +226,8 @@
 // drain stops taking requests and waits until those in flight have ended or
 // ctx does; what still waits for a replica then is refused.
 func (g *gateway) drain(ctx context.Context) error {
-	g.stopping.Store(true)
-	done := make(chan struct{})
-	go func() {
-		g.inFlight.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-g.inFlight.close():
 		return nil
 	case <-ctx.Done():
 	}
--- a/internal/entry/methods.go
+++ b/internal/entry/methods.go
@@ -99,7 +99,7 @@
 
 // readiness is nil if the entry takes requests.
 func (e *Entry) readiness() error {
-	if e.gateway.stopping.Load() {
+	if e.gateway.inFlight.isClosed() {
 		return verdict.Refuse(verdict.ReasonDraining, "this entry is stopping")
 	}
 	if refusal := e.control.view().unready(); refusal != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -30,6 +30,8 @@
 	bodyTimeout = time.Minute
 	// idleTimeout closes unused kept connections.
 	idleTimeout = 2 * time.Minute
+	// closeTimeout bounds the wait for connections to become idle at a stop.
+	closeTimeout = time.Second
 	// maxHeaderBytes bounds a request's head.
 	maxHeaderBytes = 64 << 10
 	// maxOperatorBody bounds the body of an operator's request.
@@ -140,11 +142,23 @@
 	return nil
 }
 
-// serveHTTP serves on listener until ctx ends, then closes what is left.
+// serveHTTP serves on listener until ctx ends, then closes what is left. The
+// server writes the end of an answer after the handler has returned, so that
+// the connections get closeTimeout to become idle.
 func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		if server.Shutdown(limited) != nil {
+			_ = server.Close()
+		}
+	})
 	err := server.Serve(listener)
+	if !stop() {
+		<-closed
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
