load: open-loop load generator with checked answers

Cause: nothing measured a running system from outside; the demo sends four requests. Change: internal/load draws arrivals from a seeded Poisson process with steps and bursts, counts latencies from the intended send time in HDR histograms and checks that each answer is whole and the request's own. The command load prints a table or JSON. Scripts fail if a process reports a data race. Conclusion: bursts and mixes can be measured over real sockets.

--- a/cmd/lagoonvalve/fleet_test.go
+++ b/cmd/lagoonvalve/fleet_test.go
@@ -157,6 +157,18 @@
 	f.client.CloseIdleConnections()
 }
 
+// races returns what the race detector wrote to the processes' logs.
+func (f *fleet) races() string {
+	var found strings.Builder
+	for name := range f.processes {
+		data, err := os.ReadFile(filepath.Join(f.dir, name+".log"))
+		if _, report, ok := strings.Cut(string(data), "WARNING: DATA RACE"); ok && err == nil {
+			fmt.Fprintf(&found, "data race in %s:%.4000s\n", name, report)
+		}
+	}
+	return found.String()
+}
+
 // poll waits until done reports true, for at most limit.
 func poll(limit time.Duration, done func() bool) bool {
 	ticker := time.NewTicker(pollEvery)
--- a/cmd/lagoonvalve/main.go
+++ b/cmd/lagoonvalve/main.go
@@ -35,6 +35,7 @@
 			agentCommand(),
 			standinCommand(),
 			demoCommand(),
+			loadCommand(),
 			{Name: "version", Usage: "print the version", Action: printVersion},
 			ctl.Command(),
 			ctl.CheckConfigCommand(),
--- a/cmd/lagoonvalve/script_test.go
+++ b/cmd/lagoonvalve/script_test.go
@@ -35,7 +35,12 @@
 		Setup: func(env *testscript.Env) error {
 			f := newFleet(env.WorkDir, env.Getenv("PATH"))
 			env.Values[fleetKey{}] = f
-			env.Defer(f.killAll)
+			env.Defer(func() {
+				f.killAll()
+				if races := f.races(); races != "" {
+					env.T().Fatal(races)
+				}
+			})
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
