--- a/cmd/lagoonvalve/main.go
+++ b/cmd/lagoonvalve/main.go
@@ -36,6 +36,7 @@
 			standinCommand(),
 			demoCommand(),
 			experimentsCommand(),
+			loadCommand(),
 			{Name: "version", Usage: "print the version", Action: printVersion},
 			ctl.Command(),
 			ctl.CheckConfigCommand(),
--- a/internal/entry/gateway_test.go
+++ b/internal/entry/gateway_test.go
@@ -230,7 +230,7 @@
 			g := NewWithT(t)
 			b := newGatewayBench(t, agentsOf(nil), "a")
 			b.claims.neverRan = neverRan
-			b.stopping.Store(true)
+			b.inFlight.close()
 			_, err := b.send(t.Context(), false, nil)
 			want := verdict.MayHaveRun
 			if neverRan {
