entry: ask the claim's owner also for refusals while stopping

Cause: the refusal of a stopping entry no longer went through the question to the claim's owner; TestRefusalOfResentRequestAsksOwner failed. Change: ask it. Measured: the test fails before and passes after.

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -141,9 +141,11 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline, context.DeadlineExceeded)
 	defer cancel()
 	e := &execution{gateway: g, request: req, exchange: x}
-	v := verdict.Refuse(verdict.ReasonDraining, "this entry is stopping")
+	var v *verdict.Verdict
 	if entered {
 		v = e.run(ctx, current)
+	} else {
+		v = e.aboutWork(verdict.Refuse(verdict.ReasonDraining, "this entry is stopping"))
 	}
 	g.sink.ended(e, v)
 	return e.finish(v)
