agent, quarantine: offer nothing while the engine is down; count repeated crashes

Cause: after a crash the agent offered its replicas until the engine answered again, so requests got the restarting engine's 503, and a request that crashes upstreams met the same upstream each time; a model with one replica has no second upstream to crash, so nothing was ever quarantined. Seen by TestScripts/quarantine (known red). Change: an engine that refuses a listing is down: the agent offers no replica, wakes are refused and homes hear of it with the next heartbeat. Three crashes of one upstream lead to quarantine as two of different ones do.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -46,6 +46,9 @@
 
 	listingAt   time.Time
 	listingBusy bool
+	// down says that the engine refused its last listing, as it does while
+	// it restarts. A listing that only takes long says nothing.
+	down        bool
 	appended    map[string]uint64 // record id of an intent to its sequence
 	loadStarted map[state.ReplicaKey]time.Time
 	loadRate    float64 // bytes of weights per second, measured
@@ -194,8 +197,10 @@
 	if err != nil {
 		c.agent.deps.Counters.Add("agent_listing_failures_total", 1)
 		c.listingAt = now.Add(busyInterval)
+		c.down = errors.Is(err, platform.ErrUnavailable)
 		return
 	}
+	c.down = false
 	if before := c.account.Incarnation(); before != "" && before != status.Incarnation {
 		c.agent.deps.Logger.Warn("the engine restarted", "incarnation", status.Incarnation)
 		c.agent.deps.Counters.Add("agent_engine_restarts_total", 1)
@@ -229,7 +234,7 @@
 	c.updatePhase()
 	next := &view{state: c.phase, token: c.registration.token}
 	if c.account != nil {
-		next.ready = readySet(c.account.Replicas())
+		next.ready = readySet(c.offered())
 	}
 	if !next.equal(c.agent.view.Load()) {
 		c.agent.view.Store(next)
@@ -251,6 +256,14 @@
 	}
 }
 
+// offered lists the replicas that may get work: none while the engine is down.
+func (c *control) offered() []state.Replica {
+	if c.account == nil || c.down {
+		return nil
+	}
+	return c.account.Replicas()
+}
+
 func readySet(replicas []state.Replica) map[state.ReplicaKey]map[state.AdapterName]bool {
 	ready := make(map[state.ReplicaKey]map[state.AdapterName]bool, len(replicas))
 	for _, r := range replicas {
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -70,10 +70,7 @@
 
 func (c *control) noteChanges() {
 	h := &c.heart
-	var replicas []state.Replica
-	if c.account != nil {
-		replicas = c.account.Replicas()
-	}
+	replicas := c.offered()
 	slowdown := slowdownStep(c.agent.dispatcher.pace.factor())
 	same := h.state == c.phase && h.slowdown == slowdown && h.token == c.registration.token &&
 		slices.EqualFunc(h.replicas, replicas, sameReplica)
--- a/internal/agent/methods.go
+++ b/internal/agent/methods.go
@@ -37,6 +37,9 @@
 	if c.phase == rpc.AgentDraining {
 		return rpc.WakeResult{Refusal: verdict.Refuse(verdict.ReasonDraining, "the upstream is draining")}
 	}
+	if c.down {
+		return rpc.WakeResult{Refusal: verdict.Refuse(verdict.ReasonNoReplica, "the engine is down")}
+	}
 	c.agent.usages.of(target{key: p.ReplicaKey}).touch(now)
 	if p.Adapter != "" {
 		c.agent.usages.of(target{p.ReplicaKey, p.Adapter}).touch(now)
--- a/internal/decide/quarantine/api.go
+++ b/internal/decide/quarantine/api.go
@@ -11,6 +11,9 @@
 type Settings struct {
 	// Crashes on different upstreams lead to quarantine; default 2.
 	Crashes int
+	// Repeats is how many crashes of one upstream lead to quarantine as well;
+	// default 3. A model with one replica has no other upstream to crash.
+	Repeats int
 	// Memory is how long a crash counts; default 10 min.
 	Memory time.Duration
 	// First is how long the first quarantine of a request lasts; default
@@ -30,7 +33,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		Crashes: 2, Memory: 10 * time.Minute, First: time.Minute, For: time.Hour,
+		Crashes: 2, Repeats: 3, Memory: 10 * time.Minute, First: time.Minute, For: time.Hour,
 		Forget: 24 * time.Hour, MaxSuspects: 4096,
 	}
 }
--- a/internal/decide/quarantine/tracker.go
+++ b/internal/decide/quarantine/tracker.go
@@ -29,13 +29,16 @@
 type suspect struct {
 	// crashes holds the last crash of each upstream.
 	crashes map[state.UpstreamName]time.Time
+	// repeats counts the crashes of the upstream that crashed last.
+	repeats int
+	at      state.UpstreamName
 	last    time.Time
 }
 
 // Tracker attributes crashes to requests. Every request that was running in a
 // crashed upstream becomes a suspect. Suspicion grows with crashes of
-// different upstreams only, so a faulty upstream that dies repeatedly
-// condemns no request. A suspect that runs to its end, or that is in no
+// different upstreams, and more slowly with repeated crashes of one, because a
+// faulty upstream dies without its requests' fault. A suspect that runs to its end, or that is in no
 // further crash for a while, is cleared.
 type Tracker struct {
 	settings Settings
@@ -58,9 +61,14 @@
 	for _, fingerprint := range slices.Compact(running) {
 		s := t.suspect(fingerprint)
 		s.crashes[c.Upstream] = c.Time
+		if s.at != c.Upstream {
+			s.at, s.repeats = c.Upstream, 0
+		}
+		s.repeats++
 		s.last = c.Time
 		_, repeated := t.ended[fingerprint]
-		if len(s.crashes) < t.settings.Crashes && !repeated {
+		suspected := len(s.crashes) >= t.settings.Crashes || s.repeats >= t.settings.Repeats
+		if !suspected && !repeated {
 			continue
 		}
 		delete(t.suspects, fingerprint)
--- a/internal/decide/quarantine/tracker_test.go
+++ b/internal/decide/quarantine/tracker_test.go
@@ -30,6 +30,18 @@
 	g.Expect(crash(30*time.Hour, "d", 666)).To(BeEmpty())
 }
 
+// Guards against a request that crashes the only upstream of its model again
+// and again.
+func TestRepeatedCrashesOfOneUpstream(t *testing.T) {
+	g := NewWithT(t)
+	tracker := quarantine.NewTracker(quarantine.DefaultSettings())
+	for i, want := range []int{0, 0, 1} {
+		at := time.Unix(int64(1000+i), 0)
+		guilty := tracker.Crashed(quarantine.Crash{Upstream: "only", Running: []uint64{666}, Time: at})
+		g.Expect(guilty).To(HaveLen(want), "crash %d", i+1)
+	}
+}
+
 // Guards against a request that goes on to crash upstreams, and against
 // quarantine of its neighbours, of requests on one faulty upstream, and for
 // crashes of long ago.
