placement, agent: move unused grants to empty upstreams; refuse wakes without room

Cause: the first plan gives all grants to the upstreams heard of by then and nothing moved them; an agent without memory in sight called a wake 'loading', so its home waited for it instead of trying another grant. Change: quiet plans revoke up to 8 unused grants on upstreams granted beyond their memory, if a later plan would place them on one with free room; homes report how many replicas are loaded. A wake without room in sight is refused at once and stays a wish.

--- a/internal/agent/methods.go
+++ b/internal/agent/methods.go
@@ -62,6 +62,10 @@
 	for _, cmd := range c.account.Tick(now, c.use) {
 		c.execute(now, cmd)
 	}
+	if p.Adapter == "" && c.account.NoRoom(p.ReplicaKey) {
+		// The wish stays: the replica is loaded if memory becomes free soon.
+		return rpc.WakeResult{Refusal: verdict.Refuse(verdict.ReasonNoCapacity, "other replicas in use take the memory")}
+	}
 	return rpc.WakeResult{
 		State:   state.ReplicaLoading,
 		ReadyIn: state.Duration(c.readyIn(now, p.ReplicaKey)),
--- a/internal/decide/account/view.go
+++ b/internal/decide/account/view.go
@@ -53,6 +53,24 @@
 	return a.unloading(target{key, adapter})
 }
 
+// NoRoom reports whether a replica that is not loaded has no memory in sight:
+// what is free and what unloads under way give back is not enough for it.
+func (a *Account) NoRoom(key state.ReplicaKey) bool {
+	version, ok := a.catalogue.Version(key)
+	if !ok {
+		return false
+	}
+	if _, listed := a.listed[key]; listed {
+		return false
+	}
+	for _, o := range a.orders {
+		if o.target.key == key && o.isLoad() {
+			return false
+		}
+	}
+	return version.Footprint() > a.free()+a.freeing()
+}
+
 // Capacity is the memory that the account shares out.
 func (a *Account) Capacity() state.Bytes { return a.capacity }
 
--- a/internal/decide/placement/api.go
+++ b/internal/decide/placement/api.go
@@ -21,11 +21,14 @@
 	Oversubscription int
 	// MaxRecords bounds the records of one plan; default 512.
 	MaxRecords int
+	// Moves bounds the unused grants that one plan moves to emptier
+	// upstreams; default 8.
+	Moves int
 }
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{Standing: 2, Spare: 1, Oversubscription: 8, MaxRecords: 512}
+	return Settings{Standing: 2, Spare: 1, Oversubscription: 8, MaxRecords: 512, Moves: 8}
 }
 
 // Cached is a place where a checkpoint is cached.
@@ -40,6 +43,8 @@
 	Replicas int
 	// Benefit is what the waiters lose per second without them.
 	Benefit float64
+	// Loaded is how many replicas are loaded or loading now.
+	Loaded int
 }
 
 // Input is the snapshot that a plan is made from.
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -28,6 +28,7 @@
 		p.revoke(m)
 	}
 	p.revokeOrphans()
+	p.rebalance(models)
 	p.plan.Revokes = p.plan.Revokes[:min(len(p.plan.Revokes), max(0, in.Settings.MaxRecords-len(p.plan.Grants)))]
 	return p.plan
 }
--- a/internal/decide/placement/plan_test.go
+++ b/internal/decide/placement/plan_test.go
@@ -322,3 +322,40 @@
 		}
 	}
 }
+
+// Guards against grants that stay on the upstream that was heard of first, so
+// that models are refused for want of memory beside an empty upstream, and
+// against moves of what is in use or pinned, and moves without end.
+func TestUnusedGrantsMoveToEmptyUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	r := newRegion()
+	first := r.upstream(1, 1, 4*state.GiB)
+	for i := range 6 {
+		r.model(state.ModelName(fmt.Sprint("m", i)), 1, 2*state.GiB)
+	}
+	r.model("pinned", 1, 2*state.GiB, first)
+	r.in.Demand["m0"] = placement.Demand{Replicas: 1, Loaded: 1}
+	token := add(r, state.KindAgentStart, state.AgentStart{Upstream: first, Incarnation: "i", Fencing: state.FencingEnforced}).Offset
+	settle := func() (moves int) {
+		for range 40 {
+			plan := r.tick(t)
+			for _, revoke := range plan.Revokes {
+				moves++
+				add(r, state.KindRelease, state.Release{Grant: revoke.Grant, Agent: token})
+			}
+			if len(plan.Revokes)+len(plan.Grants) == 0 {
+				return moves
+			}
+		}
+		t.Fatal("the plans do not come to rest")
+		return 0
+	}
+	g.Expect(settle()).To(BeZero())
+	g.Expect(r.tables.View().GrantsOn(first)).To(HaveLen(7))
+
+	second := r.upstream(2, 1, 4*state.GiB)
+	g.Expect(settle()).To(Equal(2), "as many as fit the free memory")
+	for _, grant := range r.tables.View().GrantsOn(second) {
+		g.Expect(grant.Model).NotTo(BeElementOf(state.ModelName("m0"), state.ModelName("pinned")))
+	}
+}
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -75,7 +75,7 @@
 func (e reportReceived) apply(c *control, now time.Time) {
 	for _, demand := range e.params.Demands {
 		c.fleet.demands[demand.Model] = demandNoted{
-			Demand: placement.Demand{Replicas: demand.Replicas, Benefit: demand.Benefit}, at: now,
+			Demand: placement.Demand{Replicas: demand.Replicas, Benefit: demand.Benefit, Loaded: demand.Loaded}, at: now,
 		}
 	}
 	if e.params.Ring != c.peers.ringSum {
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -151,7 +151,7 @@
 				waiting += n
 			}
 		}
-		demands = append(demands, rpc.ModelDemand{Model: h.key.Model, Replicas: wanted, Benefit: float64(waiting)})
+		demands = append(demands, rpc.ModelDemand{Model: h.key.Model, Replicas: wanted, Loaded: len(h.replicas), Benefit: float64(waiting)})
 	}
 	return demands
 }
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -130,6 +130,8 @@
 type ModelDemand struct {
 	Model    state.ModelName `json:"model"`
 	Replicas int             `json:"replicas"`
+	// Loaded is how many are loaded or loading now.
+	Loaded int `json:"loaded"`
 	// Benefit is what the waiters lose per second without them.
 	Benefit float64 `json:"benefit"`
 }
