--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -27,12 +27,18 @@
 	Call(ctx context.Context, addr, method string, params, result any) error
 }
 
+// DialFunc opens a connection with a dialer.
+type DialFunc func(ctx context.Context, dialer *net.Dialer, network, addr string) (net.Conn, error)
+
 // Client keeps one connection to each process that it calls.
 type Client struct {
 	// Counter counts the bytes of the connections; nil counts none. It is
 	// set before the first call.
 	Counter ByteCounter
-	dialer  net.Dialer
+	// Dial opens the connections; default in clear text. It is set before the
+	// first call.
+	Dial   DialFunc
+	dialer net.Dialer
 
 	mu     sync.Mutex
 	conns  map[string]*jsonrpc2.Conn
@@ -42,6 +48,9 @@
 // NewClient returns a client without connections.
 func NewClient() *Client {
 	return &Client{
+		Dial: func(ctx context.Context, dialer *net.Dialer, network, addr string) (net.Conn, error) {
+			return dialer.DialContext(ctx, network, addr)
+		},
 		dialer: net.Dialer{Timeout: dialTimeout},
 		conns:  make(map[string]*jsonrpc2.Conn),
 	}
@@ -78,7 +87,7 @@
 	if conn := c.known(addr); conn != nil {
 		return conn, nil
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	raw, err := c.Dial(ctx, &c.dialer, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
