--- a/cmd/lagoonvalve/roles.go
+++ b/cmd/lagoonvalve/roles.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
@@ -29,8 +31,9 @@
 			if err != nil {
 				return err
 			}
-			logger, _ := telemetry.NewLogger(os.Stderr, cfg.Common)
-			return roles.RunEntry(ctx, cfg, logger)
+			logger, level := telemetry.NewLogger(os.Stderr, cfg.Common)
+			reloads := roles.ReloadOn[settings.Entry](ctx, cmd.String("config"), hangups(), logger)
+			return roles.StartEntry(ctx, cfg, roles.Process[settings.Entry]{Logger: logger, Level: level, Reloads: reloads})
 		},
 	}
 }
@@ -45,12 +48,20 @@
 			if err != nil {
 				return err
 			}
-			logger, _ := telemetry.NewLogger(os.Stderr, cfg.Common)
-			return roles.RunAgent(ctx, cfg, logger)
+			logger, level := telemetry.NewLogger(os.Stderr, cfg.Common)
+			reloads := roles.ReloadOn[settings.Agent](ctx, cmd.String("config"), hangups(), logger)
+			return roles.StartAgent(ctx, cfg, roles.Process[settings.Agent]{Logger: logger, Level: level, Reloads: reloads})
 		},
 	}
 }
 
+// hangups gives the signals that ask for a reload.
+func hangups() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 func standinCommand() *cli.Command {
 	command := &cli.Command{Name: "standin", Usage: "run a small stand-in of a platform service"}
 	for _, kind := range roles.StandinKinds {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -45,6 +46,9 @@
 	WakeFor time.Duration
 	// Shutdown bounds the time for running work when leaving; default 20 s.
 	Shutdown time.Duration
+	// Settle bounds the time for the last orders and records after that;
+	// default 10 s.
+	Settle time.Duration
 	// OrderTimeout bounds an order to the engine; default 5 min.
 	OrderTimeout time.Duration
 	// MaxLoads bounds the loads in flight; default 2.
@@ -101,11 +105,22 @@
 	Draining(upstream state.UpstreamName, host state.HostName) bool
 }
 
-// Counters counts events. Names are metric names that end in "_total".
+// Counters counts events. Names are metric names that end in "_total", without
+// the prefix "lagoonvalve_".
 type Counters interface {
 	Add(name string, delta uint64)
 }
 
+// Meter measures what happens at the upstream. *telemetry.Instruments
+// implements it.
+type Meter interface {
+	QueueWait(class state.Class, d time.Duration)
+	Waiting(class state.Class, requests int)
+	ModelLoad(model state.ModelName, result telemetry.LoadResult)
+	AdapterLoad(adapter state.AdapterName, result telemetry.LoadResult)
+	Idle(model state.ModelName, d time.Duration)
+}
+
 // Deps holds what an agent works with.
 type Deps struct {
 	// Engine is the control side of the engine; nil for plain services.
@@ -125,9 +140,12 @@
 	// store slots; without one, loads need no slot.
 	SlotOwner func() (addr string, ok bool)
 	// KeepAlive says how long an idle replica of a model that sets no
-	// keep-alive stays loaded; default Config.KeepAlive. It is called on each
-	// tick.
-	KeepAlive func(key state.ReplicaKey) time.Duration
+	// keep-alive stays loaded, given the time to load it again; default
+	// Config.KeepAlive. It is called on each tick.
+	KeepAlive func(key state.ReplicaKey, load time.Duration) time.Duration
+	// Gap hears of each time that a replica was without requests; default
+	// none. Gap, KeepAlive and Burst are called on one goroutine.
+	Gap func(key state.ReplicaKey, gap time.Duration)
 	// Burst decides on evictions before the end of keep-alive; default none.
 	Burst account.BurstRule
 	// Transport carries requests to the upstream; default one made for it.
@@ -136,4 +154,11 @@
 	Listen   func(ctx context.Context, addr string) (net.Listener, error)
 	Logger   *slog.Logger
 	Counters Counters
+	// Meter measures; default nothing.
+	Meter Meter
+	// Bytes counts the bytes between processes; nil counts none.
+	Bytes rpc.ByteCounter
+	// Decided hears of loads, unloads and evictions for the audit trail;
+	// default none. It must not wait.
+	Decided func(decision state.Audit)
 }
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -51,6 +51,7 @@
 	loadRate    float64 // bytes of weights per second, measured
 	slots       map[state.ReplicaKey]string
 	shut        map[target]struct{} // what no request may use
+	measured    time.Time           // when the gauges were last set
 	heart       heart
 }
 
@@ -129,6 +130,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.register(now)
+	c.measure(now)
 	if c.account != nil {
 		c.list(now)
 		c.wishAdapters(now)
@@ -150,7 +152,7 @@
 		u.LastUsed = in.last()
 	}
 	if c.agent.deps.KeepAlive != nil {
-		u.KeepAlive = c.agent.deps.KeepAlive(key)
+		u.KeepAlive = c.agent.deps.KeepAlive(key, c.loadTime(key))
 	}
 	if model, known := c.tables.Model(key.Model); known && model.KeepAlive > 0 {
 		u.KeepAlive = model.KeepAlive.Std()
--- a/internal/agent/defaults.go
+++ b/internal/agent/defaults.go
@@ -21,14 +21,18 @@
 	defaultQueueBytes    = 64 * state.MiB
 	defaultMaxBody       = 8 * state.MiB
 	defaultDeadline      = 30 * time.Second
-	defaultKeepAlive     = 5 * time.Minute
 	defaultWakeFor       = 30 * time.Second
 	defaultShutdown      = 20 * time.Second
+	defaultSettle        = 10 * time.Second
 	defaultOrderTimeout  = 5 * time.Minute
 	defaultMaxLoads      = 2
 	defaultMaxClaims     = 100_000
 )
 
+// DefaultKeepAlive is how long an idle replica stays loaded while nothing else
+// is known.
+const DefaultKeepAlive = 5 * time.Minute
+
 // withDefaults fills what is not set.
 func (c Config) withDefaults() Config {
 	c.Incarnation = cmp.Or(c.Incarnation, uuid.NewString())
@@ -38,9 +42,10 @@
 	c.QueueBytes = cmp.Or(c.QueueBytes, defaultQueueBytes)
 	c.MaxBody = cmp.Or(c.MaxBody, defaultMaxBody)
 	c.DefaultDeadline = cmp.Or(c.DefaultDeadline, defaultDeadline)
-	c.KeepAlive = cmp.Or(c.KeepAlive, defaultKeepAlive)
+	c.KeepAlive = cmp.Or(c.KeepAlive, DefaultKeepAlive)
 	c.WakeFor = cmp.Or(c.WakeFor, defaultWakeFor)
 	c.Shutdown = cmp.Or(c.Shutdown, defaultShutdown)
+	c.Settle = cmp.Or(c.Settle, defaultSettle)
 	c.OrderTimeout = cmp.Or(c.OrderTimeout, defaultOrderTimeout)
 	c.MaxLoads = cmp.Or(c.MaxLoads, defaultMaxLoads)
 	c.MaxClaims = cmp.Or(c.MaxClaims, defaultMaxClaims)
@@ -85,6 +90,15 @@
 	if d.Counters == nil {
 		d.Counters = noCounters{}
 	}
+	if d.Meter == nil {
+		d.Meter = noMeter{}
+	}
+	if d.Decided == nil {
+		d.Decided = func(state.Audit) {}
+	}
+	if d.Gap == nil {
+		d.Gap = func(state.ReplicaKey, time.Duration) {}
+	}
 	if d.Watcher == nil {
 		d.Watcher = func() (string, bool) { return "", false }
 	}
--- a/internal/agent/leave.go
+++ b/internal/agent/leave.go
@@ -18,9 +18,7 @@
 )
 
 const (
-	// settleTimeout bounds the end of orders and the last intent.
-	settleTimeout = 10 * time.Second
-	leavePoll     = 20 * time.Millisecond
+	leavePoll = 20 * time.Millisecond
 )
 
 // leave starts the shutdown. Any goroutine may call it.
@@ -40,21 +38,21 @@
 		c.publish()
 	})
 	a.dispatcher.close(verdict.Refuse(verdict.ReasonDraining, "the upstream is leaving"))
-	finished := a.await(c.ctx, a.cfg.Shutdown, func() bool { return a.dispatcher.running.Load() == 0 })
+	finished := a.await(c.ctx, time.Duration(a.drainTime.Load()), func() bool { return a.dispatcher.running.Load() == 0 })
 	if !finished {
 		a.deps.Logger.Warn("ending work that still runs", "requests", a.dispatcher.running.Load())
 	}
 	a.endRuns()
-	a.await(c.ctx, settleTimeout, func() bool { return a.dispatcher.running.Load() == 0 })
+	a.await(c.ctx, time.Duration(a.settleTime.Load()), func() bool { return a.dispatcher.running.Load() == 0 })
 	if c.account == nil {
 		return
 	}
 	if why == leaveHost {
 		_ = c.ask(c.ctx, func() { c.account.Leave() })
-		a.awaitControl(c, a.cfg.Shutdown, func() bool { return c.account.Left() })
+		a.awaitControl(c, time.Duration(a.drainTime.Load()), func() bool { return c.account.Left() })
 	}
 	_ = c.ask(c.ctx, func() { c.account.Stop() })
-	a.awaitControl(c, settleTimeout, func() bool { return c.account.Stopped() })
+	a.awaitControl(c, time.Duration(a.settleTime.Load()), func() bool { return c.account.Stopped() })
 }
 
 // await polls until done or for the given time.
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -68,6 +68,7 @@
 			"model", cmd.Order.Model, "version", cmd.Order.Version, "error", err)
 	}
 	c.openUsages()
+	c.note(now, cmd, err)
 	if cmd.Order.Kind == platform.OrderLoad {
 		c.measureLoad(now, cmd.Order, err)
 		c.returnSlot(cmd.Order.ReplicaKey)
@@ -100,11 +101,10 @@
 
 // readyIn predicts when a load ends.
 func (c *control) readyIn(now time.Time, key state.ReplicaKey) time.Duration {
-	version, ok := c.tables.Version(key)
-	if !ok || c.loadRate <= 0 {
+	whole := c.loadTime(key)
+	if whole == 0 {
 		return tickInterval
 	}
-	whole := time.Duration(float64(version.Weights) / c.loadRate * float64(time.Second))
 	started, loading := c.loadStarted[key]
 	if !loading {
 		return whole
@@ -112,6 +112,15 @@
 	return max(whole-now.Sub(started), tickInterval)
 }
 
+// loadTime predicts how long a load takes; zero if the version is unknown.
+func (c *control) loadTime(key state.ReplicaKey) time.Duration {
+	version, ok := c.tables.Version(key)
+	if !ok || c.loadRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(version.Weights) / c.loadRate * float64(time.Second))
+}
+
 // append stores records and hands the result to the control goroutine.
 func (c *control) append(record state.Record, then func(error)) {
 	go func() {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -50,6 +50,10 @@
 	// bodies is the memory of the requests that are being read or served.
 	bodies  atomic.Int64
 	changed chan struct{}
+	// drainTime and settleTime bound the shutdown, in nanoseconds.
+	drainTime, settleTime atomic.Int64
+	// gaps carries the gaps between requests to the control goroutine.
+	gaps chan requestGap
 
 	leaving  chan leaveReason
 	shutdown context.Context
@@ -85,10 +89,12 @@
 		claims:    newClaims(cfg.MaxClaims),
 		leaving:   make(chan leaveReason, 1),
 		changed:   make(chan struct{}, 1),
+		gaps:      make(chan requestGap, gapBacklog),
 	}
 	for _, name := range cfg.Upstream.Services {
 		a.services[name] = true
 	}
+	a.SetShutdown(cfg.Shutdown, cfg.Settle)
 	a.start()
 	return a, nil
 }
@@ -157,7 +163,9 @@
 	c := a.control
 	server := a.httpServer()
 	group, running := errgroup.WithContext(c.ctx)
-	group.Go(func() error { return rpc.NewServer(c.methods()).Serve(c.ctx, controlListener) })
+	methods := rpc.NewServer(c.methods())
+	methods.Counter = a.deps.Bytes
+	group.Go(func() error { return methods.Serve(c.ctx, controlListener) })
 	group.Go(func() error { return serveHTTP(server, trafficListener) })
 	group.Go(func() error { c.run(); return nil })
 	group.Go(func() error { a.expire(c.ctx); return nil })
@@ -178,6 +186,24 @@
 	return group.Wait()
 }
 
+// Ready is nil if the agent takes requests.
+func (a *Agent) Ready() error {
+	if now := a.view.Load().state; now != rpc.AgentServing {
+		return errors.Errorf("the agent is %s", now)
+	}
+	return nil
+}
+
+// Do runs f on the control goroutine, which also calls Deps.KeepAlive and
+// Deps.Burst.
+func (a *Agent) Do(f func()) { a.control.post(f) }
+
+// SetShutdown changes Config.Shutdown and Config.Settle.
+func (a *Agent) SetShutdown(shutdown, settle time.Duration) {
+	a.drainTime.Store(int64(shutdown))
+	a.settleTime.Store(int64(settle))
+}
+
 // awaitEnd waits for a reason to stop.
 func (a *Agent) awaitEnd(ctx, running context.Context) leaveReason {
 	select {
--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -105,13 +105,15 @@
 	}
 	now := time.Now()
 	replica := a.usages.of(target{key: c.item.Key})
-	if !replica.acquire(now) {
+	gap, ok := replica.acquire(now)
+	if !ok {
 		return verdict.Refuse(verdict.ReasonNoReplica, "the replica is being unloaded")
 	}
+	a.noteGap(c.item.Key, gap)
 	if c.item.Adapter == "" {
 		return nil
 	}
-	if !a.usages.of(target{c.item.Key, c.item.Adapter}).acquire(now) {
+	if _, ok := a.usages.of(target{c.item.Key, c.item.Adapter}).acquire(now); !ok {
 		replica.release(now)
 		return verdict.Refuse(verdict.ReasonNoReplica, "the adapter is being unloaded")
 	}
@@ -132,7 +134,8 @@
 // queueUp waits until the request may start. It returns a refusal if it never
 // will; the work was not run then.
 func (a *Agent) queueUp(ctx context.Context, c *call) *verdict.Verdict {
-	waiter, refusal := a.dispatcher.offer(time.Now(), c.item)
+	offered := time.Now()
+	waiter, refusal := a.dispatcher.offer(offered, c.item)
 	if refusal != nil {
 		return refusal
 	}
@@ -142,6 +145,9 @@
 	}
 	select {
 	case refusal = <-waiter.decided:
+		if refusal == nil {
+			a.deps.Meter.QueueWait(c.item.Class, time.Since(offered))
+		}
 		return refusal
 	case <-ctx.Done():
 	}
--- a/internal/agent/usage.go
+++ b/internal/agent/usage.go
@@ -22,6 +22,9 @@
 type usage struct {
 	inFlight atomic.Int64
 	lastUsed atomic.Int64 // Unix nanoseconds
+	// ended is when the last request ended; unlike lastUsed, wakes don't
+	// change it.
+	ended atomic.Int64 // Unix nanoseconds
 }
 
 // usages holds the usage of each target.
@@ -37,22 +40,29 @@
 	return found.(*usage)
 }
 
-// acquire counts a request. It fails while the target is being unloaded.
-func (u *usage) acquire(now time.Time) bool {
+// acquire counts a request. It fails while the target is being unloaded. The
+// gap is the time since the last request ended; zero if one is in flight or
+// there was none.
+func (u *usage) acquire(now time.Time) (gap time.Duration, ok bool) {
 	for {
 		n := u.inFlight.Load()
 		if n == closedUsage {
-			return false
+			return 0, false
 		}
-		if u.inFlight.CompareAndSwap(n, n+1) {
-			u.lastUsed.Store(now.UnixNano())
-			return true
+		if !u.inFlight.CompareAndSwap(n, n+1) {
+			continue
 		}
+		u.lastUsed.Store(now.UnixNano())
+		if ended := u.ended.Load(); n == 0 && ended != 0 {
+			gap = time.Duration(now.UnixNano() - ended)
+		}
+		return gap, true
 	}
 }
 
 func (u *usage) release(now time.Time) {
 	u.lastUsed.Store(now.UnixNano())
+	u.ended.Store(now.UnixNano())
 	u.inFlight.Add(-1)
 }
 
--- a/internal/audit/report.go
+++ b/internal/audit/report.go
@@ -172,6 +172,30 @@
 	Missing int
 }
 
+// String says how far the counts are known, as in "complete" or "not final, 2
+// reports missing".
+func (c Completeness) String() string {
+	switch {
+	case c.Final && c.Missing == 0:
+		return "complete"
+	case c.Final:
+		return fmt.Sprintf("%d reports missing", c.Missing)
+	case c.Missing == 0:
+		return "not final"
+	default:
+		return fmt.Sprintf("not final, %d reports missing", c.Missing)
+	}
+}
+
+// IsCountsReport reports whether a record carries a CountsReport.
+func IsCountsReport(record state.Positioned) bool {
+	if record.Kind != state.KindAudit {
+		return false
+	}
+	entry, err := state.DecodeBody[state.Audit](record.Record)
+	return err == nil && entry.Action == ActionCounts
+}
+
 // Settle adds up the counts of an audit stream. Records that were written
 // twice count once.
 func Settle(records []state.Positioned) (Settlement, error) {
--- a/internal/decide/account/account.go
+++ b/internal/decide/account/account.go
@@ -97,6 +97,8 @@
 type SendOrder struct {
 	ID    OrderID
 	Order platform.Order
+	// Eviction says that an unload makes room for something else.
+	Eviction bool
 }
 
 // AppendIntent appends an intent record. Its outcome goes to IntentRead once
--- a/internal/decide/account/fulfil.go
+++ b/internal/decide/account/fulfil.go
@@ -119,7 +119,9 @@
 		if !a.canSend() {
 			break
 		}
-		cmds = append(cmds, a.sendUnload(now, v))
+		unload := a.sendUnload(now, v)
+		unload.Eviction = true
+		cmds = append(cmds, unload)
 	}
 	return cmds, true
 }
--- a/internal/decide/admission/limiter.go
+++ b/internal/decide/admission/limiter.go
@@ -27,6 +27,13 @@
 
 // NewLimiter returns a limiter with nothing in flight.
 func NewLimiter(cfg LimiterConfig) *Limiter {
+	l := &Limiter{callers: make(map[state.CallerName]int), models: make(map[state.ModelName]int)}
+	l.Configure(cfg)
+	return l
+}
+
+// Configure changes the bounds; what is in flight stays counted.
+func (l *Limiter) Configure(cfg LimiterConfig) {
 	if cfg.PerCaller <= 0 {
 		cfg.PerCaller = 256
 	}
@@ -36,11 +43,7 @@
 	if cfg.RetryAfter <= 0 {
 		cfg.RetryAfter = time.Second
 	}
-	return &Limiter{
-		cfg:     cfg,
-		callers: make(map[state.CallerName]int),
-		models:  make(map[state.ModelName]int),
-	}
+	l.cfg = cfg
 }
 
 // Acquire counts a request, or returns a refusal if the caller or the model
--- a/internal/decide/routing/latency.go
+++ b/internal/decide/routing/latency.go
@@ -75,6 +75,16 @@
 	backoff time.Duration
 }
 
+// Ejection says by which measure an upstream was ejected.
+type Ejection int
+
+// The measures of an ejection.
+const (
+	NotEjected Ejection = iota
+	EjectedFirstToken
+	EjectedBetweenTokens
+)
+
 // LatencyTracker holds an entry's own measurements of the upstreams that serve
 // one replica key. Upstreams are identified by the caller's indices. It is not
 // safe for concurrent use.
@@ -94,8 +104,9 @@
 }
 
 // Observe adds a measurement: the time to the first token less the predicted
-// queueing, and the mean time between tokens (zero if there was only one).
-func (t *LatencyTracker) Observe(now time.Time, upstream int, first, between time.Duration) {
+// queueing, and the mean time between tokens (zero if there was only one). It
+// reports whether the upstream was ejected for it.
+func (t *LatencyTracker) Observe(now time.Time, upstream int, first, between time.Duration) Ejection {
 	u := t.upstreams[upstream]
 	if u == nil {
 		u = &upstreamLatency{}
@@ -103,11 +114,11 @@
 	}
 	if u.ejected && !u.probing && u.step == 0 {
 		// The answer belongs to a request sent before the ejection.
-		return
+		return NotEjected
 	}
 	if u.ejected {
 		t.observeProbe(now, u, first, between)
-		return
+		return NotEjected
 	}
 	u.samples++
 	t.changes++
@@ -119,20 +130,24 @@
 		}
 		u.between += weight * (between.Seconds() - u.between)
 	}
-	if u.samples >= t.cfg.MinSamples && t.slow(u.first, u.between) {
-		t.eject(now, u)
+	if u.samples < t.cfg.MinSamples || !t.slow(u.first, u.between) || !t.eject(now, u) {
+		return NotEjected
 	}
+	if outlier(u.first, t.medianFirst, t.cfg.Factor, t.cfg.Floor.Seconds()) {
+		return EjectedFirstToken
+	}
+	return EjectedBetweenTokens
 }
 
 // Pending notes that a request has waited for its first token for so long
 // without an answer. It raises the estimate but never lowers it, so that a
 // stopped upstream is noticed before it answers.
-func (t *LatencyTracker) Pending(now time.Time, upstream int, waited time.Duration) {
+func (t *LatencyTracker) Pending(now time.Time, upstream int, waited time.Duration) Ejection {
 	u := t.upstreams[upstream]
 	if u == nil || u.ejected || waited.Seconds() <= u.first {
-		return
+		return NotEjected
 	}
-	t.Observe(now, upstream, waited, 0)
+	return t.Observe(now, upstream, waited, 0)
 }
 
 // slow reports whether the latencies are outliers among the upstreams that are
@@ -178,7 +193,7 @@
 }
 
 // eject takes an upstream out of rotation unless the cap is reached.
-func (t *LatencyTracker) eject(now time.Time, u *upstreamLatency) {
+func (t *LatencyTracker) eject(now time.Time, u *upstreamLatency) bool {
 	out := 0
 	for _, other := range t.upstreams {
 		if other.ejected {
@@ -186,12 +201,13 @@
 		}
 	}
 	if out+1 > t.maxEjected() {
-		return
+		return false
 	}
 	u.ejected = true
 	u.step = 0
 	u.backoff = t.cfg.ProbeAfter
 	u.probeAt = now.Add(u.backoff)
+	return true
 }
 
 // maxEjected is the cap on ejected upstreams. It allows none of three or
--- a/internal/decide/routing/volume.go
+++ b/internal/decide/routing/volume.go
@@ -11,29 +11,41 @@
 // VolumeConfig bounds paid traffic between regions. Zero values mean the
 // defaults.
 type VolumeConfig struct {
-	// PerSecond is the mean volume allowed; default 1 MiB.
+	// PerSecond is the mean volume allowed; default 1 MiB. A negative value
+	// allows none.
 	PerSecond state.Bytes
 	// Burst is the volume allowed at once; default 16 MiB.
 	Burst state.Bytes
 }
 
 // VolumeBudget is a byte budget for traffic between regions.
-type VolumeBudget struct{ limiter *rate.Limiter }
+type VolumeBudget struct {
+	limiter *rate.Limiter
+	none    bool
+}
 
 // NewVolumeBudget returns a full budget.
 func NewVolumeBudget(cfg VolumeConfig) *VolumeBudget {
-	if cfg.PerSecond <= 0 {
-		cfg.PerSecond = state.MiB
-	}
 	if cfg.Burst <= 0 {
 		cfg.Burst = 16 * state.MiB
 	}
-	return &VolumeBudget{limiter: rate.NewLimiter(rate.Limit(cfg.PerSecond), int(cfg.Burst))}
+	b := &VolumeBudget{limiter: rate.NewLimiter(0, int(cfg.Burst))}
+	b.SetRate(cfg.PerSecond)
+	return b
+}
+
+// SetRate changes the mean volume allowed, as VolumeConfig.PerSecond does.
+func (b *VolumeBudget) SetRate(perSecond state.Bytes) {
+	if perSecond == 0 {
+		perSecond = state.MiB
+	}
+	b.none = perSecond < 0
+	b.limiter.SetLimit(rate.Limit(max(perSecond, 0)))
 }
 
 // Allows reports whether the budget has room for volume, without taking it.
 func (b *VolumeBudget) Allows(now time.Time, volume state.Bytes) bool {
-	return b.limiter.TokensAt(now) >= float64(volume)
+	return !b.none && b.limiter.TokensAt(now) >= float64(volume)
 }
 
 // Take takes volume from the budget and reports whether there was room.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -198,7 +198,6 @@
 // demoCommon fills the settings that entries and agents share.
 func demoCommon(c settings.Common, l *layout) settings.Common {
 	c.Region = region
-	c.Platform = settings.Platform{Log: "http://" + l.log, Hosts: "http://" + l.hostList, Store: "http://" + l.store}
 	c.Peers = l.peers()
 	c.Shutdown.DrainTimeout = state.Duration(5 * time.Second)
 	return c
--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -44,7 +44,7 @@
 
 // newLayout chooses free ports of the loopback interface.
 func newLayout(ctx context.Context) (*layout, error) {
-	ports, err := freeAddresses(ctx, 3+2*3+4*3)
+	ports, err := freeAddresses(ctx, 3+2*3+4*4)
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +61,7 @@
 		u := upstreamLayout{
 			name: state.UpstreamName(fmt.Sprintf("runner-%d", i+1)), kind: state.ModelRunner,
 			fencing: state.FencingEnforced, backend: next(),
-			listen: settings.Listen{Callers: next(), Control: next()},
+			listen: settings.Listen{Callers: next(), Operators: next(), Control: next()},
 		}
 		if i == 2 {
 			u.fencing = state.FencingIgnored
@@ -117,6 +117,7 @@
 	for i, listen := range l.entryAddrs {
 		cfg := settings.DefaultEntry()
 		cfg.Common = demoCommon(cfg.Common, l)
+		cfg.Platform = settings.Platform{Log: "http://" + l.log, Hosts: "http://" + l.hostList}
 		cfg.Name = entryName(i)
 		cfg.Host = state.HostName(fmt.Sprintf("entry-host-%d", i+1))
 		cfg.DataCentre = dataCentres[i]
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
@@ -92,7 +93,7 @@
 
 func (e *execution) outgoing(ctx context.Context, replica rpc.ReplicaAt) (*http.Request, error) {
 	req := e.request
-	url := "http://" + replica.TrafficAddr + req.path
+	url := e.scheme() + "://" + replica.TrafficAddr + req.path
 	if req.query != "" {
 		url += "?" + req.query
 	}
@@ -102,6 +103,8 @@
 	}
 	copyHeaders(outgoing.Header, req.header)
 	outgoing.Header.Del("Authorization")
+	// Only a claim of this entry may reach the agent.
+	outgoing.Header.Del(headerClaim)
 	h := outgoing.Header
 	h.Set(headerRequestID, req.id)
 	h.Set(headerCaller, string(req.caller.Name))
@@ -168,7 +171,7 @@
 	for outstanding := 1; ; {
 		select {
 		case <-late.C:
-			e.route.pending(time.Now(), replica.Upstream, time.Since(e.request.arrived), e.request)
+			e.noteEjection(replica.Upstream, e.route.pending(time.Now(), replica.Upstream, time.Since(e.request.arrived), e.request))
 			if second, secondLoad, ok := e.hedgeTarget(replica.Upstream); ok {
 				cancels = append(cancels, send(second, secondLoad))
 				outstanding++
@@ -286,9 +289,12 @@
 	}
 	e.firstToken = watch.first
 	if e.request.stream {
-		e.route.observe(now, a.replica.Upstream, watch.first, watch.between(), e.request)
+		e.noteEjection(a.replica.Upstream, e.route.observe(now, a.replica.Upstream, watch.first, watch.between(), e.request))
+		if between := watch.between(); between > 0 {
+			e.sink.streamed(e.request, between)
+		}
 	} else {
-		e.route.observe(now, a.replica.Upstream, scaleWhole(total, size), 0, e.request)
+		e.noteEjection(a.replica.Upstream, e.route.observe(now, a.replica.Upstream, scaleWhole(total, size), 0, e.request))
 	}
 	e.learn(e.request, watch.chunks, total)
 	if a.replica.Region != e.cfg.route.region {
@@ -296,6 +302,17 @@
 	}
 }
 
+// noteEjection passes on that an upstream was ejected.
+func (e *execution) noteEjection(upstream state.UpstreamName, ejection routing.Ejection) {
+	switch ejection {
+	case routing.NotEjected:
+	case routing.EjectedFirstToken:
+		e.sink.ejected(e.route.target, upstream, telemetry.EjectedFirstToken)
+	case routing.EjectedBetweenTokens:
+		e.sink.ejected(e.route.target, upstream, telemetry.EjectedBetweenTokens)
+	}
+}
+
 // wholeReference is the answer size at which the latencies of whole answers
 // are compared. Without scaling, one long answer would make its upstream look
 // like a straggler.
--- a/internal/entry/auditing.go
+++ b/internal/entry/auditing.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if err := e.trail.Flush(ctx); err != nil {
-		e.counts.Add("lagoonvalve_audit_flush_failures_total", 1)
+		e.meter.Add("lagoonvalve_audit_flush_failures_total", 1)
 	}
 }
 
@@ -57,14 +57,14 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if err := e.reports.Flush(ctx, now, final); err != nil {
-		e.counts.Add("lagoonvalve_audit_flush_failures_total", 1)
+		e.meter.Add("lagoonvalve_audit_flush_failures_total", 1)
 	}
 }
 
 // flushLast writes what is left of the trail and the final counts at a
 // graceful stop.
 func (e *Entry) flushLast() {
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Shutdown.StopTimeout.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Load().Shutdown.StopTimeout.Std())
 	defer cancel()
 	e.flushTrail(ctx)
 	e.flushCounts(ctx, time.Now(), true)
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -35,10 +36,12 @@
 	// agentAddress finds the control address of an upstream's agent.
 	agentAddress func(state.UpstreamName) (string, bool)
 	logger       *slog.Logger
-	events       chan shardEvent
-	shards       map[int]*claimShard
-	tickets      map[claims.Ticket]chan rpc.ClaimResult
-	lastTicket   claims.Ticket
+	// meter counts the answers; nil counts none.
+	meter      Meter
+	events     chan shardEvent
+	shards     map[int]*claimShard
+	tickets    map[claims.Ticket]chan rpc.ClaimResult
+	lastTicket claims.Ticket
 }
 
 type claimShard struct {
@@ -183,6 +186,9 @@
 	for _, reply := range commands.Replies {
 		if waiter, ok := s.tickets[reply.Ticket]; ok {
 			delete(s.tickets, reply.Ticket)
+			if s.meter != nil {
+				s.meter.Claim(resultOf(reply.Result))
+			}
 			waiter <- reply.Result
 		}
 	}
@@ -194,6 +200,25 @@
 	}
 }
 
+// resultOf tells a new claim, an answer about an earlier one and any other
+// refusal apart.
+func resultOf(result rpc.ClaimResult) telemetry.ClaimResult {
+	switch {
+	case result.Granted != "":
+		return telemetry.ClaimGranted
+	case result.Done != nil:
+		return telemetry.ClaimRepeated
+	case result.Refusal == nil:
+		return telemetry.ClaimRefused
+	}
+	switch result.Refusal.Reason {
+	case verdict.ReasonClaimInProgress, verdict.ReasonClaimRan, verdict.ReasonClaimUnknown:
+		return telemetry.ClaimRepeated
+	default:
+		return telemetry.ClaimRefused
+	}
+}
+
 func (s *claimShards) append(ctx context.Context, shard *claimShard, batch []state.Record) {
 	limited, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -53,6 +53,8 @@
 	counters counters
 	// quarantine writes a quarantine to the streams of all regions.
 	quarantine func(ctx context.Context, body state.Quarantine) error
+	// decided hears of automatic decisions for the audit trail.
+	decided func(decision state.Audit)
 }
 
 // counters counts events by metric name.
@@ -70,8 +72,11 @@
 	published atomic.Pointer[view]
 	dirty     bool
 
-	config      *state.Config
-	region      *state.RegionTables
+	config *state.Config
+	region *state.RegionTables
+	// configRead is when the configuration was last read to its end, in Unix
+	// nanoseconds.
+	configRead  atomic.Int64
 	configReady bool
 	regionReady bool
 
@@ -103,6 +108,7 @@
 		lease:   lease.NewMachine(cfg.self, lease.DefaultSettings(), now),
 		crashes: quarantine.NewTracker(quarantine.DefaultSettings()),
 	}
+	c.configRead.Store(now.UnixNano())
 	c.slotKeeper.assign(c.peers.ring.Owner(roleStoreSlots, ""), cfg.name, cfg.self.Incarnation, now)
 	return c
 }
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -216,6 +216,9 @@
 	}
 	for _, gone := range plan.Gone {
 		c.deps.logger.Info("host is gone; its grants end", "host", gone.Host)
+		c.deps.decided(state.Audit{
+			Time: time.Now(), Action: "host-gone", Name: string(gone.Host), Detail: "its grants end", Offset: state.NoOffset,
+		})
 		add(state.NewRecord(uuid.NewString(), c.cfg.self, state.KindHostGone, gone))
 	}
 	for _, grant := range plan.Grants {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,7 +21,6 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
-	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -48,8 +48,12 @@
 	Logger *slog.Logger
 	// Metrics serves the metrics page; nil serves none.
 	Metrics http.Handler
-	// Meter measures requests.
+	// Meter measures; it is required.
 	Meter Meter
+	// Dial opens connections to agents and Scheme is that of their URLs;
+	// defaults are clear text and "http".
+	Dial   rpc.DialFunc
+	Scheme string
 	// Counter counts the bytes between processes.
 	Counter rpc.ByteCounter
 	// Retention is how long the log keeps records.
@@ -63,39 +67,46 @@
 
 // Entry is a running entry.
 type Entry struct {
-	cfg     settings.Entry
-	deps    Deps
-	caller  rpc.Caller
-	control *control
-	gateway *gateway
-	shards  *claimShards
-	writer  *logclient.Writer
-	relay   *logclient.Relay
-	router  *claimRouter
-	counts  *counterSet
-	ledger  *ledger
-	trail   *audit.Trail
-	reports *audit.Reporter
+	// cfg holds the settings of the start; settings those of the last reload.
+	cfg      settings.Entry
+	settings atomic.Pointer[settings.Entry]
+	deps     Deps
+	meter    Meter
+	caller   rpc.Caller
+	control  *control
+	gateway  *gateway
+	shards   *claimShards
+	writer   *logclient.Writer
+	relay    *logclient.Relay
+	router   *claimRouter
+	ledger   *ledger
+	history  *history
+	trail    *audit.Trail
+	reports  *audit.Reporter
 }
 
 // New returns an entry. It does nothing before Run.
 func New(cfg settings.Entry, deps Deps) *Entry {
-	e := &Entry{cfg: cfg, deps: deps, caller: deps.Caller, counts: newCounterSet()}
+	deps.Log = countedLog{deps.Log, deps.Meter}
+	e := &Entry{cfg: cfg, deps: deps, caller: deps.Caller, meter: deps.Meter, history: newHistory()}
+	e.settings.Store(&cfg)
 	self := state.ProcessID{Name: cfg.Name, Incarnation: uuid.NewString()}
 	e.writer = logclient.NewWriter(deps.Log, logclient.WriterConfig{
 		AppendsPerSecond: float64(cfg.Limits.LogAppendsPerSecond),
 	})
 	e.relay = logclient.NewRelay(deps.Log, e.writer, logclient.RelayConfig{},
 		platform.StreamConfig, platform.RegionStream(cfg.Region))
+	e.trail = audit.NewTrail(self, cfg.Region, auditAppender{e.writer}, audit.Options{})
 	e.control = newControl(e.controlConfig(self), controlDeps{
-		caller: deps.Caller, appender: e.writer, logger: deps.Logger, counters: e.counts,
-		quarantine: e.quarantineAutomatically,
+		caller: deps.Caller, appender: e.writer, logger: deps.Logger, counters: deps.Meter,
+		quarantine: e.quarantineAutomatically, decided: e.trail.Automatic,
 	}, time.Now())
 	e.shards = newClaimShards(self, deps.Log, e.writer, deps.Caller, e.agentAddress, deps.Logger)
+	e.shards.meter = deps.Meter
 	e.ledger = newLedger(time.Now())
-	e.trail = audit.NewTrail(self, cfg.Region, auditAppender{e.writer}, audit.Options{})
 	e.reports = audit.NewReporter(e.ledger.counts, self, cfg.Region, auditAppender{e.writer})
 	e.gateway = e.newGateway(self)
+	e.applyLimits(cfg.Limits)
 	return e
 }
 
@@ -106,10 +117,8 @@
 		region:     e.cfg.Region,
 		dataCentre: e.cfg.DataCentre,
 		address:    e.cfg.Listen.Control,
-		home: scaling.HomeConfig{
-			IdleWeight: e.cfg.Weights.Idle, ColdStartWeight: e.cfg.Weights.ColdStart,
-		},
-		retention: e.deps.Retention,
+		home:       homeConfig(e.cfg.Weights),
+		retention:  e.deps.Retention,
 	}
 	for _, peer := range e.cfg.Peers {
 		if peer.Region == e.cfg.Region {
@@ -120,32 +129,30 @@
 }
 
 func (e *Entry) newGateway(self state.ProcessID) *gateway {
-	limits := e.cfg.Limits
+	sink := requestSink{meter: e.deps.Meter, ledger: e.ledger, decided: e.trail.Automatic}
 	g := &gateway{
 		cfg: gatewayConfig{
-			bodyLimit:       limits.BodyBytes,
-			defaultDeadline: limits.DefaultDeadline.Std(),
-			defaultCaller:   state.Caller{Name: "anonymous", Highest: state.ClassNormal, Weight: 1},
+			scheme:        e.deps.Scheme,
+			defaultCaller: state.Caller{Name: "anonymous", Highest: state.ClassNormal, Weight: 1},
 		},
 		view:       e.control.view,
-		sink:       requestSink{meter: e.deps.Meter, ledger: e.ledger},
-		client:     newTrafficClient(true),
-		onceClient: newTrafficClient(false),
-		limiter:    admission.NewLimiter(admission.LimiterConfig{PerCaller: limits.CallerInFlight, PerModel: limits.ModelInFlight}),
+		sink:       sink,
+		client:     newTrafficClient(e.deps.Dial, true),
+		onceClient: newTrafficClient(e.deps.Dial, false),
+		limiter:    admission.NewLimiter(admission.LimiterConfig{}),
 		estimator:  estimate.New(estimate.Config{}),
 		retries:    retry.NewBudget(retry.Config{}),
 		hedges:     routing.NewHedgeBudget(routing.HedgeConfig{}),
-		volume:     routing.NewVolumeBudget(routing.VolumeConfig{PerSecond: limits.CrossRegionBytesPerSecond}),
+		volume:     routing.NewVolumeBudget(routing.VolumeConfig{}),
 	}
 	g.cfg.route = routeConfig{
-		queue: admission.Config{
-			MaxRequests: limits.QueueRequests, MaxBytes: limits.QueueBytes, Concurrency: startSlots,
-		},
-		slots:  startSlots,
-		place:  e.cfg.DataCentre,
-		region: e.cfg.Region,
-		seed:   rand.Uint64(),
-		loads:  &g.loads,
+		queue:       roomQueue(e.cfg.Limits.StarvationBound),
+		slots:       startSlots,
+		place:       e.cfg.DataCentre,
+		region:      e.cfg.Region,
+		seed:        rand.Uint64(),
+		loads:       &g.loads,
+		coldStarted: sink.coldStarted,
 	}
 	e.router = &claimRouter{
 		process: self,
@@ -176,10 +183,18 @@
 
 // newTrafficClient returns a client for requests to agents. It follows no
 // redirects, since answers belong to the caller.
-func newTrafficClient(keep bool) *http.Client {
+func newTrafficClient(dial rpc.DialFunc, keep bool) *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	open := dialer.DialContext
+	if dial != nil {
+		open = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dial(ctx, dialer, network, addr)
+		}
+	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			DialContext:         open,
+			DialTLSContext:      open,
 			MaxIdleConnsPerHost: keptConnections,
 			IdleConnTimeout:     idleTimeout,
 			DisableKeepAlives:   !keep,
@@ -229,13 +244,15 @@
 	group.Go(func() error { return e.control.followStream(ctx, e.relay, region) })
 	group.Go(func() error { return e.readHosts(ctx) })
 	group.Go(func() error { return e.flushAudit(ctx) })
+	group.Go(func() error { return e.followAudit(ctx) })
+	group.Go(func() error { return e.measure(ctx) })
 	group.Go(func() error { return e.keepRooms(ctx) })
 	group.Go(func() error { return e.forgetUnused(ctx) })
 }
 
 func (e *Entry) startServers(ctx context.Context, group *errgroup.Group, listeners Listeners) {
 	callersServer := newHTTPServer(callersHandler(callersAPI{gateway: e.gateway}, e.readiness))
-	api := operatorsAPI{control: e.control, tokens: e.cfg.Tokens, run: statements{e}, change: e.change}
+	api := operatorsAPI{control: e.control, tokens: e.tokens, run: statements{e}, change: e.change}
 	operatorsServer := newHTTPServer(operatorsHandler(api, e.readiness, e.deps.Metrics))
 	group.Go(func() error { return serveHTTP(ctx, callersServer, listeners.Callers) })
 	group.Go(func() error { return serveHTTP(ctx, operatorsServer, listeners.Operators) })
@@ -247,13 +264,14 @@
 // stop drains the entry. Peers hear that it is leaving with the next pings.
 func (e *Entry) stop() {
 	e.deps.Logger.Info("entry is stopping")
-	drainTimeout := e.cfg.Shutdown.DrainTimeout.Std()
+	shutdown := e.settings.Load().Shutdown
+	drainTimeout := shutdown.DrainTimeout.Std()
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	e.control.post(ctx, leavingSet{})
 	if err := e.gateway.drain(ctx); err != nil {
 		e.deps.Logger.Warn("requests were still in flight at the end of the drain", "error", err)
-		sleepPlain(e.cfg.Shutdown.StopTimeout.Std())
+		sleepPlain(shutdown.StopTimeout.Std())
 	}
 	e.flushLast()
 }
@@ -275,7 +293,7 @@
 		if err == nil {
 			e.control.post(ctx, hostsRead{hosts: hosts})
 		} else {
-			e.counts.Add("lagoonvalve_host_list_failures_total", 1)
+			e.meter.Add("lagoonvalve_host_list_failures_total", 1)
 		}
 		sleep(ctx, hostsInterval)
 	}
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -156,10 +156,16 @@
 func (e *execution) wait(ctx context.Context) *verdict.Verdict {
 	set := e.route.set.Load()
 	if set == nil || len(set.replicas) == 0 {
+		e.route.coldSince.CompareAndSwap(0, e.request.arrived.UnixNano())
 		e.kick(e.request.target)
 	}
 	req := e.request
-	return e.route.room.enter(ctx, admission.Item{
+	if refusal := e.takeRoom(req); refusal != nil {
+		return refusal
+	}
+	defer e.waiting.give(state.Bytes(len(req.body)))
+	entered := time.Now()
+	refusal := e.route.room.enter(ctx, admission.Item{
 		ID:       req.number,
 		Caller:   req.caller.Name,
 		Weight:   req.caller.Weight,
@@ -172,6 +178,12 @@
 		Key:      req.target.key,
 		Adapter:  req.target.adapter,
 	}, time.Duration(e.route.loadWait.Load()))
+	if refusal == nil {
+		e.sink.waited(req, time.Since(entered))
+	} else {
+		e.route.forgetCold()
+	}
+	return refusal
 }
 
 // send makes one attempt at a chosen replica.
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -42,7 +43,10 @@
 
 	nextNumber atomic.Uint64
 	stopping   atomic.Bool
-	inFlight   sync.WaitGroup
+	waiting    waitingBounds
+	// limits replaces those of cfg once it is set.
+	limits   atomic.Pointer[requestLimits]
+	inFlight sync.WaitGroup
 
 	mu        sync.Mutex
 	limiter   *admission.Limiter
@@ -54,15 +58,44 @@
 }
 
 type gatewayConfig struct {
+	requestLimits
+	// scheme is that of agents' URLs; default "http".
+	scheme        string
+	defaultCaller state.Caller
+	route         routeConfig
+}
+
+// requestLimits bounds a single request.
+type requestLimits struct {
 	bodyLimit       state.Bytes
 	defaultDeadline time.Duration
-	defaultCaller   state.Caller
-	route           routeConfig
+	// maxDeadline caps the deadline that a request may ask for; default
+	// longestDeadline.
+	maxDeadline time.Duration
+}
+
+// currentLimits returns the limits of the last reload.
+func (g *gateway) currentLimits() requestLimits {
+	if reloaded := g.limits.Load(); reloaded != nil {
+		return *reloaded
+	}
+	return g.cfg.requestLimits
 }
 
+// scheme is that of agents' URLs.
+func (g *gateway) scheme() string { return cmp.Or(g.cfg.scheme, "http") }
+
 // outcomeSink hears how each request ended.
 type outcomeSink interface {
 	ended(e *execution, v *verdict.Verdict)
+	// waited hears how long a request waited before it was sent on.
+	waited(req *request, d time.Duration)
+	// streamed hears the mean time between the parts of a stream.
+	streamed(req *request, between time.Duration)
+	// coldStarted hears how long the first request for an unloaded model
+	// waited for a ready replica.
+	coldStarted(t target, d time.Duration)
+	ejected(t target, upstream state.UpstreamName, cause telemetry.EjectionCause)
 	retried(req *request, reason verdict.Reason)
 	hedged(req *request, result telemetry.HedgeResult)
 }
@@ -70,7 +103,8 @@
 // serveGeneration answers a completion or chat request.
 func (g *gateway) serveGeneration(ctx context.Context, attrs attributes, body io.ReadCloser) error {
 	now := time.Now()
-	req, refusal := newRequest(now, attrs, g.cfg.defaultDeadline)
+	limits := g.currentLimits()
+	req, refusal := newRequest(now, attrs, limits)
 	if refusal != nil {
 		return refusal
 	}
@@ -78,7 +112,7 @@
 	if refusal := current.unready(); refusal != nil {
 		return refusal
 	}
-	data, refusal := readBody(body, g.cfg.bodyLimit)
+	data, refusal := readBody(body, limits.bodyLimit)
 	if refusal != nil {
 		return refusal
 	}
@@ -95,7 +129,8 @@
 // serveCall answers a call of a plain service.
 func (g *gateway) serveCall(ctx context.Context, attrs attributes, name, path string, body io.ReadCloser) error {
 	now := time.Now()
-	req, refusal := newRequest(now, attrs, g.cfg.defaultDeadline)
+	limits := g.currentLimits()
+	req, refusal := newRequest(now, attrs, limits)
 	if refusal != nil {
 		return refusal
 	}
@@ -107,7 +142,7 @@
 	if !ok {
 		return verdict.Refuse(verdict.ReasonUnknownService, "no such service: "+name)
 	}
-	if req.body, refusal = readBody(body, g.cfg.bodyLimit); refusal != nil {
+	if req.body, refusal = readBody(body, limits.bodyLimit); refusal != nil {
 		return refusal
 	}
 	req.target = target{service: service.Name}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -16,7 +16,8 @@
 // operatorsAPI implements the goa service of operators.
 type operatorsAPI struct {
 	control *control
-	tokens  []settings.Token
+	// tokens returns the tokens of the settings in force.
+	tokens func() []settings.Token
 	// run carries out a statement of the operators' language.
 	run statementRunner
 	// change makes a change of the configuration and notes it in the audit
@@ -36,9 +37,9 @@
 // constant time, so that the time tells nothing about which one is near.
 func (a operatorsAPI) authorize(authorization *string, needed settings.Role) (settings.Token, error) {
 	who := openAccess
-	if len(a.tokens) > 0 {
+	if tokens := a.tokens(); len(tokens) > 0 {
 		found := false
-		for _, token := range a.tokens {
+		for _, token := range tokens {
 			if bearerMatches(authorization, token.SHA256) {
 				who, found = token, true
 			}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -16,7 +17,8 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// longestDeadline bounds the deadline that a caller may ask for.
+// longestDeadline bounds the deadline that a caller may ask for where the
+// settings don't; agents cap deadlines at it.
 const longestDeadline = time.Hour
 
 // target is what a request asks for: a model, maybe with an adapter, or a
@@ -90,7 +92,7 @@
 }
 
 // newRequest checks what every kind of request has in common.
-func newRequest(now time.Time, attrs attributes, defaultDeadline time.Duration) (*request, *verdict.Verdict) {
+func newRequest(now time.Time, attrs attributes, limits requestLimits) (*request, *verdict.Verdict) {
 	r := &request{id: uuid.NewString(), arrived: now, class: state.ClassNormal}
 	if attrs.priority != nil {
 		class, ok := state.ParseClass(*attrs.priority)
@@ -99,13 +101,13 @@
 		}
 		r.class = class
 	}
-	patience := defaultDeadline
+	patience := limits.defaultDeadline
 	if attrs.deadlineMillis != nil {
 		if *attrs.deadlineMillis <= 0 {
 			return nil, verdict.Refuse(verdict.ReasonDeadlinePast, "Lagoon-Deadline-Ms: the deadline is already past")
 		}
-		patience = longestDeadline
-		if *attrs.deadlineMillis < longestDeadline.Milliseconds() {
+		patience = cmp.Or(limits.maxDeadline, longestDeadline)
+		if *attrs.deadlineMillis < patience.Milliseconds() {
 			patience = time.Duration(*attrs.deadlineMillis) * time.Millisecond
 		}
 	}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -31,7 +31,12 @@
 	// loadWait is the predicted time until a replica is ready, in
 	// nanoseconds; zero if one is.
 	loadWait atomic.Int64
-	arrivals rateMeter
+	// coldSince is the arrival of the first request that found no ready
+	// replica, in Unix nanoseconds; zero if none waits for one.
+	coldSince atomic.Int64
+	// coldStarted hears of the end of a cold start; nil for plain services.
+	coldStarted func(t target, d time.Duration)
+	arrivals    rateMeter
 
 	mu         sync.Mutex
 	rng        *rand.Rand
@@ -70,10 +75,12 @@
 	region  state.Region
 	seed    uint64
 	loads   *loadTable
+	// coldStarted hears how long cold starts took.
+	coldStarted func(t target, d time.Duration)
 }
 
 func newRoute(t target, cfg routeConfig) *route {
-	return &route{
+	r := &route{
 		target: t,
 		room:   newWaitingRoom(cfg.queue),
 		rng:    rand.New(rand.NewPCG(cfg.seed, contentHash(t.String(), nil))),
@@ -84,6 +91,17 @@
 		beliefs: routing.NewPrefixBeliefs(cfg.prefix),
 		index:   make(map[state.UpstreamName]int),
 	}
+	if t.service == "" {
+		r.coldStarted = cfg.coldStarted
+	}
+	return r
+}
+
+// forgetCold ends a cold start that no request waits for any more.
+func (r *route) forgetCold() {
+	if waiting, _, _ := r.room.waiting(); waiting == [state.ClassCount]int{} {
+		r.coldSince.Store(0)
+	}
 }
 
 // setReplicas publishes a new set of ready replicas.
@@ -93,6 +111,11 @@
 		set.loads = append(set.loads, loads.of(replica.Upstream))
 	}
 	r.set.Store(set)
+	if len(replicas) > 0 {
+		if since := r.coldSince.Swap(0); since != 0 && r.coldStarted != nil {
+			r.coldStarted(r.target, time.Since(time.Unix(0, since)))
+		}
+	}
 	r.forgetAbsent(set)
 	r.room.setReplicas(len(replicas))
 }
@@ -220,19 +243,19 @@
 
 // observe learns from an answer. The first is the time to the first token of
 // a stream, or the scaled time of a whole answer.
-func (r *route) observe(now time.Time, upstream state.UpstreamName, first, between time.Duration, req *request) {
+func (r *route) observe(now time.Time, upstream state.UpstreamName, first, between time.Duration, req *request) routing.Ejection {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := r.indexOf(upstream)
-	r.trackers[req.kind()].Observe(now, n, first, between)
 	r.beliefs.Record(n, req.blocks)
+	return r.trackers[req.kind()].Observe(now, n, first, between)
 }
 
 // pending notes that an attempt has waited without an answer.
-func (r *route) pending(now time.Time, upstream state.UpstreamName, waited time.Duration, req *request) {
+func (r *route) pending(now time.Time, upstream state.UpstreamName, waited time.Duration, req *request) routing.Ejection {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trackers[req.kind()].Pending(now, r.indexOf(upstream), waited)
+	return r.trackers[req.kind()].Pending(now, r.indexOf(upstream), waited)
 }
 
 // expectedFirst is the usual time to first token on an upstream.
--- a/internal/entry/sources.go
+++ b/internal/entry/sources.go
@@ -26,6 +26,8 @@
 	// everywhere says that each entry has a part of the rows.
 	everywhere bool
 	rows       func(source, context.Context) [][]oplang.Value
+	// once gives rows that only the entry that was asked adds.
+	once func(source, context.Context) [][]oplang.Value
 }
 
 func text(name string) oplang.Column { return oplang.Column{Name: name} }
@@ -59,12 +61,12 @@
 		everywhere: true, rows: source.refused,
 	},
 	"counts": {
-		columns:    []oplang.Column{text("caller"), text("outcome"), text("reason"), count("requests"), instant("from"), instant("to"), text("entry")},
-		everywhere: true, rows: source.counts,
+		columns:    []oplang.Column{text("caller"), text("outcome"), text("reason"), count("requests"), instant("from"), instant("to"), text("entry"), text("complete")},
+		everywhere: true, rows: source.counts, once: source.endedCounts,
 	},
 	"audit": {
-		columns:    []oplang.Column{instant("time"), text("actor"), text("action"), text("entity"), text("name"), truth("accepted"), text("reason"), text("before"), text("after"), text("detail"), number("offset")},
-		everywhere: true, rows: source.audit,
+		columns: []oplang.Column{instant("time"), text("actor"), text("action"), text("entity"), text("name"), truth("accepted"), text("reason"), text("before"), text("after"), text("detail"), number("offset")},
+		rows:    source.audit,
 	},
 	"claims": {
 		columns:    []oplang.Column{number("shard"), text("entry"), count("waiting")},
@@ -117,6 +119,9 @@
 	if found.everywhere {
 		s.askOthers(ctx, table, &answer)
 	}
+	if found.once != nil {
+		answer.Rows = append(answer.Rows, found.once(s, ctx)...)
+	}
 	return answer, nil
 }
 
@@ -277,10 +282,7 @@
 	window := s.entry.ledger.counts.Total(time.Now())
 	var rows [][]oplang.Value
 	for _, r := range window.Rows {
-		rows = append(rows, []oplang.Value{
-			oplang.Text(r.Caller), oplang.Text(r.Outcome.String()), oplang.Text(r.Reason), oplang.Int(r.Requests),
-			oplang.Time(window.From), oplang.Time(window.To), oplang.Text(s.entry.cfg.Name),
-		})
+		rows = append(rows, countRow(r, window.From, window.To, s.entry.cfg.Name, "running"))
 	}
 	return rows
 }
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -69,7 +69,7 @@
 		return
 	}
 	if err := s.entry.caller.Call(ctx, current.addresses[owner], rpc.MethodCrash, params, &struct{}{}); err != nil {
-		s.entry.counts.Add("lagoonvalve_crash_reports_lost_total", 1)
+		s.entry.meter.Add("lagoonvalve_crash_reports_lost_total", 1)
 	}
 }
 
--- a/internal/entry/tails.go
+++ b/internal/entry/tails.go
@@ -96,7 +96,7 @@
 	done   chan state.Offset
 }
 
-func (e pageRead) apply(c *control, _ time.Time) {
+func (e pageRead) apply(c *control, now time.Time) {
 	t := c.tablesOf(e.stream)
 	for _, record := range e.page.Records {
 		outcome := t.Apply(record)
@@ -104,6 +104,9 @@
 		c.noteOutcome(record, outcome)
 	}
 	if e.page.Next >= e.page.End {
+		if e.stream == platform.StreamConfig {
+			c.configRead.Store(now.UnixNano())
+		}
 		c.noteReadToEnd(e.stream)
 	}
 	c.dirty = c.dirty || len(e.page.Records) > 0
@@ -129,6 +132,12 @@
 	case outcome.Effect == state.EffectApplied && record.Kind == state.KindLeaseTake:
 		held, _ := c.region.View().Lease()
 		c.deps.logger.Info("decider changed", "holder", held.Holder, "epoch", held.Epoch)
+		if held.Writer == c.cfg.self {
+			c.deps.decided(state.Audit{
+				Time: record.Time, Action: "decide", Name: string(c.cfg.region),
+				Detail: "this entry became the region's decider", Offset: record.Offset,
+			})
+		}
 	case outcome.Effect == state.EffectConflict || outcome.Effect == state.EffectInvalid:
 		c.deps.counters.Add("lagoonvalve_records_without_effect_total", 1)
 	}
--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -39,6 +39,7 @@
 type waiter struct {
 	// ready gets nil when the request may go, or the verdict that ends it.
 	ready chan *verdict.Verdict
+	size  state.Bytes
 	waitingGroup
 }
 
@@ -62,6 +63,7 @@
 func (w *waitingRoom) enter(ctx context.Context, item admission.Item, loadWait time.Duration) *verdict.Verdict {
 	mine := &waiter{
 		ready:        make(chan *verdict.Verdict, 1),
+		size:         item.Size,
 		waitingGroup: waitingGroup{caller: item.Caller, class: item.Class, adapter: item.Adapter},
 	}
 	if refusal := w.offer(time.Now(), item, mine, loadWait); refusal != nil {
--- a/internal/logclient/writer.go
+++ b/internal/logclient/writer.go
@@ -125,6 +125,9 @@
 	}
 }
 
+// SetAppendsPerSecond changes the append budget.
+func (w *Writer) SetAppendsPerSecond(n float64) { w.budget.SetLimit(rate.Limit(n)) }
+
 // Append queues records, which become neighbours in one append, and returns
 // their offsets once they are stored. A record that the log refuses for the
 // moment is sent again until ctx ends.
--- /dev/null
+++ b/internal/roles/agent.go
@@ -0,0 +1,234 @@
+package roles
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/agent"
+	"github.com/lagoonvalve/lagoonvalve/internal/audit"
+	"github.com/lagoonvalve/lagoonvalve/internal/certs"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/settings"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
+)
+
+const (
+	// auditInterval is the time between writes of an agent's audit trail.
+	auditInterval = 2 * time.Second
+	// auditRecent and auditPending bound an agent's audit trail. It answers no
+	// queries, and a load or unload takes a second at least, so that the bound
+	// covers several minutes without the log.
+	auditRecent  = 1
+	auditPending = 500
+	// namesInterval is the time between changes of the names that have label
+	// values of their own.
+	namesInterval = time.Minute
+)
+
+// RunAgent runs an agent until ctx ends.
+func RunAgent(ctx context.Context, cfg settings.Agent, logger *slog.Logger) error {
+	return StartAgent(ctx, cfg, Process[settings.Agent]{Logger: logger})
+}
+
+// StartAgent runs an agent that takes reloads until ctx ends.
+func StartAgent(ctx context.Context, cfg settings.Agent, process Process[settings.Agent]) error {
+	logger := process.Logger
+	meter, err := telemetry.Start(ctx, cfg.Common)
+	if err != nil {
+		return err
+	}
+	defer shutdownTelemetry(meter, cfg.Common, logger)
+	secured, err := openCertificates(cfg.TLS, logger)
+	if err != nil {
+		return err
+	}
+	client := rpc.NewClient()
+	client.Counter = meter
+	client.Dial = secured.internal.Dial
+	defer client.Close()
+	entries := newDirectory(client, entryAddresses(cfg.Common))
+	log := logclient.NewRelayClient(client, entries.addresses)
+	// Entries put the records of many agents into one append, so the agent
+	// does not wait for more of its own.
+	writer := logclient.NewWriter(log, logclient.WriterConfig{Delay: -1})
+	// The writer and the trail outlive ctx, so that the last records are
+	// written.
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	go func() {
+		if err := writer.Run(background); err != nil {
+			logger.Error("log writer ended", "error", err)
+		}
+	}()
+	a, trail, retention, err := newAgent(cfg, log, writer, entries, meter, secured, logger)
+	if err != nil {
+		return err
+	}
+	go keepTrail(background, trail, meter)
+	go reload(ctx, cfg, process, func(now settings.Agent) {
+		a.Do(func() { retention.configure(now.Weights) })
+		a.SetShutdown(now.Shutdown.DrainTimeout.Std(), now.Shutdown.StopTimeout.Std())
+	})
+	stopOperators, err := serveAgentOperators(ctx, cfg, a, meter, secured.operators, logger)
+	if err != nil {
+		return err
+	}
+	defer stopOperators()
+	err = a.Run(ctx)
+	last, cancel := context.WithTimeout(background, cfg.Shutdown.StopTimeout.Std())
+	defer cancel()
+	if flushErr := trail.Flush(last); flushErr != nil {
+		logger.Warn("last audit entries not written", "error", flushErr)
+	}
+	return err
+}
+
+func newAgent(cfg settings.Agent, log platform.Log, writer *logclient.Writer, entries *directory,
+	meter *telemetry.Telemetry, secured certificates, logger *slog.Logger,
+) (*agent.Agent, *audit.Trail, *retention, error) {
+	config := agentConfig(cfg)
+	config.Incarnation = uuid.NewString()
+	self := state.ProcessID{Name: cfg.Name, Incarnation: config.Incarnation}
+	trail := audit.NewTrail(self, cfg.Region, trailAppender{writer}, audit.Options{Recent: auditRecent, Pending: auditPending})
+	keep := newRetention(cfg.Weights, agent.DefaultKeepAlive)
+	deps := agent.Deps{
+		Log:       log,
+		Appender:  writer,
+		Tables:    newAgentTables(),
+		Queue:     admission.NewQueue(queueConfig(cfg)),
+		Caller:    entries,
+		Watcher:   entries.watch,
+		SlotOwner: entries.watch,
+		KeepAlive: keep.keepAlive,
+		Gap:       keep.observe,
+		Burst:     keep.burst,
+		Listen: func(ctx context.Context, addr string) (net.Listener, error) {
+			return bind(ctx, addr, secured.internal)
+		},
+		Logger:   logger,
+		Counters: meter,
+		Meter:    meter,
+		Bytes:    meter,
+		Decided:  trail.Automatic,
+	}
+	if cfg.Upstream.Kind != state.PlainService {
+		deps.Engine = platform.NewHTTPEngine(cfg.Upstream.URL, platform.HTTPOptions{}, 0)
+	}
+	a, err := agent.New(config, deps)
+	return a, trail, keep, err
+}
+
+// trailAppender adapts the log writer to the audit trail.
+type trailAppender struct{ writer *logclient.Writer }
+
+// Append implements audit.Appender.
+func (a trailAppender) Append(ctx context.Context, stream platform.Stream, records ...state.Record) error {
+	_, err := a.writer.Append(ctx, stream, records...)
+	return err
+}
+
+// keepTrail writes the audit trail and lets the metrics' names follow their
+// use, until ctx ends.
+func keepTrail(ctx context.Context, trail *audit.Trail, meter *telemetry.Telemetry) {
+	ticker := time.NewTicker(auditInterval)
+	defer ticker.Stop()
+	rotated := time.Now()
+	var discarded uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if now.Sub(rotated) >= namesInterval {
+				rotated = now
+				meter.RotateNames()
+			}
+		}
+		limited, cancel := context.WithTimeout(ctx, auditInterval)
+		// What can't be written waits within the trail's bounds.
+		_ = trail.Flush(limited)
+		cancel()
+		if _, total := trail.Pending(); total > discarded {
+			meter.AuditDiscarded(int(total - discarded))
+			discarded = total
+		}
+	}
+}
+
+// serveAgentOperators serves metrics and health if the settings name an
+// address for it. The returned function stops serving.
+func serveAgentOperators(ctx context.Context, cfg settings.Agent, a *agent.Agent, meter *telemetry.Telemetry,
+	source *certs.Source, logger *slog.Logger,
+) (stop func(), err error) {
+	if cfg.Listen.Operators == "" {
+		return func() {}, nil
+	}
+	listener, err := bind(ctx, cfg.Listen.Operators, source)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: agentOperators(a.Ready, meter.Handler()), ReadHeaderTimeout: standinHeaderTimeout}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logger.Error("metrics are no longer served", "error", err)
+		}
+	}()
+	return func() { _ = server.Close() }, nil
+}
+
+func agentOperators(ready func() error, metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func queueConfig(cfg settings.Agent) admission.Config {
+	return admission.Config{
+		MaxRequests:     cfg.Limits.QueueRequests,
+		MaxBytes:        cfg.Limits.QueueBytes,
+		Concurrency:     cfg.Upstream.Concurrency,
+		StarvationBound: cfg.Limits.StarvationBound,
+	}
+}
+
+func agentConfig(cfg settings.Agent) agent.Config {
+	return agent.Config{
+		Upstream: state.Upstream{
+			Name:        state.UpstreamName(cfg.Name),
+			Kind:        cfg.Upstream.Kind,
+			Host:        cfg.Host,
+			DataCentre:  cfg.DataCentre,
+			Region:      cfg.Region,
+			TrafficAddr: cfg.Listen.Callers,
+			ControlAddr: cfg.Listen.Control,
+			Memory:      cfg.Upstream.Memory,
+			Fencing:     cfg.Upstream.Fencing,
+		},
+		BaseURL:       cfg.Upstream.URL,
+		Concurrency:   cfg.Upstream.Concurrency,
+		MaxLong:       max(1, int(cfg.Limits.LongShare*float64(cfg.Upstream.Concurrency))),
+		QueueRequests: cfg.Limits.QueueRequests,
+		QueueBytes:    cfg.Limits.QueueBytes,
+		MaxBody:       cfg.Limits.BodyBytes,
+		Shutdown:      cfg.Shutdown.DrainTimeout.Std(),
+		Settle:        cfg.Shutdown.StopTimeout.Std(),
+	}
+}
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -8,33 +8,50 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/agent"
-	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/certs"
 	"github.com/lagoonvalve/lagoonvalve/internal/entry"
-	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
-	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 )
 
 // logRetention is how long the platform's log is taken to keep records.
 const logRetention = 24 * time.Hour
 
+// Process holds what a role gets from its process besides its settings.
+type Process[S settings.Settings] struct {
+	Logger *slog.Logger
+	// Level changes the logger's level on reload; nil leaves it.
+	Level *slog.LevelVar
+	// Reloads gives settings that were read again; nil gives none.
+	Reloads <-chan S
+}
+
 // RunEntry runs an entry until ctx ends.
 func RunEntry(ctx context.Context, cfg settings.Entry, logger *slog.Logger) error {
+	return StartEntry(ctx, cfg, Process[settings.Entry]{Logger: logger})
+}
+
+// StartEntry runs an entry that takes reloads until ctx ends.
+func StartEntry(ctx context.Context, cfg settings.Entry, process Process[settings.Entry]) error {
+	logger := process.Logger
 	meter, err := telemetry.Start(ctx, cfg.Common)
 	if err != nil {
 		return err
 	}
 	defer shutdownTelemetry(meter, cfg.Common, logger)
-	listeners, err := bindEntry(ctx, cfg)
+	secured, err := openCertificates(cfg.TLS, logger)
+	if err != nil {
+		return err
+	}
+	listeners, err := bindEntry(ctx, cfg, secured)
 	if err != nil {
 		return err
 	}
 	caller := rpc.NewClient()
 	caller.Counter = meter
+	caller.Dial = secured.internal.Dial
 	defer caller.Close()
 	e := entry.New(cfg, entry.Deps{
 		Log:       platform.NewHTTPLog(cfg.Platform.Log, platform.HTTPOptions{}),
@@ -43,29 +60,57 @@
 		Logger:    logger,
 		Metrics:   meter.Handler(),
 		Meter:     meter,
+		Dial:      secured.internal.Dial,
+		Scheme:    secured.internal.Scheme(),
 		Counter:   meter,
 		Retention: logRetention,
 	})
+	go reload(ctx, cfg, process, func(now settings.Entry) { e.Reload(ctx, now) })
 	return e.Run(ctx, listeners)
 }
 
-func bindEntry(ctx context.Context, cfg settings.Entry) (entry.Listeners, error) {
+// certificates are those of a process by the other side of a connection.
+type certificates struct{ callers, operators, internal *certs.Source }
+
+func openCertificates(files settings.TLS, logger *slog.Logger) (c certificates, err error) {
+	failed := func(err error) { logger.Warn("changed certificate can't be used; the former one stays", "error", err) }
+	for _, one := range []struct {
+		files settings.Certificate
+		into  **certs.Source
+	}{{files.Callers, &c.callers}, {files.Operators, &c.operators}, {files.Internal, &c.internal}} {
+		if *one.into, err = certs.Open(one.files, failed); err != nil {
+			return c, errors.Wrap(err, "TLS")
+		}
+	}
+	return c, nil
+}
+
+func bindEntry(ctx context.Context, cfg settings.Entry, secured certificates) (entry.Listeners, error) {
 	var listeners entry.Listeners
-	bind := func(addr string, into *net.Listener) error {
-		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", addr)
+	for _, one := range []struct {
+		addr   string
+		source *certs.Source
+		into   *net.Listener
+	}{
+		{cfg.Listen.Control, secured.internal, &listeners.Control},
+		{cfg.Listen.Callers, secured.callers, &listeners.Callers},
+		{cfg.Listen.Operators, secured.operators, &listeners.Operators},
+	} {
+		listener, err := bind(ctx, one.addr, one.source)
 		if err != nil {
-			return errors.Wrap(err, "bind")
+			return listeners, err
 		}
-		*into = listener
-		return nil
+		*one.into = listener
 	}
-	if err := bind(cfg.Listen.Control, &listeners.Control); err != nil {
-		return listeners, err
-	}
-	if err := bind(cfg.Listen.Callers, &listeners.Callers); err != nil {
-		return listeners, err
+	return listeners, nil
+}
+
+func bind(ctx context.Context, addr string, source *certs.Source) (net.Listener, error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "bind")
 	}
-	return listeners, bind(cfg.Listen.Operators, &listeners.Operators)
+	return source.Listener(listener), nil
 }
 
 func shutdownTelemetry(meter *telemetry.Telemetry, common settings.Common, logger *slog.Logger) {
@@ -76,73 +121,6 @@
 	}
 }
 
-// RunAgent runs an agent until ctx ends.
-func RunAgent(ctx context.Context, cfg settings.Agent, logger *slog.Logger) error {
-	client := rpc.NewClient()
-	defer client.Close()
-	entries := newDirectory(client, entryAddresses(cfg.Common))
-	log := logclient.NewRelayClient(client, entries.addresses)
-	// Entries put the records of many agents into one append, so the agent
-	// does not wait for more of its own.
-	writer := logclient.NewWriter(log, logclient.WriterConfig{Delay: -1})
-	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopWriting()
-	go func() {
-		if err := writer.Run(writing); err != nil {
-			logger.Error("log writer ended", "error", err)
-		}
-	}()
-	deps := agent.Deps{
-		Log:       log,
-		Appender:  writer,
-		Tables:    newAgentTables(),
-		Queue:     admission.NewQueue(queueConfig(cfg)),
-		Caller:    entries,
-		Watcher:   entries.watch,
-		SlotOwner: entries.watch,
-		Logger:    logger,
-	}
-	if cfg.Upstream.Kind != state.PlainService {
-		deps.Engine = platform.NewHTTPEngine(cfg.Upstream.URL, platform.HTTPOptions{}, 0)
-	}
-	a, err := agent.New(agentConfig(cfg), deps)
-	if err != nil {
-		return err
-	}
-	return a.Run(ctx)
-}
-
-func queueConfig(cfg settings.Agent) admission.Config {
-	return admission.Config{
-		MaxRequests: cfg.Limits.QueueRequests,
-		MaxBytes:    cfg.Limits.QueueBytes,
-		Concurrency: cfg.Upstream.Concurrency,
-	}
-}
-
-func agentConfig(cfg settings.Agent) agent.Config {
-	return agent.Config{
-		Upstream: state.Upstream{
-			Name:        state.UpstreamName(cfg.Name),
-			Kind:        cfg.Upstream.Kind,
-			Host:        cfg.Host,
-			DataCentre:  cfg.DataCentre,
-			Region:      cfg.Region,
-			TrafficAddr: cfg.Listen.Callers,
-			ControlAddr: cfg.Listen.Control,
-			Memory:      cfg.Upstream.Memory,
-			Fencing:     cfg.Upstream.Fencing,
-		},
-		BaseURL:       cfg.Upstream.URL,
-		Concurrency:   cfg.Upstream.Concurrency,
-		MaxLong:       max(1, int(cfg.Limits.LongShare*float64(cfg.Upstream.Concurrency))),
-		QueueRequests: cfg.Limits.QueueRequests,
-		QueueBytes:    cfg.Limits.QueueBytes,
-		MaxBody:       cfg.Limits.BodyBytes,
-		Shutdown:      cfg.Shutdown.DrainTimeout.Std(),
-	}
-}
-
 func entryAddresses(common settings.Common) []string {
 	var addresses []string
 	for _, peer := range common.Peers {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -18,14 +18,18 @@
 			CallerInFlight:            512,
 			DefaultDeadline:           state.Duration(30 * time.Second),
 			MaxDeadline:               state.Duration(10 * time.Minute),
-			StarvationBound:           state.Duration(5 * time.Second),
+			StarvationBound:           16,
 			CrossRegionBytesPerSecond: state.MiB,
 			LogAppendsPerSecond:       20,
 		},
-		Weights: Weights{Idle: 1, ColdStart: 1},
+		Weights: defaultWeights(),
 	}
 }
 
+// defaultWeights has the ratio that the policies of scaling were measured
+// with.
+func defaultWeights() Weights { return Weights{Idle: 1, ColdStart: 10} }
+
 // DefaultAgent returns the settings of an agent whose file is empty.
 func DefaultAgent() Agent {
 	return Agent{
@@ -40,8 +44,9 @@
 			QueueBytes:      64 * state.MiB,
 			BodyBytes:       16 * state.MiB,
 			LongShare:       0.5,
-			StarvationBound: state.Duration(5 * time.Second),
+			StarvationBound: 16,
 		},
+		Weights: defaultWeights(),
 	}
 }
 
--- a/internal/settings/diff.go
+++ b/internal/settings/diff.go
@@ -28,7 +28,7 @@
 		if !field.Anonymous {
 			name = join(key, field.Tag.Get("toml"))
 		}
-		reloadable := reload || field.Tag.Get("reload") == "yes"
+		reloadable := isReloadable(field, reload)
 		old, current := before.Field(i), after.Field(i)
 		if field.Type.Kind() == reflect.Struct {
 			diffStruct(name, old, current, reloadable, changes)
@@ -42,6 +42,19 @@
 	}
 }
 
+// isReloadable reports whether a field takes effect on reload; a tag on the
+// field decides before that of the table around it.
+func isReloadable(field reflect.StructField, table bool) bool {
+	switch field.Tag.Get("reload") {
+	case "yes":
+		return true
+	case "no":
+		return false
+	default:
+		return table
+	}
+}
+
 func show(value reflect.Value) string {
 	if value.Kind() == reflect.Slice {
 		return fmt.Sprintf("%d elements", value.Len())
@@ -63,12 +76,12 @@
 func mergeStruct(target, loaded reflect.Value, reload bool) {
 	for i := range target.NumField() {
 		field := target.Type().Field(i)
-		reloadable := reload || field.Tag.Get("reload") == "yes"
+		reloadable := isReloadable(field, reload)
 		switch {
-		case reloadable:
-			target.Field(i).Set(loaded.Field(i))
 		case field.Type.Kind() == reflect.Struct:
 			mergeStruct(target.Field(i), loaded.Field(i), reloadable)
+		case reloadable:
+			target.Field(i).Set(loaded.Field(i))
 		}
 	}
 }
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -5,6 +5,8 @@
 // Entry holds the settings of the role entry.
 type Entry struct {
 	Common
+	// Platform holds the addresses of the platform's services.
+	Platform Platform `toml:"platform"`
 	// Limits bounds what the entry accepts.
 	Limits EntryLimits `toml:"limits" reload:"yes"`
 	// Weights says what the deployment values.
@@ -17,7 +19,8 @@
 type EntryLimits struct {
 	// BodyBytes bounds one request body. Default 16MiB.
 	BodyBytes state.Bytes `toml:"body_bytes" validate:"min=1024,max=1073741824"`
-	// QueueRequests bounds the waiting requests. Default 4096 requests.
+	// QueueRequests bounds the waiting requests of all models and services.
+	// Default 4096 requests.
 	QueueRequests int `toml:"queue_requests" validate:"min=1,max=1000000"`
 	// QueueBytes bounds the bodies of the waiting requests. Default 64MiB.
 	QueueBytes state.Bytes `toml:"queue_bytes" validate:"min=1024"`
@@ -31,11 +34,11 @@
 	// Default 30s.
 	DefaultDeadline state.Duration `toml:"default_deadline" validate:"min_duration=1ms,max_duration=1h"`
 	// MaxDeadline caps the deadline that a request may ask for; at least
-	// DefaultDeadline. Default 10m.
-	MaxDeadline state.Duration `toml:"max_deadline" validate:"max_duration=24h"`
-	// StarvationBound is how long a request of a lower class may wait
-	// behind higher classes before it is served first. Default 5s.
-	StarvationBound state.Duration `toml:"starvation_bound" validate:"min_duration=10ms,max_duration=10m"`
+	// DefaultDeadline. Agents cap deadlines at 1h. Default 10m.
+	MaxDeadline state.Duration `toml:"max_deadline" validate:"max_duration=1h"`
+	// StarvationBound is how many requests of higher classes may be served
+	// in a row while a lower class waits. Default 16 requests.
+	StarvationBound int `toml:"starvation_bound" validate:"min=1,max=1000000" reload:"no"`
 	// CrossRegionBytesPerSecond is the budget for traffic to other regions,
 	// which is paid for by volume. Default 1MiB (per second); 0B allows none.
 	CrossRegionBytesPerSecond state.Bytes `toml:"cross_region_bytes_per_second" validate:"min=0"`
@@ -50,7 +53,7 @@
 	// unloads idle models earlier.
 	Idle float64 `toml:"idle" validate:"gt=0,max=1000"`
 	// ColdStart is the weight of time that callers wait for a load.
-	// Default 1. A higher value keeps idle models loaded longer.
+	// Default 10. A higher value keeps idle models loaded longer.
 	ColdStart float64 `toml:"cold_start" validate:"gt=0,max=1000"`
 }
 
@@ -87,7 +90,10 @@
 	// Upstream describes the upstream beside the agent.
 	Upstream AgentUpstream `toml:"upstream"`
 	// Limits bounds what the agent accepts.
-	Limits AgentLimits `toml:"limits" reload:"yes"`
+	Limits AgentLimits `toml:"limits"`
+	// Weights says what the deployment values. Agents derive from it how
+	// long idle models stay loaded, so it should be the same as at entries.
+	Weights Weights `toml:"weights" reload:"yes"`
 }
 
 // AgentUpstream describes the upstream beside an agent.
@@ -117,9 +123,9 @@
 	// BodyBytes bounds one request body. Default 16MiB.
 	BodyBytes state.Bytes `toml:"body_bytes" validate:"min=1024,max=1073741824"`
 	// LongShare is the share of the concurrency that long requests may
-	// take, from 0 to 1. Default 0.5.
+	// take, from 0 to 1; they may always take one place. Default 0.5.
 	LongShare float64 `toml:"long_share" validate:"gt=0,max=1"`
-	// StarvationBound is how long a request of a lower class may wait
-	// behind higher classes before it is served first. Default 5s.
-	StarvationBound state.Duration `toml:"starvation_bound" validate:"min_duration=10ms,max_duration=10m"`
+	// StarvationBound is how many requests of higher classes may be served
+	// in a row while a lower class waits. Default 16 requests.
+	StarvationBound int `toml:"starvation_bound" validate:"min=1,max=1000000"`
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,10 +18,9 @@
 	DataCentre state.DataCentre `toml:"data_centre" validate:"required,max=128"`
 	// Listen holds the addresses that the process binds.
 	Listen Listen `toml:"listen"`
-	// Platform holds the addresses of the platform's services.
-	Platform Platform `toml:"platform"`
-	// Peers lists the entries of this and the other regions.
-	Peers []Peer `toml:"peers" validate:"max=1024,dive" reload:"yes"`
+	// Peers lists the entries of this and the other regions. An agent uses
+	// those of its region until heartbeats tell it of others.
+	Peers []Peer `toml:"peers" validate:"max=1024,dive"`
 	// TLS holds certificates; without them connections are in clear text.
 	TLS TLS `toml:"tls"`
 	// Telemetry says where logs and metrics go.
@@ -46,11 +45,8 @@
 type Platform struct {
 	// Log is the URL of the append-only log service. Required.
 	Log string `toml:"log" validate:"required,http_url"`
-	// Hosts is the URL of the host list. Required for an entry.
-	Hosts string `toml:"hosts" validate:"omitempty,http_url"`
-	// Store is the URL of the weight store. Optional: only engines fetch
-	// from it.
-	Store string `toml:"store" validate:"omitempty,http_url"`
+	// Hosts is the URL of the host list. Required.
+	Hosts string `toml:"hosts" validate:"required,http_url"`
 }
 
 // Peer is an entry that this process may call.
@@ -72,7 +68,8 @@
 	// Operators secures Listen.Operators.
 	Operators Certificate `toml:"operators"`
 	// Internal secures connections between processes, in both directions;
-	// both sides check the other's certificate against its CAFile.
+	// both sides check the other's certificate against its CAFile, which is
+	// required here.
 	Internal Certificate `toml:"internal"`
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -39,8 +39,9 @@
 	return v
 }
 
-// checkCommon checks that peers differ in name. The library's own rule for
-// that would skip the checks of the elements.
+// checkCommon checks that peers differ in name, as the library's own rule for
+// that would skip the checks of the elements, and that connections between
+// processes are checked in both directions.
 func checkCommon(level validator.StructLevel) {
 	common, ok := level.Current().Interface().(Common)
 	if !ok {
@@ -53,6 +54,10 @@
 		}
 		seen[peer.Name] = true
 	}
+	// Without authorities anyone who reaches the address could give orders.
+	if internal := common.TLS.Internal; internal.Enabled() && internal.CAFile == "" {
+		level.ReportError("", "tls.internal.ca_file", "CAFile", "required", "")
+	}
 }
 
 // checkEntry checks what only an entry must have.
@@ -64,9 +69,6 @@
 	if entry.Listen.Operators == "" {
 		level.ReportError("", "listen.operators", "Operators", "required", "")
 	}
-	if entry.Platform.Hosts == "" {
-		level.ReportError("", "platform.hosts", "Hosts", "required", "")
-	}
 	seen := make(map[string]bool, len(entry.Tokens))
 	for i, token := range entry.Tokens {
 		if seen[token.SHA256] {
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -51,13 +51,18 @@
 	loadBuckets = []float64{0.005, 0.01, 0.05, 0.25, 1, 2.5, 5, 10, 20, 40, 80, 160, 320}
 )
 
+// prefix starts the names of all metrics.
+const prefix = "lagoonvalve_"
+
 // Definitions returns all metrics.
-func Definitions() []Definition {
+func Definitions() []Definition { return append(measurements(), events()...) }
+
+func measurements() []Definition {
 	return []Definition{
 		{Name: nameRequests, Type: Counter, Labels: []string{"verdict", "reason", "class"}, Help: "Ended requests by verdict, reason code and priority class."},
 		{Name: nameModelRequests, Type: Counter, Labels: []string{"model", "verdict"}, Help: "Ended requests by model."},
 		{Name: nameFirstToken, Type: Histogram, Labels: []string{"model"}, Help: "Time from the acceptance of a request to its first token.", buckets: latencyBuckets},
-		{Name: nameBetweenTokens, Type: Histogram, Labels: []string{"model"}, Help: "Time between two tokens of an answer.", buckets: latencyBuckets},
+		{Name: nameBetweenTokens, Type: Histogram, Labels: []string{"model"}, Help: "Mean time between the parts of a streamed answer after its first.", buckets: latencyBuckets},
 		{Name: nameQueueWait, Type: Histogram, Labels: []string{"class"}, Help: "Time that a request waited before it was sent on.", buckets: latencyBuckets},
 		{Name: nameWaiting, Type: Gauge, Labels: []string{"class"}, Help: "Requests that wait now."},
 		{Name: nameColdStart, Type: Histogram, Labels: []string{"model"}, Help: "Time from the first request for an unloaded model to a ready replica.", buckets: loadBuckets},
@@ -68,10 +73,35 @@
 		{Name: nameHedges, Type: Counter, Labels: []string{"result"}, Help: "Hedged attempts by which attempt won."},
 		{Name: nameEjections, Type: Counter, Labels: []string{"cause"}, Help: "Upstreams taken out of routing as outliers."},
 		{Name: nameClaims, Type: Counter, Labels: []string{"result"}, Help: "Answered claims of non-idempotent requests."},
-		{Name: nameConfigLag, Type: Gauge, Help: "Age of the oldest configuration record that the log has and this process has not applied."},
-		{Name: nameLogAppends, Type: Counter, Labels: []string{"stream", "result"}, Help: "Appends to the log by kind of stream."},
+		{Name: nameConfigLag, Type: Gauge, Help: "Time since this entry last had all configuration records that the log showed it; a quiet stream is read every few seconds."},
+		{Name: nameLogAppends, Type: Counter, Labels: []string{"stream", "result"}, Help: "Appends of entries to the log by kind of stream; agents append through entries."},
 		{Name: nameLogRecords, Type: Counter, Labels: []string{"stream"}, Help: "Records in the appends that succeeded."},
 		{Name: nameControlBytes, Type: Counter, Labels: []string{"direction"}, Help: "Bytes on connections between processes."},
 		{Name: nameAuditDiscarded, Type: Counter, Help: "Entries of the audit trail that found no room while the log was away."},
 	}
 }
+
+// events are counters without labels, which Instruments.Add feeds.
+func events() []Definition {
+	return []Definition{
+		{Name: prefix + "control_commands_dropped_total", Type: Counter, Help: "Commands of an entry that were dropped because too many ran."},
+		{Name: prefix + "region_append_failures_total", Type: Counter, Help: "Appends of decisions to the region's stream that failed."},
+		{Name: prefix + "host_list_failures_total", Type: Counter, Help: "Readings of the host list that failed."},
+		{Name: prefix + "audit_flush_failures_total", Type: Counter, Help: "Writes of the audit trail or the counts that failed; they are repeated."},
+		{Name: prefix + "crash_reports_lost_total", Type: Counter, Help: "Reports of crashed upstreams that did not reach the entry that attributes them."},
+		{Name: prefix + "replica_changes_lost_total", Type: Counter, Help: "Changes of replicas that did not reach their home."},
+		{Name: prefix + "log_read_events_total", Type: Counter, Help: "Failed, late or out-of-order reads of the log by an entry."},
+		{Name: prefix + "records_without_effect_total", Type: Counter, Help: "Records read in the log that conflict with earlier ones or are invalid."},
+		{Name: prefix + "agent_heartbeat_failures_total", Type: Counter, Help: "Heartbeats that no entry answered."},
+		{Name: prefix + "agent_append_failures_total", Type: Counter, Help: "Records of an agent that were not stored at once."},
+		{Name: prefix + "agent_refusals_total", Type: Counter, Help: "Requests that an agent refused."},
+		{Name: prefix + "agent_listing_failures_total", Type: Counter, Help: "Listings of the engine that failed."},
+		{Name: prefix + "agent_engine_restarts_total", Type: Counter, Help: "Restarts of the engine."},
+		{Name: prefix + "agent_streams_cut_total", Type: Counter, Help: "Streams that the upstream cut."},
+		{Name: prefix + "agent_log_read_failures_total", Type: Counter, Help: "Reads of the log by an agent that failed."},
+		{Name: prefix + "agent_invalid_records_total", Type: Counter, Help: "Records that an agent could not apply."},
+		{Name: prefix + "agent_orders_total", Type: Counter, Help: "Orders to the engine."},
+		{Name: prefix + "agent_order_failures_total", Type: Counter, Help: "Orders to the engine that failed."},
+		{Name: prefix + "agent_requests_started_total", Type: Counter, Help: "Requests that an agent sent to its upstream."},
+	}
+}
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,7 +20,9 @@
 type Instruments struct {
 	models, adapters *TopNames
 
-	counters   map[string]metric.Int64Counter
+	counters map[string]metric.Int64Counter
+	// events holds the counters without labels, with and without prefix.
+	events     map[string]metric.Int64Counter
 	seconds    map[string]metric.Float64Counter
 	gauges     map[string]metric.Float64Gauge
 	histograms map[string]metric.Float64Histogram
@@ -64,7 +67,6 @@
 const (
 	EjectedFirstToken    EjectionCause = "first_token"
 	EjectedBetweenTokens EjectionCause = "between_tokens"
-	EjectedFailures      EjectionCause = "failures"
 )
 
 // AppendResult is how an append to the log ended.
@@ -84,6 +86,7 @@
 		models:     NewTopNames(top),
 		adapters:   NewTopNames(top),
 		counters:   make(map[string]metric.Int64Counter),
+		events:     make(map[string]metric.Int64Counter),
 		seconds:    make(map[string]metric.Float64Counter),
 		gauges:     make(map[string]metric.Float64Gauge),
 		histograms: make(map[string]metric.Float64Histogram),
@@ -93,6 +96,10 @@
 			return nil, errors.Wrapf(err, "metric %s", d.Name)
 		}
 	}
+	for _, d := range events() {
+		i.events[d.Name] = i.counters[d.Name]
+		i.events[strings.TrimPrefix(d.Name, prefix)] = i.counters[d.Name]
+	}
 	return i, nil
 }
 
@@ -214,6 +221,15 @@
 // AuditDiscarded adds audit entries that found no room.
 func (i *Instruments) AuditDiscarded(entries int) { i.count(nameAuditDiscarded, int64(entries)) }
 
+// Add counts events by the name of a counter without labels, with or without
+// the prefix of all names. Names that are not defined count nothing; a test
+// looks for them in the sources.
+func (i *Instruments) Add(name string, delta uint64) {
+	if counter, ok := i.events[name]; ok {
+		counter.Add(context.Background(), int64(delta))
+	}
+}
+
 // streamKind drops the region or shard from a stream's name.
 func streamKind(stream platform.Stream) string {
 	for end, letter := range stream {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -54,6 +55,37 @@
 	tel.LogAppend("audit/north", 7, telemetry.AppendStored)
 	tel.ControlBytes(10, 20)
 	tel.AuditDiscarded(1)
+	for _, d := range telemetry.Definitions() {
+		if d.Type == telemetry.Counter && len(d.Labels) == 0 {
+			tel.Add(d.Name, 1)
+		}
+	}
+}
+
+// Guards against events that are counted under a name that no metric has,
+// which Add would drop.
+func TestCountedEventsAreDefined(t *testing.T) {
+	g := NewWithT(t)
+	defined := make(map[string]bool)
+	for _, d := range telemetry.Definitions() {
+		defined[strings.TrimPrefix(d.Name, "lagoonvalve_")] = len(d.Labels) == 0
+	}
+	call := regexp.MustCompile(`\.Add\("(\w+_total)"`)
+	counted := make(map[string]bool)
+	for _, role := range []string{"entry", "agent"} {
+		files, err := filepath.Glob("../" + role + "/*.go")
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, file := range files {
+			source, err := os.ReadFile(filepath.Clean(file))
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, match := range call.FindAllStringSubmatch(string(source), -1) {
+				name := strings.TrimPrefix(match[1], "lagoonvalve_")
+				g.Expect(defined).To(HaveKeyWithValue(name, true), file)
+				counted[name] = true
+			}
+		}
+	}
+	g.Expect(counted).To(HaveLen(len(defined) - 19))
 }
 
 var (
