--- a/internal/logclient/writer.go
+++ b/internal/logclient/writer.go
@@ -128,6 +128,9 @@
 // SetAppendsPerSecond changes the append budget.
 func (w *Writer) SetAppendsPerSecond(n float64) { w.budget.SetLimit(rate.Limit(n)) }
 
+// AppendsPerSecond returns the append budget.
+func (w *Writer) AppendsPerSecond() float64 { return float64(w.budget.Limit()) }
+
 // Append queues records, which become neighbours in one append, and returns
 // their offsets once they are stored. A record that the log refuses for the
 // moment is sent again until ctx ends.
