--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -62,7 +62,7 @@
 			write(w)
 		}))
 		defer upstream.Close()
-		bare := httptest.NewServer(bareCopy(upstream.URL, newTrafficClient(true)))
+		bare := httptest.NewServer(bareCopy(upstream.URL, newTrafficClient(nil, true)))
 		defer bare.Close()
 		entry := httptest.NewServer(benchGateway(b, upstream.Listener.Addr().String()))
 		defer entry.Close()
@@ -75,7 +75,7 @@
 func benchGateway(b *testing.B, upstream string) http.Handler {
 	b.Helper()
 	bench := newGatewayBench(&testing.T{}, agentsOf(nil))
-	bench.client = newTrafficClient(true)
+	bench.client = newTrafficClient(nil, true)
 	bench.target = target{key: state.ReplicaKey{Model: "m", Version: "v"}}
 	route := bench.routes.of(bench.target, bench.cfg.route)
 	route.setReplicas(1, []rpc.ReplicaAt{{
@@ -92,7 +92,7 @@
 func benchRequests(b *testing.B, url string) {
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
-		client := newTrafficClient(true)
+		client := newTrafficClient(nil, true)
 		for pb.Next() {
 			resp, err := client.Post(url+"/v1/completions", "application/json", strings.NewReader(`{"model":"m"}`))
 			if err != nil {
@@ -133,7 +133,7 @@
 // BenchmarkDemand measures a home's answer to an entry's backlog with the
 // homes of a two-year region in its table.
 func BenchmarkDemand(b *testing.B) {
-	c := newControl(controlConfig{name: "entry-1", region: "north"}, controlDeps{counters: newCounterSet()}, time.Now())
+	c := newControl(controlConfig{name: "entry-1", region: "north"}, controlDeps{}, time.Now())
 	for i := range 590 {
 		c.homes.of(state.ReplicaKey{Model: state.ModelName(fmt.Sprintf("model-%d", i)), Version: "v"})
 	}
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -161,12 +161,18 @@
 func (e *execution) wait(ctx context.Context) *verdict.Verdict {
 	set := e.route.set.Load()
 	if set == nil || len(set.replicas) == 0 {
+		e.route.coldSince.CompareAndSwap(0, e.request.arrived.UnixNano())
 		e.kick(e.request.target)
 		if e.route.noCapacity.Load() && len(e.cfg.remotes) > 0 {
 			return verdict.Refuse(verdict.ReasonNoCapacity, "no upstream of this region can load the model now")
 		}
 	}
 	req := e.request
+	if refusal := e.takeRoom(req); refusal != nil {
+		return refusal
+	}
+	defer e.waiting.give(state.Bytes(len(req.body)))
+	entered := time.Now()
 	refusal := e.route.room.enter(ctx, admission.Item{
 		ID:       req.number,
 		Caller:   req.caller.Name,
@@ -180,7 +186,12 @@
 		Key:      req.target.key,
 		Adapter:  req.target.adapter,
 	}, time.Duration(e.route.loadWait.Load()))
-	if refusal != nil && refusal.Reason == verdict.ReasonDeadlineUnmet && (set == nil || len(set.replicas) == 0) {
+	if refusal == nil {
+		e.sink.waited(req, time.Since(entered))
+		return nil
+	}
+	e.route.forgetCold()
+	if refusal.Reason == verdict.ReasonDeadlineUnmet && (set == nil || len(set.replicas) == 0) {
 		e.route.refused.Add(1)
 		e.kick(req.target)
 	}
