--- a/internal/oplang/execute_test.go
+++ b/internal/oplang/execute_test.go
@@ -38,6 +38,8 @@
 	changes []state.ConfigChange
 	actions []oplang.Action
 	dryRuns int
+	// refuse is the answer to all changes unless it is nil.
+	refuse error
 }
 
 func (f *fakeEntry) Rows(context.Context, string) (oplang.Table, error) { return f.table, nil }
@@ -56,6 +58,9 @@
 }
 
 func (f *fakeEntry) Change(_ context.Context, change state.ConfigChange, dryRun bool) (state.Revision, error) {
+	if f.refuse != nil {
+		return 0, f.refuse
+	}
 	if dryRun {
 		f.dryRuns++
 	} else {
@@ -423,3 +428,16 @@
 		}
 	})
 }
+
+// Guards against a conflict that does not say who made the revision that the
+// operator did not expect.
+func TestConflictOfAnOldRevisionNamesTheWinner(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakeEntry{
+		values: map[string]string{"model m": `{"name":"m"}`},
+		refuse: verdict.Refuse(verdict.ReasonConflict, "changed meanwhile by bob"),
+	}
+	_, err := run(f, "delete model m if revision 6")
+	g.Expect(err).To(MatchError(ContainSubstring("changed meanwhile by bob")))
+	g.Expect(f.changes).To(BeEmpty())
+}
