--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -147,6 +147,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(os.WriteFile(files.CAFile, data, 0o600)).To(Succeed())
 	g.Expect(reach(t, open(t, files, never), serve(t, open(t, trusted, never)))).To(fail())
+	// A server that trusts the client but shows a certificate of another
+	// authority is not trusted.
+	g.Expect(reach(t, open(t, trusted, never), serve(t, open(t, files, never)))).To(fail())
 }
 
 // Guards against certificates that are read once only, and against unusable
--- a/internal/entry/wiring_test.go
+++ b/internal/entry/wiring_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"reflect"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -313,3 +315,17 @@
 		NewWithT(t).Expect(refusal).To(BeNil())
 	}
 }
+
+// Guards against a page that names other columns than the tables have.
+func TestDocumentedColumns(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/oplang.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	for name, table := range sourceTables {
+		names := make([]string, 0, len(table.columns))
+		for _, column := range table.columns {
+			names = append(names, "`"+column.Name+"`")
+		}
+		g.Expect(string(page)).To(ContainSubstring("| " + name + " | " + strings.Join(names, ", ") + " |\n"))
+	}
+}
