--- a/internal/roles/system_test.go
+++ b/internal/roles/system_test.go
@@ -38,7 +38,6 @@
 type system struct {
 	Gomega
 	t      *testing.T
-	files  settings.Certificate
 	client *http.Client
 	log    *standin.Log
 	logURL string
