roles, standin: bind the operators' address without a failure; bare adapter names

Cause: an agent ended when a paused predecessor still had the operators' address, before it waited for the control address (TestScripts/paused-agent-*); the engine stand-in answered 404 to an adapter asked for by its bare name. Change: the address is bound in the background until it is free; the stand-in takes the name of a loaded adapter. Scenario settings of agents lose [platform], which agents no longer have. Measured: TestScripts/paused-agent-ignored and -enforced: before, not within 20 s; after, pass.

--- a/cmd/lagoonvalve/layout_test.go
+++ b/cmd/lagoonvalve/layout_test.go
@@ -138,7 +138,6 @@
 func (f *fleet) common(p *process, host string) string {
 	text := fmt.Sprintf("name = %q\nhost = %q\nregion = %q\ndata_centre = \"north-1\"\n", p.name, host, region)
 	text += fmt.Sprintf("[listen]\ncallers = %q\noperators = %q\ncontrol = %q\n", p.addr, p.operators, p.control)
-	text += fmt.Sprintf("[platform]\nlog = \"http://%s\"\nhosts = \"http://%s\"\n", f.processes["log"].addr, f.processes["hosts"].addr)
 	text += "[shutdown]\ndrain_timeout = \"20s\"\n"
 	for _, name := range f.order {
 		if strings.HasPrefix(name, "entry-") {
@@ -150,7 +149,8 @@
 
 func (f *fleet) startEntry(name string) error {
 	p := f.processes[name]
-	return f.startRole("entry", p, f.common(p, "host-"+name)+"[limits]\nbody_bytes = \"64KiB\"\n"+tokens(), false)
+	platform := fmt.Sprintf("[platform]\nlog = \"http://%s\"\nhosts = \"http://%s\"\n", f.processes["log"].addr, f.processes["hosts"].addr)
+	return f.startRole("entry", p, f.common(p, "host-"+name)+platform+"[limits]\nbody_bytes = \"64KiB\"\n"+tokens(), false)
 }
 
 // operators may give statements; an operator's token is the name.
--- a/internal/roles/agent.go
+++ b/internal/roles/agent.go
@@ -33,6 +33,9 @@
 	// namesInterval is the time between changes of the names that have label
 	// values of their own.
 	namesInterval = time.Minute
+	// operatorsRetry is the time between attempts to bind the operators'
+	// address.
+	operatorsRetry = 500 * time.Millisecond
 )
 
 // RunAgent runs an agent until ctx ends.
@@ -79,11 +82,7 @@
 		a.Do(func() { retention.configure(now.Weights) })
 		a.SetShutdown(now.Shutdown.DrainTimeout.Std(), now.Shutdown.StopTimeout.Std())
 	})
-	stopOperators, err := serveAgentOperators(ctx, cfg, a, meter, secured.operators, logger)
-	if err != nil {
-		return err
-	}
-	defer stopOperators()
+	go serveAgentOperators(background, cfg, a, meter, secured.operators, logger)
 	err = a.Run(ctx)
 	last, cancel := context.WithTimeout(background, cfg.Shutdown.StopTimeout.Std())
 	defer cancel()
@@ -169,21 +168,27 @@
 // address for it. The returned function stops serving.
 func serveAgentOperators(ctx context.Context, cfg settings.Agent, a *agent.Agent, meter *telemetry.Telemetry,
 	source *certs.Source, logger *slog.Logger,
-) (stop func(), err error) {
+) {
 	if cfg.Listen.Operators == "" {
-		return func() {}, nil
+		return
 	}
+	// A predecessor that still runs or is paused has the address as well as
+	// the control address, for which the agent waits.
 	listener, err := bind(ctx, cfg.Listen.Operators, source)
-	if err != nil {
-		return nil, err
+	for err != nil {
+		select {
+		case <-time.After(operatorsRetry):
+		case <-ctx.Done():
+			return
+		}
+		listener, err = bind(ctx, cfg.Listen.Operators, source)
 	}
 	server := &http.Server{Handler: agentOperators(a.Ready, meter.Handler()), ReadHeaderTimeout: standinHeaderTimeout}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			logger.Error("metrics are no longer served", "error", err)
-		}
-	}()
-	return func() { _ = server.Close() }, nil
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		logger.Error("metrics are no longer served", "error", err)
+	}
 }
 
 func agentOperators(ready func() error, metrics http.Handler) http.Handler {
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -172,6 +173,11 @@
 		return nil, nil, err
 	}
 	replica := e.ready(state.ModelName(model), state.VersionName(version))
+	if replica == nil && adapter == "" {
+		// Engines also take the bare name of a loaded adapter.
+		adapter = name
+		model, replica = e.withAdapter(state.AdapterName(adapter))
+	}
 	if replica == nil {
 		return nil, nil, errNotLoaded
 	}
@@ -192,6 +198,16 @@
 	return work, e.alive, nil
 }
 
+// withAdapter returns the model of a ready replica that has an adapter loaded.
+func (e *Engine) withAdapter(adapter state.AdapterName) (string, *engineReplica) {
+	for _, info := range e.list() {
+		if info.State == state.ReplicaReady && slices.Contains(info.Adapters, adapter) {
+			return string(info.Model), e.replicas[info.ReplicaKey]
+		}
+	}
+	return "", nil
+}
+
 // ready returns the ready replica of a model; an empty version means any.
 func (e *Engine) ready(model state.ModelName, version state.VersionName) *engineReplica {
 	for _, info := range e.list() {
