--- /dev/null
+++ b/internal/rpc/bench_test.go
@@ -0,0 +1,94 @@
+package rpc_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// byteMeter counts the bytes of a client.
+type byteMeter struct{ sent, received atomic.Int64 }
+
+func (m *byteMeter) ControlBytes(sent, received int) {
+	m.sent.Add(int64(sent))
+	m.received.Add(int64(received))
+}
+
+// typicalPart has four granted models with three adapters each, all of them in
+// the intent.
+func typicalPart() state.UpstreamPart {
+	part := state.UpstreamPart{
+		Upstream:     "runner-00042",
+		Registration: &state.AgentRegistration{Upstream: "runner-00042", Incarnation: uuid.NewString(), Token: 12_345_678, Fencing: state.FencingIgnored},
+		Intent:       &state.IntentSet{Upstream: "runner-00042", Agent: 12_345_678, Offset: 12_345_690, Record: uuid.NewString(), Orders: 1},
+	}
+	for i := range 4 {
+		key := state.ReplicaKey{Model: state.ModelName(fmt.Sprintf("captions-%03d", i)), Version: "2026-11"}
+		part.Intent.Models = append(part.Intent.Models, key)
+		part.Grants = append(part.Grants, state.Grant{ID: 12_000_000, ReplicaKey: key, Upstream: part.Upstream, Epoch: 11_000_000})
+		part.Versions = append(part.Versions, state.ModelVersion{Model: key.Model, Name: key.Version, Weights: 14 * state.GiB, KVHeadroom: 6 * state.GiB})
+		for j := range 3 {
+			name := state.AdapterName(fmt.Sprintf("%s-a%d", key.Model, j))
+			part.Adapters = append(part.Adapters, state.Adapter{Name: name, Team: "archive", Model: key.Model, Size: 200 * state.MiB})
+		}
+	}
+	return part
+}
+
+// BenchmarkMessages measures the bytes of a call and of its answer as sent, and
+// the round trip over loopback.
+func BenchmarkMessages(b *testing.B) {
+	part := typicalPart()
+	at := rpc.PartOffsets{Config: 27_375_000, Region: 12_345_690}
+	ask := rpc.PartParams{
+		PartQuery: state.PartQuery{Upstream: part.Upstream, Host: "host-00042"}, AtLeast: at, Known: part.Sum(), Wait: 25e9,
+	}
+	beat := rpc.Heartbeat{
+		Upstream: part.Upstream, Incarnation: part.Registration.Incarnation, Sequence: 17, State: rpc.AgentServing,
+		Agent: 12_345_678, Entries: part.Sum(),
+	}
+	ping := rpc.PingParams{
+		From: "entry-north-17", Incarnation: uuid.NewString(), Config: at.Config, Region: at.Region,
+		Control: "10.20.30.40:7001", PeersHash: part.Sum(),
+	}
+	b.Run("part=unchanged", func(b *testing.B) {
+		benchCall(b, rpc.MethodPart, ask, rpc.PartResult{PartOffsets: at, Sum: part.Sum()})
+	})
+	b.Run("part=changed", func(b *testing.B) {
+		benchCall(b, rpc.MethodPart, ask, rpc.PartResult{PartOffsets: at, Sum: part.Sum(), Part: &part})
+	})
+	b.Run("heartbeat", func(b *testing.B) { benchCall(b, rpc.MethodHeartbeat, beat, rpc.HeartbeatResult{}) })
+	b.Run("ping", func(b *testing.B) { benchCall(b, rpc.MethodPing, ping, ping) })
+}
+
+func benchCall[P, R any](b *testing.B, method string, params P, answer R) {
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := rpc.NewServer(map[string]rpc.MethodFunc{
+		method: rpc.Method(func(context.Context, P) (R, error) { return answer, nil }),
+	})
+	go func() { _ = server.Serve(ctx, listener) }()
+	meter := &byteMeter{}
+	client := rpc.NewClient()
+	client.Counter = meter
+	defer client.Close()
+	for b.Loop() {
+		var result R
+		if err := client.Call(ctx, listener.Addr().String(), method, params, &result); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(meter.sent.Load())/float64(b.N), "sent-B/op")
+	b.ReportMetric(float64(meter.received.Load())/float64(b.N), "received-B/op")
+}
--- a/internal/state/part_test.go
+++ b/internal/state/part_test.go
@@ -1,6 +1,7 @@
 package state_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -56,3 +57,33 @@
 	unchanged := part(whole)
 	g.Expect(unchanged.Sum()).To(Equal(before), "another upstream's record")
 }
+
+// BenchmarkPart measures the derivation of a part with its sum, at a region's
+// share of the two-year size, and the index that each configuration change
+// renews.
+func BenchmarkPart(b *testing.B) {
+	o := filled(1500, 590)
+	for i := range 1600 {
+		name := state.AdapterName(fmt.Sprintf("a%04d", i))
+		o.change(state.EntityAdapter, string(name), 0, state.Adapter{Name: name, Team: "t", Model: state.ModelName(fmt.Sprintf("m%03d", i%590)), Size: 1})
+	}
+	config := o.config.View()
+	tables := state.NewRegionTables()
+	tables.Apply(at(0, state.KindLeaseTake, state.LeaseTake{Holder: "e", Replaces: state.NoOffset}))
+	for i := range 4 {
+		key := state.ReplicaKey{Model: state.ModelName(fmt.Sprintf("m%03d", i)), Version: "1"}
+		tables.Apply(at(state.Offset(i+1), state.KindGrant, state.GrantBody{ReplicaKey: key, Upstream: "u00000", Limit: 3}))
+	}
+	region, index := tables.View(), state.NewAdapterIndex(config)
+	b.Run("part", func(b *testing.B) {
+		for b.Loop() {
+			part := state.PartOf(config, region, index, state.PartQuery{Upstream: "u00000", Host: "h0"})
+			_ = part.Sum()
+		}
+	})
+	b.Run("index", func(b *testing.B) {
+		for b.Loop() {
+			_ = state.NewAdapterIndex(config)
+		}
+	})
+}
