--- a/internal/decide/membership/detector_test.go
+++ b/internal/decide/membership/detector_test.go
@@ -174,6 +174,14 @@
 	t.Logf("one-way cut of one entry ends: agreed after %v", g.agree(time.Minute))
 	o.Expect(g.agreed()).To(BeTrue())
 
+	g.cut = func(from, to state.EntryName) bool { return (from < "e20") != (to < "e20") }
+	g.run(20 * time.Second)
+	o.Expect(g.entries["e00"].Live()).To(HaveLen(20), "its own side")
+	o.Expect(g.entries["e43"].Live()).To(HaveLen(24), "its own side")
+	g.cut = func(state.EntryName, state.EntryName) bool { return false }
+	t.Logf("partition of 20 s ends: agreed after %v", g.agree(time.Minute))
+	o.Expect(g.agreed()).To(BeTrue())
+
 	g.down[entryName(3)] = true
 	g.run(10 * time.Second)
 	g.down[entryName(3)] = false
