agent: name the accepted wake in the tests of parts

Cause: on the broken variants the tests ended in a nil dereference instead of a failed expectation. Measured: go test -race -count=2 ./internal/agent passes; without the check of offsets TestStalePartAfterNewerOne fails with 'the wake was accepted'.

--- a/internal/agent/parts_test.go
+++ b/internal/agent/parts_test.go
@@ -22,6 +22,13 @@
 	return offsets[0]
 }
 
+// wakeRefused wakes a model and returns why that was refused.
+func (w *world) wakeRefused() verdict.Reason {
+	result := w.wake()
+	w.Expect(result.Refusal).NotTo(BeNil(), "the wake was accepted")
+	return result.Refusal.Reason
+}
+
 // showPrefix makes the entry answer as one that has read only n records.
 func (w *world) showPrefix(n int) {
 	w.parts.alter(func(params rpc.PartParams, result *rpc.PartResult) {
@@ -40,10 +47,10 @@
 		w.start()
 		w.appendRecord("r", "first", state.KindRelease, state.Release{Grant: 0})
 		settle(time.Second)
-		w.Expect(w.wake().Refusal.Reason).To(Equal(verdict.ReasonNoReplica))
+		w.Expect(w.wakeRefused()).To(Equal(verdict.ReasonNoReplica))
 		w.showPrefix(2)
 		settle(time.Minute)
-		w.Expect(w.wake().Refusal.Reason).To(Equal(verdict.ReasonNoReplica))
+		w.Expect(w.wakeRefused()).To(Equal(verdict.ReasonNoReplica))
 		w.Expect(w.engine.ordered(platform.OrderLoad)).To(BeZero())
 	})
 }
@@ -55,7 +62,7 @@
 		w.showPrefix(1)
 		w.start()
 		w.Expect(w.log.kinds(region)).To(ContainElement(state.KindAgentStart))
-		w.Expect(w.wake().Refusal.Reason).To(Equal(verdict.ReasonNotReady), "the registration is not shown")
+		w.Expect(w.wakeRefused()).To(Equal(verdict.ReasonNotReady), "the registration is not shown")
 		w.showPrefix(2)
 		settle(10 * time.Second)
 		w.Expect(w.wake().Refusal).To(BeNil())
@@ -76,12 +83,12 @@
 			result.Part.Registration = &state.AgentRegistration{Upstream: "u1", Incarnation: "first", Token: 0}
 		})
 		w.start()
-		w.Expect(w.wake().Refusal.Reason).To(Equal(verdict.ReasonNotReady))
+		w.Expect(w.wakeRefused()).To(Equal(verdict.ReasonNotReady))
 		w.parts.alter(func(_ rpc.PartParams, result *rpc.PartResult) {
 			result.Part.Upstream = "u2"
 		})
 		settle(time.Minute)
-		w.Expect(w.wake().Refusal.Reason).To(Equal(verdict.ReasonNotReady))
+		w.Expect(w.wakeRefused()).To(Equal(verdict.ReasonNotReady))
 		w.Expect(w.engine.ordered(platform.OrderLoad)).To(BeZero())
 	})
 }
