--- a/internal/agent/methods.go
+++ b/internal/agent/methods.go
@@ -59,9 +59,7 @@
 	if refusal != nil {
 		return rpc.WakeResult{Refusal: refusal}
 	}
-	for _, cmd := range c.account.Tick(now, c.use) {
-		c.execute(now, cmd)
-	}
+	c.decide(now)
 	if p.Adapter == "" && c.account.NoRoom(p.ReplicaKey) {
 		// The wish stays: the replica is loaded if memory becomes free soon.
 		return rpc.WakeResult{Refusal: verdict.Refuse(verdict.ReasonNoCapacity, "other replicas in use take the memory")}
--- a/internal/roles/agent.go
+++ b/internal/roles/agent.go
@@ -73,7 +73,7 @@
 			logger.Error("log writer ended", "error", err)
 		}
 	}()
-	a, trail, retention, err := newAgent(cfg, log, writer, entries, meter, secured, logger)
+	a, trail, retention, err := newAgent(cfg, writer, entries, meter, secured, logger)
 	if err != nil {
 		return err
 	}
@@ -92,7 +92,7 @@
 	return err
 }
 
-func newAgent(cfg settings.Agent, log platform.Log, writer *logclient.Writer, entries *directory,
+func newAgent(cfg settings.Agent, writer *logclient.Writer, entries *directory,
 	meter *telemetry.Telemetry, secured certificates, logger *slog.Logger,
 ) (*agent.Agent, *audit.Trail, *retention, error) {
 	config := agentConfig(cfg)
@@ -101,9 +101,8 @@
 	trail := audit.NewTrail(self, cfg.Region, trailAppender{writer}, audit.Options{Recent: auditRecent, Pending: auditPending})
 	keep := newRetention(cfg.Weights, agent.DefaultKeepAlive)
 	deps := agent.Deps{
-		Log:       log,
+		Parts:     agent.NewPartClient(entries.next, entries.addresses),
 		Appender:  writer,
-		Tables:    newAgentTables(),
 		Queue:     admission.NewQueue(queueConfig(cfg)),
 		Caller:    entries,
 		Watcher:   entries.watch,
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -1,3 +1,4 @@
+// Package roles builds the processes of the system from their settings.
 package roles
 
 import (
