estimate: count an overdue first token as a lower bound

Cause: an overdue token was observed as a measurement of three times the usual time, which pulled the factor of a tenfold slowdown down to three. Change: Calibration.Overdue raises the recent median and never lowers it; the bench notes each overdue token again at every multiple of the patience.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -89,8 +89,9 @@
 	long   bool
 	number int
 	over   bool
-	// isFirst is set once the attempt has produced the first token.
-	isFirst bool
+	// isFirst is set once the entry has the attempt's first token, and
+	// firstAtAgent once the agent has it.
+	isFirst, firstAtAgent bool
 }
 
 // agent is the queue and the memory before one upstream.
@@ -216,19 +217,13 @@
 	if at.item.Long {
 		a.markLong(at)
 	}
-	began, first := at.began, false
+	began := at.began
 	at.exec = a.u.run(at.r, func() {
-		first = true
+		at.firstAtAgent = true
 		a.speed.Observe(a.o.now.Sub(began))
 		a.o.after(a.o.delay(at.entry.id, a.u), func() { at.entry.firstToken(at) })
 	}, func(ok bool) { a.finished(at, ok) })
-	if patience := a.speed.Patience(); patience > 0 {
-		a.o.after(patience, func() {
-			if !first && !at.exec.over {
-				a.speed.Observe(a.o.now.Sub(began))
-			}
-		})
-	}
+	a.watchFirst(at)
 	a.o.after(at.entry.longSince(at.r.model), func() {
 		if !at.exec.over {
 			a.markLong(at)
@@ -236,6 +231,21 @@
 	})
 }
 
+// watchFirst notes the wait for a first token each time it is overdue.
+func (a *agent) watchFirst(at *attempt) {
+	patience := a.speed.Patience()
+	if patience <= 0 {
+		return
+	}
+	a.o.after(patience, func() {
+		if at.firstAtAgent || at.exec.over {
+			return
+		}
+		a.speed.Overdue(a.o.now.Sub(at.began))
+		a.watchFirst(at)
+	})
+}
+
 func (a *agent) markLong(at *attempt) {
 	if !at.long {
 		at.long = true
--- a/internal/decide/estimate/calibration.go
+++ b/internal/decide/estimate/calibration.go
@@ -24,9 +24,19 @@
 	c.recent.addStep(first.Seconds(), recentStep)
 }
 
-// Patience is how long to wait for a first token before the wait itself is
-// observed: an upstream that slows down tenfold shows it late otherwise. It is
-// zero without measurements.
+// Overdue adds a wait for a first token that has not come yet. The wait is a
+// lower bound of the time to the token, so it raises the recent median and
+// never lowers it: counted as a measurement, it would pull the factor of a
+// tenfold slowdown down to about three.
+func (c *Calibration) Overdue(waited time.Duration) {
+	if waited.Seconds() > c.recent.value {
+		c.recent.addStep(waited.Seconds(), recentStep)
+	}
+}
+
+// Patience is how long to wait for a first token before the wait counts as
+// overdue, and between further such notes: an upstream that slows down tenfold
+// shows it late otherwise. It is zero without measurements.
 func (c *Calibration) Patience() time.Duration { return 3 * seconds(c.usual.value) }
 
 // Factor is by how much to multiply predicted service times, at least 1.
--- a/internal/decide/estimate/estimate_test.go
+++ b/internal/decide/estimate/estimate_test.go
@@ -85,3 +85,24 @@
 	feed(12, 100*time.Millisecond)
 	g.Expect(c.Factor()).To(Equal(1.0))
 }
+
+// Guards against an overdue first token that hides how slow an upstream is: the
+// wait so far is shorter than the time to the token.
+func TestOverdueTokenNeverLowersFactor(t *testing.T) {
+	g := NewWithT(t)
+	var c estimate.Calibration
+	for range 50 {
+		c.Observe(100 * time.Millisecond)
+	}
+	c.Overdue(c.Patience())
+	g.Expect(c.Factor()).To(Equal(1.0))
+	for range 12 {
+		c.Observe(time.Second)
+	}
+	slow := c.Factor()
+	g.Expect(slow).To(BeNumerically(">", 5))
+	c.Overdue(c.Patience())
+	g.Expect(c.Factor()).To(Equal(slow))
+	c.Overdue(5 * time.Second)
+	g.Expect(c.Factor()).To(BeNumerically(">", slow))
+}
