scaling: count requests beyond the slots of replicas in the benefit

Cause: the benefit that orders store loads counted what waits at entries. Change: requests at ready replicas beyond their slots count as waiting, and the loss is divided among the replicas loading only.

--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -73,16 +73,8 @@
 	return append(all, scaling.Demand{Rate: h.rate, Refused: h.refused})
 }
 
-// benefit is what the waiting requests lose per second.
-func (h *home) benefit() float64 {
-	loss := 0.0
-	for _, d := range h.demands() {
-		for class, n := range d.Waiting {
-			loss += float64(int(4)>>class) * float64(n)
-		}
-	}
-	return loss
-}
+// benefit is the present benefit of the model's loads.
+func (h *home) benefit() float64 { return scaling.Home{}.Benefit(h.input()) }
 
 func (h *home) loadTime(up int) time.Duration {
 	work, remote := h.o.loadWork(h.model, up)
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -138,7 +138,9 @@
 	rate                  float64
 	refused               int
 	waiting               [state.ClassCount]int
-	firstReady            time.Duration
+	// excess counts the requests at ready replicas beyond their slots.
+	excess     int
+	firstReady time.Duration
 }
 
 // Decide returns the wakes and adapter loads for one model.
@@ -182,6 +184,7 @@
 		switch r.State {
 		case state.ReplicaReady:
 			view.ready++
+			view.excess += max(r.Queue-r.effectiveSlots(), 0)
 		case state.ReplicaLoading:
 			view.noteLoading(r.ReadyIn)
 		default:
@@ -255,14 +258,24 @@
 // classLoss is what a request of each class loses per second of waiting.
 var classLoss = [state.ClassCount]float64{4, 2, 1}
 
-// benefit is what the waiting requests lose per second without a load. Each
-// replica ready or loading already takes its share of them.
+// Benefit is the benefit of each load that is under way, for the time until it
+// gets a store slot.
+func (h Home) Benefit(in HomeInput) float64 {
+	view := look(in)
+	view.loading = max(view.loading-1, 0)
+	return h.Config.withDefaults().benefit(view)
+}
+
+// benefit is what the waiting requests lose per second without a load. Requests
+// at ready replicas beyond their slots wait as well: entries keep sending to
+// full replicas, so most of an overload waits there. Each replica loading
+// already takes its share; ready replicas are full.
 func (c HomeConfig) benefit(view outlook) float64 {
-	loss := 0.0
+	loss := classLoss[state.ClassNormal] * float64(view.excess)
 	for class, n := range view.waiting {
 		loss += classLoss[class] * float64(n)
 	}
-	return c.ColdStartWeight * loss / float64(view.ready+view.loading+1)
+	return c.ColdStartWeight * loss / float64(view.loading+1)
 }
 
 // wakeOrder lists the usable grants without a replica. Each in turn is the one
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -70,6 +70,23 @@
 	g.Expect(scaling.Home{}.Decide(in).Wakes).To(HaveLen(1), "its throughput suffices but not its latency")
 }
 
+// Guards against an overloaded model that gets no store slots because its
+// requests wait at replicas and not at entries.
+func TestBenefitCountsWorkBeyondSlots(t *testing.T) {
+	g := NewWithT(t)
+	in := scaling.HomeInput{Grants: grants(3, 10*time.Second), Service: time.Second, Demands: []scaling.Demand{{Rate: 3}}}
+	in.Replicas = []scaling.Replica{{Upstream: "u0", State: state.ReplicaReady, Slots: 8, Queue: 8}}
+	g.Expect(scaling.Home{}.Benefit(in)).To(BeZero())
+	in.Replicas[0].Queue = 28
+	full := scaling.Home{}.Benefit(in)
+	cold := scaling.HomeInput{Grants: in.Grants, Service: time.Second, Demands: waiting(1, time.Second)}
+	g.Expect(full).To(BeNumerically(">", scaling.Home{}.Benefit(cold)))
+	in.Replicas = append(in.Replicas, scaling.Replica{Upstream: "u1", State: state.ReplicaLoading, Slots: 8})
+	g.Expect(scaling.Home{}.Benefit(in)).To(Equal(full), "the load under way is the one that is weighed")
+	in.Replicas = append(in.Replicas, scaling.Replica{Upstream: "u2", State: state.ReplicaLoading, Slots: 8})
+	g.Expect(scaling.Home{}.Benefit(in)).To(Equal(full/2), "two loads share the gain")
+}
+
 // Guards against more replicas than grants, wakes under used or unusable
 // grants and two wakes under one grant.
 func TestWakesOnlyUnderFreeUsableGrants(t *testing.T) {
