bench: pass slowdowns on as the agent and the watcher do

Cause: the bench passed the exact slowdown on every 5 s and at once to all entries. The agent sends a heartbeat within a second of a change of the power of two, and the watcher passes changes on once a second. Change: the bench does the same.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -22,7 +23,6 @@
 	published [][]int
 	rng       *rand.Rand
 	attempts  uint64
-	seconds   int
 }
 
 func newOurs(w *world) *ours {
@@ -108,8 +108,9 @@
 	ticking     bool
 	waking      map[int]time.Time
 	speed       estimate.Calibration
-	// reported is the slowdown in the last heartbeat.
-	reported float64
+	// step is the slowdown in the last heartbeat, and reported the one that
+	// entries and homes know of.
+	step, reported float64
 }
 
 func newAgent(o *ours, u *upstream) *agent {
@@ -374,14 +375,24 @@
 
 // tickAgents unloads what is past its keep-alive.
 func (o *ours) tickAgents() {
-	const heartbeat = 5
-	o.seconds++
 	for _, a := range o.agents {
-		if (o.seconds+a.u.id)%heartbeat == 0 {
-			a.reported = a.speed.Factor()
+		// A heartbeat is due each second if the step has changed, and the
+		// watcher passes changes on once a second.
+		if step := slowdownStep(a.speed.Factor()); step != a.step {
+			a.step = step
+			o.after(time.Second, func() { a.reported = step })
 		}
 		if len(a.u.replicas) > 0 && !a.u.lost {
 			a.unload(a.evictor.Expired(o.now, a.residents()))
 		}
 	}
 }
+
+// slowdownStep is the slowdown in a heartbeat: rounded down to a power of two,
+// none below two.
+func slowdownStep(factor float64) float64 {
+	if factor < 2 {
+		return 0
+	}
+	return math.Exp2(math.Floor(math.Log2(factor)))
+}
