scaling: start with the break-even keep-alive instead of two minutes

Change: before twelve gaps are known, a replica stays for the idle time that costs as much as a cold start, at most two minutes.

--- a/internal/decide/scaling/keepalive.go
+++ b/internal/decide/scaling/keepalive.go
@@ -14,7 +14,9 @@
 	ColdStartWeight float64
 	// Min and Max bound the keep-alive; defaults 2 s and 1 h.
 	Min, Max time.Duration
-	// Start is the keep-alive without history; default 2 min.
+	// Start bounds the keep-alive without history, which is the time whose
+	// idle cost equals that of a cold start: whatever the next gap, that costs
+	// at most twice the best choice. Default 2 min.
 	Start time.Duration
 	// Hysteresis is the relative gain that a new value must bring; default
 	// 0.1.
@@ -71,7 +73,7 @@
 // NewKeepAlive returns a keep-alive without history.
 func NewKeepAlive(cfg KeepAliveConfig) *KeepAlive {
 	cfg = cfg.withDefaults()
-	return &KeepAlive{cfg: cfg, current: cfg.Start}
+	return &KeepAlive{cfg: cfg}
 }
 
 // Observe adds a gap: the time from the end of the last request of a replica
@@ -108,7 +110,7 @@
 // that saves more than the hysteresis.
 func (k *KeepAlive) Value(load time.Duration) time.Duration {
 	if k.seen < minGaps {
-		return k.current
+		return min(max(k.breakEven(load), k.cfg.Min), k.cfg.Start)
 	}
 	best := k.cfg.Min
 	bestCost := k.cost(best, load)
@@ -124,6 +126,11 @@
 	return k.current
 }
 
+// breakEven is the idle time that costs as much as a cold start.
+func (k *KeepAlive) breakEven(load time.Duration) time.Duration {
+	return time.Duration(k.cfg.ColdStartWeight / k.cfg.IdleWeight * float64(load))
+}
+
 // cost is the expected cost per gap of a keep-alive: the idle time up to its
 // end, and a cold start after each longer gap. One endless gap is added to the
 // history, so that of equal values the shorter one is cheaper.
