scaling: keep a replica to break-even where no gap was longer

Cause: a busy model whose gaps were all below 4 s was unloaded after the first longer one. Change: where no known gap exceeds the keep-alive, it is at least the value without history. The test's history gets one longer gap, so that its bounds still hold, and checks the new rule beside it.

--- a/internal/decide/scaling/keepalive.go
+++ b/internal/decide/scaling/keepalive.go
@@ -107,10 +107,11 @@
 
 // Value returns how long an idle replica with the given load time stays. It is
 // the end of a bucket of gaps with the least expected cost, and changes only if
-// that saves more than the hysteresis.
+// that saves more than the hysteresis. Where no gap was longer, it is at least the
+// value without history.
 func (k *KeepAlive) Value(load time.Duration) time.Duration {
 	if k.seen < minGaps {
-		return min(max(k.breakEven(load), k.cfg.Min), k.cfg.Start)
+		return k.untold(load)
 	}
 	best := k.cfg.Min
 	bestCost := k.cost(best, load)
@@ -123,9 +124,29 @@
 	if !k.decided || bestCost < (1-k.cfg.Hysteresis)*k.cost(k.current, load) {
 		k.current, k.decided = best, true
 	}
+	if k.current >= k.longest() {
+		// No gap has been longer, so the gaps do not tell what a longer one
+		// costs, as before there is a history.
+		return max(k.current, k.untold(load))
+	}
 	return k.current
 }
 
+// untold is the keep-alive where gaps decide nothing.
+func (k *KeepAlive) untold(load time.Duration) time.Duration {
+	return min(max(k.breakEven(load), k.cfg.Min), k.cfg.Start)
+}
+
+// longest is the mean of the bucket with the longest gaps known.
+func (k *KeepAlive) longest() time.Duration {
+	for at := gapBuckets - 1; at >= 0; at-- {
+		if k.counts[at] > 0 {
+			return time.Duration(k.sums[at] / k.counts[at] * float64(time.Second))
+		}
+	}
+	return 0
+}
+
 // breakEven is the idle time that costs as much as a cold start.
 func (k *KeepAlive) breakEven(load time.Duration) time.Duration {
 	return time.Duration(k.cfg.ColdStartWeight / k.cfg.IdleWeight * float64(load))
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -143,6 +143,7 @@
 	g := NewWithT(t)
 	value := func(cfg scaling.KeepAliveConfig, gap, load time.Duration) time.Duration {
 		k := scaling.NewKeepAlive(cfg)
+		k.Observe(2000 * time.Second)
 		for range 50 {
 			k.Observe(gap)
 		}
@@ -160,6 +161,12 @@
 	g.Expect(value(none, 1000*time.Second, 20*time.Second)).To(Equal(2*time.Second), "a cold start costs less than the idle time")
 	archive := scaling.KeepAliveConfig{ColdStartWeight: 100}
 	g.Expect(value(archive, 1000*time.Second, 20*time.Second)).To(BeNumerically(">=", 1000*time.Second))
+	busy := scaling.NewKeepAlive(none)
+	for range 50 {
+		busy.Observe(2 * time.Second)
+	}
+	g.Expect(busy.Value(5*time.Second)).To(Equal(50*time.Second), "no gap tells what follows the longest one")
+	g.Expect(busy.Value(20 * time.Second)).To(Equal(2 * time.Minute))
 	k := scaling.NewKeepAlive(none)
 	changes, last := 0, time.Duration(0)
 	for i := range 400 {
