--- a/internal/decide/scaling/keepalive.go
+++ b/internal/decide/scaling/keepalive.go
@@ -14,7 +14,9 @@
 	ColdStartWeight float64
 	// Min and Max bound the keep-alive; defaults 2 s and 1 h.
 	Min, Max time.Duration
-	// Start is the keep-alive without history; default 2 min.
+	// Start bounds the keep-alive without history, which is the time whose
+	// idle cost equals that of a cold start: whatever the next gap, that costs
+	// at most twice the best choice. Default 2 min.
 	Start time.Duration
 	// Hysteresis is the relative gain that a new value must bring; default
 	// 0.1.
@@ -71,7 +73,7 @@
 // NewKeepAlive returns a keep-alive without history.
 func NewKeepAlive(cfg KeepAliveConfig) *KeepAlive {
 	cfg = cfg.withDefaults()
-	return &KeepAlive{cfg: cfg, current: cfg.Start}
+	return &KeepAlive{cfg: cfg}
 }
 
 // Observe adds a gap: the time from the end of the last request of a replica
@@ -105,10 +107,11 @@
 
 // Value returns how long an idle replica with the given load time stays. It is
 // the end of a bucket of gaps with the least expected cost, and changes only if
-// that saves more than the hysteresis.
+// that saves more than the hysteresis. Where no gap was longer, it is at least the
+// value without history.
 func (k *KeepAlive) Value(load time.Duration) time.Duration {
 	if k.seen < minGaps {
-		return k.current
+		return k.untold(load)
 	}
 	best := k.cfg.Min
 	bestCost := k.cost(best, load)
@@ -121,9 +124,34 @@
 	if !k.decided || bestCost < (1-k.cfg.Hysteresis)*k.cost(k.current, load) {
 		k.current, k.decided = best, true
 	}
+	if k.current >= k.longest() {
+		// No gap has been longer, so the gaps do not tell what a longer one
+		// costs, as before there is a history.
+		return max(k.current, k.untold(load))
+	}
 	return k.current
 }
 
+// untold is the keep-alive where gaps decide nothing.
+func (k *KeepAlive) untold(load time.Duration) time.Duration {
+	return min(max(k.breakEven(load), k.cfg.Min), k.cfg.Start)
+}
+
+// longest is the mean of the bucket with the longest gaps known.
+func (k *KeepAlive) longest() time.Duration {
+	for at := gapBuckets - 1; at >= 0; at-- {
+		if k.counts[at] > 0 {
+			return time.Duration(k.sums[at] / k.counts[at] * float64(time.Second))
+		}
+	}
+	return 0
+}
+
+// breakEven is the idle time that costs as much as a cold start.
+func (k *KeepAlive) breakEven(load time.Duration) time.Duration {
+	return time.Duration(k.cfg.ColdStartWeight / k.cfg.IdleWeight * float64(load))
+}
+
 // cost is the expected cost per gap of a keep-alive: the idle time up to its
 // end, and a cold start after each longer gap. One endless gap is added to the
 // history, so that of equal values the shorter one is cheaper.
