agent, entry: note overdue tokens as lower bounds; poll loads with their benefit

Cause: an overdue first token was counted as a measurement at three times the usual, which held the factor of a tenfold slowdown near three; polls of loading replicas reset their benefit to 1. Change: overdue tokens are noted at each patience as lower bounds, the token itself when it comes; polls carry the home's benefit. Measured: TestPaceNoticesOverdueTokens passes; with overdue tokens observed as measurements it fails.

--- a/internal/agent/pace.go
+++ b/internal/agent/pace.go
@@ -21,28 +21,50 @@
 	return p.calibration.Factor()
 }
 
-func (p *pace) observe(first time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.calibration.Observe(first)
+// awaited is a first token that has not come yet.
+type awaited struct {
+	pace  *pace
+	began time.Time
+	// patience is the time between notes that the token is overdue.
+	patience time.Duration
+	timer    *time.Timer
+	over     bool
 }
 
 // firstToken watches for the first token of a request that starts now. The
-// returned function is called at the token; a token that is long overdue is
-// noticed without it.
-func (p *pace) firstToken() (arrived func()) {
-	began := time.Now()
+// token is noted when it arrives, and that it is overdue until then. The second
+// function ends the watch without a token.
+func (p *pace) firstToken() (arrived, abandoned func()) {
 	p.mu.Lock()
-	patience := p.calibration.Patience()
-	p.mu.Unlock()
-	var once sync.Once
-	notice := func() { once.Do(func() { p.observe(time.Since(began)) }) }
-	if patience <= 0 {
-		return notice
+	defer p.mu.Unlock()
+	a := &awaited{pace: p, began: time.Now(), patience: p.calibration.Patience()}
+	if a.patience > 0 {
+		a.timer = time.AfterFunc(a.patience, a.overdue)
+	}
+	return func() { a.end(true) }, func() { a.end(false) }
+}
+
+func (a *awaited) overdue() {
+	a.pace.mu.Lock()
+	defer a.pace.mu.Unlock()
+	if a.over {
+		return
+	}
+	a.pace.calibration.Overdue(time.Since(a.began))
+	a.timer.Reset(a.patience)
+}
+
+func (a *awaited) end(token bool) {
+	a.pace.mu.Lock()
+	defer a.pace.mu.Unlock()
+	if a.over {
+		return
+	}
+	a.over = true
+	if a.timer != nil {
+		a.timer.Stop()
 	}
-	overdue := time.AfterFunc(patience, notice)
-	return func() {
-		overdue.Stop()
-		notice()
+	if token {
+		a.pace.calibration.Observe(time.Since(a.began))
 	}
 }
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -40,7 +40,9 @@
 	var sent atomic.Bool
 	arrived := func() {}
 	if c.stream {
-		arrived = a.dispatcher.pace.firstToken()
+		var abandoned func()
+		arrived, abandoned = a.dispatcher.pace.firstToken()
+		defer abandoned()
 	}
 	resp, err := a.transport.RoundTrip(a.outgoing(ctx, r, c, &sent))
 	if err != nil {
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -43,6 +43,8 @@
 	lastUsed time.Time
 	loadTime time.Duration
 	decision scaling.HomeDecision
+	// benefit is what the waiters lose per second without a load.
+	benefit float64
 	// probing counts the agents that have not yet said what they have loaded;
 	// until probeUntil the home decides nothing, so that it wakes no second
 	// replica beside one that an earlier home has woken.
@@ -214,6 +216,7 @@
 	config := c.config.View()
 	in := h.input(c, config, now)
 	h.decision = c.homes.policy.Decide(in)
+	h.benefit = c.homes.policy.Benefit(in)
 	for _, wake := range h.decision.Wakes {
 		c.orderWake(h, config, wake.Upstream, "", wake.Benefit, now)
 	}
@@ -328,7 +331,7 @@
 	replica.polling = true
 	c.homes.wakes = append(c.homes.wakes, wakeOrder{
 		home: h, address: replica.at.ControlAddr, replica: replica.at,
-		params: rpc.WakeParams{ReplicaKey: h.key, Benefit: 1},
+		params: rpc.WakeParams{ReplicaKey: h.key, Benefit: h.benefit},
 	})
 }
 
