--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -142,6 +142,9 @@
 // Waiting counts the requests that wait for an answer.
 func (o *Owner) Waiting() int { return len(o.waiting) }
 
+// Settled reports whether nobody waits and no record is left to append.
+func (o *Owner) Settled() bool { return len(o.waiting) == 0 && len(o.queue) == 0 }
+
 // Truncated raises T0. Keys that are too old from now on are forgotten, since
 // no claim of theirs is ever granted again.
 func (o *Owner) Truncated(t0 time.Time) {
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -23,6 +23,14 @@
 	shardIdle = 10 * time.Minute
 	// questionTimeout bounds a question to an agent about a claim.
 	questionTimeout = time.Second
+	// claimGiveUp is when an owner refuses a claim that the log has not
+	// confirmed. The refusal must reach the entry within claimWait, or the
+	// entry can't say that the work was not run.
+	claimGiveUp = claimWait - 300*time.Millisecond
+	// claimAppendBytes bounds the bodies of an append, well below what the
+	// appender takes in one call. Outcomes with kept answers can exceed it
+	// within one batch of the owner.
+	claimAppendBytes = 256 << 10
 )
 
 // claimShards runs the owners of claim shards. Any entry can own any shard:
@@ -37,7 +45,7 @@
 	logger       *slog.Logger
 	events       chan shardEvent
 	shards       map[int]*claimShard
-	tickets      map[claims.Ticket]chan rpc.ClaimResult
+	tickets      map[claims.Ticket]claimTicket
 	lastTicket   claims.Ticket
 }
 
@@ -47,6 +55,16 @@
 	began    bool
 	stop     context.CancelFunc
 	lastUsed time.Time
+	// appending counts the appends under way.
+	appending int
+}
+
+// claimTicket is a request for a claim. asked ends when nobody waits for the
+// reply any more.
+type claimTicket struct {
+	params rpc.ClaimParams
+	reply  chan rpc.ClaimResult
+	asked  context.Context
 }
 
 // shardEvent is something that the owners have to hear of.
@@ -64,7 +82,7 @@
 		logger:       logger,
 		events:       make(chan shardEvent, eventBuffer),
 		shards:       make(map[int]*claimShard),
-		tickets:      make(map[claims.Ticket]chan rpc.ClaimResult),
+		tickets:      make(map[claims.Ticket]claimTicket),
 	}
 }
 
@@ -87,7 +105,9 @@
 func (s *claimShards) tick(ctx context.Context, now time.Time) {
 	for number, shard := range s.shards {
 		s.carryOut(ctx, shard, shard.owner.Tick(now))
-		if now.Sub(shard.lastUsed) > shardIdle {
+		// A shard with unsent records is kept: outcomes that wait out a log
+		// outage would be lost with it.
+		if now.Sub(shard.lastUsed) > shardIdle && shard.appending == 0 && shard.owner.Settled() {
 			shard.stop()
 			delete(s.shards, number)
 		}
@@ -105,11 +125,12 @@
 
 // ask answers a request for a claim.
 func (s *claimShards) ask(ctx context.Context, params rpc.ClaimParams) (rpc.ClaimResult, error) {
-	reply := make(chan rpc.ClaimResult, 1)
+	// The reply is not buffered: a grant that nobody takes is given up.
+	reply := make(chan rpc.ClaimResult)
 	s.post(ctx, func(running context.Context, now time.Time) {
 		shard := s.shard(running, claims.ShardOf(params.Claim.Caller, params.Claim.Key), now)
 		s.lastTicket++
-		s.tickets[s.lastTicket] = reply
+		s.tickets[s.lastTicket] = claimTicket{params: params, reply: reply, asked: ctx}
 		s.carryOut(running, shard, shard.owner.Ask(s.lastTicket, params, now))
 	})
 	select {
@@ -166,9 +187,11 @@
 	if !ok {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		tailing, stop := context.WithCancel(ctx)
+		settings := claims.DefaultSettings()
+		settings.GiveUpAfter = claimGiveUp
 		shard = &claimShard{
 			number: number,
-			owner:  claims.NewOwner(s.self, claims.DefaultSettings(), random),
+			owner:  claims.NewOwner(s.self, settings, random),
 			stop:   stop,
 		}
 		s.shards[number] = shard
@@ -181,19 +204,55 @@
 // carryOut runs what an owner asks for.
 func (s *claimShards) carryOut(ctx context.Context, shard *claimShard, commands claims.Commands) {
 	for _, reply := range commands.Replies {
-		if waiter, ok := s.tickets[reply.Ticket]; ok {
+		if ticket, ok := s.tickets[reply.Ticket]; ok {
 			delete(s.tickets, reply.Ticket)
-			waiter <- reply.Result
+			s.reply(ctx, shard, ticket, reply.Result)
 		}
 	}
-	if len(commands.Append) > 0 {
-		go s.append(ctx, shard, commands.Append)
+	for _, batch := range appendBatches(commands.Append) {
+		shard.appending++
+		go s.append(ctx, shard, batch)
 	}
 	for _, question := range commands.Questions {
 		go s.question(ctx, shard, question)
 	}
 }
 
+// reply hands a result to the request that asked for it. A grant whose
+// requester has left is given up, so that a resend need not ask the agent.
+func (s *claimShards) reply(ctx context.Context, shard *claimShard, ticket claimTicket, result rpc.ClaimResult) {
+	select {
+	case ticket.reply <- result:
+		return
+	case <-ticket.asked.Done():
+	}
+	if result.Granted == "" {
+		return
+	}
+	given := rpc.ClaimOutcomeParams{
+		Caller: ticket.params.Claim.Caller, Key: ticket.params.Claim.Key,
+		Void: &state.ClaimVoid{Claim: result.Granted, Witness: s.self},
+	}
+	s.carryOut(ctx, shard, shard.owner.Outcome(given, s.self, time.Now()))
+}
+
+// appendBatches splits records so that no append exceeds claimAppendBytes.
+func appendBatches(records []state.Record) [][]state.Record {
+	var batches [][]state.Record
+	start, size := 0, 0
+	for i, record := range records {
+		if size+len(record.Body) > claimAppendBytes && i > start {
+			batches = append(batches, records[start:i])
+			start, size = i, 0
+		}
+		size += len(record.Body)
+	}
+	if start < len(records) {
+		batches = append(batches, records[start:])
+	}
+	return batches
+}
+
 func (s *claimShards) append(ctx context.Context, shard *claimShard, batch []state.Record) {
 	limited, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
@@ -206,6 +265,7 @@
 		result = claims.AppendUnknown
 	}
 	s.post(ctx, func(running context.Context, now time.Time) {
+		shard.appending--
 		s.carryOut(running, shard, shard.owner.Appended(batch, result, now))
 	})
 }
