entry: keep moved and partly informed homes from waking; test homes

Cause: A home that was made by a replica change asked no agents, and one that had moved away still ordered wakes on late answers; both wake a replica beside a loaded one. A probe that was not started counted for good. A drain by configuration did not change the set's version, so entries with the current set did not hear of it from the home. A late change of an agent's predecessor replaced the newer one, and a changed incarnation with the same registration was ignored. A failed adapter load removed the ready replica. Change: Each home probes before its first decision, events of moved homes are dropped, drains change the version, changes are compared by registration and incarnation, and a failed adapter load leaves the replica in the set. Conclusion: A moved or partly informed home wakes no second replica in these cases. Reordered changes under one registration remain open.

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -62,6 +62,7 @@
 	polling bool
 	queue   int
 	woken   time.Time
+	drained bool
 }
 
 // parkedDemand is a question of an entry that waits for a change.
@@ -78,7 +79,7 @@
 	// wakes are the orders that the last decisions made.
 	wakes []wakeOrder
 	// probes are the questions of new homes.
-	probes []command
+	probes []homeProbe
 	// versions makes the versions of sets of different homes differ.
 	versions uint64
 }
@@ -128,9 +129,10 @@
 }
 
 func (e demandReceived) apply(c *control, now time.Time) {
-	h, known := c.homes.byKey[e.params.ReplicaKey]
-	if !known {
-		h = c.homes.of(e.params.ReplicaKey)
+	h := c.homes.of(e.params.ReplicaKey)
+	if h.probeUntil.IsZero() {
+		// A change from one watcher may have made the home before, which
+		// says nothing of the upstreams of the other watchers.
 		c.probe(h, now)
 	}
 	h.lastUsed = now
@@ -212,6 +214,13 @@
 		return
 	}
 	config := c.config.View()
+	for name, replica := range h.replicas {
+		// Entries that know the set's version must hear of the drain.
+		if drained := config.Drained(name); drained != replica.drained {
+			replica.drained = drained
+			c.homes.bump(h)
+		}
+	}
 	in := h.input(c, config, now)
 	h.decision = c.homes.policy.Decide(in)
 	for _, wake := range h.decision.Wakes {
@@ -335,7 +344,9 @@
 // runWakes sends the ordered wakes.
 func (c *control) runWakes(ctx context.Context) {
 	for _, probe := range c.homes.probes {
-		c.start(ctx, probe)
+		if !c.start(ctx, probe.run) {
+			probe.home.probing--
+		}
 	}
 	c.homes.probes = c.homes.probes[:0]
 	for _, order := range c.homes.wakes {
@@ -366,13 +377,17 @@
 	h := e.order.home
 	name := e.order.replica.Upstream
 	replica, ok := h.replicas[name]
-	if !ok {
+	if !ok || c.homes.byKey[h.key] != h {
+		// A home that has moved away decides nothing any more, or it would
+		// wake a replica beside those of its successor.
 		return
 	}
 	replica.polling = false
 	switch {
 	case e.err != nil || e.result.Refusal != nil:
-		if e.order.params.Adapter != "" && e.err == nil {
+		if e.order.params.Adapter != "" {
+			// The base model stays loaded; whether its agent is gone is for
+			// the watcher to say.
 			return
 		}
 		delete(h.replicas, name)
@@ -407,7 +422,16 @@
 
 func (e changesReceived) apply(c *control, now time.Time) {
 	touched := make(map[*home]bool)
+	region := c.region.View()
 	for _, change := range e.changes {
+		if agent, ok := region.Agent(change.Replica.Upstream); ok && change.Replica.Agent < agent.Token && !change.Gone {
+			// A late change of a predecessor of the agent. Its successor's
+			// replicas are reported under the newer registration.
+			continue
+		}
+		if _, known := c.homes.byKey[change.Replica.ReplicaKey]; !known && change.Gone {
+			continue
+		}
 		h := c.homes.of(change.Replica.ReplicaKey)
 		if h.lastUsed.IsZero() {
 			h.lastUsed = now
@@ -426,6 +450,9 @@
 func (h *home) change(change rpc.ReplicaChange, now time.Time) bool {
 	name := change.Replica.Upstream
 	known, ok := h.replicas[name]
+	if ok && change.Replica.Agent < known.at.Agent {
+		return false // A late change of the agent's predecessor.
+	}
 	if change.Gone || change.Replica.State == state.ReplicaUnloading {
 		// A wake in flight that is younger than the change knows better.
 		if ok && known.polling {
@@ -435,7 +462,7 @@
 		return ok
 	}
 	if ok && known.at.State == change.Replica.State && known.at.Agent == change.Replica.Agent &&
-		known.at.Slowdown == change.Replica.Slowdown &&
+		known.at.AgentIncarnation == change.Replica.AgentIncarnation && known.at.Slowdown == change.Replica.Slowdown &&
 		slices.Equal(known.at.Adapters, change.Replica.Adapters) {
 		return false
 	}
--- /dev/null
+++ b/internal/entry/home_test.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+var testReplica = state.ReplicaKey{Model: "m", Version: "1"}
+
+// homeBench is a control that runs, and the agents u0 and u1 with grants.
+type homeBench struct {
+	*control
+	t       *testing.T
+	network *fakeNetwork
+	mu      sync.Mutex
+	wakes   []string
+	loaded  map[string]bool
+	refuse  map[string]bool
+	stop    context.CancelFunc
+	ended   sync.WaitGroup
+}
+
+func newHomeBench(t *testing.T) *homeBench {
+	b := &homeBench{t: t, network: newFakeNetwork(), loaded: make(map[string]bool), refuse: make(map[string]bool)}
+	self := state.ProcessID{Name: "e1", Incarnation: "i"}
+	b.control = newControl(controlConfig{self: self, name: "e1", region: "r", address: "e1", retention: time.Hour},
+		controlDeps{caller: b.network, logger: slog.New(slog.DiscardHandler), counters: newCounterSet()}, time.Now())
+	b.change(state.EntityTeam, "t", state.Team{Name: "t"})
+	b.change(state.EntityModel, "m", state.Model{Name: "m", Team: "t", MaxReplicas: 2})
+	b.change(state.EntityVersion, "m/1", state.ModelVersion{Model: "m", Name: "1", Weights: state.GiB})
+	b.region.Apply(positioned(t, 0, state.KindLeaseTake, state.LeaseTake{Holder: "e1", Replaces: state.NoOffset}))
+	for i := range 2 {
+		name := fmt.Sprintf("u%d", i)
+		b.change(state.EntityUpstream, name, state.Upstream{
+			Name: state.UpstreamName(name), Kind: state.ModelRunner, Host: state.HostName("h" + name), Region: "r", DataCentre: "d",
+			Memory: 8 * state.GiB, Fencing: state.FencingIgnored, TrafficAddr: fmt.Sprintf("10.0.0.%d:80", i), ControlAddr: fmt.Sprintf("10.0.0.%d:81", i),
+		})
+		b.region.Apply(positioned(t, state.Offset(1+2*i), state.KindAgentStart, state.AgentStart{Upstream: state.UpstreamName(name), Incarnation: "a" + name}))
+		b.region.Apply(positioned(t, state.Offset(2+2*i), state.KindGrant, state.GrantBody{ReplicaKey: testReplica, Upstream: state.UpstreamName(name), Limit: 2}))
+		b.network.serve(fmt.Sprintf("10.0.0.%d:81", i), map[string]rpc.MethodFunc{
+			rpc.MethodWake:        rpc.Method(func(context.Context, rpc.WakeParams) (rpc.WakeResult, error) { return b.wake(name), nil }),
+			rpc.MethodAgentStatus: rpc.Method(func(context.Context, struct{}) (rpc.AgentStatus, error) { return b.status(name), nil }),
+		})
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	b.stop = stop
+	b.ended.Go(func() { _ = b.run(ctx) })
+	return b
+}
+
+func (b *homeBench) end() {
+	b.stop()
+	b.ended.Wait()
+}
+
+func positioned[B state.Body](t *testing.T, offset state.Offset, kind state.Kind, body B) state.Positioned {
+	record, err := state.NewRecord(fmt.Sprint(kind, offset), state.ProcessID{Name: "e1", Incarnation: "i"}, kind, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return state.Positioned{Offset: offset, Time: time.Now(), Record: record}
+}
+
+func (b *homeBench) change(kind state.EntityKind, name string, value any) {
+	data, _ := json.Marshal(value)
+	body := state.ConfigChange{Entity: kind, Name: name, Value: data, Actor: "op"}
+	if out := b.config.Apply(positioned(b.t, b.config.Offset()+1, state.KindConfigChange, body)); out.Effect != state.EffectApplied {
+		b.t.Fatalf("%s: %v", name, out.Reasons)
+	}
+}
+
+func (b *homeBench) wake(name string) rpc.WakeResult {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wakes = append(b.wakes, name)
+	switch {
+	case b.refuse[name]:
+		return rpc.WakeResult{Refusal: verdict.Refuse(verdict.ReasonNoCapacity, "test")}
+	case b.loaded[name]:
+		return rpc.WakeResult{State: state.ReplicaReady}
+	}
+	time.AfterFunc(time.Second, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.loaded[name] = true
+	})
+	return rpc.WakeResult{State: state.ReplicaLoading, ReadyIn: state.Duration(time.Second)}
+}
+
+func (b *homeBench) status(name string) rpc.AgentStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var status rpc.AgentStatus
+	if b.loaded[name] {
+		status.Heartbeat.Replicas = []state.Replica{{ReplicaKey: testReplica, Upstream: state.UpstreamName(name), State: state.ReplicaReady}}
+	}
+	return status
+}
+
+// woken lists the upstreams with wake calls.
+func (b *homeBench) woken() map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	names := make(map[string]bool)
+	for _, name := range b.wakes {
+		names[name] = true
+	}
+	return names
+}
+
+// ask sends the demand of an entry until a set of want replicas comes.
+func (b *homeBench) ask(entry string, waiting, want int) []rpc.ReplicaAt {
+	params := rpc.DemandParams{ReplicaKey: testReplica, Entry: state.EntryName(entry), Wait: state.Duration(time.Second)}
+	params.Backlog.Waiting[state.ClassNormal] = waiting
+	params.Backlog.Work = state.Duration(time.Duration(waiting) * 100 * time.Millisecond)
+	for range 20 {
+		result, err := b.demand(b.t.Context(), params)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		params.Known = result.SetVersion
+		if result.Changed && len(result.Replicas) == want {
+			return result.Replicas
+		}
+	}
+	b.t.Fatalf("%s got no set of %d replicas", entry, want)
+	return nil
+}
+
+// Guards against a wake per entry instead of one per decided replica, and
+// against questions that are never answered.
+func TestBurstWakesOneReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newHomeBench(t)
+		defer b.end()
+		var entries sync.WaitGroup
+		for i := range 20 {
+			entries.Go(func() { b.ask(fmt.Sprint("e", i), 1, 1) })
+		}
+		entries.Wait()
+		g.Expect(b.woken()).To(HaveLen(1))
+	})
+}
+
+// Guards against a second replica beside a loaded one at a home that knows
+// only part of the upstreams, as after a move.
+func TestNewHomeFindsLoadedReplica(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newHomeBench(t)
+			defer b.end()
+			b.loaded["u1"] = true
+			if change {
+				gone := rpc.ReplicaAt{Replica: state.Replica{ReplicaKey: testReplica, Upstream: "u0", State: state.ReplicaUnloading}, Agent: 1}
+				b.post(t.Context(), changesReceived{changes: []rpc.ReplicaChange{{Replica: gone}}})
+			}
+			set := b.ask("e1", 1, 1)
+			g.Expect(set[0].Upstream).To(Equal(state.UpstreamName("u1")))
+			g.Expect(b.woken()).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a refusal that ends the wake of a model.
+func TestRefusedWakeTriesOtherGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newHomeBench(t)
+		defer b.end()
+		b.refuse["u0"] = true
+		g.Expect(b.ask("e1", 1, 1)[0].Upstream).To(Equal(state.UpstreamName("u1")))
+	})
+}
+
+// Guards against a home that has moved away and still wakes replicas.
+func TestMovedHomeOrdersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newHomeBench(t)
+		b.end()
+		now := time.Now()
+		b.homes.of(testReplica).probeUntil = now.Add(-time.Second)
+		demand := demandReceived{params: rpc.DemandParams{ReplicaKey: testReplica, Entry: "e1"}, reply: make(chan rpc.DemandResult, 1)}
+		demand.params.Backlog.Waiting[state.ClassNormal] = 1
+		demand.apply(b.control, now)
+		g.Expect(b.homes.wakes).To(HaveLen(1))
+		order := b.homes.wakes[0]
+		b.homes.wakes = nil
+		b.peers.setLive([]state.EntryName{"other"})
+		b.loseHomes()
+		wakeAnswered{order: order, result: rpc.WakeResult{Refusal: verdict.Refuse(verdict.ReasonNoCapacity, "")}}.apply(b.control, now)
+		g.Expect(b.homes.wakes).To(BeEmpty())
+	})
+}
+
+// Guards against a drain that entries with the current set never hear of, and
+// against a late change of an agent's predecessor that replaces the newer one.
+func TestSetFollowsDrainAndRegistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newHomeBench(t)
+		defer b.end()
+		b.loaded["u0"] = true
+		first := b.ask("e1", 0, 1)
+		late := first[0]
+		late.Agent, late.AgentIncarnation = 0, "before"
+		b.post(t.Context(), changesReceived{changes: []rpc.ReplicaChange{{Replica: late}, {Replica: late, Gone: true}}})
+		g.Expect(b.ask("e2", 0, 1)).To(Equal(first))
+		restarted := first[0]
+		restarted.AgentIncarnation = "after"
+		b.post(t.Context(), changesReceived{changes: []rpc.ReplicaChange{{Replica: restarted}}})
+		g.Expect(b.ask("e2", 0, 1)[0].AgentIncarnation).To(Equal("after"))
+		current, _ := b.demand(t.Context(), rpc.DemandParams{ReplicaKey: testReplica, Entry: "e1"})
+		drained := make(chan time.Duration, 1)
+		asked := time.Now()
+		go func() {
+			params := rpc.DemandParams{ReplicaKey: testReplica, Entry: "e1", Known: current.SetVersion, Wait: state.Duration(5 * time.Second)}
+			result, _ := b.demand(t.Context(), params)
+			if result.Changed && len(result.Replicas) == 0 {
+				drained <- time.Since(asked)
+			}
+			close(drained)
+		}()
+		synctest.Wait()
+		b.post(t.Context(), drainSet{b})
+		g.Expect(<-drained).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Second)))
+	})
+}
+
+// drainSet drains u0 by configuration on the control goroutine.
+type drainSet struct{ bench *homeBench }
+
+func (e drainSet) apply(*control, time.Time) {
+	e.bench.change(state.EntityDrain, "upstream/u0", state.Drain{Upstream: "u0"})
+}
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -12,6 +12,12 @@
 // probeTimeout bounds the time in which a new home finds out what is loaded.
 const probeTimeout = 300 * time.Millisecond
 
+// homeProbe is a question of a new home.
+type homeProbe struct {
+	home *home
+	run  command
+}
+
 // probe asks the agents of a model's grants what they have loaded. A new home
 // knows nothing, because the entry has just started or has just become the
 // home; watchers tell it only within a second.
@@ -25,13 +31,13 @@
 		}
 		h.probing++
 		at := replicaAt(upstream, c.region.View(), h.key)
-		c.homes.probes = append(c.homes.probes, func(ctx context.Context) event {
+		c.homes.probes = append(c.homes.probes, homeProbe{home: h, run: func(ctx context.Context) event {
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
 			var status rpc.AgentStatus
 			err := c.deps.caller.Call(ctx, upstream.ControlAddr, rpc.MethodAgentStatus, struct{}{}, &status)
 			return probeAnswered{home: h, at: at, status: status, failed: err != nil}
-		})
+		}})
 	}
 }
 
@@ -46,6 +52,9 @@
 func (e probeAnswered) apply(c *control, now time.Time) {
 	h := e.home
 	h.probing--
+	if c.homes.byKey[h.key] != h {
+		return // The home has moved away meanwhile.
+	}
 	if !e.failed {
 		for _, replica := range e.status.Heartbeat.Replicas {
 			if replica.ReplicaKey == h.key && replica.State != state.ReplicaUnloading {
