--- /dev/null
+++ b/internal/entry/counters_test.go
@@ -0,0 +1,6 @@
+package entry
+
+// noCounters counts nothing. It implements counters.
+type noCounters struct{}
+
+func (noCounters) Add(string, uint64) {}
--- a/internal/entry/part_test.go
+++ b/internal/entry/part_test.go
@@ -22,7 +22,7 @@
 
 func newPartEntry() *partEntry {
 	cfg := controlConfig{name: "e", region: "north"}
-	return &partEntry{control: newControl(cfg, controlDeps{logger: slog.New(slog.DiscardHandler)}, time.Now())}
+	return &partEntry{control: newControl(cfg, controlDeps{logger: slog.New(slog.DiscardHandler), counters: noCounters{}}, time.Now())}
 }
 
 // read applies a registration of an upstream's agent and publishes.
