entry: ask again about replicas that refuse requests

Cause: a home learns of a replica from its own wake; if the engine loses the replica before the watcher has heard of it, the watcher never reports its end, and the home kept it in the set for ever. Seen by TestScripts/quarantine: no load anywhere for 20 s after a crash. Change: entries name the upstreams that refused as not ready; the home takes them out of the set until their agents have answered again. TestMissingReplicaIsLoadedAgain fails without the question.

--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -125,7 +125,7 @@
 		}
 	}()
 	result, err := f.demand(ctx, rpc.DemandParams{
-		ReplicaKey: t.key, Entry: f.control.cfg.name, Backlog: backlog, Known: known, Wait: state.Duration(wait),
+		ReplicaKey: t.key, Missing: route.takeMissing(), Entry: f.control.cfg.name, Backlog: backlog, Known: known, Wait: state.Duration(wait),
 	})
 	interrupted := ctx.Err() == context.Canceled
 	cancel()
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -139,12 +139,30 @@
 	}
 	h.lastUsed = now
 	h.demands[e.params.Entry] = demandSeen{backlog: e.params.Backlog, at: now}
+	h.doubt(c, e.params.Missing, now)
 	c.decideHome(h, now)
 	parked := parkedDemand{known: e.params.Known, until: now.Add(e.params.Wait.Std()), reply: e.reply}
 	h.parked = append(h.parked, parked)
 	h.answer(c, now)
 }
 
+// doubt takes replicas that refused an entry's request out of the set until
+// their agents have said again what is loaded. A watcher tells of a replica's
+// end only if it had heard of the replica, which may have been too young.
+func (h *home) doubt(c *control, missing []state.UpstreamName, now time.Time) {
+	for _, name := range missing {
+		replica, ok := h.replicas[name]
+		if !ok || replica.at.State != state.ReplicaReady || replica.polling {
+			continue
+		}
+		replica.at.State = state.ReplicaLoading
+		replica.readyAt = now.Add(wakePoll)
+		replica.woken = time.Time{}
+		c.homes.bump(h)
+		c.pollLoading(h, replica, now)
+	}
+}
+
 // answer replies to the questions that have waited long enough or whose set
 // has changed.
 func (h *home) answer(c *control, now time.Time) {
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -247,3 +247,26 @@
 func (e drainSet) apply(*control, time.Time) {
 	e.bench.change(state.EntityDrain, "upstream/u0", state.Drain{Upstream: "u0"})
 }
+
+// Guards against a replica that stays in the set after its engine has lost it,
+// because it went before its watcher had heard of it.
+func TestMissingReplicaIsLoadedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newHomeBench(t)
+		defer b.end()
+		held := b.ask("e2", 1, 1)[0].Upstream
+		b.mu.Lock()
+		b.loaded[string(held)] = false
+		b.mu.Unlock()
+		result, err := b.demand(t.Context(), rpc.DemandParams{
+			ReplicaKey: testReplica, Entry: "e2", Missing: []state.UpstreamName{held}, Backlog: rpc.Backlog{Waiting: [state.ClassCount]int{0, 1}},
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Replicas).To(BeEmpty())
+		g.Expect(b.ask("e2", 1, 1)).To(HaveLen(1))
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		g.Expect(b.loaded[string(held)]).To(BeTrue())
+	})
+}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -43,7 +43,10 @@
 	coldStarted func(t target, d time.Duration)
 	arrivals    rateMeter
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// missing lists upstreams that refused requests as not ready, for the
+	// next question to the home.
+	missing    []state.UpstreamName
 	rng        *rand.Rand
 	trackers   [kindCount]*routing.LatencyTracker
 	beliefs    *routing.PrefixBeliefs
@@ -136,10 +139,26 @@
 		return replica.Upstream == upstream
 	})
 	if len(rest) < len(old.replicas) {
+		r.noteMissing(upstream)
 		r.setReplicas(0, rest, loads)
 	}
 }
 
+func (r *route) noteMissing(upstream state.UpstreamName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.missing = append(r.missing, upstream)
+}
+
+// takeMissing returns the upstreams noted since the last call.
+func (r *route) takeMissing() []state.UpstreamName {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	missing := r.missing
+	r.missing = nil
+	return missing
+}
+
 func (r *route) forgetAbsent(set *replicaSet) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -182,6 +182,9 @@
 	state.ReplicaKey
 	Entry   state.EntryName `json:"entry"`
 	Backlog Backlog         `json:"backlog"`
+	// Missing lists upstreams of the set that refused requests because the
+	// replica is not ready there, or that could not be reached.
+	Missing []state.UpstreamName `json:"missing,omitempty"`
 	// Known is the version of the replica set that the entry has.
 	Known uint64 `json:"known"`
 	// Wait is how long the home may hold the answer until the set changes.
