--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -36,9 +36,10 @@
 		return state.Outcome{}, changeTimedOut()
 	}
 	defer c.post(context.WithoutCancel(ctx), waiterRemoved{record: record.ID})
-	if _, err := c.deps.appender.Append(ctx, platform.StreamConfig, record); err != nil {
+	if _, err := c.deps.appender.Append(ctx, platform.StreamConfig, record); errors.Is(err, platform.ErrUnavailable) {
 		return state.Outcome{}, appendVerdict(err)
 	}
+	// After an append of unknown outcome the record's place tells as well.
 	select {
 	case outcome := <-placed:
 		return outcome, changeVerdict(outcome)
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -119,9 +119,7 @@
 	c.decider.planned = now
 	plan := placement.Make(c.planInput(held.Epoch, now))
 	if records := c.planRecords(plan); len(records) > 0 {
-		c.decider.appending = true
-		c.appendRegion(ctx, records, func(last state.Offset) event { return planAppended{last: last} })
-		return
+		c.decider.appending = c.appendRegion(ctx, records, func(last state.Offset) event { return planAppended{last: last} })
 	}
 	c.snapshotIfDue(ctx, now)
 }
@@ -149,8 +147,7 @@
 	if err != nil {
 		return
 	}
-	c.decider.leasing = true
-	c.appendRegion(ctx, []state.Record{record}, func(state.Offset) event { return leaseAppended{} })
+	c.decider.leasing = c.appendRegion(ctx, []state.Record{record}, func(state.Offset) event { return leaseAppended{} })
 }
 
 // leaseAppended ends an append of the lease, whatever its outcome: whether it
@@ -167,8 +164,9 @@
 	c.decider.seen = max(c.decider.seen, e.last)
 }
 
-func (c *control) appendRegion(ctx context.Context, records []state.Record, done func(last state.Offset) event) {
-	started := c.start(ctx, func(ctx context.Context) event {
+// appendRegion starts an append and reports whether it could be started.
+func (c *control) appendRegion(ctx context.Context, records []state.Record, done func(last state.Offset) event) bool {
+	return c.start(ctx, func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		offsets, err := c.deps.appender.Append(ctx, platform.RegionStream(c.cfg.region), records...)
@@ -181,9 +179,6 @@
 		}
 		return done(last)
 	})
-	if !started {
-		c.decider.appending, c.decider.leasing = false, false
-	}
 }
 
 func (c *control) planInput(epoch state.Epoch, now time.Time) placement.Input {
--- a/internal/entry/snapshots.go
+++ b/internal/entry/snapshots.go
@@ -15,6 +15,9 @@
 	// snapshotRecords is how many records after the last snapshot make a new
 	// one due.
 	snapshotRecords = 10_000
+	// firstSnapshot is the time from a decider's first plan to its first
+	// snapshot.
+	firstSnapshot = time.Minute
 	// snapshotTimeout bounds the writing of a snapshot.
 	snapshotTimeout = time.Minute
 )
@@ -33,7 +36,9 @@
 func (c *control) snapshotIfDue(ctx context.Context, now time.Time) {
 	s := &c.decider.snapshot
 	if s.at.IsZero() {
-		s.at = now
+		// Takeovers must not put the next snapshot off again and again, so a
+		// new decider writes its first one soon.
+		s.at = now.Add(firstSnapshot - c.cfg.retention/4)
 		s.region, s.config = c.region.Offset(), c.config.Offset()
 		return
 	}
