--- /dev/null
+++ b/internal/entry/home_wakes.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// orderWake notes that an agent is to load; runWakes calls it.
+func (c *control) orderWake(h *home, config *state.ConfigView, name state.UpstreamName, adapter state.AdapterName, benefit float64, now time.Time) {
+	upstream, _, ok := config.Upstream(name)
+	if !ok {
+		return
+	}
+	at := replicaAt(upstream, c.region.View(), h.key)
+	if adapter == "" {
+		at.State = state.ReplicaLoading
+		h.replicas[name] = &homeReplica{at: at, readyAt: now.Add(h.loadTime), polled: now, polling: true, woken: now}
+	} else if known, ok := h.replicas[name]; ok {
+		if known.polling {
+			return
+		}
+		known.polling = true
+	}
+	c.homes.wakes = append(c.homes.wakes, wakeOrder{
+		home: h, address: upstream.ControlAddr, replica: at,
+		params: rpc.WakeParams{ReplicaKey: h.key, Adapter: adapter, Benefit: benefit},
+	})
+}
+
+func (c *control) pollLoading(h *home, replica *homeReplica, now time.Time) {
+	replica.polled = now
+	replica.polling = true
+	c.homes.wakes = append(c.homes.wakes, wakeOrder{
+		home: h, address: replica.at.ControlAddr, replica: replica.at,
+		params: rpc.WakeParams{ReplicaKey: h.key, Benefit: h.benefit},
+	})
+}
+
+// runWakes sends the ordered wakes.
+func (c *control) runWakes(ctx context.Context) {
+	for _, probe := range c.homes.probes {
+		if !c.start(ctx, probe.run) {
+			probe.home.probing--
+		}
+	}
+	c.homes.probes = c.homes.probes[:0]
+	for _, order := range c.homes.wakes {
+		started := c.start(ctx, func(ctx context.Context) event {
+			ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
+			defer cancel()
+			var result rpc.WakeResult
+			err := c.deps.caller.Call(ctx, order.address, rpc.MethodWake, order.params, &result)
+			return wakeAnswered{order: order, result: result, err: err}
+		})
+		if !started {
+			if replica, ok := order.home.replicas[order.replica.Upstream]; ok {
+				replica.polling = false
+			}
+		}
+	}
+	c.homes.wakes = c.homes.wakes[:0]
+}
+
+// wakeAnswered is an agent's answer to a wake.
+type wakeAnswered struct {
+	order  wakeOrder
+	result rpc.WakeResult
+	err    error
+}
+
+func (e wakeAnswered) apply(c *control, now time.Time) {
+	h := e.order.home
+	name := e.order.replica.Upstream
+	replica, ok := h.replicas[name]
+	if !ok || c.homes.byKey[h.key] != h {
+		// A home that has moved away decides nothing any more, or it would
+		// wake a replica beside those of its successor.
+		return
+	}
+	replica.polling = false
+	switch {
+	case e.err != nil || e.result.Refusal != nil:
+		if e.order.params.Adapter != "" {
+			// The base model stays loaded; whether its agent is gone is for
+			// the watcher to say.
+			return
+		}
+		delete(h.replicas, name)
+		h.refused[name] = now.Add(refusedFor)
+		c.homes.bump(h)
+	case e.result.State == state.ReplicaReady:
+		h.becameReady(c, replica, e.order.params.Adapter, now)
+	default:
+		replica.readyAt = now.Add(e.result.ReadyIn.Std())
+	}
+	c.decideHome(h, now)
+	h.answer(c, now)
+}
+
+func (h *home) becameReady(c *control, replica *homeReplica, adapter state.AdapterName, now time.Time) {
+	if adapter != "" && !slices.Contains(replica.at.Adapters, adapter) {
+		replica.at.Adapters = append(slices.Clone(replica.at.Adapters), adapter)
+		c.homes.bump(h)
+	}
+	if replica.at.State == state.ReplicaReady {
+		return
+	}
+	replica.at.State = state.ReplicaReady
+	if !replica.woken.IsZero() {
+		h.loadTime = (h.loadTime + now.Sub(replica.woken)) / 2
+	}
+	c.homes.bump(h)
+}
