--- a/internal/demo/layout.go
+++ b/internal/demo/layout.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/loopback"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/standin"
@@ -74,16 +74,14 @@
 	return l, nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
 func freeAddresses(ctx context.Context, n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	addresses := make([]string, n)
+	for i := range addresses {
+		address, err := loopback.FreeAddress(ctx)
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			return nil, err
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		addresses[i] = address
 	}
 	return addresses, nil
 }
--- a/internal/roles/system_test.go
+++ b/internal/roles/system_test.go
@@ -27,6 +27,7 @@
 	"github.com/google/uuid"
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/loopback"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/roles"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
@@ -76,10 +77,9 @@
 }
 
 func (s *system) freeAddress() string {
-	listener, err := new(net.ListenConfig).Listen(s.t.Context(), "tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress(s.t.Context())
 	s.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 func (s *system) serve(handler http.Handler) string {
