entry: take callers by name only; find the route before admission

Cause: the interface named a caller's token that no setting could require; a refusal by admission left no route, which passing the request on would need. Measured: `go test ./internal/entry` passes.

--- a/design/callers.go
+++ b/design/callers.go
@@ -5,8 +5,7 @@
 )
 
 func requestAttributes() {
-	Attribute("caller", String, "Name of the caller.")
-	Attribute("authorization", String, "Bearer token of the caller, where tokens are required.")
+	Attribute("caller", String, "Name of the caller. The platform's load balancer vouches for it.")
 	Attribute("deadline_ms", Int64, "Time that the caller waits for the whole answer; default 30000.", func() {
 		Example(5000)
 	})
@@ -18,7 +17,6 @@
 
 func requestHeaders() {
 	Header("caller:Lagoon-Caller")
-	Header("authorization:Authorization")
 	Header("deadline_ms:Lagoon-Deadline-Ms")
 	Header("priority:Lagoon-Priority")
 	Header("idempotency_key:Idempotency-Key")
--- a/gen/callers/service.go
+++ b/gen/callers/service.go
@@ -56,10 +56,8 @@
 
 // CallPayload is the payload type of the callers service call method.
 type CallPayload struct {
-	// Name of the caller.
+	// Name of the caller. The platform's load balancer vouches for it.
 	Caller *string
-	// Bearer token of the caller, where tokens are required.
-	Authorization *string
 	// Time that the caller waits for the whole answer; default 30000.
 	DeadlineMs *int64
 	// Priority class; capped by the caller's configuration.
@@ -74,10 +72,8 @@
 
 // ChatPayload is the payload type of the callers service chat method.
 type ChatPayload struct {
-	// Name of the caller.
+	// Name of the caller. The platform's load balancer vouches for it.
 	Caller *string
-	// Bearer token of the caller, where tokens are required.
-	Authorization *string
 	// Time that the caller waits for the whole answer; default 30000.
 	DeadlineMs *int64
 	// Priority class; capped by the caller's configuration.
@@ -89,10 +85,8 @@
 // CompletionsPayload is the payload type of the callers service completions
 // method.
 type CompletionsPayload struct {
-	// Name of the caller.
+	// Name of the caller. The platform's load balancer vouches for it.
 	Caller *string
-	// Bearer token of the caller, where tokens are required.
-	Authorization *string
 	// Time that the caller waits for the whole answer; default 30000.
 	DeadlineMs *int64
 	// Priority class; capped by the caller's configuration.
--- a/gen/http/callers/client/cli.go
+++ b/gen/http/callers/client/cli.go
@@ -17,7 +17,7 @@
 
 // BuildCompletionsPayload builds the payload for the callers completions
 // endpoint from CLI flags.
-func BuildCompletionsPayload(callersCompletionsCaller string, callersCompletionsAuthorization string, callersCompletionsDeadlineMs string, callersCompletionsPriority string, callersCompletionsIdempotencyKey string) (*callers.CompletionsPayload, error) {
+func BuildCompletionsPayload(callersCompletionsCaller string, callersCompletionsDeadlineMs string, callersCompletionsPriority string, callersCompletionsIdempotencyKey string) (*callers.CompletionsPayload, error) {
 	var err error
 	var caller *string
 	{
@@ -25,12 +25,6 @@
 			caller = &callersCompletionsCaller
 		}
 	}
-	var authorization *string
-	{
-		if callersCompletionsAuthorization != "" {
-			authorization = &callersCompletionsAuthorization
-		}
-	}
 	var deadlineMs *int64
 	{
 		if callersCompletionsDeadlineMs != "" {
@@ -61,7 +55,6 @@
 	}
 	v := &callers.CompletionsPayload{}
 	v.Caller = caller
-	v.Authorization = authorization
 	v.DeadlineMs = deadlineMs
 	v.Priority = priority
 	v.IdempotencyKey = idempotencyKey
@@ -71,7 +64,7 @@
 
 // BuildChatPayload builds the payload for the callers chat endpoint from CLI
 // flags.
-func BuildChatPayload(callersChatCaller string, callersChatAuthorization string, callersChatDeadlineMs string, callersChatPriority string, callersChatIdempotencyKey string) (*callers.ChatPayload, error) {
+func BuildChatPayload(callersChatCaller string, callersChatDeadlineMs string, callersChatPriority string, callersChatIdempotencyKey string) (*callers.ChatPayload, error) {
 	var err error
 	var caller *string
 	{
@@ -79,12 +72,6 @@
 			caller = &callersChatCaller
 		}
 	}
-	var authorization *string
-	{
-		if callersChatAuthorization != "" {
-			authorization = &callersChatAuthorization
-		}
-	}
 	var deadlineMs *int64
 	{
 		if callersChatDeadlineMs != "" {
@@ -115,7 +102,6 @@
 	}
 	v := &callers.ChatPayload{}
 	v.Caller = caller
-	v.Authorization = authorization
 	v.DeadlineMs = deadlineMs
 	v.Priority = priority
 	v.IdempotencyKey = idempotencyKey
@@ -125,7 +111,7 @@
 
 // BuildCallPayload builds the payload for the callers call endpoint from CLI
 // flags.
-func BuildCallPayload(callersCallService string, callersCallPath string, callersCallCaller string, callersCallAuthorization string, callersCallDeadlineMs string, callersCallPriority string, callersCallIdempotencyKey string) (*callers.CallPayload, error) {
+func BuildCallPayload(callersCallService string, callersCallPath string, callersCallCaller string, callersCallDeadlineMs string, callersCallPriority string, callersCallIdempotencyKey string) (*callers.CallPayload, error) {
 	var err error
 	var service string
 	{
@@ -141,12 +127,6 @@
 			caller = &callersCallCaller
 		}
 	}
-	var authorization *string
-	{
-		if callersCallAuthorization != "" {
-			authorization = &callersCallAuthorization
-		}
-	}
 	var deadlineMs *int64
 	{
 		if callersCallDeadlineMs != "" {
@@ -179,7 +159,6 @@
 	v.Service = service
 	v.Path = path
 	v.Caller = caller
-	v.Authorization = authorization
 	v.DeadlineMs = deadlineMs
 	v.Priority = priority
 	v.IdempotencyKey = idempotencyKey
--- a/gen/http/callers/client/encode_decode.go
+++ b/gen/http/callers/client/encode_decode.go
@@ -56,10 +56,6 @@
 			head := *p.Caller
 			req.Header.Set("Lagoon-Caller", head)
 		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
 		if p.DeadlineMs != nil {
 			head := *p.DeadlineMs
 			headStr := strconv.FormatInt(head, 10)
@@ -151,10 +147,6 @@
 			head := *p.Caller
 			req.Header.Set("Lagoon-Caller", head)
 		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
 		if p.DeadlineMs != nil {
 			head := *p.DeadlineMs
 			headStr := strconv.FormatInt(head, 10)
@@ -253,10 +245,6 @@
 			head := *p.Caller
 			req.Header.Set("Lagoon-Caller", head)
 		}
-		if p.Authorization != nil {
-			head := *p.Authorization
-			req.Header.Set("Authorization", head)
-		}
 		if p.DeadlineMs != nil {
 			head := *p.DeadlineMs
 			headStr := strconv.FormatInt(head, 10)
--- a/gen/http/callers/server/encode_decode.go
+++ b/gen/http/callers/server/encode_decode.go
@@ -32,7 +32,6 @@
 		var payload *callers.CompletionsPayload
 		var (
 			caller         *string
-			authorization  *string
 			deadlineMs     *int64
 			priority       *string
 			idempotencyKey *string
@@ -42,10 +41,6 @@
 		if callerRaw != "" {
 			caller = &callerRaw
 		}
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
 		{
 			deadlineMsRaw := r.Header.Get("Lagoon-Deadline-Ms")
 			if deadlineMsRaw != "" {
@@ -72,7 +67,7 @@
 		if err != nil {
 			return payload, err
 		}
-		payload = NewCompletionsPayload(caller, authorization, deadlineMs, priority, idempotencyKey)
+		payload = NewCompletionsPayload(caller, deadlineMs, priority, idempotencyKey)
 
 		return payload, nil
 	}
@@ -93,7 +88,6 @@
 		var payload *callers.ChatPayload
 		var (
 			caller         *string
-			authorization  *string
 			deadlineMs     *int64
 			priority       *string
 			idempotencyKey *string
@@ -103,10 +97,6 @@
 		if callerRaw != "" {
 			caller = &callerRaw
 		}
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
 		{
 			deadlineMsRaw := r.Header.Get("Lagoon-Deadline-Ms")
 			if deadlineMsRaw != "" {
@@ -133,7 +123,7 @@
 		if err != nil {
 			return payload, err
 		}
-		payload = NewChatPayload(caller, authorization, deadlineMs, priority, idempotencyKey)
+		payload = NewChatPayload(caller, deadlineMs, priority, idempotencyKey)
 
 		return payload, nil
 	}
@@ -156,7 +146,6 @@
 			service        string
 			path           string
 			caller         *string
-			authorization  *string
 			deadlineMs     *int64
 			priority       *string
 			idempotencyKey *string
@@ -170,10 +159,6 @@
 		if callerRaw != "" {
 			caller = &callerRaw
 		}
-		authorizationRaw := r.Header.Get("Authorization")
-		if authorizationRaw != "" {
-			authorization = &authorizationRaw
-		}
 		{
 			deadlineMsRaw := r.Header.Get("Lagoon-Deadline-Ms")
 			if deadlineMsRaw != "" {
@@ -200,7 +185,7 @@
 		if err != nil {
 			return payload, err
 		}
-		payload = NewCallPayload(service, path, caller, authorization, deadlineMs, priority, idempotencyKey)
+		payload = NewCallPayload(service, path, caller, deadlineMs, priority, idempotencyKey)
 
 		return payload, nil
 	}
--- a/gen/http/callers/server/types.go
+++ b/gen/http/callers/server/types.go
@@ -53,10 +53,9 @@
 }
 
 // NewCompletionsPayload builds a callers service completions endpoint payload.
-func NewCompletionsPayload(caller *string, authorization *string, deadlineMs *int64, priority *string, idempotencyKey *string) *callers.CompletionsPayload {
+func NewCompletionsPayload(caller *string, deadlineMs *int64, priority *string, idempotencyKey *string) *callers.CompletionsPayload {
 	v := &callers.CompletionsPayload{}
 	v.Caller = caller
-	v.Authorization = authorization
 	v.DeadlineMs = deadlineMs
 	v.Priority = priority
 	v.IdempotencyKey = idempotencyKey
@@ -65,10 +64,9 @@
 }
 
 // NewChatPayload builds a callers service chat endpoint payload.
-func NewChatPayload(caller *string, authorization *string, deadlineMs *int64, priority *string, idempotencyKey *string) *callers.ChatPayload {
+func NewChatPayload(caller *string, deadlineMs *int64, priority *string, idempotencyKey *string) *callers.ChatPayload {
 	v := &callers.ChatPayload{}
 	v.Caller = caller
-	v.Authorization = authorization
 	v.DeadlineMs = deadlineMs
 	v.Priority = priority
 	v.IdempotencyKey = idempotencyKey
@@ -77,12 +75,11 @@
 }
 
 // NewCallPayload builds a callers service call endpoint payload.
-func NewCallPayload(service string, path string, caller *string, authorization *string, deadlineMs *int64, priority *string, idempotencyKey *string) *callers.CallPayload {
+func NewCallPayload(service string, path string, caller *string, deadlineMs *int64, priority *string, idempotencyKey *string) *callers.CallPayload {
 	v := &callers.CallPayload{}
 	v.Service = service
 	v.Path = path
 	v.Caller = caller
-	v.Authorization = authorization
 	v.DeadlineMs = deadlineMs
 	v.Priority = priority
 	v.IdempotencyKey = idempotencyKey
--- a/gen/http/cli/entry/cli.go
+++ b/gen/http/cli/entry/cli.go
@@ -33,7 +33,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "callers completions --caller \"Aut incidunt non sit facilis.\" --authorization \"Dolor quod modi voluptates corporis.\" --deadline-ms 5000 --priority \"high\" --idempotency-key \"Rerum dolor similique quis aperiam.\" --stream \"goa.png\"" + "\n" +
+	return os.Args[0] + " " + "callers completions --caller \"Ducimus dolorum.\" --deadline-ms 5000 --priority \"low\" --idempotency-key \"Voluptates ad ut aut et.\" --stream \"goa.png\"" + "\n" +
 		os.Args[0] + " " + "operators operate --body '{\n      \"statement\": \"show loaded by model\"\n   }' --authorization \"Voluptas esse explicabo cupiditate libero voluptates non.\"" + "\n" +
 		os.Args[0] + " " + "health live" + "\n" +
 		""
@@ -53,7 +53,6 @@
 
 		callersCompletionsFlags              = flag.NewFlagSet("completions", flag.ExitOnError)
 		callersCompletionsCallerFlag         = callersCompletionsFlags.String("caller", "", "")
-		callersCompletionsAuthorizationFlag  = callersCompletionsFlags.String("authorization", "", "")
 		callersCompletionsDeadlineMsFlag     = callersCompletionsFlags.String("deadline-ms", "", "")
 		callersCompletionsPriorityFlag       = callersCompletionsFlags.String("priority", "", "")
 		callersCompletionsIdempotencyKeyFlag = callersCompletionsFlags.String("idempotency-key", "", "")
@@ -61,7 +60,6 @@
 
 		callersChatFlags              = flag.NewFlagSet("chat", flag.ExitOnError)
 		callersChatCallerFlag         = callersChatFlags.String("caller", "", "")
-		callersChatAuthorizationFlag  = callersChatFlags.String("authorization", "", "")
 		callersChatDeadlineMsFlag     = callersChatFlags.String("deadline-ms", "", "")
 		callersChatPriorityFlag       = callersChatFlags.String("priority", "", "")
 		callersChatIdempotencyKeyFlag = callersChatFlags.String("idempotency-key", "", "")
@@ -71,7 +69,6 @@
 		callersCallServiceFlag        = callersCallFlags.String("service", "REQUIRED", "Name of the service.")
 		callersCallPathFlag           = callersCallFlags.String("path", "REQUIRED", "Path below the service.")
 		callersCallCallerFlag         = callersCallFlags.String("caller", "", "")
-		callersCallAuthorizationFlag  = callersCallFlags.String("authorization", "", "")
 		callersCallDeadlineMsFlag     = callersCallFlags.String("deadline-ms", "", "")
 		callersCallPriorityFlag       = callersCallFlags.String("priority", "", "")
 		callersCallIdempotencyKeyFlag = callersCallFlags.String("idempotency-key", "", "")
@@ -240,19 +237,19 @@
 			switch epn {
 			case "completions":
 				endpoint = c.Completions()
-				data, err = callersc.BuildCompletionsPayload(*callersCompletionsCallerFlag, *callersCompletionsAuthorizationFlag, *callersCompletionsDeadlineMsFlag, *callersCompletionsPriorityFlag, *callersCompletionsIdempotencyKeyFlag)
+				data, err = callersc.BuildCompletionsPayload(*callersCompletionsCallerFlag, *callersCompletionsDeadlineMsFlag, *callersCompletionsPriorityFlag, *callersCompletionsIdempotencyKeyFlag)
 				if err == nil {
 					data, err = callersc.BuildCompletionsStreamPayload(data, *callersCompletionsStreamFlag)
 				}
 			case "chat":
 				endpoint = c.Chat()
-				data, err = callersc.BuildChatPayload(*callersChatCallerFlag, *callersChatAuthorizationFlag, *callersChatDeadlineMsFlag, *callersChatPriorityFlag, *callersChatIdempotencyKeyFlag)
+				data, err = callersc.BuildChatPayload(*callersChatCallerFlag, *callersChatDeadlineMsFlag, *callersChatPriorityFlag, *callersChatIdempotencyKeyFlag)
 				if err == nil {
 					data, err = callersc.BuildChatStreamPayload(data, *callersChatStreamFlag)
 				}
 			case "call":
 				endpoint = c.Call()
-				data, err = callersc.BuildCallPayload(*callersCallServiceFlag, *callersCallPathFlag, *callersCallCallerFlag, *callersCallAuthorizationFlag, *callersCallDeadlineMsFlag, *callersCallPriorityFlag, *callersCallIdempotencyKeyFlag)
+				data, err = callersc.BuildCallPayload(*callersCallServiceFlag, *callersCallPathFlag, *callersCallCallerFlag, *callersCallDeadlineMsFlag, *callersCallPriorityFlag, *callersCallIdempotencyKeyFlag)
 				if err == nil {
 					data, err = callersc.BuildCallStreamPayload(data, *callersCallStreamFlag)
 				}
@@ -312,7 +309,6 @@
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] callers completions", os.Args[0])
 	fmt.Fprint(os.Stderr, " -caller STRING")
-	fmt.Fprint(os.Stderr, " -authorization STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT64")
 	fmt.Fprint(os.Stderr, " -priority STRING")
 	fmt.Fprint(os.Stderr, " -idempotency-key STRING")
@@ -325,7 +321,6 @@
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -caller STRING: `)
-	fmt.Fprintln(os.Stderr, `    -authorization STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT64: `)
 	fmt.Fprintln(os.Stderr, `    -priority STRING: `)
 	fmt.Fprintln(os.Stderr, `    -idempotency-key STRING: `)
@@ -333,14 +328,13 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers completions --caller \"Aut incidunt non sit facilis.\" --authorization \"Dolor quod modi voluptates corporis.\" --deadline-ms 5000 --priority \"high\" --idempotency-key \"Rerum dolor similique quis aperiam.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers completions --caller \"Ducimus dolorum.\" --deadline-ms 5000 --priority \"low\" --idempotency-key \"Voluptates ad ut aut et.\" --stream \"goa.png\"")
 }
 
 func callersChatUsage() {
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] callers chat", os.Args[0])
 	fmt.Fprint(os.Stderr, " -caller STRING")
-	fmt.Fprint(os.Stderr, " -authorization STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT64")
 	fmt.Fprint(os.Stderr, " -priority STRING")
 	fmt.Fprint(os.Stderr, " -idempotency-key STRING")
@@ -353,7 +347,6 @@
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -caller STRING: `)
-	fmt.Fprintln(os.Stderr, `    -authorization STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT64: `)
 	fmt.Fprintln(os.Stderr, `    -priority STRING: `)
 	fmt.Fprintln(os.Stderr, `    -idempotency-key STRING: `)
@@ -361,7 +354,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --caller \"Nostrum ducimus.\" --authorization \"Voluptatem nihil voluptates ad ut aut.\" --deadline-ms 5000 --priority \"normal\" --idempotency-key \"Saepe facilis voluptatibus rerum reprehenderit vero et.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers chat --caller \"Saepe facilis voluptatibus rerum reprehenderit vero et.\" --deadline-ms 5000 --priority \"low\" --idempotency-key \"Numquam numquam sit eos delectus dolores.\" --stream \"goa.png\"")
 }
 
 func callersCallUsage() {
@@ -370,7 +363,6 @@
 	fmt.Fprint(os.Stderr, " -service STRING")
 	fmt.Fprint(os.Stderr, " -path STRING")
 	fmt.Fprint(os.Stderr, " -caller STRING")
-	fmt.Fprint(os.Stderr, " -authorization STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT64")
 	fmt.Fprint(os.Stderr, " -priority STRING")
 	fmt.Fprint(os.Stderr, " -idempotency-key STRING")
@@ -385,7 +377,6 @@
 	fmt.Fprintln(os.Stderr, `    -service STRING: Name of the service.`)
 	fmt.Fprintln(os.Stderr, `    -path STRING: Path below the service.`)
 	fmt.Fprintln(os.Stderr, `    -caller STRING: `)
-	fmt.Fprintln(os.Stderr, `    -authorization STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT64: `)
 	fmt.Fprintln(os.Stderr, `    -priority STRING: `)
 	fmt.Fprintln(os.Stderr, `    -idempotency-key STRING: `)
@@ -393,7 +384,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --service \"Nihil corporis accusantium.\" --path \"Itaque voluptatum dolorem.\" --caller \"Officia excepturi mollitia quia.\" --authorization \"Quam quasi quam saepe doloremque et vel.\" --deadline-ms 5000 --priority \"normal\" --idempotency-key \"Et ea veniam suscipit nemo et hic.\" --stream \"goa.png\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "callers call --service \"Itaque voluptatum dolorem.\" --path \"Officia excepturi mollitia quia.\" --caller \"Quam quasi quam saepe doloremque et vel.\" --deadline-ms 5000 --priority \"normal\" --idempotency-key \"Et ea veniam suscipit nemo et hic.\" --stream \"goa.png\"")
 }
 
 func callersModelsUsage() {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -16,7 +16,7 @@
 // Completions implements callers.Service.
 func (a callersAPI) Completions(ctx context.Context, p *callers.CompletionsPayload, body io.ReadCloser) (io.ReadCloser, error) {
 	return http.NoBody, a.gateway.serveGeneration(ctx, attributes{
-		caller: p.Caller, authorization: p.Authorization, priority: p.Priority,
+		caller: p.Caller, priority: p.Priority,
 		key: p.IdempotencyKey, deadlineMillis: p.DeadlineMs,
 	}, body)
 }
@@ -24,7 +24,7 @@
 // Chat implements callers.Service.
 func (a callersAPI) Chat(ctx context.Context, p *callers.ChatPayload, body io.ReadCloser) (io.ReadCloser, error) {
 	return http.NoBody, a.gateway.serveGeneration(ctx, attributes{
-		caller: p.Caller, authorization: p.Authorization, priority: p.Priority,
+		caller: p.Caller, priority: p.Priority,
 		key: p.IdempotencyKey, deadlineMillis: p.DeadlineMs,
 	}, body)
 }
@@ -32,7 +32,7 @@
 // Call implements callers.Service.
 func (a callersAPI) Call(ctx context.Context, p *callers.CallPayload, body io.ReadCloser) (io.ReadCloser, error) {
 	return http.NoBody, a.gateway.serveCall(ctx, attributes{
-		caller: p.Caller, authorization: p.Authorization, priority: p.Priority,
+		caller: p.Caller, priority: p.Priority,
 		key: p.IdempotencyKey, deadlineMillis: p.DeadlineMs,
 	}, p.Service, p.Path, body)
 }
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -57,11 +57,11 @@
 }
 
 func (e *execution) runOnce(ctx context.Context, current *view) *verdict.Verdict {
+	e.route = e.routes.of(e.request.target, e.cfg.route)
 	if refusal := e.admit(current, e.request); refusal != nil {
 		return refusal
 	}
 	defer e.release(e.request)
-	e.route = e.routes.of(e.request.target, e.cfg.route)
 	if t := e.request.target; t.service != "" && len(current.services[t.service]) == 0 {
 		return verdict.Refuse(verdict.ReasonNoCapacity, "no upstream of this region runs the service")
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -74,8 +74,8 @@
 
 // attributes are the headers that goa decoded.
 type attributes struct {
-	caller, authorization, priority, key *string
-	deadlineMillis                       *int64
+	caller, priority, key *string
+	deadlineMillis        *int64
 }
 
 // readBody reads a request's body up to limit.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -29,9 +29,6 @@
 	addresses map[state.EntryName]string
 	// services holds the replicas of each plain service.
 	services map[state.ServiceName][]rpc.ReplicaAt
-	// callerTokens holds the digests of callers' tokens; callers without one
-	// are taken by name.
-	callerTokens map[state.CallerName]string
 }
 
 // unready refuses requests while the configuration is not known.
@@ -80,7 +77,7 @@
 	return v.region.Quarantined(fingerprint, now)
 }
 
-// identify finds the caller of a request, checks its token and caps its class.
+// identify finds the caller of a request and caps its class.
 func (v *view) identify(req *request, attrs attributes, unnamed state.Caller) *verdict.Verdict {
 	req.caller = unnamed
 	if attrs.caller != nil && *attrs.caller != "" {
@@ -90,9 +87,6 @@
 		}
 		req.caller = caller
 	}
-	if digest, ok := v.callerTokens[req.caller.Name]; ok && !bearerMatches(attrs.authorization, digest) {
-		return verdict.Refuse(verdict.ReasonUnauthorized, "the caller's token is missing or wrong")
-	}
 	req.class = max(req.class, req.caller.Highest)
 	req.caller.Weight = max(1, req.caller.Weight)
 	return nil
