--- /dev/null
+++ b/internal/entry/forward_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Guards against headers of one connection and tokens of callers reaching the
+// upstream, and against kept connections for work that may not be repeated.
+func TestOutgoingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var sent *http.Request
+		capture := func(r *http.Request) (*http.Response, error) {
+			sent = r
+			body, _ := io.ReadAll(r.Body)
+			return reply(http.StatusOK, nil, bytes.NewReader(body)), nil
+		}
+		b := newGatewayBench(t, agentsOf(answers{"a": capture}), "a")
+		kept := &fakeAgents{answer: answers{"a": refused(verdict.ReasonInternal)}}
+		b.client = &http.Client{Transport: kept}
+		_, err := b.send(t.Context(), false, func(r *request) {
+			r.header = http.Header{"Authorization": {"Bearer secret"}, "Connection": {"close"}, "X-Own": {"1"}}
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(kept.calls).To(BeEmpty())
+		g.Expect(sent.Header.Get(headerClaim)).To(Equal("claim-1"))
+		g.Expect(sent.Header).NotTo(HaveKey("Authorization"))
+		g.Expect(sent.Header).NotTo(HaveKey("Connection"))
+	})
+}
+
+// Guards against a refusal while another region could serve the request, and
+// against a request that is passed on twice, that costs paid traffic in the
+// lowest class, or whose work may have run here.
+func TestRefusedRequestIsForwardedOnce(t *testing.T) {
+	cases := map[string]struct {
+		change  func(*request)
+		local   func(*http.Request) (*http.Response, error)
+		forward bool
+	}{
+		"no upstream in the region": {forward: true},
+		"already forwarded":         {change: func(r *request) { r.header = http.Header{headerForwarded: {"south"}} }},
+		"lowest class":              {change: func(r *request) { r.class = state.ClassLow }},
+		"may have run here":         {local: inTurn(broken, broken)},
+	}
+	for name, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			agents := agentsOf(answers{"a": c.local, "far": served("far away")})
+			addresses := []string{"a"}
+			if c.local == nil {
+				addresses = nil
+			}
+			b := newGatewayBench(t, agents, addresses...)
+			b.cfg.remotes = []remoteEntry{{name: "entry-9", region: "south", callers: "far"}}
+			b.claims.neverRan = true
+			got, err := b.send(t.Context(), false, c.change)
+			if c.forward {
+				g.Expect(err).NotTo(HaveOccurred(), name)
+				g.Expect(got.Body.String()).To(Equal("far away"), name)
+				g.Expect(b.claims.asked).To(BeZero(), name)
+				return
+			}
+			g.Expect(err).To(HaveOccurred(), name)
+			g.Expect(agents.calls).NotTo(ContainElement("far"), name)
+		})
+	}
+}
