ctl: let check-config find the role of a settings file

Cause: the command needed the role although only an agent's file has [upstream]. Change: the role may be left out. Measured: TestCheckConfig passes; it fails if every file is taken for an entry's.

--- a/internal/ctl/checkconfig.go
+++ b/internal/ctl/checkconfig.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"regexp"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,13 +17,16 @@
 	return &cli.Command{
 		Name:      "check-config",
 		Usage:     "check the settings file of a role",
-		ArgsUsage: "entry|agent FILE",
+		ArgsUsage: "[entry|agent] FILE",
 		Action:    checkConfig,
 	}
 }
 
 func checkConfig(_ context.Context, cmd *cli.Command) error {
 	role, path := cmd.Args().Get(0), cmd.Args().Get(1)
+	if cmd.Args().Len() == 1 {
+		role, path = roleOf(role), role
+	}
 	var err error
 	switch {
 	case path == "" || cmd.Args().Len() > 2:
@@ -39,3 +44,16 @@
 	_, err = fmt.Fprintf(cmd.Root().Writer, "%s: settings of role %s are valid\n", path, role)
 	return err
 }
+
+// upstreamTable matches the table that only an agent's settings have.
+var upstreamTable = regexp.MustCompile(`(?m)^\s*\[upstream\]`)
+
+// roleOf tells which role a settings file is for. A file that can't be read is
+// taken for an entry's; loading it reports why.
+func roleOf(path string) string {
+	data, err := os.ReadFile(path)
+	if err == nil && upstreamTable.Match(data) {
+		return "agent"
+	}
+	return "entry"
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -234,7 +234,7 @@
 func TestCheckConfig(t *testing.T) {
 	g := NewWithT(t)
 	entry, agent := "../../examples/entry.toml", "../../examples/agent.toml"
-	for _, good := range [][]string{{"entry", entry}, {"agent", agent}} {
+	for _, good := range [][]string{{"entry", entry}, {"agent", agent}, {entry}, {agent}} {
 		_, code := runProgram(t, append([]string{"check-config"}, good...)...)
 		g.Expect(code).To(Equal(0))
 	}
