entry: list a home's ready replicas once per answer

Cause: a home's answer built and sorted the ready replicas twice. Change: build them once; the answer is the same. Measured: `go test ./internal/entry` passes; the time was not measured.

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -176,10 +176,11 @@
 
 func (h *home) result(c *control, known uint64, now time.Time) rpc.DemandResult {
 	result := rpc.DemandResult{SetVersion: h.version, Changed: known != h.version}
+	ready := h.ready(c.config.View())
 	if result.Changed {
-		result.Replicas = h.ready(c.config.View())
+		result.Replicas = ready
 	}
-	if len(h.ready(c.config.View())) == 0 {
+	if len(ready) == 0 {
 		result.ReadyIn = state.Duration(max(h.decision.ReadyIn, wakePoll))
 		if h.decision.ReadyIn == 0 {
 			result.ReadyIn = state.Duration(h.readyIn(now))
