entry: ask the second owner of a claim shard when the first is gone

Change: the two first entries of each region are asked in order when one is unreachable or the connection ends before its answer. Log order decides between owners, and a grant that reached nobody is never used, so asking again is safe. Measured: go test ./internal/entry -run FallsBackToNextEntry: fails with one owner per region, passes with two.

--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -41,6 +41,9 @@
 		counts[owner]++
 		g.Expect(other.Owner(membership.RoleHome, key)).To(Equal(owner))
 		g.Expect(ring.Rank(membership.RoleHome, key, owner)).To(Equal(0))
+		first := ring.First(membership.RoleHome, key, 2)
+		g.Expect(first[0]).To(Equal(owner))
+		g.Expect(ring.Rank(membership.RoleHome, key, first[1])).To(Equal(1))
 		if owner != all[0] {
 			g.Expect(without.Owner(membership.RoleHome, key)).To(Equal(owner))
 		}
@@ -49,6 +52,7 @@
 		g.Expect(n).To(BeNumerically("~", 200, 80), string(name))
 	}
 	g.Expect(ring.Rank(membership.RoleHome, "k", "nobody")).To(Equal(-1))
+	g.Expect(ring.First(membership.RoleHome, "k", 30)).To(HaveLen(20))
 	g.Expect(membership.NewRing(nil).Owner(membership.RoleHome, "k")).To(BeEmpty())
 }
 
--- a/internal/decide/membership/ring.go
+++ b/internal/decide/membership/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -65,6 +66,27 @@
 	return r.entries[best]
 }
 
+// First returns the first n entries for the role and key, the owner first;
+// fewer if there are not as many.
+func (r *Ring) First(role Role, key string, n int) []state.EntryName {
+	hash := keyHash(role, key)
+	order := make([]int, len(r.entries))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(i, j int) int {
+		if r.before(i, j, hash) {
+			return -1
+		}
+		return 1
+	})
+	first := make([]state.EntryName, 0, n)
+	for _, i := range order[:min(n, len(order))] {
+		first = append(first, r.entries[i])
+	}
+	return first
+}
+
 // Rank returns the place of entry for the role and key, from 0, or -1.
 func (r *Ring) Rank(role Role, key string, entry state.EntryName) int {
 	hash := keyHash(role, key)
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -14,9 +14,9 @@
 )
 
 // claimRouter finds the owner of a claim's shard: a region by rendezvous
-// hashing over the regions, then an entry of it. When no entry of a region
-// can be reached the next region takes over, which is safe because log order
-// decides between owners.
+// hashing over the regions, then an entry of it. When an owner can't be
+// reached the next entry of its region takes over, and then the next region,
+// which is safe because log order decides between owners.
 type claimRouter struct {
 	process state.ProcessID
 	name    state.EntryName
@@ -49,40 +49,33 @@
 }
 
 // owners lists the addresses to ask about a shard; an empty one is this
-// process.
+// process. The second of each region serves the shard until the region has
+// seen that the first is gone.
 func (r *claimRouter) owners(shard int) []string {
 	key := strconv.Itoa(shard)
+	current := r.view()
 	var addresses []string
 	for _, region := range r.regionsFor(shard) {
-		if region == r.region {
-			current := r.view()
-			owner := current.ring.Owner(membership.RoleClaimOwner, key)
-			addresses = append(addresses, r.addressOf(owner, current.addresses))
-			continue
+		ring, known := current.ring, current.addresses
+		if region != r.region {
+			ring, known = ringOf(r.regions[region]), r.regions[region]
 		}
-		known := r.regions[region]
-		names := make([]state.EntryName, 0, len(known))
-		for name := range known {
-			names = append(names, name)
-		}
-		first := membership.NewRing(names).Owner(membership.RoleClaimOwner, key)
-		addresses = append(addresses, r.addressOf(first, known))
-		if len(names) > 1 {
-			second := membership.NewRing(without(names, first)).Owner(membership.RoleClaimOwner, key)
-			addresses = append(addresses, r.addressOf(second, known))
+		for _, name := range ring.First(membership.RoleClaimOwner, key, ownersPerRegion) {
+			addresses = append(addresses, r.addressOf(name, known))
 		}
 	}
 	return addresses
 }
 
-func without(names []state.EntryName, gone state.EntryName) []state.EntryName {
-	rest := make([]state.EntryName, 0, len(names))
-	for _, name := range names {
-		if name != gone {
-			rest = append(rest, name)
-		}
+// ownersPerRegion is how many entries of a region are asked about a shard.
+const ownersPerRegion = 2
+
+func ringOf(known map[state.EntryName]string) *membership.Ring {
+	names := make([]state.EntryName, 0, len(known))
+	for name := range known {
+		names = append(names, name)
 	}
-	return rest
+	return membership.NewRing(names)
 }
 
 func (r *claimRouter) addressOf(name state.EntryName, known map[state.EntryName]string) string {
@@ -102,7 +95,7 @@
 		}
 		var result rpc.ClaimResult
 		err := r.caller.Call(ctx, address, rpc.MethodClaim, params, &result)
-		if err == nil || !errors.Is(err, rpc.ErrUnreachable) || ctx.Err() != nil {
+		if err == nil || !ownerGone(err) || ctx.Err() != nil {
 			return result, err
 		}
 		last = err
@@ -110,6 +103,12 @@
 	return rpc.ClaimResult{}, last
 }
 
+// ownerGone reports whether the next owner may be asked instead. A claim that
+// the lost one still gets into the log is never used: its grant reached nobody.
+func ownerGone(err error) bool {
+	return errors.Is(err, rpc.ErrUnreachable) || errors.Is(err, rpc.ErrConnectionLost)
+}
+
 // lookupTimeout bounds the question whether a key was ever claimed, which only
 // a refusal waits for.
 const lookupTimeout = 300 * time.Millisecond
@@ -127,7 +126,7 @@
 		} else {
 			err = r.caller.Call(ctx, address, rpc.MethodClaimLookup, params, &result)
 		}
-		if !errors.Is(err, rpc.ErrUnreachable) {
+		if !ownerGone(err) {
 			return err == nil && result.Unseen
 		}
 	}
@@ -149,7 +148,7 @@
 			}
 			remote := rpc.ClaimOutcomeFrom{ClaimOutcomeParams: params, From: r.process}
 			err := r.caller.Call(ctx, address, rpc.MethodClaimDone, remote, &struct{}{})
-			if !errors.Is(err, rpc.ErrUnreachable) {
+			if !ownerGone(err) {
 				return
 			}
 		}
--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -348,6 +348,28 @@
 	})
 }
 
+// Guards against requests that are refused although another entry of the
+// region could settle their claims, while the loss of the owner is not noticed.
+func TestClaimFallsBackToNextEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newClaimsWorld(t, 3)
+		defer w.stop()
+		w.entries[1].kill()
+		for n := range 32 {
+			key := keyAt(time.Now(), n)
+			v, _ := w.send(w.entries[0].router, key, completes)
+			g.Expect(v.Reason).To(Equal(verdict.ReasonOK), v.Error())
+			time.Sleep(200 * time.Millisecond)
+			v, text := w.send(w.entries[2].router, key, completes)
+			g.Expect(v.Reason).To(Equal(verdict.ReasonOK), v.Error())
+			g.Expect(text).NotTo(BeEmpty())
+			g.Expect(w.ran).To(HaveLen(n + 1))
+		}
+		g.Expect(w.network.count("entry-1", rpc.MethodClaim)).To(BeNumerically(">", 0))
+	})
+}
+
 // Guards against requests that are refused while an entry of the next region
 // could settle their claims.
 func TestClaimFallsBackToNextRegion(t *testing.T) {
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -19,11 +19,16 @@
 // ErrUnreachable means that the call was never sent.
 var ErrUnreachable = errors.New("process unreachable")
 
+// ErrConnectionLost means that the connection ended before the answer: the
+// other side may have carried the call out.
+var ErrConnectionLost = errors.New("connection lost")
+
 // Caller calls methods of other processes by address.
 type Caller interface {
 	// Call sends params and decodes the answer into result. The error wraps
-	// ErrUnreachable if the call was never sent; a verdict of the other side
-	// is found by verdict.Of.
+	// ErrUnreachable if the call was never sent, and ErrConnectionLost if the
+	// answer can't come any more; a verdict of the other side is found by
+	// verdict.Of.
 	Call(ctx context.Context, addr, method string, params, result any) error
 }
 
@@ -65,6 +70,7 @@
 	err = conn.Call(ctx, method, params, result)
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		c.forget(addr, conn)
+		return errors.Wrapf(ErrConnectionLost, "%s at %s", method, addr)
 	}
 	if err != nil {
 		return errors.Wrapf(decodeError(err), "%s at %s", method, addr)
--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -36,3 +36,25 @@
 	g.Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonDraining))
 	g.Expect(verdict.Of(err).Execution).To(Equal(verdict.NotRun))
 }
+
+// Guards against a call whose connection ended being taken for one that was
+// never sent.
+func TestConnectionLostBeforeAnswer(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	client := rpc.NewClient()
+	defer client.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}
+	}()
+	err = client.Call(t.Context(), listener.Addr().String(), "double", 21, nil)
+	g.Expect(err).To(MatchError(rpc.ErrConnectionLost))
+	g.Expect(listener.Close()).To(Succeed())
+	err = client.Call(t.Context(), listener.Addr().String(), "double", 21, nil)
+	g.Expect(err).To(MatchError(rpc.ErrUnreachable))
+}
