headers: one function removes the headers of a single connection

Cause: entry and agent each kept a list, and only the agent's dropped the headers that Connection names and Expect. Change: both use headers.RemoveHop.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -95,7 +96,7 @@
 	out.Close = false
 	out.Trailer = nil
 	out.TransferEncoding = nil
-	removeHopHeaders(out.Header)
+	headers.RemoveHop(out.Header)
 	for _, name := range ownHeaders {
 		out.Header.Del(name)
 	}
@@ -112,26 +113,10 @@
 // ownHeaders concern the agent, not the upstream.
 var ownHeaders = []string{HeaderAgent, HeaderClaim, HeaderCost, HeaderLong, HeaderFingerprint, HeaderCaller, HeaderStream, HeaderWeight}
 
-var hopHeaders = []string{
-	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func removeHopHeaders(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 // copyAnswerHeaders copies what the upstream answered, without headers that
 // only the agent may set.
 func (a *Agent) copyAnswerHeaders(to, from http.Header) {
-	removeHopHeaders(from)
+	headers.RemoveHop(from)
 	for name, values := range from {
 		if !strings.HasPrefix(name, "Lagoon-") {
 			to[name] = values
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -17,19 +18,12 @@
 
 var relayBuffers = sync.Pool{New: func() any { return new([relayBufferSize]byte) }}
 
-// hopHeaders are not passed on, since they concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
+// copyHeaders adds the headers of src that concern the message itself to dst.
 func copyHeaders(dst, src http.Header) {
 	for name, values := range src {
 		dst[name] = append([]string(nil), values...)
 	}
-	for _, name := range hopHeaders {
-		dst.Del(name)
-	}
+	headers.RemoveHop(dst)
 }
 
 // progress hears of the parts of an answer as they pass.
