--- a/cmd/lagoonvalve/commands_test.go
+++ b/cmd/lagoonvalve/commands_test.go
@@ -202,6 +202,7 @@
 //	ready ENTRY                   the entry takes requests
 //	streaming NAME                the first byte of the answer has come
 //	records STREAM KIND N         the stream holds at least N records of the kind
+//	snapshot STREAM OFFSET        the stream holds a whole snapshot that covers OFFSET
 //	executions KEY N              the service executed the call exactly N times
 //	settled ENTRY KEY             a resend of the call is told that it ran
 //	logged PROCESS TEXT           the process's log has TEXT
@@ -223,6 +224,8 @@
 		return f.sent[args[1]].started.Load(), nil
 	case args[0] == "records" && len(args) == 4:
 		return f.records(platform.Stream(args[1]), state.Kind(args[2])) >= want(3), nil
+	case args[0] == "snapshot" && len(args) == 3:
+		return f.snapshotCovers(platform.Stream(args[1]), state.Offset(want(2)))
 	case args[0] == "executions" && len(args) == 3:
 		counts := make(map[string]int)
 		err := f.getJSON(f.processes["service"].addr, standin.PathExecutions, &counts)
--- a/cmd/lagoonvalve/fleet_test.go
+++ b/cmd/lagoonvalve/fleet_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -248,6 +249,13 @@
 	return count
 }
 
+func (f *fleet) snapshotCovers(stream platform.Stream, offset state.Offset) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, ok, err := logclient.LatestSnapshot(ctx, f.log(), stream, offset-1)
+	return ok, err
+}
+
 func (f *fleet) engine(name string) (platform.EngineStatus, error) {
 	p, err := f.find(name)
 	if err != nil {
