entry: pass waiting requests on when their region has no upstream left

Cause: a script with two regions, new here, showed a request that waited 29.98 s for a model whose only runner in the region was killed, and was then refused although the other region had the model ready. Only requests that arrived after the home had found no usable grant were passed on; and a refusal for that reason was retried within the region first. Change: when the home reports that no upstream can load the model, waiting requests that another region may serve end their wait and are passed on, within the budget for paid traffic; others go on waiting. The refusal is final within the region. Measured: go test ./cmd/lagoonvalve -run TestScripts/two-regions: failed before (503 after 29.979 s), passes now with a limit of 10 s. go test ./internal/entry -run WaitingRequestMoves fails without the call, without the check of movable and without the final refusal.

--- a/cmd/lagoonvalve/layout_test.go
+++ b/cmd/lagoonvalve/layout_test.go
@@ -26,13 +26,51 @@
 	late     int
 	service  bool
 	replicas int
+	// south adds a second region with one entry and that many runners.
+	south int
+}
+
+// southern marks the names of processes in the second region.
+const southern = "south"
+
+// regionOf returns the region of a process of a fleet.
+func regionOf(name string) string {
+	if strings.Contains(name, southern) {
+		return southern
+	}
+	return region
+}
+
+// entryNames lists the entries of all regions.
+func (o layoutOptions) entryNames() []string {
+	var names []string
+	for i := range o.entries {
+		names = append(names, fmt.Sprintf("entry-%d", i+1))
+	}
+	if o.south > 0 {
+		names = append(names, "entry-south")
+	}
+	return names
+}
+
+// runnerNames lists the suffixes of the runners, their engines and hosts.
+func (o layoutOptions) runnerNames() []string {
+	var names []string
+	for i := range o.runners {
+		names = append(names, strconv.Itoa(i+1))
+	}
+	for i := range o.south {
+		names = append(names, fmt.Sprintf("south-%d", i+1))
+	}
+	return names
 }
 
 // cmdFleet starts a system: the stand-ins log, hosts, store, engine-N and
 // service, the entries entry-N and the agents runner-N and tickets-1. Arguments:
 // entries=N runners=N fencing=enforced|ignored memory=SIZE retain=RECORDS
-// replicas=N service=yes late=N. The agents of the last late runners are left to
-// "start". The models seating (4 GiB, loads in 2 s) and trams
+// replicas=N service=yes late=N south=N. The agents of the last late runners are left to
+// "start". south=N adds a region with entry-south, engine-south-N and
+// runner-south-N. The models seating (4 GiB, loads in 2 s) and trams
 // (2 GiB, 1 s) are configured by ctl.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	f := ts.Value(fleetKey{}).(*fleet)
@@ -54,6 +92,8 @@
 			opts.late = number
 		case "replicas":
 			opts.replicas = number
+		case "south":
+			opts.south = number
 		case "service":
 			opts.service = value == "yes"
 		default:
@@ -79,16 +119,17 @@
 	if err := f.standins(opts); err != nil {
 		return err
 	}
-	for i := range opts.entries {
-		f.add(fmt.Sprintf("entry-%d", i+1))
+	entries := opts.entryNames()
+	for _, name := range entries {
+		f.add(name)
 	}
-	for i := range opts.entries {
-		if err := f.startEntry(fmt.Sprintf("entry-%d", i+1)); err != nil {
+	for _, name := range entries {
+		if err := f.startEntry(name); err != nil {
 			return err
 		}
 	}
-	for i := range opts.entries {
-		if err := f.ready(fmt.Sprintf("entry-%d", i+1)); err != nil {
+	for _, name := range entries {
+		if err := f.ready(name); err != nil {
 			return err
 		}
 	}
@@ -103,13 +144,13 @@
 
 func (f *fleet) standins(opts layoutOptions) error {
 	var hosts []string
-	for i := range opts.runners {
-		hosts = append(hosts, "--host", fmt.Sprintf("host-%d", i+1))
+	for _, name := range opts.runnerNames() {
+		hosts = append(hosts, "--host", "host-"+name)
 	}
 	hosts = append(hosts, "--host", "host-tickets", "--data-centre", "north-1")
 	kinds := [][]string{{"log", "log", "--retain-records", strconv.Itoa(opts.retain)}, append([]string{"hosts", "hosts"}, hosts...), {"store", "store"}}
-	for i := range opts.runners {
-		name := fmt.Sprintf("engine-%d", i+1)
+	for _, runner := range opts.runnerNames() {
+		name := "engine-" + runner
 		kinds = append(kinds, []string{name, "engine", "--name", name, "--memory", opts.memory, "--fencing", opts.fencing})
 	}
 	if opts.service {
@@ -136,12 +177,17 @@
 
 // common returns the settings that entries and agents share.
 func (f *fleet) common(p *process, host string) string {
-	text := fmt.Sprintf("name = %q\nhost = %q\nregion = %q\ndata_centre = \"north-1\"\n", p.name, host, region)
+	at := regionOf(p.name)
+	text := fmt.Sprintf("name = %q\nhost = %q\nregion = %q\ndata_centre = %q\n", p.name, host, at, at+"-1")
 	text += fmt.Sprintf("[listen]\ncallers = %q\noperators = %q\ncontrol = %q\n", p.addr, p.operators, p.control)
 	text += "[shutdown]\ndrain_timeout = \"20s\"\n"
 	for _, name := range f.order {
 		if strings.HasPrefix(name, "entry-") {
-			text += fmt.Sprintf("[[peers]]\nname = %q\nregion = %q\ndata_centre = \"north-1\"\ncontrol = %q\n", name, region, f.processes[name].control)
+			peer, place := f.processes[name], regionOf(name)
+			text += fmt.Sprintf("[[peers]]\nname = %q\nregion = %q\ndata_centre = %q\ncontrol = %q\n", name, place, place+"-1", peer.control)
+			if place != at {
+				text += fmt.Sprintf("callers = %q\n", peer.addr)
+			}
 		}
 	}
 	return text
@@ -186,12 +232,12 @@
 }
 
 func (f *fleet) startAgents(opts layoutOptions) error {
-	for i := range opts.runners {
-		name := fmt.Sprintf("runner-%d", i+1)
-		backend := f.processes[fmt.Sprintf("engine-%d", i+1)].addr
+	for i, name := range opts.runnerNames() {
+		backend := f.processes["engine-"+name].addr
 		upstream := fmt.Sprintf("[upstream]\nkind = \"model-runner\"\nurl = \"http://%s\"\nmemory = %q\nfencing = %q\n", backend, opts.memory, opts.fencing)
-		p := f.processes[name]
-		if err := f.startRole("agent", p, f.common(p, fmt.Sprintf("host-%d", i+1))+upstream, i >= opts.runners-opts.late); err != nil {
+		p := f.processes["runner-"+name]
+		late := i < opts.runners && i >= opts.runners-opts.late
+		if err := f.startRole("agent", p, f.common(p, "host-"+name)+upstream, late); err != nil {
 			return err
 		}
 	}
@@ -217,11 +263,11 @@
 	}
 	place := func(name, kind, host, rest string) string {
 		p := f.add(name)
-		return fmt.Sprintf("create upstream %s kind=%s host=%s region=%s data_centre=north-1 traffic_addr=%s control_addr=%s %s",
-			name, kind, host, region, p.addr, p.control, rest)
+		return fmt.Sprintf("create upstream %s kind=%s host=%s region=%s data_centre=%s traffic_addr=%s control_addr=%s %s",
+			name, kind, host, regionOf(name), regionOf(name)+"-1", p.addr, p.control, rest)
 	}
-	for i := range opts.runners {
-		statements = append(statements, place(fmt.Sprintf("runner-%d", i+1), "model-runner", fmt.Sprintf("host-%d", i+1),
+	for _, name := range opts.runnerNames() {
+		statements = append(statements, place("runner-"+name, "model-runner", "host-"+name,
 			"memory="+opts.memory+" fencing="+opts.fencing))
 	}
 	if opts.service {
@@ -241,11 +287,13 @@
 	if opts.service {
 		agents++
 	}
-	stream := platform.RegionStream(region)
-	granted := func() bool {
-		return f.records(stream, state.KindGrant) >= 2 && f.records(stream, state.KindAgentStart) >= agents
+	granted := func(at state.Region, agents int) func() bool {
+		stream := platform.RegionStream(at)
+		return func() bool {
+			return f.records(stream, state.KindGrant) >= 2 && f.records(stream, state.KindAgentStart) >= agents
+		}
 	}
-	if !poll(startLimit, granted) {
+	if !poll(startLimit, granted(region, agents)) || opts.south > 0 && !poll(startLimit, granted(southern, opts.south)) {
 		return errors.New("no grants, or an agent did not register")
 	}
 	return nil
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -163,8 +163,9 @@
 	if set == nil || len(set.replicas) == 0 {
 		e.route.coldSince.CompareAndSwap(0, e.request.arrived.UnixNano())
 		e.kick(e.request.target)
-		if e.route.noCapacity.Load() && len(e.cfg.remotes) > 0 {
-			return verdict.Refuse(verdict.ReasonNoCapacity, "no upstream of this region can load the model now")
+		if refusal := noUpstream(); e.route.noCapacity.Load() && (e.isForwarded() || e.mayForward(refusal)) {
+			e.final = true
+			return refusal
 		}
 	}
 	req := e.request
@@ -185,12 +186,14 @@
 		Size:     state.Bytes(len(req.body)),
 		Key:      req.target.key,
 		Adapter:  req.target.adapter,
-	}, time.Duration(e.route.loadWait.Load()))
+	}, time.Duration(e.route.loadWait.Load()), e.isForwarded() || e.movable())
 	if refusal == nil {
 		e.sink.waited(req, time.Since(entered))
 		return nil
 	}
 	e.route.forgetCold()
+	// What another region may serve does not wait for a retry here.
+	e.final = e.final || refusal.Reason == verdict.ReasonNoCapacity
 	if refusal.Reason == verdict.ReasonDeadlineUnmet && (set == nil || len(set.replicas) == 0) {
 		e.route.refused.Add(1)
 		e.kick(req.target)
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -142,6 +142,7 @@
 	route.noCapacity.Store(result.Refusal != nil)
 	if result.Refusal != nil {
 		route.loadWait.Store(int64(max(result.ReadyIn.Std(), result.Refusal.RetryAfter)))
+		f.gateway.refuseWaiting(time.Now(), route)
 	}
 	if result.Changed {
 		route.setReplicas(result.SetVersion, result.Replicas, &f.gateway.loads)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -56,17 +56,48 @@
 }
 
 func (e *execution) mayForward(refusal *verdict.Verdict) bool {
-	req := e.request
-	if refusal.Execution != verdict.NotRun || e.consulted || req.header.Get(headerForwarded) != "" {
+	if refusal.Execution != verdict.NotRun || e.consulted {
 		return false
 	}
 	switch refusal.Reason {
 	case verdict.ReasonNoReplica, verdict.ReasonNoCapacity, verdict.ReasonDeadlineUnmet, verdict.ReasonQueueFull:
+		return e.movable() && e.remoteAllowed(time.Now(), state.Bytes(len(e.request.body)))
 	default:
 		return false
 	}
-	volume := state.Bytes(len(req.body))
-	return req.class < state.ClassLow && time.Until(req.deadline) > forwardLeast && e.remoteAllowed(time.Now(), volume)
+}
+
+// movable reports whether an entry of another region may serve the request if
+// the budget for paid traffic allows it.
+func (e *execution) movable() bool {
+	req := e.request
+	return len(e.cfg.remotes) > 0 && !e.isForwarded() && req.class < state.ClassLow && time.Until(req.deadline) > forwardLeast
+}
+
+// isForwarded reports whether an entry of another region passed the request on.
+func (e *execution) isForwarded() bool { return e.request.header.Get(headerForwarded) != "" }
+
+// refuseWaiting ends the wait of requests that another region may serve and of
+// those that came from another region, once no upstream of this one can load
+// the model. What the budget for paid traffic does not allow goes on waiting.
+func (g *gateway) refuseWaiting(now time.Time, r *route) {
+	if len(g.cfg.remotes) == 0 {
+		return
+	}
+	var volume state.Bytes
+	r.room.refuseMovable(noUpstream(), func(size state.Bytes) bool {
+		if !g.remoteAllowed(now, volume+size) {
+			return false
+		}
+		volume += size
+		return true
+	})
+}
+
+// noUpstream refuses a request of which the home says that it can't be served
+// in this region.
+func noUpstream() *verdict.Verdict {
+	return verdict.Refuse(verdict.ReasonNoCapacity, "no upstream of this region can load the model now").WithRetryAfter(refusedFor)
 }
 
 // remoteEntries lists an entry of each other region, in an order that spreads
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -75,3 +78,41 @@
 		})
 	}
 }
+
+// Guards against a request that waits to its deadline after its region has
+// found that no upstream can load the model, and against one that is given up
+// although no other region may serve it.
+func TestWaitingRequestMovesToAnotherRegion(t *testing.T) {
+	cases := map[string]struct {
+		change func(*request)
+		moves  bool
+		after  time.Duration
+	}{
+		"movable":           {moves: true, after: time.Second},
+		"lowest class":      {change: func(r *request) { r.class = state.ClassLow }, after: 30 * time.Second},
+		"already forwarded": {change: func(r *request) { r.header = http.Header{headerForwarded: {"south"}} }, after: time.Second},
+		"beyond the budget": {change: func(r *request) { r.body = make([]byte, 64*state.MiB) }, after: 30 * time.Second},
+	}
+	for name, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newGatewayBench(t, agentsOf(answers{"far": served("far away")}))
+			b.target = target{key: state.ReplicaKey{Model: "m", Version: "v1"}}
+			b.cfg.remotes = []remoteEntry{{name: "entry-9", region: "south", callers: "far"}}
+			b.cfg.route.queue = admission.Config{MaxRequests: 4, MaxBytes: 128 * state.MiB, Concurrency: 1}
+			f := &followers{gateway: b.gateway}
+			time.AfterFunc(time.Second, func() {
+				f.apply(b.routes.of(b.target, b.cfg.route), rpc.DemandResult{Refusal: verdict.Refuse(verdict.ReasonNoCapacity, "")})
+			})
+			started := time.Now()
+			got, err := b.send(t.Context(), true, c.change)
+			g.Expect(time.Since(started)).To(BeNumerically("~", c.after, 100*time.Millisecond), name)
+			if c.moves {
+				g.Expect(err).NotTo(HaveOccurred(), name)
+				g.Expect(got.Body.String()).To(Equal("far away"), name)
+				return
+			}
+			g.Expect(verdict.Of(err).Execution).To(Equal(verdict.NotRun), name)
+		})
+	}
+}
--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -40,6 +40,8 @@
 	// ready gets nil when the request may go, or the verdict that ends it.
 	ready chan *verdict.Verdict
 	size  state.Bytes
+	// movable says that another region may serve the request.
+	movable bool
 	waitingGroup
 }
 
@@ -59,11 +61,13 @@
 }
 
 // enter waits until the request may be sent, its deadline or its caller's
-// leaving. loadWait is the predicted time until a replica is ready.
-func (w *waitingRoom) enter(ctx context.Context, item admission.Item, loadWait time.Duration) *verdict.Verdict {
+// leaving. loadWait is the predicted time until a replica is ready; movable
+// says that another region may serve the request.
+func (w *waitingRoom) enter(ctx context.Context, item admission.Item, loadWait time.Duration, movable bool) *verdict.Verdict {
 	mine := &waiter{
 		ready:        make(chan *verdict.Verdict, 1),
 		size:         item.Size,
+		movable:      movable,
 		waitingGroup: waitingGroup{caller: item.Caller, class: item.Class, adapter: item.Adapter},
 	}
 	if refusal := w.offer(time.Now(), item, mine, loadWait); refusal != nil {
@@ -146,6 +150,19 @@
 	w.release(now)
 }
 
+// refuseMovable ends the wait of the movable requests with v, as long as allow
+// accepts their sizes.
+func (w *waitingRoom) refuseMovable(v *verdict.Verdict, allow func(size state.Bytes) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, mine := range w.waiters {
+		if mine.movable && allow(mine.size) {
+			w.queue.Remove(id)
+			w.finish(id, v)
+		}
+	}
+}
+
 // refuseAll ends all waiting requests with v.
 func (w *waitingRoom) refuseAll(v *verdict.Verdict) {
 	w.mu.Lock()
--- a/internal/entry/waiting_test.go
+++ b/internal/entry/waiting_test.go
@@ -54,7 +54,7 @@
 							ID: uint64(i), Class: state.Class(m.class), Arrived: time.Now(),
 							Deadline: time.Now().Add(time.Duration(1+m.after) * 200 * time.Millisecond), Cost: 10 * time.Millisecond,
 						}
-						v := room.enter(ctx, item, 0)
+						v := room.enter(ctx, item, 0, false)
 						if v == nil {
 							mu.Lock()
 							running++
