entry: let prewarm wait for the grant of a model

Cause: a walk through docs/operators.md on a demo: prewarm right after activate was refused with "the model has no grant of its active version", because the decider grants about a second later. Change: prewarm waits up to 5 s for a grant that its agent has read.

--- a/internal/entry/statements.go
+++ b/internal/entry/statements.go
@@ -165,8 +165,30 @@
 	return model, nil
 }
 
-// prewarm loads one replica of a model under a standing grant.
+const (
+	// prewarmWait is how long a prewarm waits for a grant, which the decider
+	// makes within seconds of a model's first version or change of version.
+	prewarmWait = 5 * time.Second
+	// prewarmPoll is the time between looks for the grant.
+	prewarmPoll = 100 * time.Millisecond
+)
+
+// prewarm loads one replica of a model under a standing grant, for which it
+// waits if there is none yet.
 func (c changer) prewarm(ctx context.Context, name state.ModelName, dryRun bool) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, prewarmWait)
+	defer cancel()
+	for {
+		done, err := c.prewarmNow(ctx, name, dryRun)
+		var refusal *verdict.Verdict
+		waits := errors.As(err, &refusal) && refusal.Reason == verdict.ReasonNoReplica
+		if !waits || dryRun || !sleep(ctx, prewarmPoll) {
+			return done, err
+		}
+	}
+}
+
+func (c changer) prewarmNow(ctx context.Context, name state.ModelName, dryRun bool) (string, error) {
 	v := c.entry.control.view()
 	model, err := c.mayActOn(v, name)
 	if err != nil {
