ctl: test the authorities of an entry's certificate

Cause: --ca-file had no test against a server with TLS. Change: a test with a server whose certificate only the given authority signs: without it the token is not sent. Measured: go test ./internal/ctl passes.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"io"
 	"net"
 	"net/http"
@@ -213,6 +214,26 @@
 	g.Expect(code).To(Equal(3))
 }
 
+// Guards against a token that is sent to an entry whose certificate no given
+// authority has signed.
+func TestCommandOverTLS(t *testing.T) {
+	g := NewWithT(t)
+	served := 0
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served++
+		_, _ = io.WriteString(w, `{"columns":["n"],"rows":[[1]]}`)
+	}))
+	defer s.Close()
+	authority := filepath.Join(t.TempDir(), "ca.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw}
+	g.Expect(os.WriteFile(authority, pem.EncodeToMemory(block), 0o600)).To(Succeed())
+	_, code := runProgram(t, "ctl", "--url", s.URL, "--ca-file", authority, "show loaded")
+	g.Expect(code).To(Equal(0))
+	_, code = runProgram(t, "ctl", "--url", s.URL, "show loaded")
+	g.Expect(code).To(Equal(3))
+	g.Expect(served).To(Equal(1))
+}
+
 // runProgram runs a subcommand and returns its output and exit code.
 func runProgram(t *testing.T, args ...string) (string, int) {
 	var out bytes.Buffer
