entry: pace the reads of streams that many entries follow

Cause: 350 entries long-poll the configuration and their region's stream without a bound, so the log answers each of them once per record.

Change: logclient.Tail takes a token bucket. Pages of a stream that the reader has fallen behind are not paced. Claim shards stay as they were.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,7 @@
 	e.writer = logclient.NewWriter(deps.Log, logclient.WriterConfig{
 		AppendsPerSecond: float64(cfg.Limits.LogAppendsPerSecond),
 	})
-	e.relay = logclient.NewRelay(deps.Log, e.writer, logclient.RelayConfig{},
+	e.relay = logclient.NewRelay(deps.Log, e.writer, logclient.RelayConfig{Tail: logclient.TailOptions{Pace: e.readPace()}},
 		platform.StreamConfig, platform.RegionStream(cfg.Region))
 	e.trail = audit.NewTrail(self, cfg.Region, auditAppender{e.writer}, audit.Options{})
 	e.control = newControl(e.controlConfig(self), controlDeps{
--- a/internal/entry/history.go
+++ b/internal/entry/history.go
@@ -68,6 +68,8 @@
 func (e *Entry) followAudit(ctx context.Context) error {
 	stream := platform.AuditStream(e.cfg.Region)
 	next := state.Offset(0)
+	options := e.control.tailOptions()
+	options.Pace = e.readPace()
 	for ctx.Err() == nil {
 		page, err := e.deps.Log.Read(ctx, stream, next, 1, 0)
 		if err != nil && page.Oldest <= next {
@@ -75,7 +77,7 @@
 			continue
 		}
 		next = max(next, page.Oldest, page.End-historyRecords)
-		err = logclient.Tail(ctx, e.deps.Log, stream, next, e.control.tailOptions(), func(page platform.Page) error {
+		err = logclient.Tail(ctx, e.deps.Log, stream, next, options, func(page platform.Page) error {
 			next = page.Next
 			e.trail.Observe(page.Records)
 			e.history.add(page.Records)
--- /dev/null
+++ b/internal/entry/readpace_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/standin"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// Guards against a log that answers each of 44 entries once per change, and
+// against a configuration that is in force only after the limit of 13 s.
+func TestManyEntriesReadTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const entries, changes = 44, 100
+		gap := time.Second * 100 / 87
+		r := newTestRegion(t, standin.LogConfig{})
+		peers := peersOf("r", entries)
+		for i := range entries {
+			// The entries know their number but not each other, which saves
+			// the pings.
+			m := r.prepare("r", i, nil, 24*time.Hour)
+			m.cfg.Peers = peers
+			r.start(m)
+		}
+		defer r.stopAll()
+		time.Sleep(20 * time.Second)
+		before := r.configReads()
+		start := time.Now()
+		var writing sync.WaitGroup
+		writing.Go(func() {
+			for i := range changes {
+				appendTo(g, r.log, platform.StreamConfig, state.KindConfigChange, teamChange(fmt.Sprint("t", i)))
+				time.Sleep(gap)
+			}
+		})
+		var longestWait time.Duration
+		writing.Go(func() {
+			for i := range 20 {
+				began := time.Now()
+				_, err := r.members[i].control.changeConfig(t.Context(), teamChange(fmt.Sprint("o", i)))
+				g.Expect(err).NotTo(HaveOccurred())
+				longestWait = max(longestWait, time.Since(began))
+				time.Sleep(3 * time.Second)
+			}
+		})
+		held, ok := r.members[0].control.view().region.Lease()
+		g.Expect(ok).To(BeTrue())
+		var slowest time.Duration
+		for next := 0; time.Since(start) < changes*gap+10*time.Second; time.Sleep(10 * time.Millisecond) {
+			applied := state.Offset(1 << 30)
+			for _, m := range r.members {
+				applied = min(applied, m.control.view().config.Offset())
+			}
+			for _, record := range r.log.Records(platform.StreamConfig)[next:] {
+				if record.Offset > applied {
+					break
+				}
+				slowest = max(slowest, time.Since(record.Time))
+				next++
+			}
+		}
+		writing.Wait()
+		perSecond := float64(r.configReads()-before) / time.Since(start).Seconds()
+		t.Logf("slowest change in force in all %d entries after %v; an operator waited up to %v; %.1f reads/s at the log",
+			entries, slowest, longestWait, perSecond)
+		g.Expect(longestWait).To(BeNumerically("<", 3*time.Second))
+		later, _ := r.members[0].control.view().region.Lease()
+		g.Expect(later.Epoch).To(Equal(held.Epoch), "the lease changed hands")
+		for _, m := range r.members {
+			_, _, ok := m.control.view().config.Team(state.TeamName(fmt.Sprint("t", changes-1)))
+			g.Expect(ok).To(BeTrue())
+		}
+		g.Expect(slowest).To(BeNumerically("<", 4*time.Second))
+		g.Expect(perSecond).To(BeNumerically("<", 0.55*entries))
+	})
+}
+
+func (r *testRegion) configReads() int {
+	reads := 0
+	for _, m := range r.members {
+		reads += m.log.readsOf(platform.StreamConfig)
+	}
+	return reads
+}
+
+// Guards against operators who wait for seconds after a handful of changes at
+// today's sizes, and against a lease that is lost or a decider that plans late
+// because reads are paced.
+func TestChangesInARowAtTodaysSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newTestRegion(t, standin.LogConfig{})
+		peers := peersOf("r", 3)
+		for i := range 3 {
+			r.connect(r.add("r", i, peers, 24*time.Hour))
+		}
+		defer r.stopAll()
+		time.Sleep(20 * time.Second)
+		held, ok := r.members[0].control.view().region.Lease()
+		g.Expect(ok).To(BeTrue())
+		var slowest, total time.Duration
+		for i := range 40 {
+			began := time.Now()
+			_, err := r.members[0].control.changeConfig(t.Context(), teamChange(fmt.Sprint("t", i)))
+			g.Expect(err).NotTo(HaveOccurred())
+			slowest = max(slowest, time.Since(began))
+			total += time.Since(began)
+		}
+		t.Logf("40 changes in a row: slowest %v, all %v", slowest, total)
+		g.Expect(slowest).To(BeNumerically("<", 400*time.Millisecond))
+		// The records of 60 agents that start at once, as after a power loss.
+		var last state.Offset
+		region := platform.RegionStream("r")
+		began := time.Now()
+		for i := range 60 {
+			last = appendTo(g, r.log, region, state.KindAgentStart, state.AgentStart{Upstream: state.UpstreamName(fmt.Sprint("u", i)), Incarnation: "1"})
+			time.Sleep(20 * time.Millisecond)
+		}
+		appended := time.Now()
+		for _, m := range r.members {
+			for m.control.view().region.Offset() < last {
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+		t.Logf("60 registrations in %v: the last one read by all entries after %v", appended.Sub(began), time.Since(appended))
+		g.Expect(time.Since(appended)).To(BeNumerically("<", 400*time.Millisecond))
+		time.Sleep(time.Minute)
+		later, _ := r.members[0].control.view().region.Lease()
+		g.Expect(later.Epoch).To(Equal(held.Epoch), "the lease changed hands")
+	})
+}
--- a/internal/logclient/tail.go
+++ b/internal/logclient/tail.go
@@ -37,11 +37,18 @@
 ) error {
 	opts = opts.withDefaults()
 	delays := newBackoff()
+	reads := newPacer(opts.Pace)
 	next := from
 	// The first read hardly waits, so that the caller soon learns that a
 	// stream without new records has been read to its end.
 	wait := min(firstWait, opts.Wait)
+	behind := false
 	for {
+		// Catching up with a long stream is not paced: the number of its pages
+		// is bounded by the records, not by the time that they took to come.
+		if !behind && !reads.wait(ctx) {
+			return ctx.Err()
+		}
 		page, err := log.Read(ctx, stream, next, opts.Limit, wait)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -49,6 +56,7 @@
 		if lost(page, err, next) {
 			return &TruncatedError{Stream: stream, From: next, Oldest: page.Oldest, End: page.End}
 		}
+		behind = false
 		if event := judge(page, err, next); event.Kind != "" {
 			event.Stream = stream
 			opts.OnEvent(event)
@@ -66,6 +74,7 @@
 		if page.Next == next && !sleep(ctx, emptyPause) {
 			return ctx.Err()
 		}
+		behind = page.Next > next && page.Next < page.End
 		next = page.Next
 	}
 }
