--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -41,8 +41,10 @@
 	dataCentre state.DataCentre
 	address    string
 	peers      []rpc.Peer
-	home       scaling.HomeConfig
-	retention  time.Duration
+	// remotes are the entries of other regions in the settings.
+	remotes   []rpc.Peer
+	home      scaling.HomeConfig
+	retention time.Duration
 }
 
 // controlDeps holds what commands work with.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,7 @@
 	writer   *logclient.Writer
 	relay    *logclient.Relay
 	router   *claimRouter
+	giver    *snapshotGiver
 	ledger   *ledger
 	history  *history
 	trail    *audit.Trail
@@ -101,6 +102,7 @@
 		caller: deps.Caller, appender: e.writer, logger: deps.Logger, counters: deps.Meter,
 		quarantine: e.quarantineAutomatically, decided: e.trail.Automatic,
 	}, time.Now())
+	e.giver = &snapshotGiver{control: e.control}
 	e.shards = newClaimShards(self, deps.Log, e.writer, deps.Caller, e.agentAddress, deps.Logger)
 	e.shards.meter = deps.Meter
 	e.ledger = newLedger(time.Now())
@@ -121,8 +123,11 @@
 		retention:  e.deps.Retention,
 	}
 	for _, peer := range e.cfg.Peers {
+		known := rpc.Peer{Name: peer.Name, Control: peer.Control}
 		if peer.Region == e.cfg.Region {
-			cfg.peers = append(cfg.peers, rpc.Peer{Name: peer.Name, Control: peer.Control})
+			cfg.peers = append(cfg.peers, known)
+		} else {
+			cfg.remotes = append(cfg.remotes, known)
 		}
 	}
 	return cfg
--- a/internal/entry/part.go
+++ b/internal/entry/part.go
@@ -12,8 +12,9 @@
 	// maxPartWait bounds how long an answer is held.
 	maxPartWait = 30 * time.Second
 	// lagWait is how long an agent waits for an entry that lags behind it
-	// before it is told to ask another one.
-	lagWait = 2 * time.Second
+	// before it is told to ask another one. It exceeds the 2 s between the
+	// reads of an entry that is one of many.
+	lagWait = 3 * time.Second
 )
 
 // part answers an agent with its upstream's part of the tables, at the earliest
--- a/internal/entry/snapshots.go
+++ b/internal/entry/snapshots.go
@@ -49,12 +49,6 @@
 	return &s.region
 }
 
-// snapshotTables are tables of which snapshots are written.
-type snapshotTables interface {
-	Offset() state.Offset
-	Snapshot() ([]byte, state.Offset)
-}
-
 // snapshotIfDue writes a stream's snapshot at a quarter of the log's retention
 // or after snapshotRecords, so that a record is always in a snapshot before
 // the log drops it.
@@ -72,7 +66,7 @@
 	c.decider.snapshot.config = streamSnapshot{at: now, covered: c.config.Offset()}
 }
 
-func (c *control) snapshotDue(stream platform.Stream, t snapshotTables, now time.Time) bool {
+func (c *control) snapshotDue(stream platform.Stream, t tables, now time.Time) bool {
 	s := c.decider.snapshot.of(stream)
 	if s.at.IsZero() {
 		// Takeovers must not put the next snapshot off again and again, so a
@@ -94,7 +88,7 @@
 	return true
 }
 
-func (c *control) writeSnapshot(ctx context.Context, stream platform.Stream, t snapshotTables, now time.Time) {
+func (c *control) writeSnapshot(ctx context.Context, stream platform.Stream, t tables, now time.Time) {
 	if len(c.slots) == cap(c.slots) {
 		return // Not encoded in vain; the next tick tries again.
 	}
--- a/internal/entry/tails.go
+++ b/internal/entry/tails.go
@@ -11,13 +11,19 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-// tailPause is the wait before a stream is read again after its reading failed.
-const tailPause = 500 * time.Millisecond
+// Bounds of the wait before a stream is read again after its reading failed.
+// The longer one keeps entries that find no snapshot from reading the whole
+// stream twice a second.
+const (
+	tailPause    = 500 * time.Millisecond
+	maxTailPause = 10 * time.Second
+)
 
 // tables are what a stream's records are applied to.
 type tables interface {
 	Apply(p state.Positioned) state.Outcome
 	Offset() state.Offset
+	Snapshot() ([]byte, state.Offset)
 	Restore(data []byte, covered state.Offset) error
 }
 
@@ -25,6 +31,8 @@
 // hands it to the control goroutine, until ctx ends.
 func (c *control) followStream(ctx context.Context, log platform.Log, stream platform.Stream) error {
 	from := state.Offset(0)
+	pause := tailPause
+	recovery := &recovery{control: c, log: log, stream: stream}
 	for ctx.Err() == nil {
 		err := logclient.Tail(ctx, log, stream, from, c.tailOptions(), func(page platform.Page) error {
 			done := make(chan state.Offset, 1)
@@ -34,6 +42,7 @@
 			select {
 			case applied := <-done:
 				from = applied + 1
+				pause = tailPause
 				return nil
 			case <-ctx.Done():
 				return ctx.Err()
@@ -42,11 +51,17 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if next, ok := c.recover(ctx, log, stream, from, err); ok {
-			from = next
-			continue
+		var lost *logclient.TruncatedError
+		if errors.As(err, &lost) {
+			if next, ok := recovery.from(ctx, lost); ok {
+				from = next
+				continue
+			}
+		} else {
+			c.deps.logger.Warn("reading a stream failed; it is repeated", "stream", stream, "error", err)
 		}
-		sleep(ctx, tailPause)
+		sleep(ctx, pause)
+		pause = min(2*pause, maxTailPause)
 	}
 	return nil
 }
@@ -57,30 +72,6 @@
 	}}
 }
 
-// recover loads the newest snapshot of a stream that no longer has the next
-// record.
-func (c *control) recover(ctx context.Context, log platform.Log, stream platform.Stream, from state.Offset, err error) (state.Offset, bool) {
-	if !errors.Is(err, platform.ErrTruncated) {
-		c.deps.logger.Warn("reading a stream failed; it is repeated", "stream", stream, "error", err)
-		return 0, false
-	}
-	snapshot, ok, err := logclient.LatestSnapshot(ctx, log, stream, from-1)
-	if err != nil || !ok {
-		c.deps.logger.Warn("no snapshot to go on from", "stream", stream, "error", err)
-		return 0, false
-	}
-	done := make(chan state.Offset, 1)
-	if !c.post(ctx, snapshotRead{stream: stream, snapshot: snapshot, done: done}) {
-		return 0, false
-	}
-	select {
-	case applied := <-done:
-		return applied + 1, true
-	case <-ctx.Done():
-		return 0, false
-	}
-}
-
 // tablesOf returns the tables that a stream is applied to.
 func (c *control) tablesOf(stream platform.Stream) tables {
 	if stream == platform.StreamConfig {
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -91,6 +91,7 @@
 		{Name: prefix + "crash_reports_lost_total", Type: Counter, Help: "Reports of crashed upstreams that did not reach the entry that attributes them."},
 		{Name: prefix + "replica_changes_lost_total", Type: Counter, Help: "Changes of replicas that did not reach their home."},
 		{Name: prefix + "log_read_events_total", Type: Counter, Help: "Failed, late or out-of-order reads of the log by an entry."},
+		{Name: prefix + "entry_snapshots_total", Type: Counter, Help: "Snapshots that an entry took from another one, since the log had lost records and held no snapshot of them."},
 		{Name: prefix + "records_without_effect_total", Type: Counter, Help: "Records read in the log that conflict with earlier ones or are invalid."},
 		{Name: prefix + "agent_heartbeat_failures_total", Type: Counter, Help: "Heartbeats that no entry answered."},
 		{Name: prefix + "agent_append_failures_total", Type: Counter, Help: "Records of an agent that were not stored at once."},
