--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,7 @@
 	writer   *logclient.Writer
 	relay    *logclient.Relay
 	router   *claimRouter
+	giver    *snapshotGiver
 	ledger   *ledger
 	history  *history
 	trail    *audit.Trail
@@ -94,13 +95,14 @@
 	e.writer = logclient.NewWriter(deps.Log, logclient.WriterConfig{
 		AppendsPerSecond: float64(cfg.Limits.LogAppendsPerSecond),
 	})
-	e.relay = logclient.NewRelay(deps.Log, e.writer, logclient.RelayConfig{},
+	e.relay = logclient.NewRelay(deps.Log, e.writer, logclient.RelayConfig{Tail: logclient.TailOptions{Pace: e.readPace()}},
 		platform.StreamConfig, platform.RegionStream(cfg.Region))
 	e.trail = audit.NewTrail(self, cfg.Region, auditAppender{e.writer}, audit.Options{})
 	e.control = newControl(e.controlConfig(self), controlDeps{
 		caller: deps.Caller, appender: e.writer, logger: deps.Logger, counters: deps.Meter,
 		quarantine: e.quarantineAutomatically, decided: e.trail.Automatic,
 	}, time.Now())
+	e.giver = &snapshotGiver{control: e.control}
 	e.shards = newClaimShards(self, deps.Log, e.writer, deps.Caller, e.agentAddress, deps.Logger)
 	e.shards.meter = deps.Meter
 	e.ledger = newLedger(time.Now())
@@ -121,8 +123,11 @@
 		retention:  e.deps.Retention,
 	}
 	for _, peer := range e.cfg.Peers {
+		known := rpc.Peer{Name: peer.Name, Control: peer.Control}
 		if peer.Region == e.cfg.Region {
-			cfg.peers = append(cfg.peers, rpc.Peer{Name: peer.Name, Control: peer.Control})
+			cfg.peers = append(cfg.peers, known)
+		} else {
+			cfg.remotes = append(cfg.remotes, known)
 		}
 	}
 	return cfg
