entry, bench: answer before the deadline, and count what is cut

Cause: An entry gave a request up at its deadline, so that the verdict reached the caller after it. The bench let work run on after the deadline, counted it as late, and did not free its slot, which the roles do.

Change: admission.AnswerBy keeps 50 ms, at most a tenth of the time, for the way back of the last answer. Entries and the bench end a request then: "may have run" if it was sent to an upstream, "not run" otherwise. The bench counts the former as cut, with a target of none.

The callers hear the truth in time. That as many requests end without an answer stays a miss of its own, and their work may have run.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -44,7 +44,8 @@
 			for _, n := range r.offered {
 				total += n
 			}
-			g.Expect(r.served() + r.refused + r.late + r.failed).To(Equal(total))
+			g.Expect(r.served() + r.refused + r.late + r.cut + r.failed).To(Equal(total))
+			g.Expect(r.late).To(BeZero())
 			g.Expect(float64(r.hedges)).To(BeNumerically("<=", 0.05*float64(total)))
 		})
 	}
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -63,7 +63,8 @@
 }
 
 func (e *entry) arrive(r *request) {
-	e.o.after(r.deadline.Sub(e.o.now)+1, func() { e.overdue(r) })
+	r.answerBy = admission.AnswerBy(e.o.now, r.deadline)
+	e.o.after(r.answerBy.Sub(e.o.now), func() { e.overdue(r) })
 	if e.o.logDown() && !r.repeatable {
 		e.o.end(r, outcomeRefused)
 		return
@@ -77,14 +78,31 @@
 	}
 }
 
-// overdue ends a request whose deadline has passed. If nothing of the system
-// still knows it, it was lost.
+// overdue ends a request that has not been answered in time. Work that was sent
+// may have run. If nothing of the system still knows the request, it was lost.
 func (e *entry) overdue(r *request) {
-	if !r.ended && e.waiting[r.id] == nil && len(e.live[r]) == 0 {
-		e.o.end(r, outcomeLost)
+	open := slices.Clone(e.live[r])
+	switch {
+	case r.ended:
 		return
+	case len(open) > 0:
+		e.o.end(r, outcomeCut)
+	case e.waiting[r.id] != nil:
+		e.queues[r.model].Remove(r.id)
+		delete(e.waiting, r.id)
+		e.o.end(r, outcomeRefused)
+	default:
+		e.o.end(r, outcomeLost)
+	}
+	for _, at := range open {
+		e.abandon(at)
 	}
-	e.o.end(r, outcomeRefused)
+}
+
+// abandon gives an attempt up and cancels it at its agent.
+func (e *entry) abandon(at *attempt) {
+	e.settle(at)
+	e.o.after(e.o.delay(e.id, at.up), func() { e.o.agents[at.up.id].cancel(at) })
 }
 
 func (e *entry) item(r *request, id uint64) admission.Item {
@@ -93,7 +111,7 @@
 		guess = estimate.Estimate{Service: r.total, Long: r.long}
 	}
 	return admission.Item{
-		ID: id, Caller: r.caller, Class: r.class, Arrived: r.arrived, Deadline: r.deadline,
+		ID: id, Caller: r.caller, Class: r.class, Arrived: r.arrived, Deadline: r.answerBy,
 		Cost: guess.Service, Long: guess.Long, Size: r.volume, Key: modelKey(r.model),
 	}
 }
@@ -312,7 +330,7 @@
 	v.RetryAfter = 0
 	wait, ok := e.retries.Decide(e.o.now, e.o.rng, retry.Attempt{
 		Verdict: v, Number: at.number, Repeatable: r.repeatable, Streamed: r.started,
-		Deadline: r.deadline, Cost: at.item.Cost,
+		Deadline: r.answerBy, Cost: at.item.Cost,
 	})
 	if !ok {
 		how := outcomeRefused
@@ -339,8 +357,7 @@
 	e.o.begin(at.r)
 	for _, other := range append([]*attempt(nil), e.live[at.r]...) {
 		if other != at {
-			e.settle(other)
-			e.o.after(e.o.delay(e.id, other.up), func() { e.o.agents[other.up.id].cancel(other) })
+			e.abandon(other)
 		}
 	}
 }
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -13,9 +13,9 @@
 
 // result is what one run of one version measured.
 type result struct {
-	offered, inTime             [state.ClassCount]int
-	refused, late, failed, lost int
-	repeated, hedges            int
+	offered, inTime                  [state.ClassCount]int
+	refused, late, cut, failed, lost int
+	repeated, hedges                 int
 	// overfull counts loads and requests beyond an upstream's capacity.
 	overfull                     int
 	loads                        int
@@ -96,6 +96,9 @@
 	outcomeRefused
 	outcomeFailed
 	outcomeLost
+	// outcomeCut is an admitted request whose caller is told, before the
+	// deadline, that its work may have run.
+	outcomeCut
 )
 
 // end records the end of a request; only the first one counts.
@@ -116,6 +119,8 @@
 		w.result.refused++
 	case how == outcomeFailed:
 		w.result.failed++
+	case how == outcomeCut:
+		w.result.cut++
 	default:
 		w.result.inTime[r.class]++
 		if at := r.arrived.Sub(epoch); at >= 20*time.Second && at < 70*time.Second {
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -16,7 +16,7 @@
 
 func newTable(w io.Writer) *table {
 	t := &table{rows: tabwriter.NewWriter(w, 0, 0, 2, ' ', 0), out: w}
-	_, _ = fmt.Fprintln(t.rows, "size\texperiment\tversion\toffered\tin time h/n/l %\trefused\tlate\tfailed\tlost\trepeated\tp50\tp99\tp99.9\tidle h\tloads\tcrossed MB\thedges")
+	_, _ = fmt.Fprintln(t.rows, "size\texperiment\tversion\toffered\tin time h/n/l %\trefused\tlate\tcut\tfailed\tlost\trepeated\tp50\tp99\tp99.9\tidle h\tloads\tcrossed MB\thedges")
 	return t
 }
 
@@ -36,9 +36,9 @@
 		offered += n
 		share[class] = 100 * float64(r.inTime[class]) / float64(max(n, 1))
 	}
-	_, _ = fmt.Fprintf(t.rows, "%s\t%s\t%s\t%d\t%.1f/%.1f/%.1f\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.2f\t%d\t%.1f\t%d\n",
+	_, _ = fmt.Fprintf(t.rows, "%s\t%s\t%s\t%d\t%.1f/%.1f/%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.2f\t%d\t%.1f\t%d\n",
 		s.name, e.name, name, offered, share[0], share[1], share[2],
-		r.refused, r.late, r.failed, r.lost, r.repeated,
+		r.refused, r.late, r.cut, r.failed, r.lost, r.repeated,
 		show(quantile(r.first, 50)), show(quantile(r.first, 99)), show(quantile(r.first, 99.9)),
 		r.idle.Hours(), r.loads, float64(r.crossed)/1e6, r.hedges)
 }
@@ -48,6 +48,7 @@
 // judge compares ours with the targets of the design page.
 func (t *table) judge(s size, e experiment, o outcomes) {
 	t.target(s, e, "late or lost", float64(o.ours.late+o.ours.lost), 0, true)
+	t.target(s, e, "admitted but cut at the deadline", float64(o.ours.cut), 0, true)
 	switch e.name {
 	case "swing":
 		t.target(s, e, "in time at the peak / oracle", float64(o.ours.peakInTime)/float64(max(o.base.peakInTime, 1)), 0.95, false)
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -37,13 +37,16 @@
 
 // request is one arrival and how it ended.
 type request struct {
-	id         uint64
-	model      int
-	caller     state.CallerName
-	class      state.Class
-	entry      int
-	arrived    time.Time
-	deadline   time.Time
+	id       uint64
+	model    int
+	caller   state.CallerName
+	class    state.Class
+	entry    int
+	arrived  time.Time
+	deadline time.Time
+	// answerBy is when ours must have answered, so that the answer is in time
+	// at the caller.
+	answerBy   time.Time
 	prefill    time.Duration
 	total      time.Duration
 	long       bool
--- a/internal/entry/gateway_test.go
+++ b/internal/entry/gateway_test.go
@@ -364,6 +364,30 @@
 	})
 }
 
+// Guards against a verdict that reaches the caller after the deadline, and
+// against one that says of work under way that it was not run.
+func TestVerdictComesBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		hang := func(r *http.Request) (*http.Response, error) {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		for _, patience := range []time.Duration{2 * time.Second, 5 * time.Second} {
+			for _, repeatable := range []bool{true, false} {
+				b := newGatewayBench(t, agentsOf(answers{"a": hang}), "a")
+				started := time.Now()
+				_, err := b.send(t.Context(), repeatable, func(r *request) { r.deadline = started.Add(patience) })
+				v := verdict.Of(err)
+				g.Expect(v.Reason).To(Equal(verdict.ReasonDeadlineExceeded))
+				g.Expect(v.Execution).To(Equal(verdict.MayHaveRun))
+				left := patience - time.Since(started)
+				g.Expect(left).To(Equal(50 * time.Millisecond))
+			}
+		}
+	})
+}
+
 // Guards against upstream work that goes on after its caller has left, and
 // against a waiting request that outlives its deadline.
 func TestCallerAndDeadlineEndRequests(t *testing.T) {
