entry, roles: age reported loads, count sends once, keep-alive by break-even

An entry never aged a replica's reported load and counted its own open requests twice, as sent and in the report. An agent kept a replica without known gaps for 5 minutes instead of the break-even time, at most 2 minutes.

Change: upstreamLoad counts a request as sent or in the report, never both, and uses routing.AgedQueue. The retention asks scaling.KeepAlive from the start; the agent's default holds only while the load time is not known.

Measured: go test ./internal/entry ./internal/roles. The expectation of one hour without history is replaced by exact ones for an unknown load time, the break-even time and the bound. Broken variants seen to fail: no aging, sends kept at a report, ends always taken from the sends, the former start value.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -39,6 +39,7 @@
 type answer struct {
 	replica  rpc.ReplicaAt
 	load     *upstreamLoad
+	mark     uint64
 	sentAt   time.Time
 	headAt   time.Time
 	response *http.Response
@@ -54,14 +55,13 @@
 	if a.response != nil {
 		_ = a.response.Body.Close()
 	}
-	a.load.sent.Add(-1)
+	a.load.end(a.mark)
 }
 
 // do sends the request to a replica and reads the head of the answer.
 func (e *execution) do(ctx context.Context, replica rpc.ReplicaAt, load *upstreamLoad) *answer {
 	ctx, cancel := context.WithCancel(ctx)
-	a := &answer{replica: replica, load: load, sentAt: time.Now(), cancel: cancel}
-	load.sent.Add(1)
+	a := &answer{replica: replica, load: load, mark: load.begin(), sentAt: time.Now(), cancel: cancel}
 	outgoing, err := e.outgoing(ctx, replica)
 	if err != nil {
 		a.failure = verdict.Refuse(verdict.ReasonBadRequest, "the request can't be sent on")
@@ -74,7 +74,7 @@
 		return a
 	}
 	a.response = response
-	load.report(response.Header)
+	load.report(a.headAt, response.Header)
 	if v, ok := verdict.FromHeaders(response.Header); ok && v.Execution != verdict.Ran {
 		v.Detail = refusalText(response.Body)
 		a.failure = v
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -220,10 +220,11 @@
 func (r *route) candidate(now time.Time, i int, replica *rpc.ReplicaAt, load *upstreamLoad, req *request, cfg *routeConfig) routing.Candidate {
 	n := r.indexOf(replica.Upstream)
 	tracker := r.trackers[req.kind()]
+	queue, sent := load.now(now, cfg.slots, req.cost)
 	return routing.Candidate{
 		Replica:       i,
-		Queue:         int(load.reported.Load()),
-		Sent:          int(load.sent.Load()),
+		Queue:         queue,
+		Sent:          sent,
 		Slots:         cfg.slots,
 		Latency:       time.Duration(float64(req.cost) * max(tracker.Slowdown(n), replica.Slowdown)),
 		Locality:      localityOf(replica, cfg),
--- a/internal/roles/retention.go
+++ b/internal/roles/retention.go
@@ -22,7 +22,9 @@
 type retention struct {
 	cfg       scaling.KeepAliveConfig
 	histories map[state.ReplicaKey]*scaling.KeepAlive
-	evictor   *scaling.Evictor
+	// unknown is the keep-alive while the load time is not known.
+	unknown time.Duration
+	evictor *scaling.Evictor
 	// granted holds the evictions that were allowed in the window, so that one
 	// that is asked for on each tick until the engine has carried it out
 	// counts once.
@@ -35,12 +37,12 @@
 	lastUsed time.Time
 }
 
-func newRetention(weights settings.Weights, start time.Duration) *retention {
+func newRetention(weights settings.Weights, unknown time.Duration) *retention {
 	r := &retention{
 		evictor: scaling.NewEvictor(scaling.EvictConfig{Window: burstWindow}),
 		granted: make(map[idleReplica]time.Time),
 	}
-	r.cfg.Start = start
+	r.unknown = unknown
 	r.configure(weights)
 	return r
 }
@@ -53,6 +55,10 @@
 
 // observe learns from a gap between requests.
 func (r *retention) observe(key state.ReplicaKey, gap time.Duration) {
+	r.history(key).Observe(gap)
+}
+
+func (r *retention) history(key state.ReplicaKey) *scaling.KeepAlive {
 	known, ok := r.histories[key]
 	if !ok {
 		if len(r.histories) >= maxHistories {
@@ -61,15 +67,16 @@
 		known = scaling.NewKeepAlive(r.cfg)
 		r.histories[key] = known
 	}
-	known.Observe(gap)
+	return known
 }
 
-// keepAlive implements agent.Deps.KeepAlive.
+// keepAlive implements agent.Deps.KeepAlive. The load time is zero if it is not
+// known; what a cold start costs is then not known either.
 func (r *retention) keepAlive(key state.ReplicaKey, load time.Duration) time.Duration {
-	if known, ok := r.histories[key]; ok {
-		return known.Value(load)
+	if load <= 0 {
+		return r.unknown
 	}
-	return r.cfg.Start
+	return r.history(key).Value(load)
 }
 
 // burst implements account.BurstRule.
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -84,7 +84,9 @@
 	g.Expect(long).To(BeNumerically(">", 40*time.Second))
 	g.Expect(short).To(BeNumerically("<", 40*time.Second))
 	r := newRetention(settings.Weights{Idle: 1, ColdStart: 10}, time.Hour)
-	g.Expect(r.keepAlive(key, time.Second)).To(Equal(time.Hour))
+	g.Expect(r.keepAlive(key, 0)).To(Equal(time.Hour), "the load time is not known")
+	g.Expect(r.keepAlive(key, 3*time.Second)).To(Equal(30*time.Second), "idle time costs as much as the cold start")
+	g.Expect(r.keepAlive(key, time.Minute)).To(Equal(2*time.Minute), "the bound without history")
 
 	now := time.Unix(1000, 0)
 	ask := func(model state.ModelName, at, lastUsed time.Time) bool {
