--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -37,13 +37,16 @@
 
 // request is one arrival and how it ended.
 type request struct {
-	id         uint64
-	model      int
-	caller     state.CallerName
-	class      state.Class
-	entry      int
-	arrived    time.Time
-	deadline   time.Time
+	id       uint64
+	model    int
+	caller   state.CallerName
+	class    state.Class
+	entry    int
+	arrived  time.Time
+	deadline time.Time
+	// answerBy is when ours must have answered, so that the answer is in time
+	// at the caller.
+	answerBy   time.Time
 	prefill    time.Duration
 	total      time.Duration
 	long       bool
@@ -81,6 +84,9 @@
 	lostAt           time.Duration
 	logFrom, logTo   time.Duration
 	exact, preloaded bool
+	// foretold lets ours know from the beginning which upstreams will be
+	// stragglers, and when.
+	foretold bool
 	// sessions replaces steady demand by sessions on rarely used models, and
 	// nothing is loaded before the run.
 	sessions bool
