--- a/cmd/lagoonvalve/capacity_test.go
+++ b/cmd/lagoonvalve/capacity_test.go
@@ -116,7 +116,7 @@
 		var processor, traffic, memory []float64
 		for _, name := range names {
 			if strings.HasPrefix(name, role) {
-				processor = append(processor, (after[name].processor - before[name].processor).Seconds()/elapsed.Seconds())
+				processor = append(processor, (after[name].processor-before[name].processor).Seconds()/elapsed.Seconds())
 				traffic = append(traffic, (after[name].traffic-before[name].traffic)/elapsed.Seconds())
 				memory = append(memory, after[name].memory)
 			}
