entry: read claim shards soon after an outage of the log

Cause: the script log-outage failed once: a call right after the outage was refused after 1.7 s, since its shard had been opened during the outage and its reader waited up to 3 s between failed reads, longer than the owner waits for a claim. Change: readers of claim shards wait at most 500 ms (750 ms with jitter). Conclusion: kept; two failed reads a second for each shard in use are the cost during an outage.

--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -28,6 +28,10 @@
 	// confirmed. The refusal must reach the entry within claimWait, or the
 	// entry can't say that the work was not run.
 	claimGiveUp = claimWait - 300*time.Millisecond
+	// claimReadRetry bounds the delay between failed reads of a shard's
+	// stream. It is shorter than claimGiveUp, or requests would be refused for
+	// up to 3 s after the end of an outage of the log.
+	claimReadRetry = 500 * time.Millisecond
 	// claimAppendBytes bounds the bodies of an append, well below what the
 	// appender takes in one call. Outcomes with kept answers can exceed it
 	// within one batch of the owner.
@@ -313,8 +317,9 @@
 // follow reads a shard's stream.
 func (s *claimShards) follow(ctx context.Context, shard *claimShard) {
 	from := state.Offset(0)
+	options := logclient.TailOptions{LastRetry: claimReadRetry}
 	for ctx.Err() == nil {
-		err := logclient.Tail(ctx, s.log, platform.ClaimStream(shard.number), from, logclient.TailOptions{},
+		err := logclient.Tail(ctx, s.log, platform.ClaimStream(shard.number), from, options,
 			func(page platform.Page) error {
 				from = page.Next
 				return s.deliver(ctx, shard, page)
--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -294,6 +294,26 @@
 	})
 }
 
+// Guards against claims that are refused for seconds after an outage of the log,
+// because the delays of the failed reads have grown.
+func TestClaimsResumeSoonAfterOutage(t *testing.T) {
+	for n := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newClaimsWorld(t, 1)
+			defer w.stop()
+			key := keyAt(time.Now(), n)
+			w.log.SetFaults(standin.LogFaults{Outage: true})
+			v, _ := w.send(w.entries[0].router, key, completes)
+			g.Expect(v.Reason).NotTo(Equal(verdict.ReasonOK))
+			time.Sleep(time.Minute)
+			w.log.SetFaults(standin.LogFaults{})
+			v, _ = w.send(w.entries[0].router, key, completes)
+			g.Expect(v.Reason).To(Equal(verdict.ReasonOK), v.Error())
+		})
+	}
+}
+
 // Guards against outcomes that are lost with an unused shard while the log is
 // down, and against a shard that outcomes of the largest size block for good.
 func TestOutcomesSurviveLongOutage(t *testing.T) {
--- a/internal/logclient/tail.go
+++ b/internal/logclient/tail.go
@@ -22,6 +22,7 @@
 func (o TailOptions) withDefaults() TailOptions {
 	setDefault(&o.Limit, 500)
 	setDefault(&o.Wait, 10*time.Second)
+	setDefault(&o.LastRetry, lastRetry)
 	if o.OnEvent == nil {
 		o.OnEvent = func(Event) {}
 	}
@@ -37,6 +38,7 @@
 ) error {
 	opts = opts.withDefaults()
 	delays := newBackoff()
+	delays.MaxInterval = opts.LastRetry
 	reads := newPacer(opts.Pace)
 	next := from
 	// The first read hardly waits, so that the caller soon learns that a
