entry: count an answer as served when its caller leaves at the end

Many clients close the connection at the last event of a stream, while the entry still waited for the trailer of the agent. Partners settle disputes from these counts. Change: an answer is whole once its last event, or the last byte of its declared length, has been passed on; what happens to the connection after that changes nothing. The agent treats its side alike. Package sse serves entry and agent.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/sse"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -25,8 +26,6 @@
 	// wholeAnswer bounds the answers that are read to their end before the
 	// first byte is passed on, so that their verdict is known by then.
 	wholeAnswer = 16 << 10
-	eventStream = "text/event-stream"
-	endOfEvents = "[DONE]"
 )
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
@@ -51,7 +50,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	short := resp.ContentLength >= 0 && resp.ContentLength <= wholeAnswer && !isEventStream(resp)
+	short := resp.ContentLength >= 0 && resp.ContentLength <= wholeAnswer && !sse.Is(resp.Header)
 	if short || resp.Body == http.NoBody {
 		a.relayWhole(ctx, w, c, started, resp)
 		return
@@ -125,10 +124,6 @@
 	a.setLoad(to)
 }
 
-func isEventStream(resp *http.Response) bool {
-	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream)
-}
-
 // outcomeOf is the verdict of an answer that arrived whole.
 func outcomeOf(status int) *verdict.Verdict {
 	if status >= http.StatusInternalServerError {
@@ -218,7 +213,7 @@
 func (a *Agent) relayStream(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, resp *http.Response, arrived func()) {
 	h := w.Header()
 	a.copyAnswerHeaders(h, resp.Header)
-	events := isEventStream(resp)
+	events := sse.Is(resp.Header)
 	// An event stream loses its declared length so that a trailer can follow.
 	if events {
 		h.Del("Content-Length")
@@ -268,13 +263,13 @@
 	defer copyBuffers.Put(buf)
 	control := http.NewResponseController(w)
 	kept := keptAnswer{limit: int(maxClaimAnswer)}
-	var end endMark
+	var end sse.EndMark
 	for {
 		n, err := resp.Body.Read(buf[:])
 		if n > 0 {
 			arrived()
 			kept.add(buf[:n])
-			end.add(buf[:n])
+			end.Add(buf[:n])
 			if _, writeErr := w.Write(buf[:n]); writeErr != nil {
 				return nil, errors.Wrap(errWrite, writeErr.Error())
 			}
@@ -287,10 +282,14 @@
 				return nil, errors.Wrap(errWrite, flushErr.Error())
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			return kept.bytes(), end.check(resp, events)
-		}
-		if err != nil {
+		whole := events && end.Seen()
+		switch {
+		case errors.Is(err, io.EOF):
+			return kept.bytes(), checkEnd(resp, whole)
+		case err != nil && whole:
+			// Many callers close the connection at the last event.
+			return kept.bytes(), nil
+		case err != nil:
 			return nil, err
 		}
 	}
@@ -321,26 +320,11 @@
 	return k.data
 }
 
-// endMark keeps the last bytes of a stream.
-type endMark struct{ tail []byte }
-
-func (e *endMark) add(p []byte) {
-	const keep = 32
-	if len(p) >= keep {
-		e.tail = append(e.tail[:0], p[len(p)-keep:]...)
-		return
-	}
-	e.tail = append(e.tail, p...)
-	if len(e.tail) > keep {
-		e.tail = append(e.tail[:0], e.tail[len(e.tail)-keep:]...)
-	}
-}
-
-// check reports a stream that only the end of the connection delimits: its
+// checkEnd reports an answer that only the end of the connection delimits: its
 // end doesn't show that it is whole, unless an end mark does.
-func (e *endMark) check(resp *http.Response, events bool) error {
+func checkEnd(resp *http.Response, whole bool) error {
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor >= 2
-	if delimited || events && bytes.Contains(e.tail, []byte(endOfEvents)) {
+	if delimited || whole {
 		return nil
 	}
 	return errors.New("the answer has no declared end")
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/sse"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -266,7 +267,8 @@
 	w.override = a.response.StatusCode
 	watch := &tokenWatch{started: a.sentAt, kept: &e.kept, keep: e.claim != ""}
 	size, err := relayBody(w, io.TeeReader(a.response.Body, watch), watch)
-	v := streamVerdict(ctx, a.response.Trailer, err)
+	whole := size == a.response.ContentLength || sse.Is(a.response.Header) && watch.end.Seen()
+	v := streamVerdict(ctx, a.response.Trailer, whole, err)
 	if v.Reason == verdict.ReasonUpstreamCrashed {
 		e.suspects.crashed(e.request.fingerprint, a.replica.Upstream)
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -67,12 +67,14 @@
 func (e *callerGoneError) Unwrap() error { return e.cause }
 
 // streamVerdict judges a relay that ended with err after the answer's head was
-// read. The trailer of an agent says whether a stream was cut.
-func streamVerdict(ctx context.Context, trailer http.Header, err error) *verdict.Verdict {
+// read. A whole answer has been passed on to its last byte; many callers close
+// the connection then. The trailer of an agent says whether a stream was cut.
+func streamVerdict(ctx context.Context, trailer http.Header, whole bool, err error) *verdict.Verdict {
 	var gone *callerGoneError
 	switch {
 	case errors.As(err, &gone):
 		return verdict.Unknown(verdict.ReasonCallerGone, "the caller left during the answer")
+	case whole:
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return verdict.Unknown(verdict.ReasonDeadlineExceeded, "the deadline passed during the answer")
 	case ctx.Err() != nil:
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/sse"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -18,6 +19,7 @@
 	chunks  int
 	keep    bool
 	kept    *keptBody
+	end     sse.EndMark
 }
 
 // chunk implements progress.
@@ -31,6 +33,7 @@
 
 // Write implements io.Writer; it never fails.
 func (t *tokenWatch) Write(p []byte) (int, error) {
+	t.end.Add(p)
 	if t.keep {
 		t.kept.add(p)
 	}
