entry, membership: put reports of a replica in order

Cause: a home could not tell an overtaken or repeated report of a replica from a newer one under the same registration (design 6.1). A replica reported gone while a wake of it was in flight was kept, even if the wake's answer was older.

Change: Replica changes carry the sequence of the agent's heartbeat and a revision of the watcher; a batch names the watcher's run. Watchers drop overtaken heartbeats, homes drop overtaken and repeated changes, also after the replica's end. Answers to wakes and to probes are compared by the same sequence. An end that arrives during a wake is decided by the answer; one by the watcher's judgement always counts. The end of a replica names the report that ends it, not the one that last showed it.

Measured: go test ./internal/entry ./internal/decide/membership ./internal/agent passes. Each new test fails on a variant without the rule it guards; TestGoneDuringWake fails with the former code, which forgot the end.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -109,6 +109,21 @@
 	})
 }
 
+// Guards against an answer to a wake that a home can't put in order with the
+// reports of the same agent.
+func TestWakeAnswerNamesReport(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		settle(10 * time.Second)
+		beats := w.caller.sent()
+		answer := w.wake()
+		w.Expect(answer.State).To(Equal(state.ReplicaReady))
+		w.Expect(answer.Agent).To(Equal(beats[len(beats)-1].Agent))
+		w.Expect(answer.Sequence).To(Equal(beats[len(beats)-1].Sequence))
+		w.Expect(answer.Sequence).To(BeNumerically(">", 1))
+	})
+}
+
 // Guards against a whole stream without its end or without its verdict.
 func TestWholeStream(t *testing.T) {
 	inBubble(t, func(w *world) {
--- a/internal/agent/methods.go
+++ b/internal/agent/methods.go
@@ -26,7 +26,12 @@
 // wake asks for a replica or an adapter. A wake of a ready one counts as use.
 func (c *control) wake(ctx context.Context, p rpc.WakeParams) (rpc.WakeResult, error) {
 	var result rpc.WakeResult
-	err := c.ask(ctx, func() { result = c.wakeNow(time.Now(), p) })
+	err := c.ask(ctx, func() {
+		result = c.wakeNow(time.Now(), p)
+		// Each event is followed by a tick, which notes its changes, so the
+		// sequence covers all that happened before this event.
+		result.Agent, result.Sequence = c.heart.token, c.heart.sequence
+	})
 	return result, err
 }
 
--- a/internal/decide/membership/agents.go
+++ b/internal/decide/membership/agents.go
@@ -55,6 +55,8 @@
 	agents   map[state.UpstreamName]*agent
 	current  map[replicaID]rpc.ReplicaChange
 	told     map[replicaID]told
+	// revision counts the changes of what agents offer.
+	revision uint64
 }
 
 // NewAgents returns an empty table.
@@ -164,24 +166,33 @@
 
 // offer brings current in line with what the agent offers.
 func (a *Agents) offer(known *agent) {
+	a.revision++
 	offered := known.offered()
 	for id, change := range a.current {
 		if _, still := offered[id.key]; id.upstream == known.upstream.Name && !still && !change.Gone {
-			change.Gone = true
+			// What ends it is the agent's latest report, which may be one of
+			// a successor.
+			change.Replica.Agent, change.Replica.AgentIncarnation = known.token, known.runs.current
+			change.Gone, change.Withdrawn = true, known.silent || known.leaving
+			change.Sequence, change.Revision = known.sequence, a.revision
 			a.current[id] = change
 		}
 	}
 	for key, replica := range offered {
-		a.current[replicaID{known.upstream.Name, key}] = rpc.ReplicaChange{Replica: rpc.ReplicaAt{
-			Replica:          replica,
-			TrafficAddr:      known.upstream.TrafficAddr,
-			ControlAddr:      known.upstream.ControlAddr,
-			DataCentre:       known.upstream.DataCentre,
-			Region:           known.upstream.Region,
-			Agent:            known.token,
-			AgentIncarnation: known.runs.current,
-			Slowdown:         known.slowdown,
-		}}
+		a.current[replicaID{known.upstream.Name, key}] = rpc.ReplicaChange{
+			Replica: rpc.ReplicaAt{
+				Replica:          replica,
+				TrafficAddr:      known.upstream.TrafficAddr,
+				ControlAddr:      known.upstream.ControlAddr,
+				DataCentre:       known.upstream.DataCentre,
+				Region:           known.upstream.Region,
+				Agent:            known.token,
+				AgentIncarnation: known.runs.current,
+				Slowdown:         known.slowdown,
+			},
+			Sequence: known.sequence,
+			Revision: a.revision,
+		}
 	}
 }
 
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -162,6 +163,73 @@
 	g.Expect(changed(a, moved)).To(Equal([]string{"other m false"}), "the agent is heard again")
 }
 
+// Guards against a watcher that takes an overtaken or repeated heartbeat for
+// news, or whose changes can't be put in order.
+func TestHeartbeatsInAnyOrder(t *testing.T) {
+	ring := membership.NewRing([]state.EntryName{"home"})
+	sent := []rpc.Heartbeat{
+		beat("1", 5, 1, "m"), beat("1", 5, 2, "m", "n"), beat("1", 5, 3, "n"), beat("1", 5, 4, "n", "o"),
+		beat("2", 8, 1, "m"), beat("2", 8, 2, "n"), beat("2", 8, 2), beat("2", 8, 1), beat("1", 5, 4),
+	}
+	for seed := range uint64(200) {
+		g := NewWithT(t)
+		rng := rand.New(rand.NewPCG(seed, 0))
+		a := membership.NewAgents(membership.DefaultSettings())
+		a.Watch(slices.Values([]state.Upstream{upstream("u")}), start)
+		offered, last := map[state.ModelName]bool{}, rpc.ReplicaChange{}
+		for _, i := range append(rng.Perm(len(sent)), rng.Perm(len(sent))...) {
+			a.Observe(sent[i], start)
+			for _, batch := range a.Changes(ring) {
+				for _, c := range batch.Changes {
+					g.Expect(c.Replica.Agent).To(BeNumerically(">=", last.Replica.Agent))
+					if c.Replica.Agent == last.Replica.Agent {
+						g.Expect(c.Sequence).To(BeNumerically(">=", last.Sequence), "seed %d", seed)
+					}
+					g.Expect(c.Revision).To(BeNumerically(">=", last.Revision), "seed %d", seed)
+					g.Expect(c.Withdrawn).To(BeFalse())
+					offered[c.Replica.Model] = !c.Gone
+					last = c
+				}
+			}
+		}
+		g.Expect(last.Replica.Agent).To(Equal(state.FencingToken(8)), "a change names the report that it comes from")
+		for model, is := range offered {
+			g.Expect(is).To(Equal(model == "n"), "seed %d: %s", seed, model)
+		}
+	}
+}
+
+// Guards against a replica of a leaving host or of a silent agent that a home
+// keeps because the agent still has it, and against two changes without an
+// order between them.
+func TestWithdrawnReplicas(t *testing.T) {
+	g := NewWithT(t)
+	a, ring := membership.NewAgents(membership.DefaultSettings()), membership.NewRing([]state.EntryName{"home"})
+	a.Watch(slices.Values([]state.Upstream{upstream("u")}), start)
+	revision := uint64(0)
+	next := func() rpc.ReplicaChange {
+		change := a.Changes(ring)[0].Changes[0]
+		g.Expect(change.Revision).To(BeNumerically(">", revision))
+		g.Expect(change.Sequence).To(Equal(uint64(3)))
+		revision = change.Revision
+		return change
+	}
+	a.Observe(beat("1", 5, 3, "m"), start)
+	g.Expect(next().Gone).To(BeFalse())
+	a.SetLeaving(func(state.HostName) bool { return true })
+	g.Expect(next()).To(And(HaveField("Gone", true), HaveField("Withdrawn", true)))
+	a.SetLeaving(func(state.HostName) bool { return false })
+	g.Expect(next()).To(And(HaveField("Gone", false), HaveField("Withdrawn", false)))
+	a.Tick(after(15 * time.Second))
+	g.Expect(next()).To(And(HaveField("Gone", true), HaveField("Withdrawn", true)))
+	g.Expect(a.Observe(beat("1", 5, 2), after(15*time.Second)).SendFull).To(BeFalse())
+	g.Expect(a.Changes(ring)).To(BeEmpty(), "an overtaken heartbeat is no sign of life")
+	a.Watch(slices.Values([]state.Upstream{}), start)
+	a.Watch(slices.Values([]state.Upstream{upstream("u")}), start)
+	a.Observe(beat("1", 5, 3, "m"), start)
+	g.Expect(next().Gone).To(BeFalse(), "an upstream that was not watched for a while")
+}
+
 // Guards against host.gone on the word of the list alone, of the watchers
 // alone, of one reading of a list that lags behind a new host, or of one of
 // two agents of a host, and against grants on a leaving host.
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -14,6 +14,9 @@
 const (
 	// demandFreshFor is how long an entry's backlog counts after its report.
 	demandFreshFor = 8 * time.Second
+	// reportKept is how long the last change of a replica that is gone is
+	// kept. Calls that carry changes end after reportTimeout.
+	reportKept = time.Minute
 	// homeIdle is how long a home without demand is kept.
 	homeIdle = 10 * time.Minute
 	// wakePoll is the time between questions to an agent that loads.
@@ -37,6 +40,9 @@
 	demands  map[state.EntryName]demandSeen
 	replicas map[state.UpstreamName]*homeReplica
 	refused  map[state.UpstreamName]time.Time
+	// reports holds the last change applied for each upstream, also of those
+	// whose replica is gone.
+	reports  map[state.UpstreamName]report
 	version  uint64
 	parked   []parkedDemand
 	lastUsed time.Time
@@ -64,6 +70,12 @@
 	queue   int
 	woken   time.Time
 	drained bool
+	// answered is the agent's report that its last answer to a wake of the
+	// model was given after.
+	answered reportOrder
+	// ended is a change that says that the replica is gone and that came
+	// while a wake was in flight.
+	ended *rpc.ReplicaChange
 }
 
 // parkedDemand is a question of an entry that waits for a change.
@@ -110,6 +122,7 @@
 		demands:  make(map[state.EntryName]demandSeen),
 		replicas: make(map[state.UpstreamName]*homeReplica),
 		refused:  make(map[state.UpstreamName]time.Time),
+		reports:  make(map[state.UpstreamName]report),
 		loadTime: startLoadTime,
 	}
 	t.byKey[key] = created
@@ -270,6 +283,11 @@
 			delete(h.refused, upstream)
 		}
 	}
+	for upstream, last := range h.reports {
+		if _, held := h.replicas[upstream]; !held && now.Sub(last.at) > reportKept {
+			delete(h.reports, upstream)
+		}
+	}
 }
 
 func (h *home) input(c *control, config *state.ConfigView, now time.Time) scaling.HomeInput {
--- a/internal/entry/home_wakes.go
+++ b/internal/entry/home_wakes.go
@@ -82,16 +82,24 @@
 		return
 	}
 	replica.polling = false
+	ended := replica.ended
+	replica.ended = nil
+	failed := e.err != nil || e.result.Refusal != nil
+	if !failed {
+		replica.noteAnswer(e.order.params.Adapter, e.result)
+	}
 	switch {
-	case e.err != nil || e.result.Refusal != nil:
-		if e.order.params.Adapter != "" {
-			// The base model stays loaded; whether its agent is gone is for
-			// the watcher to say.
-			return
-		}
+	case failed && e.order.params.Adapter == "":
 		delete(h.replicas, name)
 		h.refused[name] = now.Add(refusedFor)
 		c.homes.bump(h)
+	case ended != nil && !answeredAfter(replica.answered, ended):
+		delete(h.replicas, name)
+		c.homes.bump(h)
+	case failed:
+		// The base model stays loaded; whether its agent is gone is for the
+		// watcher to say.
+		return
 	case e.result.State == state.ReplicaReady:
 		h.becameReady(c, replica, e.order.params.Adapter, now)
 	default:
@@ -101,6 +109,13 @@
 	h.answer(c, now)
 }
 
+// noteAnswer notes an answer that says the state of the model.
+func (r *homeReplica) noteAnswer(adapter state.AdapterName, result rpc.WakeResult) {
+	if adapter == "" || result.State == state.ReplicaReady {
+		r.answered = reportOrder{result.Agent, result.Sequence}
+	}
+}
+
 func (h *home) becameReady(c *control, replica *homeReplica, adapter state.AdapterName, now time.Time) {
 	if adapter != "" && !slices.Contains(replica.at.Adapters, adapter) {
 		replica.at.Adapters = append(slices.Clone(replica.at.Adapters), adapter)
--- a/internal/entry/methods.go
+++ b/internal/entry/methods.go
@@ -59,7 +59,7 @@
 }
 
 func (e *Entry) replicaChanges(ctx context.Context, p rpc.ChangesParams) (struct{}, error) {
-	e.control.post(ctx, changesReceived{changes: p.Changes})
+	e.control.post(ctx, changesReceived{watcher: p.Watcher, changes: p.Changes})
 	return struct{}{}, nil
 }
 
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -58,7 +58,7 @@
 	if !e.failed {
 		for _, replica := range e.status.Heartbeat.Replicas {
 			if replica.ReplicaKey == h.key && replica.State != state.ReplicaUnloading {
-				h.adopt(c, e.at, replica, now)
+				h.adopt(c, e.at, replica, reportOrder{e.status.Heartbeat.Agent, e.status.Heartbeat.Sequence}, now)
 			}
 		}
 	}
@@ -68,13 +68,17 @@
 	}
 }
 
-// adopt takes in a replica that another home has woken.
-func (h *home) adopt(c *control, at rpc.ReplicaAt, replica state.Replica, now time.Time) {
+// adopt takes in a replica that another home has woken, unless its agent's
+// watcher has told of a later state.
+func (h *home) adopt(c *control, at rpc.ReplicaAt, replica state.Replica, answered reportOrder, now time.Time) {
 	if _, known := h.replicas[at.Upstream]; known {
 		return
 	}
+	if last, told := h.reports[at.Upstream]; told && last.agent == answered.agent && last.sequence > answered.sequence {
+		return
+	}
 	at.Replica = replica
-	h.replicas[at.Upstream] = &homeReplica{at: at, readyAt: now.Add(h.loadTime), polled: now}
+	h.replicas[at.Upstream] = &homeReplica{at: at, readyAt: now.Add(h.loadTime), polled: now, answered: answered}
 	c.homes.bump(h)
 }
 
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -57,14 +57,16 @@
 
 func (c *control) sendChanges(ctx context.Context, batch membership.HomeBatch) {
 	if batch.Home == c.cfg.name {
-		c.start(ctx, func(context.Context) event { return changesReceived{changes: batch.Changes} })
+		c.start(ctx, func(context.Context) event {
+			return changesReceived{watcher: c.cfg.self.Incarnation, changes: batch.Changes}
+		})
 		return
 	}
 	address := c.peers.addresses()[batch.Home]
 	c.start(ctx, func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		params := rpc.ChangesParams{Changes: batch.Changes}
+		params := rpc.ChangesParams{Watcher: c.cfg.self.Incarnation, Changes: batch.Changes}
 		if err := c.deps.caller.Call(ctx, address, rpc.MethodChanges, params, &struct{}{}); err != nil {
 			return changesLost{batch: batch}
 		}
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -141,10 +141,19 @@
 	Benefit float64 `json:"benefit"`
 }
 
-// ReplicaChange is a change of a replica, sent by watchers to homes.
+// ReplicaChange is a change of a replica, sent by watchers to homes. Changes of
+// one agent registration are ordered by Sequence, then by Revision if they come
+// from the same run of a watcher.
 type ReplicaChange struct {
 	Replica ReplicaAt `json:"replica"`
 	Gone    bool      `json:"gone,omitempty"`
+	// Withdrawn says that the replica is gone by the watcher's judgement of
+	// the agent's silence or its host. The agent may still have it.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+	// Sequence is the one of the heartbeat that the change comes from.
+	Sequence uint64 `json:"sequence"`
+	// Revision grows with each change that the watcher notes.
+	Revision uint64 `json:"revision"`
 }
 
 // ReplicaAt is a replica and where requests for it go.
@@ -163,6 +172,8 @@
 
 // ChangesParams carries replica changes to a home.
 type ChangesParams struct {
+	// Watcher is the sender's incarnation.
+	Watcher string          `json:"watcher"`
 	Changes []ReplicaChange `json:"changes"`
 }
 
@@ -316,6 +327,10 @@
 	State   state.ReplicaState `json:"state,omitempty"`
 	ReadyIn state.Duration     `json:"ready_in,omitempty"`
 	Refusal *verdict.Verdict   `json:"refusal,omitempty"`
+	// Agent and Sequence are those of the agent's last heartbeat, or of the
+	// next one if its state has changed since.
+	Agent    state.FencingToken `json:"agent"`
+	Sequence uint64             `json:"sequence"`
 }
 
 // UnloadParams asks an agent to unload a replica.
