--- a/internal/entry/readpace_test.go
+++ b/internal/entry/readpace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,12 +11,14 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/standin"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-// Guards against a log that answers each of 44 entries once per change, and
-// against a configuration that is in force only after the limit of 13 s.
+// Guards against a log that answers each of 44 entries once per change, against
+// a configuration that is in force only after the limit of 13 s, and against
+// operators, agents and a lease that the pace of the reads holds up.
 func TestManyEntriesReadTheConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -41,14 +44,44 @@
 				time.Sleep(gap)
 			}
 		})
+		// Without chance, what waits for a read would fall in step with it.
+		random := rand.New(rand.NewPCG(1, 2))
+		var pauses [2][30]time.Duration
+		for i := range pauses[0] {
+			pauses[0][i] = time.Second + time.Duration(random.IntN(4000))*time.Millisecond
+			pauses[1][i] = time.Second + time.Duration(random.IntN(4000))*time.Millisecond
+		}
 		var longestWait time.Duration
 		writing.Go(func() {
-			for i := range 20 {
+			for i := range 30 {
 				began := time.Now()
 				_, err := r.members[i].control.changeConfig(t.Context(), teamChange(fmt.Sprint("o", i)))
 				g.Expect(err).NotTo(HaveOccurred())
 				longestWait = max(longestWait, time.Since(began))
-				time.Sleep(3 * time.Second)
+				time.Sleep(pauses[0][i])
+			}
+		})
+		region := platform.RegionStream("r")
+		writing.Go(func() {
+			for i := range changes {
+				appendTo(g, r.log, region, state.KindAgentStart, state.AgentStart{Upstream: state.UpstreamName(fmt.Sprint("u", i)), Incarnation: "1"})
+				time.Sleep(gap)
+			}
+		})
+		var longestRegistration time.Duration
+		writing.Go(func() {
+			for i := range 30 {
+				upstream := state.UpstreamName(fmt.Sprint("mine", i))
+				at := appendTo(g, r.log, region, state.KindAgentStart, state.AgentStart{Upstream: upstream, Incarnation: "1"})
+				began := time.Now()
+				result, err := r.members[i].control.part(t.Context(), rpc.PartParams{
+					PartQuery: state.PartQuery{Upstream: upstream}, Wait: state.Duration(25 * time.Second),
+					AtLeast: rpc.PartOffsets{Config: state.NoOffset, Region: at},
+				})
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(result.Lagging).To(BeFalse(), "an agent is sent to another entry")
+				longestRegistration = max(longestRegistration, time.Since(began))
+				time.Sleep(pauses[1][i])
 			}
 		})
 		held, ok := r.members[0].control.view().region.Lease()
@@ -69,8 +102,8 @@
 		}
 		writing.Wait()
 		perSecond := float64(r.configReads()-before) / time.Since(start).Seconds()
-		t.Logf("slowest change in force in all %d entries after %v; an operator waited up to %v; %.1f reads/s at the log",
-			entries, slowest, longestWait, perSecond)
+		t.Logf("slowest change in force in all %d entries after %v; an operator waited up to %v, an agent's registration up to %v; %.1f reads/s at the log",
+			entries, slowest, longestWait, longestRegistration, perSecond)
 		g.Expect(longestWait).To(BeNumerically("<", 3*time.Second))
 		later, _ := r.members[0].control.view().region.Lease()
 		g.Expect(later.Epoch).To(Equal(held.Epoch), "the lease changed hands")
