--- a/internal/entry/snapshots_test.go
+++ b/internal/entry/snapshots_test.go
@@ -18,6 +18,8 @@
 type slowAppender struct {
 	held     platform.Stream
 	released chan struct{}
+	// fail refuses all appends.
+	fail bool
 
 	mu      sync.Mutex
 	started map[platform.Stream]int
@@ -27,6 +29,9 @@
 	a.mu.Lock()
 	a.started[stream]++
 	a.mu.Unlock()
+	if a.fail {
+		return nil, platform.ErrUnavailable
+	}
 	if stream == a.held {
 		select {
 		case <-a.released:
@@ -131,3 +136,26 @@
 		g.Expect(b.appender.count(platform.RegionStream("r"))).To(Equal(1))
 	})
 }
+
+// Guards against a snapshot that fails once and is then put off for a quarter
+// of the retention, and against one that is encoded on each tick meanwhile.
+func TestFailedSnapshotIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := newSnapshotBench("")
+		b.appender.fail = true
+		b.step(t)
+		time.Sleep(firstSnapshot)
+		b.step(t)
+		g.Expect(b.appender.count(platform.RegionStream("r"))).To(Equal(1))
+		b.step(t)
+		g.Expect(b.appender.count(platform.RegionStream("r"))).To(Equal(1))
+		time.Sleep(snapshotRetry)
+		b.appender.fail = false
+		b.step(t)
+		g.Expect(b.appender.count(platform.RegionStream("r"))).To(Equal(2))
+		time.Sleep(snapshotRetry)
+		b.step(t)
+		g.Expect(b.appender.count(platform.RegionStream("r"))).To(Equal(2), "written")
+	})
+}
