scaling: a spare replica for models in steady use

Cause: Most late first tokens with stragglers ran on one that was the model's only replica, and the store is too slow to replace 150 of them in 30 s.

Change: Home.Decide asks for a second replica of a model in steady use if the loss expected through stragglers costs more than the accelerator time, by a new weight of tail latency (default 10). It asks first for a place beside other models, which takes no accelerator, then, where the weight pays for it, for any place without an eviction. Such loads get store slots last.

The roles pass no steady rate, so they order no spares until they are wired.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
@@ -39,11 +40,39 @@
 	for id := range w.size.entries {
 		o.entries = append(o.entries, newEntry(o, id))
 	}
+	o.warmSpares()
 	w.every(200*time.Millisecond, o.tickHomes)
 	w.every(time.Second, o.tickAgents)
 	return o
 }
 
+// warmSpares loads the spare replicas that homes ask for before a run, since
+// the models have been in use for long.
+func (o *ours) warmSpares() {
+	for _, h := range o.homes {
+		if h.steady == 0 {
+			continue
+		}
+		for range len(o.grants[h.model]) + 1 {
+			for _, wake := range (scaling.Home{Config: o.size.weights}).Decide(h.input()).Wakes {
+				id, err := strconv.Atoi(string(wake.Upstream))
+				if err != nil {
+					panic(err)
+				}
+				u := o.ups[id]
+				switch {
+				case wake.Spare == scaling.NotSpare:
+				case u.takesSpare(len(u.replicas), wake.Spare):
+					u.preload(h.model)
+				default:
+					h.noSpare[id] = epoch.Add(spareRefusedFor)
+				}
+			}
+		}
+		o.publish(h.model)
+	}
+}
+
 func (o *ours) arrive(r *request) { o.entries[r.entry].arrive(r) }
 
 func (o *ours) publish(model int) {
@@ -333,6 +362,20 @@
 	return true
 }
 
+// wakeSpare loads a spare replica unless that would evict something or, if it
+// is to be beside other models, there are none.
+func (a *agent) wakeSpare(model int, kind scaling.SpareKind) bool {
+	held := len(a.u.replicas) + len(a.waking)
+	if !a.u.takesSpare(held, kind) {
+		return false
+	}
+	return a.wake(model, 0)
+}
+
+func (u *upstream) takesSpare(held int, kind scaling.SpareKind) bool {
+	return held < replicasPerRunner && (held > 0 || kind == scaling.SpareAlone)
+}
+
 func (a *agent) requestSlot(model int, benefit float64) {
 	if _, remote := a.o.loadWork(model, a.u.id); !remote {
 		a.load(model, "")
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -145,6 +145,12 @@
 	u.w.after(work, finish)
 }
 
+// preload puts a replica on the upstream before the run.
+func (u *upstream) preload(model int) {
+	u.replicas[model] = &replica{model: model, ready: true, readyAt: epoch, loadedAt: epoch, lastUsed: epoch, idleSince: epoch}
+	u.account()
+}
+
 func (u *upstream) unload(model int) {
 	if rep := u.replicas[model]; rep != nil {
 		u.w.closeIdle(rep)
@@ -338,15 +344,10 @@
 // warm loads the active models on their first grants before the run, as many
 // as the usual demand needs.
 func (w *world) warm(all bool) {
-	weights := zipf(w.size.active)
 	for model := range w.size.models {
 		n := 0
 		if model < w.size.active {
-			share := weights[model]
-			if model > 0 {
-				share -= weights[model-1]
-			}
-			n = 1 + int(1.3*w.size.rate*w.exp.rate(0)*share/slotsPerRunner)
+			n = 1 + int(1.3*w.usualRate(model)/slotsPerRunner)
 		}
 		if all {
 			n = len(w.grants[model])
@@ -356,13 +357,25 @@
 			if n == 0 || len(u.replicas) >= replicasPerRunner {
 				continue
 			}
-			u.replicas[model] = &replica{model: model, ready: true, readyAt: epoch, loadedAt: epoch, lastUsed: epoch, idleSince: epoch}
-			u.account()
+			u.preload(model)
 			n--
 		}
 	}
 }
 
+// usualRate is the arrivals per second of a model before the disturbance.
+func (w *world) usualRate(model int) float64 {
+	if w.exp.sessions || model >= w.size.active {
+		return 0
+	}
+	weights := zipf(w.size.active)
+	share := weights[model]
+	if model > 0 {
+		share -= weights[model-1]
+	}
+	return w.size.rate * w.exp.rate(0) * share
+}
+
 // delay is the one-way latency between an entry and an upstream.
 func (w *world) delay(entry int, u *upstream) time.Duration {
 	centre := entry % w.size.centres
--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -19,13 +19,24 @@
 	stretch float64
 	readyIn time.Duration
 	blocked map[int]time.Time
+	// noSpare holds the upstreams that refused a spare, with the time until
+	// which they are not asked again.
+	noSpare map[int]time.Time
+	// steady is the arrivals per second over about ten minutes.
+	steady float64
 	// supply is the slots of replicas ready or loading.
 	supply int
 	quiet  bool
 }
 
+// spareRefusedFor is how long an agent that refused a spare is not asked again.
+const spareRefusedFor = 10 * time.Second
+
 func newHome(o *ours, model int) *home {
-	return &home{o: o, model: model, stretch: 1, blocked: make(map[int]time.Time), quiet: true}
+	return &home{
+		o: o, model: model, stretch: 1, blocked: make(map[int]time.Time), noSpare: make(map[int]time.Time), quiet: true,
+		steady: o.usualRate(model),
+	}
 }
 
 func modelName(i int) string { return strconv.Itoa(i) }
@@ -55,6 +66,7 @@
 func (o *ours) tickHomes() {
 	for _, h := range o.homes {
 		h.rate += 0.2 * (float64(h.arrived)/0.2 - h.rate)
+		h.steady += 0.2 / 600 * (float64(h.arrived)/0.2 - h.steady)
 		h.arrived = 0
 		h.quiet = h.rate < 0.01
 		if !h.quiet {
@@ -96,11 +108,12 @@
 }
 
 func (h *home) input() scaling.HomeInput {
-	in := scaling.HomeInput{Demands: h.demands(), Service: time.Second}
+	in := scaling.HomeInput{Demands: h.demands(), Service: time.Second, Steady: h.steady}
 	for _, id := range h.o.grants[h.model] {
 		u, a := h.o.ups[id], h.o.agents[id]
 		g := scaling.Grant{Upstream: state.UpstreamName(strconv.Itoa(id)), DataCentre: state.DataCentre(strconv.Itoa(u.centre)), LoadTime: h.loadTime(id), Slots: slotsPerRunner}
 		g.Usable = !u.lost && h.o.now.After(h.blocked[id])
+		g.SpareRefused = !h.o.now.After(h.noSpare[id])
 		in.Grants = append(in.Grants, g)
 		rep, waking := u.replicas[h.model], a.waking[h.model]
 		switch {
@@ -117,16 +130,23 @@
 
 func (h *home) decide() {
 	in := h.input()
-	out := scaling.Home{}.Decide(in)
+	out := scaling.Home{Config: h.o.size.weights}.Decide(in)
 	h.refused = 0
-	h.supply = slotsPerRunner * (len(in.Replicas) + len(out.Wakes))
 	h.readyIn = out.ReadyIn
 	refused := false
+	h.supply = slotsPerRunner * len(in.Replicas)
 	for _, wake := range out.Wakes {
 		id, err := strconv.Atoi(string(wake.Upstream))
 		if err != nil {
 			panic(err)
 		}
+		if wake.Spare != scaling.NotSpare {
+			if !h.o.agents[id].wakeSpare(h.model, wake.Spare) {
+				h.noSpare[id] = h.o.now.Add(spareRefusedFor)
+			}
+			continue
+		}
+		h.supply += slotsPerRunner
 		if !h.o.agents[id].wake(h.model, wake.Benefit) {
 			h.blocked[id] = h.o.now.Add(time.Second)
 			refused = true
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -18,16 +19,20 @@
 	rate float64
 	// maxGrants bounds the grants of a model.
 	maxGrants int
+	// weights are what the deployment values.
+	weights scaling.HomeConfig
 	// quick scales the length of long experiments.
 	quick float64
 }
 
 // sizes are today's deployments and one region of the two-year size: an eighth
-// of its runners, entries and peak, which the tenfold swing reaches.
+// of its runners, entries and peak, which the tenfold swing reaches. The
+// ticketing platform, and the region as a part of it, give tail latency ten
+// times the default weight.
 var sizes = []size{
-	{name: "ticketing", regions: 3, centres: 3, runners: 20, models: 60, active: 12, entries: 3, rate: 12, maxGrants: 6, quick: 1},
+	{name: "ticketing", weights: scaling.HomeConfig{TailWeight: 100}, regions: 3, centres: 3, runners: 20, models: 60, active: 12, entries: 3, rate: 12, maxGrants: 6, quick: 1},
 	{name: "archive", regions: 3, centres: 3, runners: 12, models: 25, active: 8, entries: 3, rate: 7, maxGrants: 5, quick: 1},
-	{name: "region", regions: 1, centres: 3, runners: 1500, models: 590, active: 300, entries: 44, rate: 137.5, maxGrants: 35, quick: 0.1},
+	{name: "region", weights: scaling.HomeConfig{TailWeight: 100}, regions: 1, centres: 3, runners: 1500, models: 590, active: 300, entries: 44, rate: 137.5, maxGrants: 35, quick: 0.1},
 }
 
 const (
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -24,6 +24,10 @@
 	// IdleWeight is the cost of one idle accelerator second; default 1
 	// (setting idle_weight).
 	IdleWeight float64
+	// TailWeight is the cost of one second by which a request is late because
+	// its model's only replica is a straggler, relative to IdleWeight;
+	// default 10 (setting tail_latency_weight).
+	TailWeight float64
 }
 
 func (c HomeConfig) withDefaults() HomeConfig {
@@ -39,6 +43,9 @@
 	if c.IdleWeight <= 0 {
 		c.IdleWeight = 1
 	}
+	if c.TailWeight <= 0 {
+		c.TailWeight = 10
+	}
 	return c
 }
 
@@ -86,6 +93,9 @@
 	// room.
 	Usable bool
 	Slots  int
+	// SpareRefused says that the agent has lately refused a spare replica
+	// beside other models.
+	SpareRefused bool
 }
 
 // HomeInput is the snapshot of one model that a decision is made from.
@@ -95,7 +105,9 @@
 	// Grants lists the standing grants, including those in use.
 	Grants []Grant
 	// Service is the mean service time of a request.
-	Service     time.Duration
+	Service time.Duration
+	// Steady is the arrivals per second over about ten minutes.
+	Steady      float64
 	MinReplicas int
 }
 
@@ -107,6 +119,7 @@
 	Benefit float64
 	// ReadyIn is the estimated load time.
 	ReadyIn time.Duration
+	Spare   SpareKind
 }
 
 // AdapterLoad asks for an adapter on a ready replica.
@@ -159,6 +172,9 @@
 		})
 		view.add(grant)
 	}
+	if wake, ok := cfg.spare(in, view); ok {
+		out.Wakes = append(out.Wakes, wake)
+	}
 	if view.ready == 0 {
 		out.ReadyIn = view.firstReady
 		out.NoReplica = view.loading == 0 && view.total() > 0
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -87,6 +87,38 @@
 	g.Expect(scaling.Home{}.Benefit(in)).To(Equal(full/2), "two loads share the gain")
 }
 
+// Guards against spare replicas for models that are not in steady use, that have
+// a second replica anyway, or whose weights do not pay for them.
+func TestSpareFollowsUseAndWeights(t *testing.T) {
+	g := NewWithT(t)
+	in := scaling.HomeInput{Grants: grants(3, 10*time.Second), Service: time.Second}
+	in.Replicas = []scaling.Replica{{Upstream: "u0", State: state.ReplicaReady, Slots: 8}}
+	spare := func(cfg scaling.HomeConfig, steady float64) []scaling.Wake {
+		in.Steady = steady
+		return scaling.Home{Config: cfg}.Decide(in).Wakes
+	}
+	usual, tail := scaling.HomeConfig{}, scaling.HomeConfig{TailWeight: 100}
+	beside := []scaling.Wake{{Upstream: "u1", ReadyIn: 10 * time.Second, Spare: scaling.SpareBeside}}
+	g.Expect(spare(usual, 0.09)).To(BeEmpty())
+	g.Expect(spare(usual, 0.11)).To(Equal(beside))
+	g.Expect(spare(tail, 0.09)).To(BeEmpty(), "not in steady use")
+	g.Expect(spare(scaling.HomeConfig{IdleWeight: 2}, 0.11)).To(BeEmpty())
+	in.Grants[1].SpareRefused = true
+	g.Expect(spare(usual, 1)[0].Upstream).To(Equal(state.UpstreamName("u2")))
+	in.Grants[2].SpareRefused = true
+	g.Expect(spare(usual, 1.9)).To(BeEmpty(), "an idle accelerator costs more")
+	alone := []scaling.Wake{{Upstream: "u1", ReadyIn: 10 * time.Second, Spare: scaling.SpareAlone}}
+	g.Expect(spare(usual, 2.1)).To(Equal(alone))
+	g.Expect(spare(tail, 0.21)).To(Equal(alone))
+	in.Replicas = append(in.Replicas, scaling.Replica{Upstream: "u2", State: state.ReplicaLoading, Slots: 8})
+	g.Expect(spare(tail, 2.1)).To(BeEmpty(), "a second replica loads")
+	in.Replicas[1].State = state.ReplicaReady
+	g.Expect(spare(tail, 2.1)).To(BeEmpty(), "there is a second replica")
+	in.Replicas, in.Demands = nil, waiting(1, time.Second)
+	g.Expect(spare(tail, 2.1)).To(HaveLen(1), "a cold model gets what its backlog pays for")
+	g.Expect(spare(tail, 2.1)[0].Spare).To(Equal(scaling.NotSpare))
+}
+
 // Guards against more replicas than grants, wakes under used or unusable
 // grants and two wakes under one grant.
 func TestWakesOnlyUnderFreeUsableGrants(t *testing.T) {
--- /dev/null
+++ b/internal/decide/scaling/spare.go
@@ -0,0 +1,50 @@
+package scaling
+
+// SpareKind says whether a wake is for a spare replica: a second one of a model
+// in steady use, so that a straggler is not its only one.
+type SpareKind uint8
+
+const (
+	// NotSpare is a load that waiting work or demand asks for.
+	NotSpare SpareKind = iota
+	// SpareBeside is a load that evicts nothing, on an accelerator that holds
+	// other models anyway.
+	SpareBeside
+	// SpareAlone is a load that evicts nothing.
+	SpareAlone
+)
+
+const (
+	// stragglerLoss is the time by which a request is late on average because
+	// its model's only replica is a straggler: a tenth of the upstreams, 6 s
+	// late, for 5 min of an hour.
+	stragglerLoss = 0.05
+	// besideShare is the part of an accelerator's cost that a spare beside
+	// other models is charged: it takes memory, but no accelerator.
+	besideShare = 0.05
+	// minSteady is the least rate of a model in steady use. A session of a few
+	// requests is over before a spare pays.
+	minSteady = 0.1
+)
+
+// spare proposes a second replica where the expected loss through stragglers
+// costs more than the accelerator time.
+func (c HomeConfig) spare(in HomeInput, view outlook) (Wake, bool) {
+	if view.ready != 1 || view.loading > 0 || in.Steady < minSteady {
+		return Wake{}, false
+	}
+	gain := c.TailWeight * stragglerLoss * in.Steady
+	if gain < c.IdleWeight*besideShare {
+		return Wake{}, false
+	}
+	order := wakeOrder(in)
+	for _, grant := range order {
+		if !grant.SpareRefused {
+			return Wake{Upstream: grant.Upstream, ReadyIn: grant.LoadTime, Spare: SpareBeside}, true
+		}
+	}
+	if len(order) == 0 || gain < c.IdleWeight {
+		return Wake{}, false
+	}
+	return Wake{Upstream: order[0].Upstream, ReadyIn: order[0].LoadTime, Spare: SpareAlone}, true
+}
