--- a/cmd/lagoonvalve/commands_test.go
+++ b/cmd/lagoonvalve/commands_test.go
@@ -43,6 +43,27 @@
 	}
 }
 
+// cmdPage gives the statements of a page in docs, each line of its blocks of
+// oplang, to an entry: page ENTRY FILE. All must be carried out.
+func cmdPage(ts *testscript.TestScript, _ bool, args []string) {
+	f := ts.Value(fleetKey{}).(*fleet)
+	data, err := os.ReadFile(filepath.Join(f.docs, args[1]))
+	ts.Check(err)
+	blocks := strings.Split(string(data), "```oplang\n")[1:]
+	if len(blocks) == 0 {
+		ts.Fatalf("page: no statements in %s", args[1])
+	}
+	for _, block := range blocks {
+		text, _, _ := strings.Cut(block, "```")
+		for statement := range strings.Lines(text) {
+			out, err := f.ctl(operators[0], args[0], strings.TrimSpace(statement))
+			if err != nil {
+				ts.Fatalf("page: %s%s", statement, out)
+			}
+		}
+	}
+}
+
 // cmdRace gives two statements at once to two entries: race ENTRY ENTRY
 // STATEMENT STATEMENT. Exactly one must be carried out, and the other must be
 // refused with a conflict that names the winner.
--- a/cmd/lagoonvalve/fleet_test.go
+++ b/cmd/lagoonvalve/fleet_test.go
@@ -47,7 +47,9 @@
 // fleet holds what one script started.
 type fleet struct {
 	dir, path string
-	client    *http.Client
+	// docs is the directory of the pages.
+	docs   string
+	client *http.Client
 
 	mu        sync.Mutex
 	processes map[string]*process
--- a/cmd/lagoonvalve/script_test.go
+++ b/cmd/lagoonvalve/script_test.go
@@ -30,10 +30,15 @@
 // system as a whole; each script says which one. Commands are documented at
 // their functions.
 func TestScripts(t *testing.T) {
+	docs, err := filepath.Abs("../../docs")
+	if err != nil {
+		t.Fatal(err)
+	}
 	testscript.Run(t, testscript.Params{
 		Files: scripts(t),
 		Setup: func(env *testscript.Env) error {
 			f := newFleet(env.WorkDir, env.Getenv("PATH"))
+			f.docs = docs
 			env.Values[fleetKey{}] = f
 			env.Defer(func() {
 				f.killAll()
@@ -46,6 +51,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet":   cmdFleet,
 			"race":    cmdRace,
+			"page":    cmdPage,
 			"ctl":     cmdCtl,
 			"send":    cmdSend,
 			"answer":  cmdAnswer,
