--- a/internal/entry/region_test.go
+++ b/internal/entry/region_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,11 +39,6 @@
 	done chan struct{}
 }
 
-// noHosts is an empty host list.
-type noHosts struct{}
-
-func (noHosts) Hosts(context.Context) ([]platform.HostInfo, error) { return nil, nil }
-
 // linkLog is one process's connection to a log. It counts the answers to
 // reads by stream.
 type linkLog struct {
@@ -140,7 +136,7 @@
 	link := &linkLog{Log: r.log, reads: make(map[platform.Stream]int)}
 	m := &member{log: link, done: make(chan struct{})}
 	m.Entry = New(cfg, Deps{
-		Log: link, Hosts: noHosts{}, Caller: r.network, Logger: slog.New(slog.DiscardHandler),
+		Log: link, Caller: r.network, Logger: slog.New(slog.DiscardHandler),
 		Meter: r.meter, Retention: retention,
 	})
 	return m
@@ -154,7 +150,13 @@
 		<-m.done
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
-	m.startControl(groupCtx, group)
+	// Claim shards, hosts and the audit trail play no part here.
+	region := platform.RegionStream(m.cfg.Region)
+	group.Go(func() error { return m.writer.Run(groupCtx) })
+	group.Go(func() error { return m.relay.Run(groupCtx) })
+	group.Go(func() error { return m.control.run(groupCtx) })
+	group.Go(func() error { return m.control.followStream(groupCtx, m.relay, platform.StreamConfig) })
+	group.Go(func() error { return m.control.followStream(groupCtx, m.relay, region) })
 	go func() {
 		defer close(m.done)
 		_ = group.Wait()
@@ -194,11 +196,10 @@
 }
 
 func newTestRecord[B state.Body](g Gomega, kind state.Kind, body B) state.Record {
-	testRecords++
-	record, err := state.NewRecord(fmt.Sprint("t", testRecords), state.ProcessID{Name: "test", Incarnation: "1"}, kind, body)
+	record, err := state.NewRecord(fmt.Sprint("t", testRecords.Add(1)), state.ProcessID{Name: "test", Incarnation: "1"}, kind, body)
 	g.Expect(err).NotTo(HaveOccurred())
 	return record
 }
 
 // testRecords numbers the records of the tests.
-var testRecords int
+var testRecords atomic.Int64
--- a/internal/entry/tails_test.go
+++ b/internal/entry/tails_test.go
@@ -69,10 +69,13 @@
 	return page, nil
 }
 
-func (l *faultyLog) heal() {
+// heal ends the faults and returns their numbers by kind.
+func (l *faultyLog) heal() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	made := l.faults
 	l.faults = nil
+	return made
 }
 
 // naiveReader applies all records of a stream in their order.
@@ -159,13 +162,14 @@
 				time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 				check()
 			}
-			for kind, n := range log.faults {
+			for kind, n := range log.heal() {
 				faults[kind] += n
 			}
-			log.heal()
 			time.Sleep(30 * time.Second)
 			check()
 			g.Expect(seen).To(Equal(state.Offset(len(naive.at)-1)), "seed %d: not read to the end", seed)
+			stop()
+			synctest.Wait()
 			searches += log.searches
 		})
 	}
