routing: hedge by the peers' latency, later, and not to stragglers

Cause: The bench hedged after 500 ms whatever was measured. The roles hedged after twice the replica's own first token, so that a straggler put off its own hedges and a replica without measurements had none, and also hedged to replicas known to be slow.

Change: LatencyTracker.Expected is the median of the peers, or less for a faster replica. The factor is 3. A replica slowed down threefold or more gets no hedge. Entries and the bench use the same rule.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -204,7 +204,7 @@
 		}
 		e.scratch = append(e.scratch, routing.Candidate{
 			Replica: id, Queue: queue, Sent: v.sent, Slots: slotsPerRunner,
-			Latency:  scale(service, max(e.tracker.Slowdown(id), e.o.slowdown(id))),
+			Latency:  scale(service, e.slowdown(id)),
 			Locality: e.locality(id), AdapterLoaded: true,
 			Ejected: e.tracker.Ejected(e.o.now, id, e.o.rng.Float64()),
 		})
@@ -217,6 +217,11 @@
 	return e.o.ups[e.scratch[index].Replica], true
 }
 
+// slowdown is how many times slower than usual an upstream is believed to be.
+func (e *entry) slowdown(up int) float64 {
+	return max(e.tracker.Slowdown(up), e.o.slowdown(up))
+}
+
 func (e *entry) locality(up int) routing.Locality {
 	u := e.o.ups[up]
 	switch {
@@ -241,9 +246,13 @@
 // dispatch sends r to a replica; it reports false if none has room.
 func (e *entry) dispatch(r *request, exclude int) bool {
 	u, ok := e.choose(r, r.model, exclude)
-	if !ok {
-		return false
+	if ok {
+		e.send(r, u)
 	}
+	return ok
+}
+
+func (e *entry) send(r *request, u *upstream) {
 	if e.o.remote(e.id, u) {
 		e.volume.Take(e.o.now, r.volume)
 		e.o.result.crossed += r.volume
@@ -259,18 +268,22 @@
 	e.live[r] = append(e.live[r], at)
 	e.o.after(e.o.delay(e.id, u), func() { e.o.agents[u.id].offer(at) })
 	if at.number == 1 {
-		e.o.after(e.hedges.Delay(e.expectedFirst()), func() { e.hedge(at) })
+		if expected, known := e.tracker.Expected(u.id); known {
+			e.o.after(e.hedges.Delay(expected), func() { e.hedge(at) })
+		}
 	}
-	return true
 }
 
-func (e *entry) expectedFirst() time.Duration { return 250 * time.Millisecond }
-
 func (e *entry) hedge(at *attempt) {
 	if at.over || at.r.ended || len(e.live[at.r]) != 1 {
 		return
 	}
-	if e.hedges.Take(at.r.repeatable, at.r.started) && e.dispatch(at.r, at.up.id) {
+	u, ok := e.choose(at.r, at.r.model, at.up.id)
+	if !ok || !e.hedges.Suits(e.slowdown(u.id)) {
+		return
+	}
+	if e.hedges.Take(at.r.repeatable, at.r.started) {
+		e.send(at.r, u)
 		e.o.result.hedges++
 	}
 }
--- a/internal/decide/routing/hedge.go
+++ b/internal/decide/routing/hedge.go
@@ -11,10 +11,14 @@
 	// Burst is how many hedges may be saved up; default 10.
 	Burst float64
 	// Factor is how many times the expected first-token time an attempt must
-	// have waited; default 2.
+	// have waited; default 3. With 2, short queues use the budget up before
+	// stragglers need it.
 	Factor float64
 	// Floor is the shortest wait before a hedge; default 50 ms.
 	Floor time.Duration
+	// MaxSlowdown is the slowdown from which a replica gets no hedge, because
+	// it would not answer sooner; default 3.
+	MaxSlowdown float64
 }
 
 // HedgeBudget decides on second attempts for slow requests. It is not safe
@@ -33,11 +37,14 @@
 		cfg.Burst = 10
 	}
 	if cfg.Factor <= 0 {
-		cfg.Factor = 2
+		cfg.Factor = 3
 	}
 	if cfg.Floor <= 0 {
 		cfg.Floor = 50 * time.Millisecond
 	}
+	if cfg.MaxSlowdown <= 0 {
+		cfg.MaxSlowdown = 3
+	}
 	return &HedgeBudget{cfg: cfg}
 }
 
@@ -50,6 +57,10 @@
 	return max(b.cfg.Floor, time.Duration(b.cfg.Factor*float64(expected)))
 }
 
+// Suits reports whether a replica whose upstream is believed to be slowdown
+// times slower than usual is worth a hedge.
+func (b *HedgeBudget) Suits(slowdown float64) bool { return slowdown < b.cfg.MaxSlowdown }
+
 // Take takes a hedge from the budget. It reports false for work that is not
 // repeatable, if the first token has arrived, or if the budget is used up.
 func (b *HedgeBudget) Take(repeatable, started bool) bool {
--- a/internal/decide/routing/latency.go
+++ b/internal/decide/routing/latency.go
@@ -234,14 +234,18 @@
 	*u = upstreamLatency{samples: 1, first: first.Seconds(), between: between.Seconds()}
 }
 
-// First returns the smoothed time to first token; ok is false without
-// measurements.
-func (t *LatencyTracker) First(upstream int) (latency time.Duration, ok bool) {
-	u := t.upstreams[upstream]
-	if u == nil || u.samples == 0 {
-		return 0, false
+// Expected returns the time to first token to expect of an upstream that is not
+// a straggler: at most the median of the peers, and the median for an upstream
+// without measurements. A straggler's own time would put off the hedge that is
+// to make up for it.
+func (t *LatencyTracker) Expected(upstream int) (latency time.Duration, ok bool) {
+	t.refreshMedians()
+	first := t.medianFirst
+	ok = first > 0
+	if u := t.upstreams[upstream]; u != nil && u.samples > 0 && (!ok || u.first < first) {
+		first, ok = u.first, true
 	}
-	return time.Duration(u.first * float64(time.Second)), true
+	return time.Duration(first * float64(time.Second)), ok
 }
 
 // Slowdown returns how many times slower than the median of its peers an
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -231,6 +231,33 @@
 	g.Expect(hedges).To(Equal(50))
 }
 
+// Guards against hedges that a straggler's own latency puts off, that wait for
+// measurements of each upstream, and that go to a straggler.
+func TestHedgesMakeUpForStragglers(t *testing.T) {
+	g := NewWithT(t)
+	tracker := routing.NewLatencyTracker(routing.LatencyConfig{})
+	_, known := tracker.Expected(0)
+	g.Expect(known).To(BeFalse(), "nothing was measured")
+	for i := range 5 {
+		tracker.Observe(epoch, i, 100*ms, 0)
+	}
+	tracker.Observe(epoch, 5, time.Second, 0)
+	tracker.Observe(epoch, 6, 60*ms, 0)
+	expected := func(upstream int) time.Duration {
+		first, known := tracker.Expected(upstream)
+		g.Expect(known).To(BeTrue())
+		return first.Round(time.Millisecond)
+	}
+	g.Expect(expected(0)).To(Equal(100 * ms))
+	g.Expect(expected(5)).To(Equal(100*ms), "a straggler")
+	g.Expect(expected(6)).To(Equal(60*ms), "faster than its peers")
+	g.Expect(expected(7)).To(Equal(100*ms), "not measured yet")
+	b := routing.NewHedgeBudget(routing.HedgeConfig{})
+	g.Expect(b.Delay(100 * ms)).To(Equal(300 * ms))
+	g.Expect(b.Suits(1)).To(BeTrue())
+	g.Expect(b.Suits(4)).To(BeFalse())
+}
+
 // Guards against a replica that an entry takes for full for ever.
 func TestQueueAges(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -223,7 +223,7 @@
 
 func (e *execution) hedgeTarget(tried state.UpstreamName) (rpc.ReplicaAt, *upstreamLoad, bool) {
 	second, load, ok := e.route.pick(time.Now(), e.request, &e.cfg.route, tried, false)
-	if !ok || second.Upstream == tried || !e.takeHedge(e.request) {
+	if !ok || second.Upstream == tried || !e.takeHedge(e.request, e.route.slowdown(&second, e.request)) {
 		return rpc.ReplicaAt{}, nil, false
 	}
 	return second, load, true
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -245,10 +245,11 @@
 	return g.hedges.Delay(expected)
 }
 
-func (g *gateway) takeHedge(req *request) bool {
+// takeHedge takes a hedge to a replica with a slowdown from the budget.
+func (g *gateway) takeHedge(req *request, slowdown float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.hedges.Take(req.idempotent, false)
+	return g.hedges.Suits(slowdown) && g.hedges.Take(req.idempotent, false)
 }
 
 // remoteAllowed reports whether the budget for paid traffic has room.
--- a/internal/entry/gateway_test.go
+++ b/internal/entry/gateway_test.go
@@ -364,6 +364,47 @@
 	})
 }
 
+// Guards against hedges that go to a replica whose agent reports a slowdown, and
+// thus use up the budget for nothing.
+func TestNoHedgeToStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		after := func(wait time.Duration) func(r *http.Request) (*http.Response, error) {
+			return func(r *http.Request) (*http.Response, error) {
+				select {
+				case <-time.After(wait):
+					return served("done")(r)
+				case <-r.Context().Done():
+					return nil, r.Context().Err()
+				}
+			}
+		}
+		fast, slow := after(10*time.Millisecond), after(time.Second)
+		for slowdown, calls := range map[float64]int{0: 62, 8: 61} {
+			agents := agentsOf(answers{"a": fast, "b": fast})
+			b := newGatewayBench(t, agents, "a", "b")
+			b.target = target{key: state.ReplicaKey{Model: "m", Version: "v"}}
+			route := b.routes.of(b.target, b.cfg.route)
+			replicas := b.view().services["tickets"]
+			route.setReplicas(1, replicas, &b.loads)
+			send := func() {
+				_, err := b.send(t.Context(), true, func(r *request) { r.stream = true })
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			for range 60 {
+				send()
+			}
+			agents.answer["a"], agents.answer["b"] = slow, slow
+			for i := range replicas {
+				replicas[i].Slowdown = slowdown
+			}
+			route.setReplicas(2, replicas, &b.loads)
+			send()
+			g.Expect(agents.calls).To(HaveLen(calls))
+		}
+	})
+}
+
 // Guards against a verdict that reaches the caller after the deadline, and
 // against one that says of work under way that it was not run.
 func TestVerdictComesBeforeTheDeadline(t *testing.T) {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -283,11 +283,19 @@
 	return r.trackers[req.kind()].Pending(now, r.indexOf(upstream), waited)
 }
 
-// expectedFirst is the usual time to first token on an upstream.
+// expectedFirst is the time to first token to expect of an upstream that is not
+// a straggler.
 func (r *route) expectedFirst(upstream state.UpstreamName, req *request) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.trackers[req.kind()].First(r.indexOf(upstream))
+	return r.trackers[req.kind()].Expected(r.indexOf(upstream))
+}
+
+// slowdown is how many times slower than usual a replica is believed to be.
+func (r *route) slowdown(replica *rpc.ReplicaAt, req *request) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.trackers[req.kind()].Slowdown(r.indexOf(replica.Upstream)), replica.Slowdown)
 }
 
 // fillBlocks computes the prompt's prefix blocks for affinity.
