--- a/internal/decide/claims/api.go
+++ b/internal/decide/claims/api.go
@@ -10,15 +10,23 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-// ShardCount is the number of claim shards over all regions.
-const ShardCount = 64
-
 // Settings holds the times and bounds of claims.
 type Settings struct {
 	// Skew is the clock difference that keys may have; default 5 min.
 	Skew time.Duration
-	// BatchFor is how long a claim waits for others; default 50 ms.
+	// BatchFor is how long a claim waits for others while the shard is
+	// quiet; default 20 ms.
 	BatchFor time.Duration
+	// MinInterval is the mean time between the batches of a busy shard, so
+	// that ShardCount shards make at most 133 appends a second; default
+	// 120 ms. Full batches don't wait for it.
+	MinInterval time.Duration
+	// Burst is how many batches of a quiet shard may leave before MinInterval
+	// delays the next; default 4.
+	Burst int
+	// OutcomeFor is how long an outcome waits for a claim to share a batch;
+	// default 200 ms.
+	OutcomeFor time.Duration
 	// BatchSize is the most records of an append; default 256.
 	BatchSize int
 	// GiveUpAfter bounds the wait for the log; default 2 s.
@@ -28,17 +36,28 @@
 	// Window is how long an agent accepts and remembers a claim's id;
 	// default 30 min.
 	Window time.Duration
+	// MaxClaims bounds the claims that an owner remembers; default 100,000.
+	// The keys of those that it forgets are too old from then on.
+	MaxClaims int
+	// AnswerBytes bounds the kept answers in an owner's memory; default
+	// 16 MiB. Older ones are read back from the log.
+	AnswerBytes state.Bytes
 }
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
 		Skew:        5 * time.Minute,
-		BatchFor:    50 * time.Millisecond,
+		BatchFor:    20 * time.Millisecond,
+		MinInterval: 120 * time.Millisecond,
+		Burst:       4,
+		OutcomeFor:  200 * time.Millisecond,
 		BatchSize:   256,
 		GiveUpAfter: 2 * time.Second,
 		MaxWaiting:  4096,
 		Window:      30 * time.Minute,
+		MaxClaims:   100_000,
+		AnswerBytes: 16 * state.MiB,
 	}
 }
 
@@ -58,6 +77,10 @@
 type Reply struct {
 	Ticket Ticket
 	Result rpc.ClaimResult
+	// ReadBack says that the process adds the answer to Result.Done from the
+	// outcome at offset At of the shard's stream.
+	ReadBack bool
+	At       state.Offset
 }
 
 // Question asks the agent of an open claim about it.
--- a/internal/decide/claims/apply.go
+++ b/internal/decide/claims/apply.go
@@ -33,7 +33,7 @@
 		}
 	case state.KindClaimDone:
 		if body, err := state.DecodeBody[state.ClaimDone](p.Record); err == nil {
-			o.applyDone(body, &out)
+			o.applyDone(p, body, &out)
 		}
 	}
 	return out
@@ -52,7 +52,7 @@
 		}
 		return
 	}
-	key := keyID{body.Caller, id}
+	key := o.keyOf(body.Caller, id)
 	if o.tooOld(key) {
 		// An earlier claim of the key may have been forgotten, so this one
 		// is never granted.
@@ -61,15 +61,15 @@
 		}
 		return
 	}
-	if earlier, ok := o.byKey[key]; ok {
+	if o.claimed(key) {
 		// The record is void: an earlier claim of the key is live.
 		if w != nil {
 			delete(o.inLine, w.key)
-			o.meet(w, earlier, out)
+			o.meet(w, out)
 		}
 		return
 	}
-	c := &claim{id: p.ID, key: key, body: body, writer: p.Writer}
+	c := newClaim(p, key, body)
 	o.byKey[key], o.byID[c.id] = c, c
 	switch {
 	case w != nil && now.Before(w.until):
@@ -88,8 +88,20 @@
 		// read, since nobody waits for it any more.
 		delete(o.inLine, key)
 		o.unqueue(other.record)
-		o.meet(other, c, out)
+		o.meet(other, out)
 	}
+	o.bound()
+}
+
+// bound keeps the table within MaxClaims: it raises T0 over the oldest eighth
+// of the keys and forgets their claims, which are too old from then on.
+func (o *Owner) bound() {
+	if o.claims() <= o.settings.MaxClaims {
+		return
+	}
+	times := o.keyTimes()
+	slices.SortFunc(times, time.Time.Compare)
+	o.Truncated(times[len(times)/8].Add(-o.settings.Skew))
 }
 
 // unqueue drops a claim record that has not been sent.
@@ -113,7 +125,7 @@
 // voidOwn ends a claim that this process wrote and whose id it never hands
 // out. It can be its own witness: no other process gives out the id.
 func (o *Owner) voidOwn(c *claim, now time.Time) {
-	enqueue(o, o.newID(now), state.KindClaimVoid, state.ClaimVoid{Claim: c.id, Witness: o.self}, now)
+	enqueue(o, o.newID(now), state.KindClaimVoid, state.ClaimVoid{Claim: c.id, Witness: o.self}, now, o.settings.OutcomeFor)
 }
 
 // witnessed reports whether the witness can make sure that the claim's work
@@ -126,7 +138,7 @@
 
 func (o *Owner) applyVoid(body state.ClaimVoid, now time.Time, out *Commands) {
 	c, ok := o.byID[body.Claim]
-	if !ok || c.done != nil || !witnessed(c, body.Witness) {
+	if !ok || !witnessed(c, body.Witness) {
 		return
 	}
 	delete(o.byID, c.id)
@@ -140,14 +152,14 @@
 	}
 }
 
-func (o *Owner) applyDone(body state.ClaimDone, out *Commands) {
+func (o *Owner) applyDone(p state.Positioned, body state.ClaimDone, out *Commands) {
 	c, ok := o.byID[body.Claim]
-	if !ok || c.done != nil {
+	if !ok {
 		return
 	}
-	c.done = &body
+	o.close(c, p.Offset, body)
 	for _, w := range o.sorted(slices.Values(o.behind[c.id]), func(w *waiter) bool { return w.phase != waitClaim }) {
-		o.endRan(w, out, c.done)
+		o.endRan(w, out, &body, state.NoOffset)
 	}
 }
 
@@ -159,12 +171,12 @@
 		return out // The claim stays open; a resend asks the agent.
 	}
 	if p.Done != nil {
-		enqueue(o, o.newID(now), state.KindClaimDone, Keep(*p.Done), now)
+		enqueue(o, o.newID(now), state.KindClaimDone, Keep(*p.Done), now, o.settings.OutcomeFor)
 	}
 	if p.Void != nil && p.Void.Witness == from {
-		enqueue(o, o.newID(now), state.KindClaimVoid, *p.Void, now)
+		enqueue(o, o.newID(now), state.KindClaimVoid, *p.Void, now, o.settings.OutcomeFor)
 	}
-	o.flushFull(&out)
+	o.flushFull(&out, now)
 	return out
 }
 
@@ -202,7 +214,6 @@
 func (o *Owner) AgentAnswered(id string, answer *rpc.ClaimStatusResult, now time.Time) Commands {
 	var out Commands
 	c, open := o.byID[id]
-	open = open && c.done == nil
 	waiters := o.sorted(slices.Values(o.behind[id]), func(w *waiter) bool { return w.phase == waitAgent })
 	if answer == nil {
 		answer = &rpc.ClaimStatusResult{State: rpc.ClaimUnknown}
@@ -211,7 +222,7 @@
 	case rpc.ClaimRefused:
 		if open {
 			agent := state.ProcessID{Name: string(c.body.Upstream), Incarnation: c.body.AgentIncarnation}
-			enqueue(o, o.newID(now), state.KindClaimVoid, state.ClaimVoid{Claim: id, Witness: agent}, now)
+			enqueue(o, o.newID(now), state.KindClaimVoid, state.ClaimVoid{Claim: id, Witness: agent}, now, o.settings.BatchFor)
 		}
 		for _, w := range waiters {
 			o.move(w, waitVoid, id)
@@ -224,10 +235,10 @@
 			done = &kept
 		}
 		if open {
-			enqueue(o, o.newID(now), state.KindClaimDone, *done, now)
+			enqueue(o, o.newID(now), state.KindClaimDone, *done, now, o.settings.OutcomeFor)
 		}
 		for _, w := range waiters {
-			o.endRan(w, &out, done)
+			o.endRan(w, &out, done, state.NoOffset)
 		}
 		return out
 	}
@@ -254,7 +265,7 @@
 		}
 	}
 	if len(o.queue) > 0 && !now.Before(o.sendAt) {
-		o.flush(&out)
+		o.flush(&out, now)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/decide/claims/bounds_test.go
@@ -0,0 +1,147 @@
+package claims_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Guards against a claim that is forgotten for want of memory while its key is
+// still accepted, so that a resend runs a second time.
+func TestForgottenKeysAreTooOld(t *testing.T) {
+	g := NewWithT(t)
+	settings := claims.DefaultSettings()
+	settings.MaxClaims = 1000
+	o := claimsOwner(t, settings, 3000, 10, 0)
+	now := epoch.Add(time.Hour)
+	o.CaughtUp(now)
+	remembered := 0
+	for n := range 3000 {
+		at := epoch.Add(time.Duration(n+1) * 29 * time.Millisecond)
+		caller := state.CallerName("caller-" + strconv.Itoa(n%40))
+		out := o.Ask(claims.Ticket(n), rpc.ClaimParams{Claim: state.Claim{Caller: caller, Key: key(at, byte(n)), Fingerprint: uint64(n)}}, now)
+		g.Expect(o.Unseen(caller, key(at, byte(n)))).To(BeFalse(), "claim %d", n)
+		if len(out.Replies) == 0 {
+			g.Expect(out.Questions).To(HaveLen(1), "claim %d", n) // It is open.
+			remembered++
+			continue
+		}
+		refusal := out.Replies[0].Result.Refusal
+		switch refusal.Reason {
+		case verdict.ReasonClaimRan:
+			remembered++
+		default:
+			g.Expect(refusal.Reason).To(Equal(verdict.ReasonKeyTooOld), "claim %d", n)
+			g.Expect(refusal.Execution).To(Equal(verdict.MayHaveRun))
+			g.Expect(remembered).To(BeZero(), "claim %d is forgotten before an older one", n)
+		}
+	}
+	g.Expect(remembered).To(And(BeNumerically(">", 800), BeNumerically("<=", 1000)))
+}
+
+// Guards against an owner whose kept answers grow without bound, and against a
+// resend that gets another request's answer or none.
+func TestOldAnswersAreReadBack(t *testing.T) {
+	g := NewWithT(t)
+	settings := claims.DefaultSettings()
+	settings.AnswerBytes = 64 * state.KiB
+	o := claimsOwner(t, settings, 400, 0, 4096)
+	o.CaughtUp(epoch)
+	inMemory := 0
+	for n := range 10 {
+		for _, at := range []int{n, 390 + n} {
+			p := rpc.ClaimParams{Claim: state.Claim{
+				Caller: state.CallerName("caller-" + strconv.Itoa(at%40)), Fingerprint: uint64(at),
+				Key: key(epoch.Add(time.Duration(at+1)*29*time.Millisecond), byte(at)),
+			}}
+			reply := o.Ask(claims.Ticket(at), p, epoch).Replies[0]
+			g.Expect(reply.Result.Refusal.Execution).To(Equal(verdict.Ran))
+			if at < 10 {
+				g.Expect(reply.ReadBack).To(BeTrue())
+				g.Expect(reply.At).To(Equal(state.Offset(2*at + 1)))
+				g.Expect(reply.Result.Done.AnswerKept).To(BeFalse(), "unless the log gives the answer")
+			} else if !reply.ReadBack {
+				g.Expect(reply.Result.Done.Answer).To(HaveLen(4096))
+				inMemory++
+			}
+		}
+	}
+	g.Expect(inMemory).To(Equal(10))
+}
+
+// Guards against claims that wait on behind a flood of full batches that is
+// over.
+func TestFloodDelaysNoLaterClaim(t *testing.T) {
+	g := NewWithT(t)
+	settings := claims.DefaultSettings()
+	settings.MaxWaiting = 64 * settings.BatchSize
+	o := claims.NewOwner(state.ProcessID{Name: "o"}, settings, rand.New(rand.NewPCG(1, 1)))
+	o.Begin(time.Time{})
+	o.CaughtUp(epoch)
+	full := 0
+	for n := range 80 * settings.BatchSize {
+		out := o.Ask(claims.Ticket(n), rpc.ClaimParams{Claim: state.Claim{Caller: state.CallerName(strconv.Itoa(n)), Key: key(epoch, byte(n))}}, epoch)
+		if n >= settings.MaxWaiting {
+			g.Expect(out.Replies).To(HaveLen(1))
+		}
+		if len(out.Append) > 0 {
+			full++
+		}
+	}
+	g.Expect(full).To(Equal(settings.MaxWaiting / settings.BatchSize))
+	later := epoch.Add(3 * time.Second)
+	o.Tick(later)
+	for n := range 20 {
+		later = later.Add(settings.MinInterval)
+		o.Ask(claims.Ticket(1_000_000+n), rpc.ClaimParams{Claim: state.Claim{Caller: "late", Key: key(epoch, byte(n))}}, later)
+		g.Expect(o.Tick(later.Add(settings.MinInterval)).Append).To(HaveLen(1), "claim %d", n)
+	}
+}
+
+// Guards against sendings of a request that meet in different shards while a
+// layout is replaced.
+func TestLayoutDependsOnTheKeyAlone(t *testing.T) {
+	g := NewWithT(t)
+	layout := claims.Layout{Since: epoch}
+	used := map[int]bool{}
+	for n := range 2000 {
+		before := key(epoch.Add(-time.Duration(n+1)*time.Millisecond), byte(n))
+		after := key(epoch.Add(time.Duration(n)*time.Millisecond), byte(n))
+		g.Expect(layout.Shard("c", before)).To(BeNumerically("<", 64))
+		g.Expect(layout.Shard("c", after)).To(And(BeNumerically(">=", 64), BeNumerically("<", 80)))
+		g.Expect(claims.Layout{}.Shard("c", after)).To(Equal(layout.Shard("c", after)))
+		used[layout.Shard("c", before)], used[layout.Shard("c", after)] = true, true
+	}
+	g.Expect(used).To(HaveLen(80))
+	// Entries of the former layout hash the caller, a zero byte and the key.
+	old := key(epoch.Add(-time.Millisecond), 1)
+	g.Expect(layout.Shard("c", old)).To(Equal(int(xxhash.Sum64String("c\x00"+old) % 64)))
+}
+
+// Guards against a request that meets the claim of another caller with the
+// same key, when the reading begins again while it waits.
+func TestCallersAreKeptApart(t *testing.T) {
+	g := NewWithT(t)
+	o := claims.NewOwner(state.ProcessID{Name: "o"}, claims.DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
+	o.Begin(time.Time{})
+	o.CaughtUp(epoch)
+	shared := key(epoch, 1)
+	o.Ask(1, rpc.ClaimParams{Claim: state.Claim{Caller: "a", Key: shared}}, epoch)
+	batch := o.Tick(epoch.Add(time.Second)).Append
+	o.Begin(time.Time{})
+	other := positioned(t, 0, epoch, "other", state.KindClaim, state.Claim{Caller: "b", Key: shared})
+	g.Expect(o.Apply(other, epoch)).To(BeZero())
+	g.Expect(batch).To(HaveLen(1))
+	out := o.Apply(state.Positioned{Offset: 1, Time: epoch, Record: batch[0]}, epoch)
+	g.Expect(out.Replies).To(HaveLen(1))
+	g.Expect(out.Replies[0].Result.Granted).To(Equal(batch[0].ID))
+}
--- a/internal/decide/claims/lookup.go
+++ b/internal/decide/claims/lookup.go
@@ -18,8 +18,14 @@
 	if !o.caughtUp {
 		return false
 	}
-	k := keyID{caller, id}
-	_, claimed := o.byKey[k]
+	if o.tooOld(keyID{key: id}) {
+		return false
+	}
+	number, known := o.callers[caller]
+	if !known {
+		return true
+	}
+	k := keyID{number, id}
 	_, inLine := o.inLine[k]
-	return !claimed && !inLine && !o.tooOld(k)
+	return !o.claimed(k) && !inLine
 }
--- a/internal/decide/claims/machine_test.go
+++ b/internal/decide/claims/machine_test.go
@@ -4,10 +4,8 @@
 	"encoding/binary"
 	"flag"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"testing"
 	"time"
 
@@ -16,7 +14,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
-	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -81,52 +78,8 @@
 	random    *rand.Rand
 	clock     int64
 	history   []porcupine.Operation
-}
-
-// event is an input of the sequential model: a request for a claim with its
-// reply, or the start of the work of a claim.
-type event struct {
-	key, claim  string
-	start, done bool
-}
-
-// place returns the next place in the history.
-func (w *world) place() int64 {
-	w.clock++
-	return w.clock
-}
-
-func (w *world) record(from, to int64, e event) {
-	w.history = append(w.history, porcupine.Operation{Input: e, Call: from, Return: to})
-}
-
-// register is the sequential model of a key: the claim granted last, and
-// whether its work has started.
-type register struct {
-	claim   string
-	started bool
-}
-
-var claimModel = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byKey := map[string][]porcupine.Operation{}
-		for _, op := range history {
-			key := op.Input.(event).key
-			byKey[key] = append(byKey[key], op)
-		}
-		return slices.Collect(maps.Values(byKey))
-	},
-	Init: func() any { return register{} },
-	Step: func(s, input, _ any) (bool, any) {
-		now, e := s.(register), input.(event)
-		switch {
-		case e.done:
-			return now.started, now
-		case e.start:
-			return !now.started && now.claim == e.claim, register{e.claim, true}
-		}
-		return !now.started, register{claim: e.claim}
-	},
+	settings  claims.Settings
+	readBack  int
 }
 
 func key(at time.Time, n byte) string {
@@ -140,7 +93,13 @@
 	w := &world{
 		t: t, now: epoch, agents: map[state.UpstreamName]*claims.Seen{}, runs: map[state.UpstreamName]int{},
 		ran: map[string]int{}, ranClaims: map[string]bool{}, claimAt: map[string]int{},
-		random: rand.New(rand.NewPCG(1, 2)),
+		random: rand.New(rand.NewPCG(1, 2)), settings: claims.DefaultSettings(),
+	}
+	if w.pick(4, "owners that forget") == 3 {
+		w.settings.MaxClaims = 2
+	}
+	if w.pick(2, "answers in the log only") == 1 {
+		w.settings.AnswerBytes = 0
 	}
 	for n := range byte(3) {
 		w.keys = append(w.keys, key(epoch, n))
@@ -158,7 +117,7 @@
 
 func (w *world) restartOwner(o *owner) {
 	o.name = fmt.Sprint("owner", w.random.Uint32())
-	o.Owner = claims.NewOwner(state.ProcessID{Name: "o", Incarnation: o.name}, claims.DefaultSettings(), w.random)
+	o.Owner = claims.NewOwner(state.ProcessID{Name: "o", Incarnation: o.name}, w.settings, w.random)
 	w.begin(o)
 }
 
@@ -205,6 +164,14 @@
 		if s.claimID != "" {
 			w.dispatch = append(w.dispatch, s)
 		}
+		if r.ReadBack && int(r.At) >= w.oldest {
+			body, err := state.DecodeBody[state.ClaimDone](w.log[r.At].Record)
+			if err != nil || w.log[r.At].Kind != state.KindClaimDone {
+				w.t.Fatalf("no outcome at offset %d: %+v", r.At, w.log[r.At])
+			}
+			r.Result.Done = &body
+			w.readBack++
+		}
 		if done := r.Result.Done; done != nil && done.AnswerKept && string(done.Answer) != s.claim.Key {
 			w.t.Fatalf("key %s got the answer of %s", s.claim.Key, done.Answer)
 		}
@@ -266,147 +233,6 @@
 	}
 }
 
-func (w *world) ask(t *rapid.T) {
-	name := state.UpstreamName(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "agent"))
-	s := &sending{asked: w.place(), ticket: claims.Ticket(len(w.sendings)), claim: state.Claim{
-		Caller: "c", Key: rapid.SampledFrom(w.keys).Draw(t, "key"), Upstream: name,
-		Fingerprint:      uint64(w.pick(10, "fingerprint") / 9),
-		Entry:            state.ProcessID{Name: "e", Incarnation: fmt.Sprint(len(w.sendings))},
-		AgentIncarnation: w.incarnation(name),
-	}}
-	w.sendings = append(w.sendings, s)
-	o := w.owners[w.pick(2, "owner")]
-	w.do(o, o.Ask(s.ticket, rpc.ClaimParams{Claim: s.claim, Deadline: w.now.Add(30 * time.Second)}, w.now))
-}
-
-func (w *world) read(o *owner, limit int) {
-	if o.pos < w.oldest {
-		w.begin(o)
-	}
-	for ; limit > 0 && o.pos < len(w.log); limit-- {
-		p := w.log[o.pos]
-		o.pos++
-		w.do(o, o.Apply(p, w.now))
-	}
-	if o.pos == len(w.log) {
-		w.do(o, o.CaughtUp(w.now))
-	}
-	o.Truncated(w.t0())
-}
-
-// deliver brings a dispatch to its agent, possibly a second time later.
-func (w *world) deliver(t *rapid.T) {
-	if len(w.dispatch) == 0 {
-		t.Skip()
-	}
-	i := w.pick(len(w.dispatch), "dispatch")
-	s := w.dispatch[i]
-	if rapid.Bool().Draw(t, "once") {
-		w.dispatch = append(w.dispatch[:i], w.dispatch[i+1:]...)
-	}
-	if v := w.agents[s.claim.Upstream].Start(s.claimID, s.claim.AgentIncarnation, w.now); v != nil {
-		if s.verdict == nil || v.Execution == verdict.NotRun {
-			s.verdict = v
-		}
-		return
-	}
-	w.ran[s.claim.Key]++
-	w.ranClaims[s.claimID] = true
-	at := w.place()
-	w.record(at, at, event{key: s.claim.Key, claim: s.claimID, start: true})
-	w.running = append(w.running, s)
-}
-
-// giveUp lets an entry drop a claim that it has not dispatched.
-func (w *world) giveUp(t *rapid.T) {
-	if len(w.dispatch) == 0 {
-		t.Skip()
-	}
-	i := w.pick(len(w.dispatch), "given up")
-	s := w.dispatch[i]
-	if w.ranClaims[s.claimID] || s.verdict != nil {
-		t.Skip()
-	}
-	w.dispatch = append(w.dispatch[:i], w.dispatch[i+1:]...)
-	s.verdict = verdict.Refuse(verdict.ReasonDeadlinePast, "")
-	o := w.owners[w.pick(2, "owner")]
-	void := &state.ClaimVoid{Claim: s.claimID, Witness: s.claim.Entry}
-	w.do(o, o.Outcome(rpc.ClaimOutcomeParams{Key: s.claim.Key, Void: void}, s.claim.Entry, w.now))
-}
-
-func (w *world) finish(t *rapid.T) {
-	if len(w.running) == 0 {
-		t.Skip()
-	}
-	i := w.pick(len(w.running), "finished")
-	s := w.running[i]
-	w.running = append(w.running[:i], w.running[i+1:]...)
-	done := state.ClaimDone{Claim: s.claimID, Status: 200, Answer: []byte(s.claim.Key), AnswerKept: true}
-	w.agents[s.claim.Upstream].Finish(done, w.now)
-	if rapid.Bool().Draw(t, "entry reports") {
-		o := w.owners[w.pick(2, "owner")]
-		w.do(o, o.Outcome(rpc.ClaimOutcomeParams{Key: s.claim.Key, Done: &done}, s.claim.Entry, w.now))
-	}
-}
-
-func (w *world) answer(t *rapid.T) {
-	if len(w.questions) == 0 {
-		t.Skip()
-	}
-	i := w.pick(len(w.questions), "question")
-	q := w.questions[i]
-	w.questions = append(w.questions[:i], w.questions[i+1:]...)
-	answer := w.agents[q.q.Upstream].Status(q.q.Params, w.now)
-	switch w.pick(4, "answer") {
-	case 0: // The question arrives, its answer is lost.
-		w.do(q.owner, q.owner.AgentAnswered(q.q.Params.Claim, nil, w.now))
-	case 1: // The answer comes twice.
-		w.do(q.owner, q.owner.AgentAnswered(q.q.Params.Claim, &answer, w.now))
-		fallthrough
-	default:
-		w.do(q.owner, q.owner.AgentAnswered(q.q.Params.Claim, &answer, w.now))
-	}
-}
-
-func (w *world) truncate(t *rapid.T) {
-	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "minutes")) * time.Minute)
-	w.store([]state.Record{{ID: "filler", Kind: state.KindAudit}})
-	w.oldest += w.pick(len(w.log)-w.oldest, "truncated")
-}
-
-func (w *world) tick(t *rapid.T) {
-	w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{60, 10, 60, 60, 300, 60, 60, 3000}).Draw(t, "ms")) * time.Millisecond)
-	for _, o := range w.owners {
-		if w.pick(8, "paused") < 7 {
-			w.do(o, o.Tick(w.now))
-		}
-	}
-}
-
-func (w *world) fault(t *rapid.T) {
-	o := w.owners[w.pick(2, "owner")]
-	switch w.pick(7, "fault") {
-	case 0:
-		w.truncate(t)
-	case 1:
-		w.downTill = w.now.Add(2 * time.Second)
-	case 2: // A repeated read.
-		o.pos = max(w.oldest, o.pos-3)
-	case 3:
-		for _, s := range w.sendings {
-			s.given = true // Its entry sees the connection break.
-		}
-		w.restartOwner(o)
-	case 4:
-		w.restartAgent("a")
-	default: // A late append.
-		if len(w.late) > 0 {
-			w.store(w.late[0])
-			w.late = w.late[1:]
-		}
-	}
-}
-
 // check holds after every step.
 func (w *world) check(*rapid.T) {
 	for key, n := range w.ran {
@@ -425,7 +251,7 @@
 // messages, outages and truncation of the log in any order, and I3 against a
 // request that an owner forgets.
 func TestClaimsUnderFaults(t *testing.T) {
-	granted, resent, voided := 0, 0, 0
+	granted, resent, voided, readBack := 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.t = t
@@ -457,6 +283,7 @@
 				resent++
 			}
 		}
+		readBack += w.readBack
 		for _, p := range w.log {
 			if p.Kind == state.KindClaimVoid {
 				voided++
@@ -466,8 +293,9 @@
 			t.Fatalf("the history of claims and starts is not linearizable: %+v", w.history)
 		}
 	})
-	if granted < 1000 || resent < 100 || voided < 100 {
-		t.Fatalf("the schedules reach too little: %d granted, %d answered from outcomes, %d voids", granted, resent, voided)
+	if granted < 1000 || resent < 100 || voided < 100 || readBack < 20 {
+		t.Fatalf("the schedules reach too little: %d granted, %d answered from outcomes, %d of them read back, %d voids",
+			granted, resent, readBack, voided)
 	}
-	t.Logf("%d granted, %d answered from outcomes, %d voids", granted, resent, voided)
+	t.Logf("%d granted, %d answered from outcomes, %d of them read back, %d voids", granted, resent, readBack, voided)
 }
--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -15,35 +14,9 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// ShardOf returns the claim shard of a key.
-func ShardOf(caller state.CallerName, key string) int {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(caller)) // A digest never fails.
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(key)
-	return int(d.Sum64() % ShardCount)
-}
-
 // retryAfter paces appends that were refused or whose outcome is unknown.
 const retryAfter = 500 * time.Millisecond
 
-// keyID names a request of a caller.
-type keyID struct {
-	caller state.CallerName
-	key    uuid.UUID
-}
-
-// claim is an effective claim that is open or done.
-type claim struct {
-	id     string
-	key    keyID
-	body   state.Claim
-	writer state.ProcessID
-	// done is nil while the claim is open.
-	done *state.ClaimDone
-}
-
 // phase is what a waiting request waits for.
 type phase uint8
 
@@ -81,8 +54,7 @@
 	t0       time.Time
 	begun    bool
 	caughtUp bool
-	byKey    map[keyID]*claim
-	byID     map[string]*claim
+	table
 
 	waiting map[Ticket]*waiter
 	// inLine is the request of a key that claims it.
@@ -94,6 +66,9 @@
 	behind map[string][]*waiter
 	queue  []state.Record
 	sendAt time.Time
+	// paidTo is the time up to which the batches sent have used the shard's
+	// append rate, one MinInterval each.
+	paidTo time.Time
 	// failed is set while the queue holds what a failed append left.
 	failed bool
 }
@@ -105,16 +80,23 @@
 		waiting: map[Ticket]*waiter{}, inLine: map[keyID]*waiter{}, unread: map[string]time.Time{},
 		behind: map[string][]*waiter{},
 	}
+	o.callers = map[state.CallerName]uint32{}
 	o.reset()
 	return o
 }
 
 func (o *Owner) reset() {
 	o.offset = state.NoOffset
-	o.byKey, o.byID = map[keyID]*claim{}, map[string]*claim{}
+	// Waiting requests keep the numbers of their callers.
+	o.table = newTable(o.callers, o.settings.AnswerBytes)
 	o.begun, o.caughtUp = false, false
 }
 
+// Lost says that records of the stream were lost unread. The owner knows
+// nothing until it begins again: a lost claim is stored after all that were
+// read, so no key of those is accepted any more.
+func (o *Owner) Lost() { o.reset() }
+
 // Begin says that the reading starts at the log's oldest retained record,
 // stored at t0. t0 is zero if the stream was never truncated. An owner whose
 // reading has lost records to retention begins again.
@@ -152,12 +134,7 @@
 		return
 	}
 	o.t0 = t0
-	for key, c := range o.byKey {
-		if o.tooOld(key) {
-			delete(o.byKey, key)
-			delete(o.byID, c.id)
-		}
-	}
+	o.forget(o.tooOld)
 }
 
 // tooOld reports whether claims of the key may be missing from the table. A
@@ -195,7 +172,7 @@
 	if !p.Deadline.IsZero() && p.Deadline.Before(until) {
 		until = p.Deadline
 	}
-	w := &waiter{ticket: t, params: p, key: keyID{p.Claim.Caller, id}, until: until}
+	w := &waiter{ticket: t, params: p, key: o.keyOf(p.Claim.Caller, id), until: until}
 	o.waiting[t] = w
 	if o.caughtUp {
 		o.decide(w, now, &out)
@@ -211,8 +188,8 @@
 		o.end(w, out, verdict.Unknown(verdict.ReasonKeyTooOld, "the idempotency key is older than the log's retention"))
 		return
 	}
-	if c, ok := o.byKey[w.key]; ok {
-		o.meet(w, c, out)
+	if o.claimed(w.key) {
+		o.meet(w, out)
 		return
 	}
 	if first, ok := o.inLine[w.key]; ok {
@@ -226,26 +203,38 @@
 		return
 	}
 	o.claim(w, now)
-	o.flushFull(out)
+	o.flushFull(out, now)
 }
 
-// meet resolves w against an earlier claim of its key.
-func (o *Owner) meet(w *waiter, c *claim, out *Commands) {
-	switch {
-	case c.body.Fingerprint != w.params.Claim.Fingerprint:
-		// The key's claim is for another request; this one gets none.
-		o.end(w, out, verdict.Refuse(verdict.ReasonKeyReused, "the idempotency key was used for another request"))
-	case c.done != nil:
-		o.endRan(w, out, c.done)
-	default:
-		asked := slices.ContainsFunc(o.behind[c.id], func(other *waiter) bool { return other.phase == waitAgent })
-		o.move(w, waitAgent, c.id)
-		if !asked {
-			out.Questions = append(out.Questions, Question{Upstream: c.body.Upstream, Params: rpc.ClaimStatusParams{
-				Claim: c.id, Agent: c.body.Agent, AgentIncarnation: c.body.AgentIncarnation,
-			}})
+// meet resolves w against the earlier claim of its key.
+func (o *Owner) meet(w *waiter, out *Commands) {
+	if r, ok := o.ran[w.key]; ok {
+		if r.fingerprint != w.params.Claim.Fingerprint {
+			o.endReused(w, out)
+			return
 		}
+		done, at := o.outcome(w.key, r)
+		o.endRan(w, out, done, at)
+		return
+	}
+	c := o.byKey[w.key]
+	if c.body.Fingerprint != w.params.Claim.Fingerprint {
+		o.endReused(w, out)
+		return
 	}
+	asked := slices.ContainsFunc(o.behind[c.id], func(other *waiter) bool { return other.phase == waitAgent })
+	o.move(w, waitAgent, c.id)
+	if !asked {
+		out.Questions = append(out.Questions, Question{Upstream: c.body.Upstream, Params: rpc.ClaimStatusParams{
+			Claim: c.id, Agent: c.body.Agent, AgentIncarnation: c.body.AgentIncarnation,
+		}})
+	}
+}
+
+// endReused refuses w: the key's claim is for another request, so this one
+// gets none.
+func (o *Owner) endReused(w *waiter, out *Commands) {
+	o.end(w, out, verdict.Refuse(verdict.ReasonKeyReused, "the idempotency key was used for another request"))
 }
 
 // claim queues a claim record for w.
@@ -254,7 +243,7 @@
 	o.move(w, waitClaim, id)
 	o.inLine[w.key] = w
 	o.unread[id] = now.Add(o.settings.Window)
-	enqueue(o, id, state.KindClaim, w.params.Claim, now)
+	enqueue(o, id, state.KindClaim, w.params.Claim, now, o.settings.BatchFor)
 }
 
 // newID returns a UUIDv7 of now, so that a claim's id tells its age.
@@ -272,26 +261,45 @@
 	return time.UnixMilli(int64(binary.BigEndian.Uint64(id[:8]) >> 16))
 }
 
-func enqueue[B state.Body](o *Owner, id string, kind state.Kind, body B, now time.Time) {
+// enqueue adds a record to the next batch, which leaves within the time given
+// unless the append rate or a failed append makes it wait longer.
+func enqueue[B state.Body](o *Owner, id string, kind state.Kind, body B, now time.Time, within time.Duration) {
 	record, err := state.NewRecord(id, o.self, kind, body)
 	if err != nil {
 		panic(err) // The bodies hold only types that always encode.
 	}
-	if len(o.queue) == 0 {
-		o.sendAt = now.Add(o.settings.BatchFor)
+	due := now.Add(within)
+	if paced := o.paidTo.Add(-o.allowance()); due.Before(paced) {
+		due = paced
+	}
+	if len(o.queue) == 0 || (!o.failed && due.Before(o.sendAt)) {
+		o.sendAt = due
 	}
 	o.queue = append(o.queue, record)
 }
 
+// allowance is how far the batches of a quiet shard may run ahead of its rate.
+func (o *Owner) allowance() time.Duration {
+	return time.Duration(o.settings.Burst) * o.settings.MinInterval
+}
+
 // flushFull sends a batch that is full, but not while the log fails.
-func (o *Owner) flushFull(out *Commands) {
+func (o *Owner) flushFull(out *Commands, now time.Time) {
 	if len(o.queue) >= o.settings.BatchSize && len(out.Append) == 0 && !o.failed {
-		o.flush(out)
+		o.flush(out, now)
 	}
 }
 
-func (o *Owner) flush(out *Commands) {
+func (o *Owner) flush(out *Commands, now time.Time) {
 	o.failed = false
+	if o.paidTo.Before(now) {
+		o.paidTo = now
+	}
+	o.paidTo = o.paidTo.Add(o.settings.MinInterval)
+	// Full batches don't wait, and must not make later ones wait for long.
+	if most := now.Add(o.allowance() + o.settings.MinInterval); o.paidTo.After(most) {
+		o.paidTo = most
+	}
 	n := min(len(o.queue), o.settings.BatchSize)
 	out.Append = append(out.Append, o.queue[:n]...)
 	o.queue = append([]state.Record(nil), o.queue[n:]...)
@@ -330,9 +338,11 @@
 	out.refuse(w.ticket, v)
 }
 
-func (o *Owner) endRan(w *waiter, out *Commands, done *state.ClaimDone) {
+// endRan answers with the outcome of an earlier run. readBack is the offset of
+// the outcome if its answer has to be read from the log, otherwise NoOffset.
+func (o *Owner) endRan(w *waiter, out *Commands, done *state.ClaimDone, readBack state.Offset) {
 	o.remove(w)
-	out.Replies = append(out.Replies, Reply{Ticket: w.ticket, Result: rpc.ClaimResult{
+	out.Replies = append(out.Replies, Reply{Ticket: w.ticket, ReadBack: readBack != state.NoOffset, At: readBack, Result: rpc.ClaimResult{
 		Refusal: &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan},
 		Done:    done,
 	}})
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -87,7 +86,7 @@
 
 // claim implements claimClient.
 func (r *claimRouter) claim(ctx context.Context, params rpc.ClaimParams) (rpc.ClaimResult, error) {
-	shard := claims.ShardOf(params.Claim.Caller, params.Claim.Key)
+	shard := r.local.layout.Shard(params.Claim.Caller, params.Claim.Key)
 	last := errors.New("no owner of the claim's shard is known")
 	for _, address := range r.owners(shard) {
 		if address == "" {
@@ -118,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(r.running, lookupTimeout)
 	defer cancel()
 	params := rpc.ClaimLookupParams{Caller: caller, Key: key}
-	for _, address := range r.owners(claims.ShardOf(caller, key)) {
+	for _, address := range r.owners(r.local.layout.Shard(caller, key)) {
 		var result rpc.ClaimLookupResult
 		var err error
 		if address == "" {
@@ -141,7 +140,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(r.running, outcomeTimeout)
 		defer cancel()
-		for _, address := range r.owners(claims.ShardOf(params.Caller, params.Key)) {
+		for _, address := range r.owners(r.local.layout.Shard(params.Caller, params.Key)) {
 			if address == "" {
 				r.local.outcome(ctx, params, r.process)
 				return
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -50,6 +50,12 @@
 	shards     map[int]*claimShard
 	tickets    map[claims.Ticket]claimTicket
 	lastTicket claims.Ticket
+	// layout assigns keys to shards.
+	layout claims.Layout
+	// settings are those of the owners.
+	settings claims.Settings
+	// readBackRecords is claimReadBack, but for tests.
+	readBackRecords state.Offset
 }
 
 type claimShard struct {
@@ -76,6 +82,8 @@
 func newClaimShards(self state.ProcessID, log platform.Log, appender logclient.Appender, caller rpc.Caller,
 	agentAddress func(state.UpstreamName) (string, bool), logger *slog.Logger,
 ) *claimShards {
+	settings := claims.DefaultSettings()
+	settings.GiveUpAfter = claimGiveUp
 	return &claimShards{
 		self:         self,
 		log:          log,
@@ -86,7 +94,19 @@
 		events:       make(chan shardEvent, eventBuffer),
 		shards:       make(map[int]*claimShard),
 		tickets:      make(map[claims.Ticket]claimTicket),
+
+		settings:        settings,
+		readBackRecords: claimReadBack,
+	}
+}
+
+// claimLayout returns the layout of validated settings.
+func claimLayout(since string) claims.Layout {
+	at, err := time.Parse(time.RFC3339, since)
+	if err != nil {
+		return claims.Layout{} // The setting is empty.
 	}
+	return claims.Layout{Since: at}
 }
 
 // run applies events and ticks until ctx ends.
@@ -131,7 +151,7 @@
 	// The reply is not buffered: a grant that nobody takes is given up.
 	reply := make(chan rpc.ClaimResult)
 	s.post(ctx, func(running context.Context, now time.Time) {
-		shard := s.shard(running, claims.ShardOf(params.Claim.Caller, params.Claim.Key), now)
+		shard := s.shard(running, s.layout.Shard(params.Claim.Caller, params.Claim.Key), now)
 		s.lastTicket++
 		s.tickets[s.lastTicket] = claimTicket{params: params, reply: reply, asked: ctx}
 		s.carryOut(running, shard, shard.owner.Ask(s.lastTicket, params, now))
@@ -148,7 +168,7 @@
 func (s *claimShards) lookup(ctx context.Context, params rpc.ClaimLookupParams) (rpc.ClaimLookupResult, error) {
 	reply := make(chan bool, 1)
 	s.post(ctx, func(running context.Context, now time.Time) {
-		shard := s.shard(running, claims.ShardOf(params.Caller, params.Key), now)
+		shard := s.shard(running, s.layout.Shard(params.Caller, params.Key), now)
 		reply <- shard.owner.Unseen(params.Caller, params.Key)
 	})
 	select {
@@ -162,7 +182,7 @@
 // outcome notes how a claim ended.
 func (s *claimShards) outcome(ctx context.Context, params rpc.ClaimOutcomeParams, from state.ProcessID) {
 	s.post(ctx, func(running context.Context, now time.Time) {
-		shard := s.shard(running, claims.ShardOf(params.Caller, params.Key), now)
+		shard := s.shard(running, s.layout.Shard(params.Caller, params.Key), now)
 		s.carryOut(running, shard, shard.owner.Outcome(params, from, now))
 	})
 }
@@ -190,11 +210,9 @@
 	if !ok {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		tailing, stop := context.WithCancel(ctx)
-		settings := claims.DefaultSettings()
-		settings.GiveUpAfter = claimGiveUp
 		shard = &claimShard{
 			number: number,
-			owner:  claims.NewOwner(s.self, settings, random),
+			owner:  claims.NewOwner(s.self, s.settings, random),
 			stop:   stop,
 		}
 		s.shards[number] = shard
@@ -212,6 +230,10 @@
 			if s.meter != nil {
 				s.meter.Claim(resultOf(reply.Result))
 			}
+			if reply.ReadBack {
+				go s.readBack(ctx, shard.number, ticket, reply)
+				continue
+			}
 			s.reply(ctx, shard, ticket, reply.Result)
 		}
 	}
@@ -309,68 +331,3 @@
 		s.carryOut(running, shard, shard.owner.AgentAnswered(question.Params.Claim, answer, now))
 	})
 }
-
-// follow reads a shard's stream.
-func (s *claimShards) follow(ctx context.Context, shard *claimShard) {
-	from := state.Offset(0)
-	for ctx.Err() == nil {
-		err := logclient.Tail(ctx, s.log, platform.ClaimStream(shard.number), from, logclient.TailOptions{},
-			func(page platform.Page) error {
-				from = page.Next
-				return s.deliver(ctx, shard, page)
-			})
-		var truncated *logclient.TruncatedError
-		if errors.As(err, &truncated) {
-			from = truncated.Oldest
-			s.noteTruncated(ctx, shard, truncated)
-			continue
-		}
-		sleep(ctx, tailPause)
-	}
-}
-
-func (s *claimShards) deliver(ctx context.Context, shard *claimShard, page platform.Page) error {
-	done := make(chan struct{})
-	posted := s.post(ctx, func(running context.Context, now time.Time) {
-		defer close(done)
-		s.applyPage(running, shard, page, now)
-	})
-	if !posted {
-		return ctx.Err()
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (s *claimShards) applyPage(ctx context.Context, shard *claimShard, page platform.Page, now time.Time) {
-	if !shard.began {
-		shard.began = true
-		var t0 time.Time
-		if page.Oldest > 0 && len(page.Records) > 0 {
-			t0 = page.Records[0].Time
-		} else if page.Oldest > 0 {
-			t0 = now
-		}
-		shard.owner.Begin(t0)
-	}
-	for _, record := range page.Records {
-		s.carryOut(ctx, shard, shard.owner.Apply(record, now))
-	}
-	if page.Next >= page.End {
-		s.carryOut(ctx, shard, shard.owner.CaughtUp(now))
-	}
-}
-
-// noteTruncated tells an owner that began earlier that records were lost
-// unread; no key of that time may be claimed any more.
-func (s *claimShards) noteTruncated(ctx context.Context, shard *claimShard, _ *logclient.TruncatedError) {
-	s.post(ctx, func(_ context.Context, now time.Time) {
-		if shard.began {
-			shard.owner.Truncated(now)
-		}
-	})
-}
--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -2,24 +2,18 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"fmt"
-	"log/slog"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
-	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
-	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/standin"
@@ -27,170 +21,6 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// claimsWorld is a few entries that own claim shards, and one agent.
-type claimsWorld struct {
-	t       *testing.T
-	log     *standin.Log
-	network *fakeNetwork
-	entries []*claimsEntry
-
-	mu    sync.Mutex
-	agent *claims.Seen
-	life  int
-	ran   map[string]int
-	lives map[string]int
-}
-
-// claimsEntry is a run of an entry.
-type claimsEntry struct {
-	world  *claimsWorld
-	name   state.EntryName
-	router *claimRouter
-	stop   context.CancelFunc
-	ended  sync.WaitGroup
-}
-
-func newClaimsWorld(t *testing.T, entries int) *claimsWorld {
-	w := &claimsWorld{
-		t: t, log: standin.NewLog(standin.LogConfig{}), network: newFakeNetwork(),
-		ran: make(map[string]int), lives: make(map[string]int),
-	}
-	w.restartAgent()
-	w.network.serve("agent", map[string]rpc.MethodFunc{
-		rpc.MethodClaimStatus: rpc.Method(func(_ context.Context, p rpc.ClaimStatusParams) (rpc.ClaimStatusResult, error) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			return w.agent.Status(p, time.Now()), nil
-		}),
-	})
-	for i := range entries {
-		w.entries = append(w.entries, &claimsEntry{world: w, name: state.EntryName(fmt.Sprintf("entry-%d", i))})
-	}
-	for _, e := range w.entries {
-		e.start(w.names()...)
-	}
-	return w
-}
-
-// stop ends all entries, without which virtual time would never stand still.
-func (w *claimsWorld) stop() {
-	for _, e := range w.entries {
-		e.kill()
-	}
-}
-
-func (w *claimsWorld) names() []state.EntryName {
-	names := make([]state.EntryName, 0, len(w.entries))
-	for _, e := range w.entries {
-		names = append(names, e.name)
-	}
-	return names
-}
-
-func (w *claimsWorld) restartAgent() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.life++
-	w.agent = claims.NewSeen(fmt.Sprint(w.life), claims.DefaultSettings())
-}
-
-func (w *claimsWorld) replica() rpc.ReplicaAt {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return rpc.ReplicaAt{Replica: state.Replica{Upstream: "u"}, Agent: state.FencingToken(w.life), AgentIncarnation: fmt.Sprint(w.life)}
-}
-
-// start begins a run of the entry that takes ring for the live entries.
-func (e *claimsEntry) start(ring ...state.EntryName) {
-	ctx, stop := context.WithCancel(e.world.t.Context())
-	e.stop = stop
-	addresses := make(map[state.EntryName]string)
-	for _, name := range e.world.names() {
-		addresses[name] = string(name)
-	}
-	published := &view{ring: membership.NewRing(ring), addresses: addresses}
-	writer := logclient.NewWriter(e.world.log, logclient.WriterConfig{AppendsPerSecond: 1000, AppendBurst: 100})
-	self := state.ProcessID{Name: string(e.name), Incarnation: uuid.NewString()}
-	agentAt := func(state.UpstreamName) (string, bool) { return "agent", true }
-	shards := newClaimShards(self, e.world.log, writer, e.world.network, agentAt, slog.New(slog.DiscardHandler))
-	e.router = &claimRouter{
-		process: self, name: e.name, region: "north", local: shards, caller: e.world.network, running: ctx,
-		view: func() *view { return published },
-	}
-	e.ended.Go(func() { _ = writer.Run(ctx) })
-	e.ended.Go(func() { _ = shards.run(ctx) })
-	entry := &Entry{shards: shards}
-	e.world.network.serve(string(e.name), map[string]rpc.MethodFunc{
-		rpc.MethodClaim: rpc.Method(shards.ask), rpc.MethodClaimLookup: rpc.Method(shards.lookup),
-		rpc.MethodClaimDone: rpc.Method(entry.claimOutcome),
-	})
-}
-
-func (e *claimsEntry) kill() {
-	e.world.network.serve(string(e.name), nil)
-	e.stop()
-	e.ended.Wait()
-}
-
-// step is how far an entry gets with a request before it dies.
-type step int
-
-const (
-	diesClaimed step = iota
-	diesDispatched
-	diesRun
-	completes
-)
-
-// send takes a request as far as last. The verdict is the one that the caller
-// gets; it is nil if the entry died first.
-func (w *claimsWorld) send(router *claimRouter, key string, last step) (*verdict.Verdict, string) {
-	recorder := httptest.NewRecorder()
-	x := &execution{
-		gateway:  &gateway{claims: router},
-		request:  &request{key: key, fingerprint: 7, deadline: time.Now().Add(30 * time.Second), caller: state.Caller{Name: "c"}},
-		exchange: &exchange{answer: &answerWriter{ResponseWriter: recorder}},
-	}
-	if v := x.openClaim(w.t.Context(), w.replica()); v != nil {
-		return x.aboutWork(v), recorder.Body.String()
-	}
-	if last == diesClaimed {
-		return nil, ""
-	}
-	v, text := w.run(x.claim, key, last)
-	if last != completes {
-		return nil, ""
-	}
-	x.kept.add([]byte(text))
-	x.closeClaim(v, &http.Response{StatusCode: http.StatusOK})
-	return v, text
-}
-
-// run is the agent's part.
-func (w *claimsWorld) run(claim, key string, last step) (*verdict.Verdict, string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if refusal := w.agent.Start(claim, fmt.Sprint(w.life), time.Now()); refusal != nil {
-		return refusal, ""
-	}
-	w.ran[key]++
-	w.lives[key] = w.life
-	text := "answer to " + key
-	if last > diesDispatched {
-		done := state.ClaimDone{Claim: claim, Status: http.StatusOK, Answer: []byte(text), AnswerKept: true}
-		w.agent.Finish(done, time.Now())
-	}
-	return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonOK}, text
-}
-
-func keyAt(at time.Time, n int) string {
-	var id uuid.UUID
-	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<16)
-	binary.BigEndian.PutUint64(id[8:], uint64(n))
-	id[6], id[8] = 0x70, 0x80
-	return id.String()
-}
-
 // Guards against work that runs twice, a "not run" of work that ran, and a
 // resend after the end that does not get the kept answer.
 func TestClaimedWorkRunsAtMostOnce(t *testing.T) {
@@ -279,7 +109,7 @@
 		w := newClaimsWorld(t, 2)
 		defer w.stop()
 		first, n := keyAt(time.Now(), 0), 1
-		for claims.ShardOf("c", keyAt(time.Now(), n)) != claims.ShardOf("c", first) {
+		for layout := (claims.Layout{}); layout.Shard("c", keyAt(time.Now(), n)) != layout.Shard("c", first); {
 			n++
 		}
 		second := keyAt(time.Now(), n)
@@ -315,7 +145,7 @@
 		w.log.SetFaults(standin.LogFaults{})
 		time.Sleep(10 * time.Second)
 		stored := make(map[string]bool)
-		for _, record := range w.log.Records(platform.ClaimStream(claims.ShardOf("c", key))) {
+		for _, record := range w.log.Records(platform.ClaimStream(claims.Layout{}.Shard("c", key))) {
 			if done, err := state.DecodeBody[state.ClaimDone](record.Record); err == nil && record.Kind == state.KindClaimDone {
 				stored[done.Claim] = true
 			}
--- /dev/null
+++ b/internal/entry/claimtail.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
+	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	// claimReadBack is how many records before its end an owner reads of a
+	// shard's stream: those of as many claims as it remembers.
+	claimReadBack = 200_000
+	// readBackTimeout bounds the reading of an answer from the log.
+	readBackTimeout = 500 * time.Millisecond
+)
+
+// readBack adds the answer of an outcome from the log to a reply. If the log
+// does not give it in time, the reply says that the request ran and that its
+// answer is not kept.
+func (s *claimShards) readBack(ctx context.Context, number int, ticket claimTicket, reply claims.Reply) {
+	limited, cancel := context.WithTimeout(ctx, readBackTimeout)
+	defer cancel()
+	page, err := s.log.Read(limited, platform.ClaimStream(number), reply.At, 1, 0)
+	if err == nil && len(page.Records) > 0 && page.Records[0].Offset == reply.At && page.Records[0].Kind == state.KindClaimDone {
+		if done, err := state.DecodeBody[state.ClaimDone](page.Records[0].Record); err == nil {
+			reply.Result.Done = &done
+		}
+	}
+	select {
+	case ticket.reply <- reply.Result:
+	case <-ticket.asked.Done():
+	case <-ctx.Done():
+	}
+}
+
+// follow reads a shard's stream.
+func (s *claimShards) follow(ctx context.Context, shard *claimShard) {
+	from := s.start(ctx, shard.number)
+	for ctx.Err() == nil {
+		err := logclient.Tail(ctx, s.log, platform.ClaimStream(shard.number), from, logclient.TailOptions{},
+			func(page platform.Page) error {
+				from = page.Next
+				return s.deliver(ctx, shard, page)
+			})
+		var truncated *logclient.TruncatedError
+		if errors.As(err, &truncated) {
+			from = truncated.Oldest
+			s.noteTruncated(ctx, shard)
+			continue
+		}
+		sleep(ctx, tailPause)
+	}
+}
+
+// start returns the offset from which an owner reads its shard: at most
+// claimReadBack records before the end, since reading all that the log retains
+// would take a new owner minutes at the two-year size.
+func (s *claimShards) start(ctx context.Context, number int) state.Offset {
+	for {
+		page, err := s.log.Read(ctx, platform.ClaimStream(number), 0, 1, 0)
+		if err == nil || errors.Is(err, platform.ErrTruncated) {
+			return max(page.Oldest, page.End-s.readBackRecords, 0)
+		}
+		if !sleep(ctx, tailPause) {
+			return 0
+		}
+	}
+}
+
+func (s *claimShards) deliver(ctx context.Context, shard *claimShard, page platform.Page) error {
+	done := make(chan struct{})
+	posted := s.post(ctx, func(running context.Context, now time.Time) {
+		defer close(done)
+		s.applyPage(running, shard, page, now)
+	})
+	if !posted {
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *claimShards) applyPage(ctx context.Context, shard *claimShard, page platform.Page, now time.Time) {
+	if !shard.began {
+		shard.began = true
+		shard.owner.Begin(firstTime(page, now))
+	}
+	for _, record := range page.Records {
+		s.carryOut(ctx, shard, shard.owner.Apply(record, now))
+	}
+	if page.Next >= page.End {
+		s.carryOut(ctx, shard, shard.owner.CaughtUp(now))
+	}
+}
+
+// firstTime returns the time of the oldest record that an owner reads, or zero
+// if none before it may be missing.
+func firstTime(page platform.Page, now time.Time) time.Time {
+	switch {
+	case page.From == 0 && page.Oldest == 0:
+		return time.Time{}
+	case len(page.Records) > 0:
+		return page.Records[0].Time
+	}
+	// All records are gone, and the newest of them may be as young as now.
+	return now
+}
+
+// noteTruncated tells an owner that records were lost unread. It begins again
+// at the oldest record that is left.
+func (s *claimShards) noteTruncated(ctx context.Context, shard *claimShard) {
+	s.post(ctx, func(context.Context, time.Time) {
+		shard.began = false
+		shard.owner.Lost()
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -103,6 +103,7 @@
 	}, time.Now())
 	e.shards = newClaimShards(self, deps.Log, e.writer, deps.Caller, e.agentAddress, deps.Logger)
 	e.shards.meter = deps.Meter
+	e.shards.layout = claimLayout(cfg.ClaimShardsSince)
 	e.ledger = newLedger(time.Now())
 	e.reports = audit.NewReporter(e.ledger.counts, self, cfg.Region, auditAppender{e.writer})
 	e.gateway = e.newGateway(self)
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -13,6 +13,10 @@
 	Weights Weights `toml:"weights" reload:"yes"`
 	// Tokens lists the operators' bearer tokens.
 	Tokens []Token `toml:"tokens" validate:"max=1024,dive" reload:"yes"`
+	// ClaimShardsSince is the time in idempotency keys, as in RFC 3339, from
+	// which claims use 16 shards instead of 64. It must be the same at all
+	// entries. Default "": 16 for all keys.
+	ClaimShardsSince string `toml:"claim_shards_since" validate:"omitempty,datetime=2006-01-02T15:04:05Z07:00"`
 }
 
 // EntryLimits bounds what an entry accepts. All bounds are per entry.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -60,6 +60,7 @@
 
 const wrong = `name = "entry 1"
 host = 5
+claim_shards_since = "tomorrow"
 region = "north"
 data_centre = "north-a"
 [listen]
@@ -101,18 +102,19 @@
 	g.Expect(got).To(Equal([]string{
 		`entry.toml:1: name: want no spaces`,
 		`entry.toml:2: host: want text`,
-		`entry.toml:6: listen.callers: want an address such as "10.0.0.1:8080"`,
-		`entry.toml:9: platform.hosts: required, but not set`,
-		`entry.toml:12: limits.body_bytes: size "16GB": want a whole number before B`,
-		`entry.toml:13: limits.queue_bytes: want text with a unit, such as "16GiB" for a size or "1.5s" for a duration`,
-		`entry.toml:14: limits.deault_deadline: unknown key; did you mean "default_deadline"?`,
-		`entry.toml:15: limits.queue_requests: want at least 1`,
-		`entry.toml:16: limits.max_deadline: want at least default_deadline`,
-		`entry.toml:22: peers[1].data_centre: required, but not set`,
-		`entry.toml:23: peers[1].name: an earlier element has the same value`,
-		`entry.toml:25: peers[1].control: want an address with host and port, such as "10.0.0.1:8080"`,
-		`entry.toml:29: tokens[0].role: want one of viewer, operator, administrator`,
-		`entry.toml:30: tokens[0].sha256: want exactly 64 characters`,
+		`entry.toml:3: claim_shards_since: want a time such as "2027-01-31T12:00:00Z"`,
+		`entry.toml:7: listen.callers: want an address such as "10.0.0.1:8080"`,
+		`entry.toml:10: platform.hosts: required, but not set`,
+		`entry.toml:13: limits.body_bytes: size "16GB": want a whole number before B`,
+		`entry.toml:14: limits.queue_bytes: want text with a unit, such as "16GiB" for a size or "1.5s" for a duration`,
+		`entry.toml:15: limits.deault_deadline: unknown key; did you mean "default_deadline"?`,
+		`entry.toml:16: limits.queue_requests: want at least 1`,
+		`entry.toml:17: limits.max_deadline: want at least default_deadline`,
+		`entry.toml:23: peers[1].data_centre: required, but not set`,
+		`entry.toml:24: peers[1].name: an earlier element has the same value`,
+		`entry.toml:26: peers[1].control: want an address with host and port, such as "10.0.0.1:8080"`,
+		`entry.toml:30: tokens[0].role: want one of viewer, operator, administrator`,
+		`entry.toml:31: tokens[0].sha256: want exactly 64 characters`,
 	}))
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -155,6 +155,8 @@
 		return "want one of " + strings.ReplaceAll(param, " ", ", ")
 	case "unique":
 		return "an earlier element has the same value"
+	case "datetime":
+		return `want a time such as "2027-01-31T12:00:00Z"`
 	case "len":
 		return "want exactly " + param + " characters"
 	case "excludes":
