--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -54,6 +54,10 @@
 	shards     map[int]*claimShard
 	tickets    map[claims.Ticket]claimTicket
 	lastTicket claims.Ticket
+	// settings are those of the owners.
+	settings claims.Settings
+	// readBackRecords is claimReadBack, but for tests.
+	readBackRecords state.Offset
 }
 
 type claimShard struct {
@@ -80,6 +84,8 @@
 func newClaimShards(self state.ProcessID, log platform.Log, appender logclient.Appender, caller rpc.Caller,
 	agentAddress func(state.UpstreamName) (string, bool), logger *slog.Logger,
 ) *claimShards {
+	settings := claims.DefaultSettings()
+	settings.GiveUpAfter = claimGiveUp
 	return &claimShards{
 		self:         self,
 		log:          log,
@@ -90,6 +96,9 @@
 		events:       make(chan shardEvent, eventBuffer),
 		shards:       make(map[int]*claimShard),
 		tickets:      make(map[claims.Ticket]claimTicket),
+
+		settings:        settings,
+		readBackRecords: claimReadBack,
 	}
 }
 
@@ -194,11 +203,9 @@
 	if !ok {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		tailing, stop := context.WithCancel(ctx)
-		settings := claims.DefaultSettings()
-		settings.GiveUpAfter = claimGiveUp
 		shard = &claimShard{
 			number: number,
-			owner:  claims.NewOwner(s.self, settings, random),
+			owner:  claims.NewOwner(s.self, s.settings, random),
 			stop:   stop,
 		}
 		s.shards[number] = shard
@@ -216,6 +223,10 @@
 			if s.meter != nil {
 				s.meter.Claim(resultOf(reply.Result))
 			}
+			if reply.ReadBack {
+				go s.readBack(ctx, shard.number, ticket, reply)
+				continue
+			}
 			s.reply(ctx, shard, ticket, reply.Result)
 		}
 	}
@@ -313,69 +324,3 @@
 		s.carryOut(running, shard, shard.owner.AgentAnswered(question.Params.Claim, answer, now))
 	})
 }
-
-// follow reads a shard's stream.
-func (s *claimShards) follow(ctx context.Context, shard *claimShard) {
-	from := state.Offset(0)
-	options := logclient.TailOptions{LastRetry: claimReadRetry}
-	for ctx.Err() == nil {
-		err := logclient.Tail(ctx, s.log, platform.ClaimStream(shard.number), from, options,
-			func(page platform.Page) error {
-				from = page.Next
-				return s.deliver(ctx, shard, page)
-			})
-		var truncated *logclient.TruncatedError
-		if errors.As(err, &truncated) {
-			from = truncated.Oldest
-			s.noteTruncated(ctx, shard, truncated)
-			continue
-		}
-		sleep(ctx, tailPause)
-	}
-}
-
-func (s *claimShards) deliver(ctx context.Context, shard *claimShard, page platform.Page) error {
-	done := make(chan struct{})
-	posted := s.post(ctx, func(running context.Context, now time.Time) {
-		defer close(done)
-		s.applyPage(running, shard, page, now)
-	})
-	if !posted {
-		return ctx.Err()
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (s *claimShards) applyPage(ctx context.Context, shard *claimShard, page platform.Page, now time.Time) {
-	if !shard.began {
-		shard.began = true
-		var t0 time.Time
-		if page.Oldest > 0 && len(page.Records) > 0 {
-			t0 = page.Records[0].Time
-		} else if page.Oldest > 0 {
-			t0 = now
-		}
-		shard.owner.Begin(t0)
-	}
-	for _, record := range page.Records {
-		s.carryOut(ctx, shard, shard.owner.Apply(record, now))
-	}
-	if page.Next >= page.End {
-		s.carryOut(ctx, shard, shard.owner.CaughtUp(now))
-	}
-}
-
-// noteTruncated tells an owner that began earlier that records were lost
-// unread; no key of that time may be claimed any more.
-func (s *claimShards) noteTruncated(ctx context.Context, shard *claimShard, _ *logclient.TruncatedError) {
-	s.post(ctx, func(_ context.Context, now time.Time) {
-		if shard.began {
-			shard.owner.Truncated(now)
-		}
-	})
-}
