entry: tell homes of the requests that wait at agents

Cause: homes never filled the queue length of a replica, so scaling.Home.Benefit left out the work beyond the slots, where most of an overload waits.

Change: An entry's question to a home carries the number of its requests at the model's replicas. The home sums them up and shares them out among the ready replicas. An entry that holds more than its share of the slots asks once a second instead of every 5 s.

The effect on a running system is not measured.

--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -15,7 +15,10 @@
 	// pollWaiting is how long a home may hold an answer while requests wait,
 	// so that it hears of the backlog often enough.
 	pollWaiting = 250 * time.Millisecond
-	// pollQuiet is how long it may do so while none wait.
+	// pollFull is how long it may do so while the entry's requests exceed its
+	// share of the replicas' slots.
+	pollFull = time.Second
+	// pollQuiet is how long it may do so otherwise.
 	pollQuiet = 5 * time.Second
 	// followIdle is how long an unused route's replica set is kept up to date.
 	followIdle = 30 * time.Second
@@ -79,7 +82,7 @@
 			return
 		}
 		backlog := rpc.Backlog{
-			Waiting: waiting, Work: state.Duration(work), Rate: route.arrivals.perSecond(now),
+			Waiting: waiting, Work: state.Duration(work), Rate: route.arrivals.perSecond(now), Sent: outstanding,
 			Refused:  int(route.refused.Swap(0)),
 			Adapters: route.room.adapters(),
 		}
@@ -105,13 +108,18 @@
 // ask sends the backlog to the home and takes the replica set from it. It
 // reports false if the home did not answer.
 func (f *followers) ask(t target, route *route, backlog rpc.Backlog, kicked chan struct{}) bool {
-	wait := pollQuiet
-	if backlog.Waiting != [state.ClassCount]int{} || backlog.Refused > 0 {
-		wait = pollWaiting
-	}
 	var known uint64
+	slots := 0
 	if set := route.set.Load(); set != nil {
 		known = set.version
+		slots = len(set.replicas) * startSlots
+	}
+	wait := pollQuiet
+	switch {
+	case backlog.Waiting != [state.ClassCount]int{} || backlog.Refused > 0:
+		wait = pollWaiting
+	case backlog.Sent*len(f.control.view().addresses) > slots:
+		wait = pollFull
 	}
 	ctx, cancel := context.WithTimeout(f.running, wait+homeTimeout)
 	defer cancel()
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -67,7 +67,6 @@
 	readyAt time.Time
 	polled  time.Time
 	polling bool
-	queue   int
 	woken   time.Time
 	drained bool
 	// answered is the agent's report that its last answer to a wake of the
@@ -295,9 +294,10 @@
 	if model, _, ok := config.Model(h.key.Model); ok {
 		in.MinReplicas = model.MinReplicas
 	}
-	var waiting int
+	var waiting, sent int
 	var work time.Duration
 	for _, demand := range h.demands {
+		sent += demand.backlog.Sent
 		b := demand.backlog
 		in.Demands = append(in.Demands, scaling.Demand{
 			Waiting: b.Waiting, Work: b.Work.Std(), Rate: b.Rate, Refused: b.Refused, Adapters: b.Adapters,
@@ -316,7 +316,6 @@
 			State:    replica.at.State,
 			ReadyIn:  max(0, replica.readyAt.Sub(now)),
 			Slots:    startSlots,
-			Queue:    replica.queue,
 			Slowdown: replica.at.Slowdown,
 			Adapters: replica.at.Adapters,
 			Draining: config.Drained(name),
@@ -325,10 +324,30 @@
 	slices.SortFunc(in.Replicas, func(a, b scaling.Replica) int {
 		return strings.Compare(string(a.Upstream), string(b.Upstream))
 	})
+	spread(in.Replicas, sent)
 	in.Grants = h.grants(c, config, now)
 	return in
 }
 
+// spread shares out the requests that entries have sent to a model among its
+// ready replicas. An agent's own queue length also counts the requests for its
+// other models, and entries balance the replicas of one model by their load.
+func spread(replicas []scaling.Replica, sent int) {
+	left := 0
+	for _, r := range replicas {
+		if r.State == state.ReplicaReady && !r.Draining {
+			left++
+		}
+	}
+	for i := range replicas {
+		if replicas[i].State == state.ReplicaReady && !replicas[i].Draining {
+			replicas[i].Queue = sent / left
+			sent -= replicas[i].Queue
+			left--
+		}
+	}
+}
+
 func (h *home) grants(c *control, config *state.ConfigView, now time.Time) []scaling.Grant {
 	region := c.region.View()
 	var grants []scaling.Grant
--- a/internal/entry/home_changes_test.go
+++ b/internal/entry/home_changes_test.go
@@ -270,3 +270,33 @@
 		})
 	}
 }
+
+// Guards against a benefit that leaves out the requests at full replicas, where
+// most of an overload waits, and against counting those that run.
+func TestBenefitOfWorkBeyondSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b, h, now := stoppedHome(t)
+		second := reported(1, 1, state.ReplicaReady)
+		second.Replica.Upstream, second.Replica.Agent = "u1", 3
+		h.change("w", reported(1, 1, state.ReplicaReady), now)
+		h.change("w", second, now)
+		benefit := func(sent ...int) float64 {
+			for i, n := range sent {
+				entry := state.EntryName([]string{"e1", "e2"}[i])
+				params := rpc.DemandParams{ReplicaKey: testReplica, Entry: entry, Backlog: rpc.Backlog{Sent: n}}
+				demandReceived{params: params, reply: make(chan rpc.DemandResult, 1)}.apply(b.control, now)
+			}
+			return h.benefit
+		}
+		g.Expect(benefit(16, 16)).To(BeZero(), "32 requests run in 32 slots")
+		one := benefit(16, 17)
+		g.Expect(one).To(BeNumerically(">", 0))
+		g.Expect(benefit(30, 23)).To(BeNumerically("~", 21*one))
+		b.change(state.EntityDrain, "upstream/u1", state.Drain{Upstream: "u1"})
+		g.Expect(benefit(16, 17)).To(BeNumerically("~", 17*one), "one replica has left")
+		h.expire(now.Add(demandFreshFor + 1))
+		b.decideHome(h, now.Add(demandFreshFor+1))
+		g.Expect(h.benefit).To(BeZero(), "entries that report no more")
+	})
+}
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -185,6 +185,8 @@
 	Work state.Duration `json:"work"`
 	// Rate is the arrivals per second of the last seconds.
 	Rate float64 `json:"rate"`
+	// Sent counts the entry's requests that run or wait at the replicas.
+	Sent int `json:"sent,omitempty"`
 	// Refused counts requests refused for want of a ready replica since the
 	// last report.
 	Refused int `json:"refused,omitempty"`
