--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -302,3 +303,47 @@
 		}
 	})
 }
+
+// BenchmarkWatcherMemory measures the heap of a watcher's table for each agent
+// with three replicas of three adapters.
+func BenchmarkWatcherMemory(b *testing.B) {
+	for _, agents := range []int{34, 340} {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			var used uint64
+			for b.Loop() {
+				before := heapInUse()
+				a := filledWatcher(agents)
+				used += heapInUse() - before
+				runtime.KeepAlive(a)
+			}
+			b.ReportMetric(float64(used)/float64(b.N)/float64(agents), "heap-B/agent")
+		})
+	}
+}
+
+func filledWatcher(agents int) *membership.Agents {
+	a, ring := membership.NewAgents(membership.DefaultSettings()), membership.NewRing(names(44))
+	var watched []state.Upstream
+	for i := range agents {
+		watched = append(watched, upstream(fmt.Sprintf("runner-%05d", i)))
+	}
+	a.Watch(slices.Values(watched), start)
+	for i, u := range watched {
+		h := beat(fmt.Sprint("run", i), state.FencingToken(i), 2, "m", "n", "o")
+		h.Upstream = u.Name
+		for j := range h.Replicas {
+			h.Replicas[j].Adapters = []state.AdapterName{"a1", "a2", "a3"}
+		}
+		a.Observe(h, start)
+	}
+	a.Changes(ring)
+	return a
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -145,3 +148,52 @@
 		<-reply
 	}
 }
+
+// BenchmarkHomes measures a run over the homes of an entry at the two-year
+// size, and their memory: 13 models, each with 35 replicas and the backlogs of
+// 44 entries.
+func BenchmarkHomes(b *testing.B) {
+	for _, models := range []int{13, 130} {
+		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
+			now := time.Now()
+			c := newControl(controlConfig{name: "entry-1", region: "north"}, controlDeps{}, now)
+			before := heapInUse()
+			for i := range models {
+				fillHome(c, state.ReplicaKey{Model: state.ModelName(fmt.Sprintf("model-%d", i)), Version: "v"}, now)
+			}
+			used := heapInUse() - before
+			b.ReportAllocs()
+			for b.Loop() {
+				c.decideHomes(now)
+			}
+			b.ReportMetric(float64(used)/float64(models), "heap-B/model")
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+func fillHome(c *control, key state.ReplicaKey, now time.Time) {
+	h := c.homes.of(key)
+	h.lastUsed = now
+	for i := range 35 {
+		h.change("watcher", rpc.ReplicaChange{Sequence: 1, Revision: uint64(i), Replica: rpc.ReplicaAt{
+			Replica: state.Replica{
+				ReplicaKey: key, Upstream: state.UpstreamName(fmt.Sprintf("runner-%05d", i)), State: state.ReplicaReady,
+				Adapters: []state.AdapterName{"a1", "a2", "a3"},
+			},
+			TrafficAddr: fmt.Sprintf("10.20.30.%d:7000", i), ControlAddr: fmt.Sprintf("10.20.30.%d:7001", i),
+			AgentIncarnation: uuid.NewString(),
+		}}, now)
+	}
+	for i := range 44 {
+		h.demands[state.EntryName(fmt.Sprintf("entry-%d", i))] = demandSeen{backlog: rpc.Backlog{Rate: 0.1, Sent: 3}, at: now}
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
