agent, roles: one set-up of shared parts; the tests' queue in a test file

Cause: the agent's own queue was only the default of its tests, and the set-up of telemetry, certificates and the rpc client stood twice.

Change: classQueue is in a test file, agent.Deps.Queue must be set, and agent.Config.QueueRequests is gone with its only user. openShared sets up what entries and agents have in common, and stops telemetry if a certificate can't be read.

Conclusion: no change of behaviour but for the stopped telemetry.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,10 +32,8 @@
 	// MaxLong bounds the long requests among them; default half of
 	// Concurrency, at least 1.
 	MaxLong int
-	// QueueRequests and QueueBytes bound the queue; defaults 256 requests
-	// and 64 MiB.
-	QueueRequests int
-	QueueBytes    state.Bytes
+	// QueueBytes is the bound on the queue's bodies; default 64 MiB.
+	QueueBytes state.Bytes
 	// MaxBody bounds a request's body; default 8 MiB.
 	MaxBody state.Bytes
 	// DefaultDeadline is for requests that name none; default 30 s.
@@ -106,8 +104,7 @@
 	// Parts answers with the region's decisions and the configuration.
 	Parts    Parts
 	Appender Appender
-	// Queue is the queue before the upstream; default a bounded queue with
-	// strict class priority.
+	// Queue is the queue before the upstream.
 	Queue  Queue
 	Caller rpc.Caller
 	// Watcher returns the control address of the entry that watches the
--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -57,6 +57,7 @@
 		Parts:    &fakeParts{log: &fakeLog{}},
 		Appender: &fakeLog{},
 		Caller:   &fakeCaller{},
+		Queue:    newClassQueue(256, 64*state.MiB),
 	})
 	if err != nil {
 		b.Fatal(err)
--- a/internal/agent/defaults.go
+++ b/internal/agent/defaults.go
@@ -16,17 +16,16 @@
 )
 
 const (
-	defaultConcurrency   = 16
-	defaultQueueRequests = 256
-	defaultQueueBytes    = 64 * state.MiB
-	defaultMaxBody       = 8 * state.MiB
-	defaultDeadline      = 30 * time.Second
-	defaultWakeFor       = 30 * time.Second
-	defaultShutdown      = 20 * time.Second
-	defaultSettle        = 10 * time.Second
-	defaultOrderTimeout  = 5 * time.Minute
-	defaultMaxLoads      = 2
-	defaultMaxClaims     = 100_000
+	defaultConcurrency  = 16
+	defaultQueueBytes   = 64 * state.MiB
+	defaultMaxBody      = 8 * state.MiB
+	defaultDeadline     = 30 * time.Second
+	defaultWakeFor      = 30 * time.Second
+	defaultShutdown     = 20 * time.Second
+	defaultSettle       = 10 * time.Second
+	defaultOrderTimeout = 5 * time.Minute
+	defaultMaxLoads     = 2
+	defaultMaxClaims    = 100_000
 )
 
 // DefaultKeepAlive is how long an idle replica stays loaded while nothing else
@@ -38,7 +37,6 @@
 	c.Incarnation = cmp.Or(c.Incarnation, uuid.NewString())
 	c.Concurrency = cmp.Or(c.Concurrency, defaultConcurrency)
 	c.MaxLong = cmp.Or(c.MaxLong, max(c.Concurrency/2, 1))
-	c.QueueRequests = cmp.Or(c.QueueRequests, defaultQueueRequests)
 	c.QueueBytes = cmp.Or(c.QueueBytes, defaultQueueBytes)
 	c.MaxBody = cmp.Or(c.MaxBody, defaultMaxBody)
 	c.DefaultDeadline = cmp.Or(c.DefaultDeadline, defaultDeadline)
@@ -81,9 +79,6 @@
 }
 
 func (d Deps) withDefaults(cfg Config) Deps {
-	if d.Queue == nil {
-		d.Queue = newClassQueue(cfg.QueueRequests, cfg.QueueBytes)
-	}
 	if d.Logger == nil {
 		d.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -116,8 +111,8 @@
 
 func (d Deps) check(cfg Config) error {
 	switch {
-	case d.Parts == nil || d.Appender == nil || d.Caller == nil:
-		return errors.New("parts, appender and caller must be set")
+	case d.Parts == nil || d.Appender == nil || d.Caller == nil || d.Queue == nil:
+		return errors.New("parts, appender, caller and queue must be set")
 	case d.Engine == nil && cfg.Upstream.Kind != state.PlainService:
 		return errors.New("engine must be set")
 	}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -81,6 +81,7 @@
 		Parts:     w.parts,
 		Appender:  w.log,
 		Caller:    w.caller,
+		Queue:     newClassQueue(256, 64*state.MiB),
 		Watcher:   func() (string, bool) { return "watcher", true },
 		Transport: &http.Transport{DialContext: w.net.Dial, DisableCompression: true},
 		Listen:    w.net.Listen,
--- a/internal/agent/queue.go
+++ b/internal/agent/queue_test.go
@@ -1,4 +1,4 @@
-package agent
+package agent_test
 
 import (
 	"time"
--- a/internal/roles/agent.go
+++ b/internal/roles/agent.go
@@ -16,7 +16,6 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
-	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
@@ -46,19 +45,12 @@
 // StartAgent runs an agent that takes reloads until ctx ends.
 func StartAgent(ctx context.Context, cfg settings.Agent, process Process[settings.Agent]) error {
 	logger := process.Logger
-	meter, err := telemetry.Start(ctx, cfg.Common)
+	shared, err := openShared(ctx, cfg.Common, logger)
 	if err != nil {
 		return err
 	}
-	defer shutdownTelemetry(meter, cfg.Common, logger)
-	secured, err := openCertificates(cfg.TLS, logger)
-	if err != nil {
-		return err
-	}
-	client := rpc.NewClient()
-	client.Counter = meter
-	client.Dial = secured.internal.Dial
-	defer client.Close()
+	defer shared.close()
+	meter, secured, client := shared.meter, shared.secured, shared.client
 	entries := newDirectory(client, entryAddresses(cfg.Common))
 	log := logclient.NewRelayClient(client, entries.addresses)
 	// Entries put the records of many agents into one append, so the agent
@@ -226,13 +218,12 @@
 			Memory:      cfg.Upstream.Memory,
 			Fencing:     cfg.Upstream.Fencing,
 		},
-		BaseURL:       cfg.Upstream.URL,
-		Concurrency:   cfg.Upstream.Concurrency,
-		MaxLong:       max(1, int(cfg.Limits.LongShare*float64(cfg.Upstream.Concurrency))),
-		QueueRequests: cfg.Limits.QueueRequests,
-		QueueBytes:    cfg.Limits.QueueBytes,
-		MaxBody:       cfg.Limits.BodyBytes,
-		Shutdown:      cfg.Shutdown.DrainTimeout.Std(),
-		Settle:        cfg.Shutdown.StopTimeout.Std(),
+		BaseURL:     cfg.Upstream.URL,
+		Concurrency: cfg.Upstream.Concurrency,
+		MaxLong:     max(1, int(cfg.Limits.LongShare*float64(cfg.Upstream.Concurrency))),
+		QueueBytes:  cfg.Limits.QueueBytes,
+		MaxBody:     cfg.Limits.BodyBytes,
+		Shutdown:    cfg.Shutdown.DrainTimeout.Std(),
+		Settle:      cfg.Shutdown.StopTimeout.Std(),
 	}
 }
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -37,27 +37,20 @@
 // StartEntry runs an entry that takes reloads until ctx ends.
 func StartEntry(ctx context.Context, cfg settings.Entry, process Process[settings.Entry]) error {
 	logger := process.Logger
-	meter, err := telemetry.Start(ctx, cfg.Common)
-	if err != nil {
-		return err
-	}
-	defer shutdownTelemetry(meter, cfg.Common, logger)
-	secured, err := openCertificates(cfg.TLS, logger)
+	shared, err := openShared(ctx, cfg.Common, logger)
 	if err != nil {
 		return err
 	}
+	defer shared.close()
+	meter, secured := shared.meter, shared.secured
 	listeners, err := bindEntry(ctx, cfg, secured)
 	if err != nil {
 		return err
 	}
-	caller := rpc.NewClient()
-	caller.Counter = meter
-	caller.Dial = secured.internal.Dial
-	defer caller.Close()
 	e := entry.New(cfg, entry.Deps{
 		Log:       platform.NewHTTPLog(cfg.Platform.Log, platform.HTTPOptions{}),
 		Hosts:     platform.NewHTTPHostList(cfg.Platform.Hosts, platform.HTTPOptions{}),
-		Caller:    caller,
+		Caller:    shared.client,
 		Logger:    logger,
 		Metrics:   meter.Handler(),
 		Meter:     meter,
@@ -70,6 +63,36 @@
 	return e.Run(ctx, listeners)
 }
 
+// sharedParts are the parts that entries and agents have in common.
+type sharedParts struct {
+	meter   *telemetry.Telemetry
+	secured certificates
+	client  *rpc.Client
+	// close ends all of them.
+	close func()
+}
+
+// openShared starts telemetry, reads the certificates and makes the client of
+// calls to other processes.
+func openShared(ctx context.Context, common settings.Common, logger *slog.Logger) (sharedParts, error) {
+	meter, err := telemetry.Start(ctx, common)
+	if err != nil {
+		return sharedParts{}, err
+	}
+	secured, err := openCertificates(common.TLS, logger)
+	if err != nil {
+		shutdownTelemetry(meter, common, logger)
+		return sharedParts{}, err
+	}
+	client := rpc.NewClient()
+	client.Counter = meter
+	client.Dial = secured.internal.Dial
+	return sharedParts{meter: meter, secured: secured, client: client, close: func() {
+		client.Close()
+		shutdownTelemetry(meter, common, logger)
+	}}, nil
+}
+
 // certificates are those of a process by the other side of a connection.
 type certificates struct{ callers, operators, internal *certs.Source }
 
