--- a/internal/entry/readpace_test.go
+++ b/internal/entry/readpace_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -170,3 +171,32 @@
 		g.Expect(later.Epoch).To(Equal(held.Epoch), "the lease changed hands")
 	})
 }
+
+// Guards against a log that answers each entry of a large region once per write
+// of the audit trail, and against a trail that is read late while it is quiet.
+func TestAuditStreamIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newTestRegion(t, standin.LogConfig{})
+		m := r.prepare("r", 0, nil, 24*time.Hour)
+		m.cfg.Peers = peersOf("r", 44)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = m.followAudit(ctx) }()
+		time.Sleep(time.Minute)
+		stream := platform.AuditStream("r")
+		appendOne := func() {
+			appendTo(g, r.log, stream, state.KindAudit, state.Audit{Action: "eject", Name: "u"})
+			time.Sleep(100 * time.Millisecond)
+		}
+		appendOne()
+		g.Expect(m.trail.Recent(time.Time{}, 10)).To(HaveLen(1))
+		before := m.log.readsOf(stream)
+		for range 300 {
+			appendOne()
+		}
+		time.Sleep(2 * time.Second)
+		g.Expect(m.trail.Recent(time.Time{}, 1000)).To(HaveLen(301))
+		g.Expect(m.log.readsOf(stream) - before).To(BeNumerically("<", 22))
+	})
+}
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -73,7 +73,7 @@
 		{Name: nameHedges, Type: Counter, Labels: []string{"result"}, Help: "Hedged attempts by which attempt won."},
 		{Name: nameEjections, Type: Counter, Labels: []string{"cause"}, Help: "Upstreams taken out of routing as outliers."},
 		{Name: nameClaims, Type: Counter, Labels: []string{"result"}, Help: "Answered claims of non-idempotent requests."},
-		{Name: nameConfigLag, Type: Gauge, Help: "Time since this entry last had all configuration records that the log showed it; a quiet stream is read every few seconds."},
+		{Name: nameConfigLag, Type: Gauge, Help: "Time since this entry last had all configuration records that the log showed it; a quiet stream is read every few seconds, and a busy one at least every 2 s."},
 		{Name: nameLogAppends, Type: Counter, Labels: []string{"stream", "result"}, Help: "Appends of entries to the log by kind of stream; agents append through entries."},
 		{Name: nameLogRecords, Type: Counter, Labels: []string{"stream"}, Help: "Records in the appends that succeeded."},
 		{Name: nameControlBytes, Type: Counter, Labels: []string{"direction"}, Help: "Bytes on connections between processes."},
