--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"runtime"
 	"testing"
 	"time"
 
