account: a load may use the reserve kept for its model

Cause: beside an engine that ignores fencing tokens, a successor reserves the memory of the largest model of its predecessor's set. A load of that very model had to fit beside its own reserve, so a model of more than half of the memory could not be loaded again after an unclean death.

Change: the reserve leaves out models that an own order loads. The engine holds a model once, which the account takes for granted for listed models already, so the predecessor's load of the same model takes no more memory (I2) and gives no second replica (I1). When the own order fails the reserve grows by at most that order's size: the largest n sizes of a set are at most one element more than the largest n of the rest.

Measured: TestReserveServesItsModel fails without the change.

--- a/internal/decide/account/account_test.go
+++ b/internal/decide/account/account_test.go
@@ -81,6 +81,49 @@
 	g.Expect(a.Tick(now, unused)).To(ConsistOf(account.AppendRelease{Release: state.Release{Grant: 0, Agent: 1}}))
 }
 
+// Guards against the reserve for a predecessor's orders that keeps the model out
+// for which it is kept, and against a reserve that forgets the other models of
+// the predecessor's set while that one is loaded.
+func TestReserveServesItsModel(t *testing.T) {
+	for _, c := range []struct {
+		left     []state.ReplicaKey
+		load     state.ReplicaKey
+		loads    bool
+		reserved state.Bytes
+	}{
+		{left: []state.ReplicaKey{key(4)}, load: key(4), loads: true, reserved: 2},
+		{left: []state.ReplicaKey{key(4), key(1)}, load: key(4), loads: true, reserved: 4},
+		{left: []state.ReplicaKey{key(4), key(2)}, load: key(4), loads: false, reserved: 8},
+		{left: []state.ReplicaKey{key(4)}, load: key(2), loads: false, reserved: 8},
+	} {
+		g := NewWithT(t)
+		now := time.Unix(1_000_000, 0)
+		a := account.New(account.Config{Upstream: upstream, Memory: capacity, Fencing: state.FencingIgnored}, catalogue{}, nil)
+		a.SetGrants([]state.Grant{{ID: 0, ReplicaKey: c.load, Upstream: upstream}})
+		a.Register(7, state.Intent{Agent: 3, Models: c.left, Orders: 1})
+		a.Observe(now, a.Listing(), platform.EngineStatus{Incarnation: "1"})
+		g.Expect(a.Reserved()).To(Equal(state.Bytes(8)))
+		g.Expect(a.Wake(account.Wish{Key: c.load, Since: now, Until: now.Add(time.Hour)})).To(BeNil())
+		g.Expect(a.NoRoom(c.load)).To(Equal(!c.loads), "before the order")
+		unused := func(state.ReplicaKey, state.AdapterName) account.Use { return account.Use{KeepAlive: time.Hour} }
+		loads := false
+		for range 4 {
+			for _, cmd := range a.Tick(now, unused) {
+				switch cmd := cmd.(type) {
+				case account.AppendIntent:
+					a.IntentRead(cmd.Sequence)
+				case account.SendOrder:
+					loads = loads || cmd.Order.Kind == platform.OrderLoad
+				}
+			}
+		}
+		g.Expect(loads).To(Equal(c.loads), "%v beside the reserve for %v", c.load, c.left)
+		g.Expect(a.NoRoom(c.load)).To(Equal(!c.loads))
+		g.Expect(a.Reserved()).To(Equal(c.reserved))
+		g.Expect(a.Used()).To(BeNumerically("<=", capacity))
+	}
+}
+
 // sameSize gives every model the same footprint.
 type sameSize struct{ catalogue }
 
--- a/internal/decide/account/fulfil.go
+++ b/internal/decide/account/fulfil.go
@@ -103,7 +103,7 @@
 // makeRoom reports whether memory is short for a load of t, and evicts for it
 // if that would help. Memory already counted for t is not needed twice.
 func (a *Account) makeRoom(now time.Time, t target, size state.Bytes, w *Wish, use UseFunc) ([]Command, bool) {
-	need := size - a.free()
+	need := size - a.freeFor(t.key)
 	if _, unknown := a.loads(t); unknown > 0 {
 		need -= size
 	}
--- a/internal/decide/account/memory.go
+++ b/internal/decide/account/memory.go
@@ -67,15 +67,22 @@
 }
 
 // Reserved returns the memory kept for orders of predecessors: for each such
-// order the largest model of their set that is not loaded, or the largest
-// adapter if that is more.
-func (a *Account) Reserved() state.Bytes {
+// order the largest model of their set that is not loaded or being loaded, or
+// the largest adapter if that is more. The engine holds a model once, so a
+// predecessor's load of a model that an own order loads takes no more memory.
+// If the own order fails, the reserve grows by at most the size that the order
+// had.
+func (a *Account) Reserved() state.Bytes { return a.reservedBeside(state.ReplicaKey{}) }
+
+// reservedBeside is Reserved for the case that loading is loaded too.
+func (a *Account) reservedBeside(loading state.ReplicaKey) state.Bytes {
 	if a.predecessorOrders == 0 {
 		return 0
 	}
 	sizes := make([]state.Bytes, 0, 2*len(a.predecessor))
 	for _, key := range a.predecessor {
-		if _, ok := a.listed[key]; !ok {
+		inFlight, unknown := a.loads(target{key: key})
+		if !a.isListed(target{key: key}) && inFlight+unknown == 0 && key != loading {
 			size, _ := a.footprint(key)
 			sizes = append(sizes, size)
 		}
@@ -89,8 +96,11 @@
 	return total
 }
 
-// free is the memory that a load may take now.
-func (a *Account) free() state.Bytes { return a.capacity - a.Used() }
+// freeFor is the memory that a load of key or of one of its adapters may take
+// now.
+func (a *Account) freeFor(key state.ReplicaKey) state.Bytes {
+	return a.capacity - a.Used() + a.Reserved() - a.reservedBeside(key)
+}
 
 // freeing is the memory that unloads under way will give back.
 func (a *Account) freeing() state.Bytes {
--- a/internal/decide/account/view.go
+++ b/internal/decide/account/view.go
@@ -68,7 +68,7 @@
 			return false
 		}
 	}
-	return version.Footprint() > a.free()+a.freeing()
+	return version.Footprint() > a.freeFor(key)+a.freeing()
 }
 
 // Capacity is the memory that the account shares out.
