--- a/internal/entry/follower_test.go
+++ b/internal/entry/follower_test.go
@@ -21,7 +21,7 @@
 			g := NewWithT(t)
 			b := newHomeBench(t)
 			b.end()
-			b.peers.learn(rpc.Peer{Name: "other", Control: "other:1"})
+			b.addPeer("other", "other:1")
 			b.peers.setLive([]state.EntryName{"other"})
 			b.dirty = true
 			b.publish()
--- a/internal/entry/home_changes_test.go
+++ b/internal/entry/home_changes_test.go
@@ -245,7 +245,7 @@
 		send("present", reported(5, 1, ""))
 		b.ask("e1", 0, 0)
 		b.end()
-		b.peers.learn(rpc.Peer{Name: "other", Control: "other:1"})
+		b.addPeer("other", "other:1")
 		b.sendChanges(t.Context(), membership.HomeBatch{Home: "other", Changes: []rpc.ReplicaChange{reported(5, 1, "")}})
 		synctest.Wait()
 		g.Expect(sent.Watcher).To(Equal(b.cfg.self.Incarnation))
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -32,6 +32,12 @@
 	ended   sync.WaitGroup
 }
 
+// addPeer makes an entry of the settings known.
+func (b *homeBench) addPeer(name state.EntryName, control string) {
+	b.peers.detector.Seed(name, control)
+	b.peers.refreshControl()
+}
+
 func newHomeBench(t *testing.T) *homeBench {
 	b := &homeBench{t: t, network: newFakeNetwork(), loaded: make(map[string]bool), refuse: make(map[string]bool)}
 	self := state.ProcessID{Name: "e1", Incarnation: "i"}
--- a/internal/entry/watcher_test.go
+++ b/internal/entry/watcher_test.go
@@ -55,7 +55,7 @@
 		b := newHomeBench(t)
 		b.end()
 		now := time.Now()
-		b.peers.learn(rpc.Peer{Name: "other", Control: "other:1"})
+		b.addPeer("other", "other:1")
 		b.peers.setLive([]state.EntryName{"other"})
 		b.agents.Watch(b.ownUpstreams(), now)
 		send := func(token state.FencingToken) rpc.HeartbeatResult {
--- a/internal/rpc/bench_test.go
+++ b/internal/rpc/bench_test.go
@@ -58,9 +58,13 @@
 		replica := state.Replica{ReplicaKey: grant.ReplicaKey, Upstream: part.Upstream, State: state.ReplicaReady}
 		full.Replicas = append(full.Replicas, replica)
 	}
-	ping := rpc.PingParams{
-		From: "entry-north-17", Incarnation: uuid.NewString(), Config: at.Config, Region: at.Region,
-		Control: "10.20.30.40:7001", PeersHash: part.Sum(),
+	ping := rpc.Ping{From: "entry-north-17", Sum: uint32(part.Sum())}
+	busy := ping
+	for i := range 6 {
+		busy.Updates = append(busy.Updates, rpc.EntryUpdate{
+			Name: state.EntryName(fmt.Sprintf("entry-north-%02d", i)), Incarnation: 1_800_000_000_000,
+			Health: 1, Control: "10.20.30.40:7001", Run: uuid.NewString()[:8],
+		})
 	}
 	b.Run("part=unchanged", func(b *testing.B) {
 		benchCall(b, rpc.MethodPart, ask, rpc.PartResult{PartOffsets: at})
@@ -70,7 +74,8 @@
 	})
 	b.Run("heartbeat=unchanged", func(b *testing.B) { benchCall(b, rpc.MethodHeartbeat, beat, rpc.HeartbeatResult{}) })
 	b.Run("heartbeat=full", func(b *testing.B) { benchCall(b, rpc.MethodHeartbeat, full, rpc.HeartbeatResult{}) })
-	b.Run("ping", func(b *testing.B) { benchCall(b, rpc.MethodPing, ping, ping) })
+	b.Run("ping=quiet", func(b *testing.B) { benchCall(b, rpc.MethodPing, ping, ping) })
+	b.Run("ping=six-updates", func(b *testing.B) { benchCall(b, rpc.MethodPing, busy, busy) })
 }
 
 func benchCall[P, R any](b *testing.B, method string, params P, answer R) {
