--- /dev/null
+++ b/internal/agent/claimed_test.go
@@ -0,0 +1,80 @@
+package agent_test
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/agent"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Guards against a claim that runs twice.
+func TestClaimRunsOnce(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		release := w.hold()
+		claimed := []string{agent.HeaderClaim, claimID, agent.HeaderAgent, "1", "Idempotency-Key", "k"}
+		first := w.background(claimed...)
+		again := w.request(anyone, claimed...)
+		w.Expect(again.reason()).To(Equal(string(verdict.ReasonClaimInProgress)))
+		w.Expect(again.verdict()).To(Equal("may-have-run"))
+		release()
+		w.Expect((<-first).body).To(Equal("answer"))
+		again = w.request(anyone, claimed...)
+		w.Expect(again.body).To(Equal("answer"))
+		w.Expect(again.verdict()).To(Equal("ran"))
+		w.Expect(w.engine.served()).To(Equal(1))
+		status := w.claimStatus(claimID, "first")
+		w.Expect(status.State).To(Equal(rpc.ClaimRan))
+		w.Expect(string(status.Done.Answer)).To(Equal("answer"))
+	})
+}
+
+// Guards against net/http sending a request with an Idempotency-Key a second
+// time when a used connection breaks.
+func TestBrokenConnectionIsNotReplayed(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.Expect(w.request(anyone).body).To(Equal("answer"))
+		w.engine.handle(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		claimed := []string{agent.HeaderClaim, claimID, agent.HeaderAgent, "1", "Idempotency-Key", "k"}
+		w.Expect(w.request(anyone, claimed...).verdict()).To(Equal("may-have-run"))
+		w.Expect(w.engine.served()).To(Equal(2))
+		w.Expect(w.claimStatus(claimID, "first").State).To(Equal(rpc.ClaimUnknown))
+	})
+}
+
+// Guards against a claim that runs after the agent has said that it never
+// will, or after a refusal.
+func TestRefusedClaimNeverRuns(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.Expect(w.claimStatus(claimID, "first").State).To(Equal(rpc.ClaimRefused))
+		claimed := []string{agent.HeaderClaim, claimID, agent.HeaderAgent, "1"}
+		w.Expect(w.request(anyone, claimed...).verdict()).To(Equal("not-run"))
+		const other = "0190a0a0-0000-7000-8000-000000000002"
+		stale := w.request(anyone, agent.HeaderClaim, other, agent.HeaderAgent, "0")
+		w.Expect(stale.verdict()).To(Equal("not-run"))
+		w.Expect(w.request(anyone, agent.HeaderClaim, other, agent.HeaderAgent, "1").verdict()).To(Equal("not-run"))
+		w.Expect(w.engine.served()).To(BeZero())
+	})
+}
+
+// Guards against a restarted agent that calls an earlier incarnation's claim
+// refused, or accepts one that names it.
+func TestAgentRestarted(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.stop()
+		<-w.ended
+		w.cfg.Incarnation = "second"
+		w.start()
+		w.Expect(w.claimStatus(claimID, "first").State).To(Equal(rpc.ClaimUnknown))
+		got := w.request(anyone, agent.HeaderClaim, claimID, agent.HeaderAgent, "1")
+		w.Expect(got.reason()).To(Equal(string(verdict.ReasonConflict)))
+		w.Expect(w.request(anyone).body).To(Equal("answer"), "what is loaded is served")
+	})
+}
