--- a/internal/decide/membership/gossip_test.go
+++ b/internal/decide/membership/gossip_test.go
@@ -74,7 +74,7 @@
 }
 
 // frame writes objects as they are sent.
-var frame jsonrpc2.VSCodeObjectCodec
+var frame rpc.FrameCodec
 
 func (g *gossip) measure(object any) {
 	var encoded bytes.Buffer
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -31,12 +31,13 @@
 	return w
 }}
 
-// frameCodec puts a varint in front of each message in place of the
-// Content-Length header, which takes 23 bytes, and compresses long messages.
-type frameCodec struct{}
+// FrameCodec is the form of messages between processes. It puts a varint in
+// front of each message in place of the Content-Length header, which takes 23
+// bytes, and compresses long messages.
+type FrameCodec struct{}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) WriteObject(stream io.Writer, obj any) error {
+func (FrameCodec) WriteObject(stream io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return err
@@ -57,7 +58,7 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (FrameCodec) ReadObject(stream *bufio.Reader, v any) error {
 	header, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
--- a/internal/rpc/frame_test.go
+++ b/internal/rpc/frame_test.go
@@ -23,17 +23,17 @@
 			text += fmt.Sprint(j*j, ",")
 		}
 		sent = append(sent, text)
-		g.Expect(frameCodec{}.WriteObject(&stream, []string{text})).To(Succeed())
+		g.Expect(FrameCodec{}.WriteObject(&stream, []string{text})).To(Succeed())
 	}
 	// The decompressor hands this one out before it has read its last block.
 	sent = append(sent, strings.Repeat("a", 32<<10-4), "last")
 	for _, text := range sent[20:] {
-		g.Expect(frameCodec{}.WriteObject(&stream, []string{text})).To(Succeed())
+		g.Expect(FrameCodec{}.WriteObject(&stream, []string{text})).To(Succeed())
 	}
 	reader := bufio.NewReader(iotest.OneByteReader(&stream))
 	for _, text := range sent {
 		var got []string
-		g.Expect(frameCodec{}.ReadObject(reader, &got)).To(Succeed())
+		g.Expect(FrameCodec{}.ReadObject(reader, &got)).To(Succeed())
 		g.Expect(got).To(Equal([]string{text}))
 	}
 	g.Expect(stream.Len()).To(BeZero())
