entry, agent: order spare replicas for models in steady use

Change: a home averages the arrivals of all entries over ten minutes and sends such wakes with Spare and Beside; an agent refuses them where a load would need an eviction or take an empty accelerator. A refused grant is left alone for 5 min for spares only. Setting weights.tail_latency of entries, default 10. Measured: go test ./internal/entry -run 'Spare|Steady', ./internal/agent -run Spare, ./internal/decide/account -run Spare pass; they fail without the agent's check, with a refusal that counts for all loads (428 spare wakes in 16 min instead of 3) and without the mean.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -37,6 +37,20 @@
 	})
 }
 
+// Guards against a spare replica that takes an accelerator of its own although
+// only one beside others is wanted, and against one for which there is no room.
+func TestSpareNeedsRoom(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.start()
+		spare := func(beside bool) (result rpc.WakeResult) {
+			w.call(rpc.MethodWake, rpc.WakeParams{ReplicaKey: modelA, Spare: true, Beside: beside}, &result)
+			return result
+		}
+		w.Expect(spare(true).Refusal).NotTo(BeNil())
+		w.Expect(spare(false).State).To(Equal(state.ReplicaLoading))
+	})
+}
+
 // Guards against a request that starts before its adapter is loaded.
 func TestAdapterLoadsOnDemand(t *testing.T) {
 	inBubble(t, func(w *world) {
--- a/internal/agent/methods.go
+++ b/internal/agent/methods.go
@@ -54,6 +54,9 @@
 			return rpc.WakeResult{State: r.State}
 		}
 	}
+	if p.Spare && !c.account.TakesSpare(p.ReplicaKey, p.Beside) {
+		return rpc.WakeResult{Refusal: verdict.Refuse(verdict.ReasonNoCapacity, "no room for a spare replica")}
+	}
 	refusal := c.account.Wake(account.Wish{
 		Key:     p.ReplicaKey,
 		Adapter: p.Adapter,
--- a/internal/decide/account/account_test.go
+++ b/internal/decide/account/account_test.go
@@ -162,3 +162,32 @@
 		})
 	}
 }
+
+// Guards against a spare replica for which something must be evicted, and
+// against one alone on an accelerator where only one beside others is wanted.
+func TestTakesSpare(t *testing.T) {
+	for _, c := range []struct {
+		loaded []int
+		spare  int
+		beside bool
+		takes  bool
+	}{
+		{nil, 4, true, false},
+		{nil, 4, false, true},
+		{[]int{0}, 4, true, true},
+		{[]int{1}, 4, true, true},
+		{[]int{2}, 4, false, false},
+		{[]int{0, 1}, 2, true, true},
+		{[]int{0, 1}, 3, true, false},
+	} {
+		now := time.Unix(1_000_000, 0)
+		a := account.New(account.Config{Upstream: upstream, Memory: capacity, Fencing: state.FencingEnforced}, catalogue{}, nil)
+		status := platform.EngineStatus{Incarnation: "1"}
+		for _, i := range c.loaded {
+			status.Replicas = append(status.Replicas, platform.EngineReplica{ReplicaKey: key(i), State: state.ReplicaReady})
+		}
+		a.Register(7, state.Intent{})
+		a.Observe(now, a.Listing(), status)
+		NewWithT(t).Expect(a.TakesSpare(key(c.spare), c.beside)).To(Equal(c.takes), "%+v", c)
+	}
+}
--- a/internal/decide/account/view.go
+++ b/internal/decide/account/view.go
@@ -71,6 +71,14 @@
 	return version.Footprint() > a.freeFor(key)+a.freeing()
 }
 
+// TakesSpare reports whether a replica could be loaded without an eviction and,
+// with beside, on an accelerator that holds other models anyway.
+func (a *Account) TakesSpare(key state.ReplicaKey, beside bool) bool {
+	version, ok := a.catalogue.Version(key)
+	others := len(a.listed) > 0 || len(a.orders) > 0
+	return ok && version.Footprint() <= a.freeFor(key) && (others || !beside)
+}
+
 // Capacity is the memory that the account shares out.
 func (a *Account) Capacity() state.Bytes { return a.capacity }
 
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -26,7 +26,7 @@
 	IdleWeight float64
 	// TailWeight is the cost of one second by which a request is late because
 	// its model's only replica is a straggler, relative to IdleWeight;
-	// default 10. There is no setting for it yet.
+	// default 10 (setting tail_latency).
 	TailWeight float64
 }
 
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -50,6 +50,7 @@
 	decision scaling.HomeDecision
 	// benefit is what the waiters lose per second without a load.
 	benefit float64
+	spares  spares
 	// probing counts the agents that have not yet said what they have loaded;
 	// until probeUntil the home decides nothing, so that it wakes no second
 	// replica beside one that an earlier home has woken.
@@ -257,10 +258,13 @@
 	h.decision = c.homes.policy.Decide(in)
 	h.benefit = c.homes.policy.Benefit(in)
 	for _, wake := range h.decision.Wakes {
-		c.orderWake(h, config, wake.Upstream, "", wake.Benefit, now)
+		params := rpc.WakeParams{
+			Benefit: wake.Benefit, Spare: wake.Spare != scaling.NotSpare, Beside: wake.Spare == scaling.SpareBeside,
+		}
+		c.orderWake(h, config, wake.Upstream, params, now)
 	}
 	for _, load := range h.decision.Adapters {
-		c.orderWake(h, config, load.Upstream, load.Adapter, 0, now)
+		c.orderWake(h, config, load.Upstream, rpc.WakeParams{Adapter: load.Adapter}, now)
 	}
 	for _, replica := range h.replicas {
 		if replica.at.State == state.ReplicaLoading && !replica.polling && now.Sub(replica.polled) >= wakePoll {
@@ -296,9 +300,11 @@
 	}
 	var waiting, sent int
 	var work time.Duration
+	var rate float64
 	for _, demand := range h.demands {
-		sent += demand.backlog.Sent
 		b := demand.backlog
+		sent += b.Sent
+		rate += b.Rate
 		in.Demands = append(in.Demands, scaling.Demand{
 			Waiting: b.Waiting, Work: b.Work.Std(), Rate: b.Rate, Refused: b.Refused, Adapters: b.Adapters,
 		})
@@ -307,6 +313,8 @@
 		}
 		work += b.Work.Std()
 	}
+	h.spares.observe(rate, now)
+	in.Steady = h.spares.rate(now)
 	if waiting > 0 {
 		in.Service = work / time.Duration(waiting)
 	}
@@ -363,6 +371,8 @@
 			LoadTime:   h.loadTime,
 			Usable:     usable,
 			Slots:      startSlots,
+
+			SpareRefused: h.spares.isRefused(grant.Upstream, now),
 		})
 	}
 	return grants
--- a/internal/entry/home_changes_test.go
+++ b/internal/entry/home_changes_test.go
@@ -140,7 +140,7 @@
 				if c.adapter == "" {
 					b.pollLoading(h, replica, now)
 				} else {
-					b.orderWake(h, b.config.View(), "u0", c.adapter, 0, now)
+					b.orderWake(h, b.config.View(), "u0", rpc.WakeParams{Adapter: c.adapter}, now)
 				}
 				g.Expect(b.homes.wakes).To(HaveLen(1))
 				order := b.homes.wakes[0]
@@ -165,7 +165,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		b, h, now := stoppedHome(t)
-		b.orderWake(h, b.config.View(), "u0", "", 0, now)
+		b.orderWake(h, b.config.View(), "u0", rpc.WakeParams{}, now)
 		order := b.homes.wakes[0]
 		answer := func(s state.ReplicaState, sequence uint64) {
 			wakeAnswered{order: order, result: rpc.WakeResult{State: s, Agent: 1, Sequence: sequence}}.apply(b.control, now)
@@ -215,7 +215,7 @@
 		withdrawn.Withdrawn = true
 		h.change("w", reported(5, 8, state.ReplicaReady), now)
 		g.Expect(h.change("w", withdrawn, now)).To(BeTrue())
-		b.orderWake(h, b.config.View(), "u0", "", 0, now)
+		b.orderWake(h, b.config.View(), "u0", rpc.WakeParams{}, now)
 		order := b.homes.wakes[0]
 		h.change("w", withdrawn, now)
 		wakeAnswered{order: order, result: rpc.WakeResult{State: state.ReplicaReady, Agent: 1, Sequence: 6}}.apply(b.control, now)
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -28,8 +28,10 @@
 	wakes   []string
 	loaded  map[string]bool
 	refuse  map[string]bool
-	stop    context.CancelFunc
-	ended   sync.WaitGroup
+	// spares counts the wakes for a spare replica.
+	spares map[string]int
+	stop   context.CancelFunc
+	ended  sync.WaitGroup
 }
 
 // addPeer makes an entry of the settings known.
@@ -39,7 +41,7 @@
 }
 
 func newHomeBench(t *testing.T) *homeBench {
-	b := &homeBench{t: t, network: newFakeNetwork(), loaded: make(map[string]bool), refuse: make(map[string]bool)}
+	b := &homeBench{t: t, network: newFakeNetwork(), loaded: make(map[string]bool), refuse: make(map[string]bool), spares: make(map[string]int)}
 	self := state.ProcessID{Name: "e1", Incarnation: "i"}
 	b.control = newControl(controlConfig{self: self, name: "e1", region: "r", address: "e1", retention: time.Hour},
 		controlDeps{caller: b.network, logger: slog.New(slog.DiscardHandler), counters: noCounters{}}, time.Now())
@@ -56,7 +58,10 @@
 		b.region.Apply(positioned(t, state.Offset(1+2*i), state.KindAgentStart, state.AgentStart{Upstream: state.UpstreamName(name), Incarnation: "a" + name}))
 		b.region.Apply(positioned(t, state.Offset(2+2*i), state.KindGrant, state.GrantBody{ReplicaKey: testReplica, Upstream: state.UpstreamName(name), Limit: 2}))
 		b.network.serve(fmt.Sprintf("10.0.0.%d:81", i), map[string]rpc.MethodFunc{
-			rpc.MethodWake:        rpc.Method(func(context.Context, rpc.WakeParams) (rpc.WakeResult, error) { return b.wake(name), nil }),
+			rpc.MethodWake: rpc.Method(func(_ context.Context, p rpc.WakeParams) (rpc.WakeResult, error) {
+				b.noteSpare(name, p)
+				return b.wake(name), nil
+			}),
 			rpc.MethodAgentStatus: rpc.Method(func(context.Context, struct{}) (rpc.AgentStatus, error) { return b.status(name), nil }),
 		})
 	}
--- a/internal/entry/home_wakes.go
+++ b/internal/entry/home_wakes.go
@@ -9,8 +9,9 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-// orderWake notes that an agent is to load; runWakes calls it.
-func (c *control) orderWake(h *home, config *state.ConfigView, name state.UpstreamName, adapter state.AdapterName, benefit float64, now time.Time) {
+// orderWake notes that the agent of an upstream is to load; runWakes calls it.
+func (c *control) orderWake(h *home, config *state.ConfigView, name state.UpstreamName, params rpc.WakeParams, now time.Time) {
+	adapter := params.Adapter
 	upstream, _, ok := config.Upstream(name)
 	if !ok {
 		return
@@ -25,10 +26,8 @@
 		}
 		known.polling = true
 	}
-	c.homes.wakes = append(c.homes.wakes, wakeOrder{
-		home: h, address: upstream.ControlAddr, replica: at,
-		params: rpc.WakeParams{ReplicaKey: h.key, Adapter: adapter, Benefit: benefit},
-	})
+	params.ReplicaKey = h.key
+	c.homes.wakes = append(c.homes.wakes, wakeOrder{home: h, address: upstream.ControlAddr, replica: at, params: params})
 }
 
 func (c *control) pollLoading(h *home, replica *homeReplica, now time.Time) {
@@ -91,7 +90,11 @@
 	switch {
 	case failed && e.order.params.Adapter == "":
 		delete(h.replicas, name)
-		h.refused[name] = now.Add(refusedFor)
+		if e.order.params.Spare {
+			h.spares.refuse(name, now)
+		} else {
+			h.refused[name] = now.Add(refusedFor)
+		}
 		c.homes.bump(h)
 	case ended != nil && !answeredAfter(replica.answered, ended):
 		delete(h.replicas, name)
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -41,8 +41,10 @@
 	g.volume.SetRate(crossRegion)
 }
 
-func homeConfig(weights settings.Weights) scaling.HomeConfig {
-	return scaling.HomeConfig{IdleWeight: weights.Idle, ColdStartWeight: weights.ColdStart}
+func homeConfig(weights settings.EntryWeights) scaling.HomeConfig {
+	return scaling.HomeConfig{
+		IdleWeight: weights.Idle, ColdStartWeight: weights.ColdStart, TailWeight: weights.TailLatency,
+	}
 }
 
 // weightsChanged replaces the weights of the homes' decisions.
--- a/internal/entry/wiring_test.go
+++ b/internal/entry/wiring_test.go
@@ -59,6 +59,8 @@
 	},
 	"idle":       func(e *Entry) float64 { return e.control.homes.policy.Config.IdleWeight },
 	"cold_start": func(e *Entry) float64 { return e.control.homes.policy.Config.ColdStartWeight },
+
+	"tail_latency": func(e *Entry) float64 { return e.control.homes.policy.Config.TailWeight },
 }
 
 func name(prefix string, i int) state.ModelName { return state.ModelName(fmt.Sprint(prefix, i)) }
@@ -93,15 +95,18 @@
 		BodyBytes: 2048, QueueRequests: 7, QueueBytes: 4096, ModelInFlight: 11, CallerInFlight: 13,
 		DefaultDeadline: 2 * second, MaxDeadline: 3 * second, StarvationBound: 5, LogAppendsPerSecond: 17,
 	}
-	changed.Weights = settings.Weights{Idle: 2, ColdStart: 19}
+	changed.Weights = settings.EntryWeights{Weights: settings.Weights{Idle: 2, ColdStart: 19}, TailLatency: 7}
 	want := map[string]float64{
 		"body_bytes": 2048, "queue_requests": 7, "queue_bytes": 4096, "model_in_flight": 11, "caller_in_flight": 13,
 		"default_deadline": 2e9, "max_deadline": 3e9, "starvation_bound": 5, "log_appends_per_second": 17,
-		"cross_region_bytes_per_second": 0, "idle": 2, "cold_start": 19,
+		"cross_region_bytes_per_second": 0, "idle": 2, "cold_start": 19, "tail_latency": 7,
 	}
 	for _, table := range []any{changed.Limits, changed.Weights} {
-		for i := range reflect.TypeOf(table).NumField() {
-			key := reflect.TypeOf(table).Field(i).Tag.Get("toml")
+		for _, field := range reflect.VisibleFields(reflect.TypeOf(table)) {
+			if field.Anonymous {
+				continue
+			}
+			key := field.Tag.Get("toml")
 			NewWithT(t).Expect(settingChecks).To(HaveKey(key))
 			NewWithT(t).Expect(want).To(HaveKey(key))
 		}
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -322,6 +322,10 @@
 	// Operator marks an order by an operator, which keep-alive must not
 	// undo for its usual time.
 	Operator bool `json:"operator,omitempty"`
+	// Spare marks a load that must evict nothing, and Beside one that is only
+	// wanted on an accelerator that holds other models anyway.
+	Spare  bool `json:"spare,omitempty"`
+	Beside bool `json:"beside,omitempty"`
 }
 
 // WakeResult answers WakeParams and UnloadParams.
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -22,7 +22,7 @@
 			CrossRegionBytesPerSecond: state.MiB,
 			LogAppendsPerSecond:       20,
 		},
-		Weights: defaultWeights(),
+		Weights: EntryWeights{Weights: defaultWeights(), TailLatency: 10},
 	}
 }
 
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -10,7 +10,7 @@
 	// Limits bounds what the entry accepts.
 	Limits EntryLimits `toml:"limits" reload:"yes"`
 	// Weights says what the deployment values.
-	Weights Weights `toml:"weights" reload:"yes"`
+	Weights EntryWeights `toml:"weights" reload:"yes"`
 	// Tokens lists the operators' bearer tokens.
 	Tokens []Token `toml:"tokens" validate:"max=1024,dive" reload:"yes"`
 }
@@ -57,6 +57,15 @@
 	ColdStart float64 `toml:"cold_start" validate:"gt=0,max=1000"`
 }
 
+// EntryWeights are the weights of an entry's decisions.
+type EntryWeights struct {
+	Weights
+	// TailLatency is the weight of time by which requests are late because
+	// their model's only replica is a straggler. Default 10. A higher value
+	// gives more models in steady use a spare replica.
+	TailLatency float64 `toml:"tail_latency" validate:"gt=0,max=1000"`
+}
+
 // Role is what the holder of a token may do.
 type Role string
 
