--- a/internal/entry/readpace_test.go
+++ b/internal/entry/readpace_test.go
@@ -26,7 +26,7 @@
 		const size, changes = 44, 100
 		entries := size
 		if raceDetector {
-			// The race detector itself crashes now and then while the 44
+			// The race detector itself crashes now and then while many
 			// entries run (tsan_rtl.cpp:346, go1.26.8). They keep the pace of
 			// a region of 44.
 			entries = 4
