claims: take all spellings of a key to one shard

Cause: Entries pass on an idempotency key as the caller wrote it, and ShardOf hashed that text, while owners parse the key and compare UUIDs. A resend in capitals, without hyphens, in braces or as a URN met another shard, whose owner saw no claim. Non-idempotent work ran twice (I6).

Change: ShardOf hashes the canonical form of a UUID. Keys that are written in it keep their shards. Entries of this and the former version disagree about other spellings until the last of the former has stopped.

Conclusion: A resend meets its claim however the key is spelled.

--- a/internal/decide/claims/shard.go
+++ b/internal/decide/claims/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -14,6 +15,9 @@
 // ShardOf returns the claim shard of a key. It depends on the key alone, so
 // that all sendings of a request meet in one shard.
 func ShardOf(caller state.CallerName, key string) int {
+	if id, err := uuid.Parse(key); err == nil {
+		key = id.String()
+	}
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(string(caller)) // A digest never fails.
--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -243,3 +243,23 @@
 		g.Expect(w.network.count("nowhere", rpc.MethodClaim)).To(BeNumerically(">", 0))
 	})
 }
+
+// Guards against a resend that spells its key in another way and runs again,
+// because its claim meets the first in no shard.
+func TestResendWithOtherSpellingOfKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newClaimsWorld(t, 3)
+		defer w.stop()
+		for n := range 16 {
+			key := keyAt(time.Now(), n)
+			v, first := w.send(w.entries[0].router, key, completes)
+			g.Expect(v.Reason).To(Equal(verdict.ReasonOK), v.Error())
+			time.Sleep(time.Second)
+			v, second := w.send(w.entries[1].router, strings.ToUpper(key), completes)
+			g.Expect(v.Reason).To(Equal(verdict.ReasonOK), v.Error())
+			g.Expect(second).To(Equal(first))
+			g.Expect(w.ran).To(HaveLen(n + 1))
+		}
+	})
+}
