membership: format a test

Change: gofmt -w internal/decide/membership/gossip_test.go.

Measured: gofmt -l internal listed the file before and lists nothing after.

Conclusion: The tree is formatted.

--- a/internal/decide/membership/gossip_test.go
+++ b/internal/decide/membership/gossip_test.go
@@ -71,7 +71,7 @@
 		for j := range n {
 			d.Seed(entryName(j), control(j))
 		}
-		run = d.Question(entryName((i+1)%n)).Updates[0].Run
+		run = d.Question(entryName((i + 1) % n)).Updates[0].Run
 	})
 	return run
 }
