rpc: leave a connection on which nothing is heard

Cause: A client kept one connection to each process and gave it up only when it was closed. When a path is cut without an error, TCP closes nothing for minutes, and after the cut the next retransmission may be up to 2 min away. Until then each ping and claim went into that connection and timed out: an entry that was alive and reachable again stayed out of the live list, and claims did not go to the next owner.

Change: If a call ends without an answer after at least 500 ms in which nothing was received on its connection, new calls open another one. Calls that are under way keep theirs for 30 s more, longer than the longest poll.

Conclusion: After a cut the first call to a process fails and the later ones use a working path as soon as there is one. A process that is slow on a connection without other traffic costs one more connection per 500 ms at most, for 30 s each.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,6 +17,17 @@
 // dialTimeout bounds the set-up of a connection to another process.
 const dialTimeout = time.Second
 
+const (
+	// silentFor is how long a call that ends without an answer must have
+	// waited for its connection to count as cut if nothing was received on it
+	// meanwhile. It is shorter than the 600 ms that a ping may take. After a
+	// cut, TCP may wait up to 2 min for its next retransmission.
+	silentFor = 500 * time.Millisecond
+	// closeAfter is when a connection that counts as cut is closed. Its other
+	// calls may still be answered; none waits longer than the 25 s of a poll.
+	closeAfter = 30 * time.Second
+)
+
 // ErrUnreachable means that the call was never sent.
 var ErrUnreachable = errors.New("process unreachable")
 
@@ -45,9 +57,33 @@
 	Dial   DialFunc
 	dialer net.Dialer
 
-	mu     sync.Mutex
-	conns  map[string]*jsonrpc2.Conn
-	closed bool
+	mu    sync.Mutex
+	conns map[string]*clientConn
+	// leaving holds the connections that get no new calls, with the timers
+	// that close them.
+	leaving map[*clientConn]*time.Timer
+	closed  bool
+}
+
+// clientConn is a connection to another process.
+type clientConn struct {
+	*jsonrpc2.Conn
+	heard *heardConn
+}
+
+// heardConn counts the reads that returned something.
+type heardConn struct {
+	net.Conn
+	reads atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (c *heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reads.Add(1)
+	}
+	return n, err
 }
 
 // NewClient returns a client without connections.
@@ -56,8 +92,9 @@
 		Dial: func(ctx context.Context, dialer *net.Dialer, network, addr string) (net.Conn, error) {
 			return dialer.DialContext(ctx, network, addr)
 		},
-		dialer: net.Dialer{Timeout: dialTimeout},
-		conns:  make(map[string]*jsonrpc2.Conn),
+		dialer:  net.Dialer{Timeout: dialTimeout},
+		conns:   make(map[string]*clientConn),
+		leaving: make(map[*clientConn]*time.Timer),
 	}
 }
 
@@ -67,7 +104,11 @@
 	if err != nil {
 		return errors.Wrapf(ErrUnreachable, "%s at %s: %v", method, addr, err)
 	}
+	began, reads := time.Now(), conn.heard.reads.Load()
 	err = conn.Call(ctx, method, params, result)
+	if ctx.Err() != nil && conn.heard.reads.Load() == reads && time.Since(began) >= silentFor {
+		c.leave(addr, conn)
+	}
 	if errors.Is(err, jsonrpc2.ErrClosed) {
 		c.forget(addr, conn)
 		return errors.Wrapf(ErrConnectionLost, "%s at %s", method, addr)
@@ -87,9 +128,30 @@
 		_ = conn.Close()
 	}
 	clear(c.conns)
+	for conn, timer := range c.leaving {
+		timer.Stop()
+		_ = conn.Close()
+	}
+	clear(c.leaving)
 }
 
-func (c *Client) conn(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+// leave makes new calls use another connection.
+func (c *Client) leave(addr string, conn *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.conns[addr] != conn {
+		return
+	}
+	delete(c.conns, addr)
+	c.leaving[conn] = time.AfterFunc(closeAfter, func() {
+		_ = conn.Close()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.leaving, conn)
+	})
+}
+
+func (c *Client) conn(ctx context.Context, addr string) (*clientConn, error) {
 	if conn := c.known(addr); conn != nil {
 		return conn, nil
 	}
@@ -100,7 +162,7 @@
 	return c.adopt(addr, raw)
 }
 
-func (c *Client) known(addr string) *jsonrpc2.Conn {
+func (c *Client) known(addr string) *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conn, ok := c.conns[addr]
@@ -116,7 +178,7 @@
 	}
 }
 
-func (c *Client) adopt(addr string, raw net.Conn) (*jsonrpc2.Conn, error) {
+func (c *Client) adopt(addr string, raw net.Conn) (*clientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -127,13 +189,17 @@
 		_ = raw.Close()
 		return conn, nil
 	}
-	stream := jsonrpc2.NewBufferedStream(counted(raw, c.Counter), frameCodec{})
-	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCall), quiet)
+	heard := &heardConn{Conn: counted(raw, c.Counter)}
+	stream := jsonrpc2.NewBufferedStream(heard, frameCodec{})
+	conn := &clientConn{
+		Conn:  jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCall), quiet),
+		heard: heard,
+	}
 	c.conns[addr] = conn
 	return conn, nil
 }
 
-func (c *Client) forget(addr string, conn *jsonrpc2.Conn) {
+func (c *Client) forget(addr string, conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns[addr] == conn {
--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -58,3 +60,80 @@
 	err = client.Call(t.Context(), listener.Addr().String(), "double", 21, nil)
 	g.Expect(err).To(MatchError(rpc.ErrUnreachable))
 }
+
+// cutConn is a connection over a path that is cut after the first call: what
+// is written is never acknowledged, and no error tells of it.
+type cutConn struct {
+	net.Conn
+	cut chan struct{}
+}
+
+func (c *cutConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.cut:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+// Guards against calls that wait on a connection from before a cut after the
+// path has healed: its next retransmission may be minutes away, and until then
+// a live entry looks dead to the gossip.
+func TestCallsAfterCutUseNewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		server := rpc.NewServer(map[string]rpc.MethodFunc{
+			"double": rpc.Method(func(_ context.Context, n int) (int, error) { return 2 * n, nil }),
+		})
+		listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		go func() { _ = server.Serve(ctx, listener) }()
+		client := rpc.NewClient()
+		defer client.Close()
+		cut, dials := make(chan struct{}), 0
+		client.Dial = func(context.Context, *net.Dialer, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			listener.conns <- far
+			dials++
+			if dials == 1 {
+				return &cutConn{Conn: near, cut: cut}, nil
+			}
+			return near, nil
+		}
+		call := func() error {
+			limited, stop := context.WithTimeout(ctx, 600*time.Millisecond)
+			defer stop()
+			return client.Call(limited, "peer", "double", 21, nil)
+		}
+		g.Expect(call()).To(Succeed())
+		close(cut)
+		g.Expect(call()).To(MatchError(context.DeadlineExceeded))
+		for range 10 {
+			g.Expect(call()).To(Succeed())
+		}
+		g.Expect(dials).To(Equal(2))
+	})
+}
+
+// pipeListener accepts the far ends of pipes.
+type pipeListener struct {
+	net.Listener
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
