rpc: tell a failed write as a lost connection

Cause: jsonrpc2 reports only a connection that it has closed as closed. A write that fails before the reader has noticed the end gave a plain error. The claim router then did not ask the next owner, and the client kept the connection, whose buffered writer repeats its first error.

Change: A network error of a call closes and forgets the connection and is told as ErrConnectionLost. The other side may have read part of the call, so it is not ErrUnreachable.

Measured: go test ./internal/rpc -run FailedWrite before: FAIL, "write: broken pipe" is no ErrConnectionLost; after: ok.

Conclusion: A claim goes to the next owner whichever side of a connection notices its end first.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -109,7 +109,11 @@
 	if ctx.Err() != nil && conn.heard.reads.Load() == reads && time.Since(began) >= silentFor {
 		c.leave(addr, conn)
 	}
-	if errors.Is(err, jsonrpc2.ErrClosed) {
+	var op *net.OpError
+	if errors.Is(err, jsonrpc2.ErrClosed) || errors.As(err, &op) {
+		// A failed write does not close the connection, but no later one on it
+		// can succeed.
+		_ = conn.Close()
 		c.forget(addr, conn)
 		return errors.Wrapf(ErrConnectionLost, "%s at %s", method, addr)
 	}
--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +138,30 @@
 	close(l.closed)
 	return nil
 }
+
+// brokenConn is a connection whose writes fail before its reads do.
+type brokenConn struct{ net.Conn }
+
+func (brokenConn) Write([]byte) (int, error) {
+	return 0, &net.OpError{Op: "write", Err: syscall.EPIPE}
+}
+
+// Guards against a failed write that is not told as the loss of the connection:
+// the claim would not go to the next owner, and later calls would fail on the
+// same connection.
+func TestFailedWriteIsLostConnection(t *testing.T) {
+	g := NewWithT(t)
+	client := rpc.NewClient()
+	defer client.Close()
+	dials := 0
+	client.Dial = func(context.Context, *net.Dialer, string, string) (net.Conn, error) {
+		dials++
+		near, _ := net.Pipe()
+		return brokenConn{near}, nil
+	}
+	for n := range 2 {
+		err := client.Call(t.Context(), "peer", "double", 21, nil)
+		g.Expect(err).To(MatchError(rpc.ErrConnectionLost))
+		g.Expect(dials).To(Equal(n + 1))
+	}
+}
