rpc: test that a cancelled call keeps its connection

Change: five cancelled long polls use one connection. Measured: go test ./internal/rpc -run Cancelled passes; it fails if any ended call counts.

--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -118,6 +118,42 @@
 	})
 }
 
+// Guards against a connection that is replaced whenever a caller gives up a long
+// poll, as entries do when a request needs an answer sooner.
+func TestCancelledCallKeepsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		server := rpc.NewServer(map[string]rpc.MethodFunc{
+			"wait": rpc.Method(func(ctx context.Context, d time.Duration) (bool, error) {
+				select {
+				case <-time.After(d):
+				case <-ctx.Done():
+				}
+				return true, nil
+			}),
+		})
+		listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		go func() { _ = server.Serve(ctx, listener) }()
+		client := rpc.NewClient()
+		defer client.Close()
+		dials := 0
+		client.Dial = func(context.Context, *net.Dialer, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			listener.conns <- far
+			dials++
+			return near, nil
+		}
+		for range 5 {
+			polling, stop := context.WithCancel(ctx)
+			time.AfterFunc(2*time.Second, stop)
+			g.Expect(client.Call(polling, "peer", "wait", 10*time.Second, nil)).To(MatchError(context.Canceled))
+		}
+		g.Expect(dials).To(Equal(1))
+	})
+}
+
 // pipeListener accepts the far ends of pipes.
 type pipeListener struct {
 	net.Listener
