entry: answer an entry's earlier question when it asks again

Cause: questions of one entry for the replica set piled up at the home when the entry gave them up and asked again: 100 equal questions left 100 parked. Change: a new question answers and removes the earlier one of its entry. Measured: go test ./internal/entry -run PileUp passes; it fails without the call.

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -80,6 +80,7 @@
 
 // parkedDemand is a question of an entry that waits for a change.
 type parkedDemand struct {
+	entry state.EntryName
 	known uint64
 	until time.Time
 	reply chan rpc.DemandResult
@@ -153,11 +154,24 @@
 	h.demands[e.params.Entry] = demandSeen{backlog: e.params.Backlog, at: now}
 	h.doubt(c, e.params.Missing, now)
 	c.decideHome(h, now)
-	parked := parkedDemand{known: e.params.Known, until: now.Add(e.params.Wait.Std()), reply: e.reply}
+	h.unpark(c, e.params.Entry, now)
+	parked := parkedDemand{entry: e.params.Entry, known: e.params.Known, until: now.Add(e.params.Wait.Std()), reply: e.reply}
 	h.parked = append(h.parked, parked)
 	h.answer(c, now)
 }
 
+// unpark answers an entry's earlier question, which it has given up when it asks
+// again. Otherwise the questions of an entry that asks often pile up.
+func (h *home) unpark(c *control, entry state.EntryName, now time.Time) {
+	h.parked = slices.DeleteFunc(h.parked, func(p parkedDemand) bool {
+		if p.entry != entry {
+			return false
+		}
+		p.reply <- h.result(c, p.known, now)
+		return true
+	})
+}
+
 // doubt takes replicas that refused an entry's request out of the set until
 // their agents have said again what is loaded. A watcher tells of a replica's
 // end only if it had heard of the replica, which may have been too young.
--- a/internal/entry/home_changes_test.go
+++ b/internal/entry/home_changes_test.go
@@ -300,3 +300,35 @@
 		g.Expect(h.benefit).To(BeZero(), "entries that report no more")
 	})
 }
+
+// Guards against questions of an entry that pile up at a home when the entry asks
+// again before they are answered, and against another entry's question that ends
+// with them.
+func TestRepeatedQuestionsDoNotPileUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b, h, now := stoppedHome(t)
+		ask := func(entry state.EntryName) chan rpc.DemandResult {
+			reply := make(chan rpc.DemandResult, 1)
+			demandReceived{
+				params: rpc.DemandParams{ReplicaKey: testReplica, Entry: entry, Known: h.version, Wait: state.Duration(time.Minute)},
+				reply:  reply,
+			}.apply(b.control, now)
+			return reply
+		}
+		other := ask("e2")
+		var last chan rpc.DemandResult
+		for range 100 {
+			if last != nil {
+				g.Expect(last).To(BeEmpty())
+			}
+			earlier := last
+			last = ask("e1")
+			if earlier != nil {
+				g.Expect(earlier).To(Receive())
+			}
+		}
+		g.Expect(h.parked).To(HaveLen(2))
+		g.Expect(other).NotTo(Receive())
+	})
+}
