--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -263,3 +265,39 @@
 		}
 	})
 }
+
+// darkPaths is a caller that finds no path to the addresses and no error that
+// says so: each connection attempt waits for its timeout.
+type darkPaths struct {
+	rpc.Caller
+	addresses []string
+}
+
+// Call implements rpc.Caller.
+func (c darkPaths) Call(ctx context.Context, addr, method string, params, result any) error {
+	if slices.Contains(c.addresses, addr) {
+		sleep(ctx, time.Second)
+		return errors.Wrap(rpc.ErrUnreachable, addr)
+	}
+	return c.Caller.Call(ctx, addr, method, params, result)
+}
+
+// Guards against claims that never reach the next region because the attempts
+// to reach the entries of a region that is cut off use up their time.
+func TestClaimsPassRegionThatIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newClaimsWorld(t, 1)
+		defer w.stop()
+		router := w.entries[0].router
+		router.regions = map[state.Region]map[state.EntryName]string{"south": {"s1": "dark-1", "s2": "dark-2"}}
+		router.caller = darkPaths{Caller: router.caller, addresses: []string{"dark-1", "dark-2"}}
+		refused := 0
+		for n := range 64 {
+			if v, _ := w.send(router, keyAt(time.Now(), n), completes); v.Reason != verdict.ReasonOK {
+				refused++
+			}
+		}
+		g.Expect(refused).To(BeNumerically("<=", 1), "of 64")
+	})
+}
