roles: apply a reloaded stop timeout to the last push and the last records

Cause: shutdown reloads, but the last push of metrics of both roles and an agent's last audit entries were still bounded by the stop timeout of the start. No test ran a role on listen.*, telemetry.otlp_endpoint, telemetry.otlp_interval or platform.* alone. Change: both roles keep the stop timeout of the last reload and use it at the stop. Tests run entry and agent against a local HTTP receiver and a platform server with http and https URLs; pushes are counted in virtual time. With the stop timeout of the start (5 s), at the entry or at the agent, the process does not end within the 2.5 s that the test allows, after a reload to 100 ms.

--- a/internal/roles/agent.go
+++ b/internal/roles/agent.go
@@ -73,10 +73,11 @@
 	go reload(ctx, cfg, process, func(now settings.Agent) {
 		a.Do(func() { retention.configure(now.Weights) })
 		a.SetShutdown(now.Shutdown.DrainTimeout.Std(), now.Shutdown.StopTimeout.Std())
+		shared.stopTimeout.Store(int64(now.Shutdown.StopTimeout))
 	})
 	go serveAgentOperators(background, cfg, a, meter, secured.operators, logger)
 	err = a.Run(ctx)
-	last, cancel := context.WithTimeout(background, cfg.Shutdown.StopTimeout.Std())
+	last, cancel := context.WithTimeout(background, time.Duration(shared.stopTimeout.Load()))
 	defer cancel()
 	if flushErr := trail.Flush(last); flushErr != nil {
 		logger.Warn("last audit entries not written", "error", flushErr)
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -59,7 +60,10 @@
 		Counter:   meter,
 		Retention: logRetention,
 	})
-	go reload(ctx, cfg, process, func(now settings.Entry) { e.Reload(ctx, now) })
+	go reload(ctx, cfg, process, func(now settings.Entry) {
+		e.Reload(ctx, now)
+		shared.stopTimeout.Store(int64(now.Shutdown.StopTimeout))
+	})
 	return e.Run(ctx, listeners)
 }
 
@@ -68,6 +72,8 @@
 	meter   *telemetry.Telemetry
 	secured certificates
 	client  *rpc.Client
+	// stopTimeout is Shutdown.StopTimeout of the last reload, in nanoseconds.
+	stopTimeout *atomic.Int64
 	// close ends all of them.
 	close func()
 }
@@ -81,15 +87,17 @@
 	}
 	secured, err := openCertificates(common.TLS, logger)
 	if err != nil {
-		shutdownTelemetry(meter, common, logger)
+		shutdownTelemetry(meter, common.Shutdown.StopTimeout.Std(), logger)
 		return sharedParts{}, err
 	}
 	client := rpc.NewClient()
 	client.Counter = meter
 	client.Dial = secured.internal.Dial
-	return sharedParts{meter: meter, secured: secured, client: client, close: func() {
+	stopTimeout := &atomic.Int64{}
+	stopTimeout.Store(int64(common.Shutdown.StopTimeout))
+	return sharedParts{meter: meter, secured: secured, client: client, stopTimeout: stopTimeout, close: func() {
 		client.Close()
-		shutdownTelemetry(meter, common, logger)
+		shutdownTelemetry(meter, time.Duration(stopTimeout.Load()), logger)
 	}}, nil
 }
 
@@ -137,8 +145,8 @@
 	return source.Listener(listener), nil
 }
 
-func shutdownTelemetry(meter *telemetry.Telemetry, common settings.Common, logger *slog.Logger) {
-	ctx, cancel := context.WithTimeout(context.Background(), common.Shutdown.StopTimeout.Std())
+func shutdownTelemetry(meter *telemetry.Telemetry, timeout time.Duration, logger *slog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := meter.Shutdown(ctx); err != nil {
 		logger.Warn("last metrics not pushed", "error", err)
--- /dev/null
+++ b/internal/roles/shared_test.go
@@ -0,0 +1,196 @@
+package roles
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/loopback"
+	"github.com/lagoonvalve/lagoonvalve/internal/settings"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
+)
+
+// settingsTimeout bounds waits on loopback connections; passing runs need
+// milliseconds.
+const settingsTimeout = 5 * time.Second
+
+// commonSettings are those of a process with free addresses.
+func commonSettings(t *testing.T, common settings.Common) settings.Common {
+	t.Helper()
+	common.Name, common.Host, common.Region, common.DataCentre = "p", "h", "north", "north-a"
+	for _, address := range []*string{&common.Listen.Callers, &common.Listen.Operators, &common.Listen.Control} {
+		free, err := loopback.FreeAddress(t.Context())
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		*address = free
+	}
+	common.Shutdown.DrainTimeout = 0
+	return common
+}
+
+// platformServer tells which paths were asked for.
+func platformServer(t *testing.T, start func(http.Handler) *httptest.Server) (*httptest.Server, chan string) {
+	t.Helper()
+	paths := make(chan string, 100)
+	server := start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case paths <- r.URL.Path:
+		default:
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(server.Close)
+	return server, paths
+}
+
+// runs starts a role of a kind; the function that it returns stops the role.
+func runs(t *testing.T, run func(ctx context.Context) error) (stop func() <-chan error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx) }()
+	return func() <-chan error {
+		cancel()
+		return ended
+	}
+}
+
+// reloadable makes the process of a role whose settings a test reloads.
+func reloadable[S settings.Settings]() (Process[S], chan S, *lockedBuffer) {
+	reloads, log := make(chan S), &lockedBuffer{}
+	return Process[S]{Logger: slog.New(slog.NewTextHandler(log, nil)), Reloads: reloads}, reloads, log
+}
+
+// Guards against a role that ignores listen.*, telemetry.otlp_endpoint or a
+// reloaded shutdown.stop_timeout, which then bounds nothing at the stop.
+func TestSharedSettingsReachBothRoles(t *testing.T) {
+	const reloaded = state.Duration(100 * time.Millisecond)
+	starts := map[string]func(t *testing.T, otlp, platform string) (settings.Listen, func(), *lockedBuffer, func() <-chan error){
+		"entry": func(t *testing.T, otlp, platform string) (settings.Listen, func(), *lockedBuffer, func() <-chan error) {
+			cfg := settings.DefaultEntry()
+			cfg.Common = commonSettings(t, cfg.Common)
+			cfg.Telemetry.OTLPEndpoint = otlp
+			cfg.Platform = settings.Platform{Log: platform, Hosts: platform}
+			process, reloads, log := reloadable[settings.Entry]()
+			stop := runs(t, func(ctx context.Context) error { return StartEntry(ctx, cfg, process) })
+			reload := func() {
+				now := cfg
+				now.Shutdown.StopTimeout = reloaded
+				reloads <- now
+			}
+			return cfg.Listen, reload, log, stop
+		},
+		"agent": func(t *testing.T, otlp, platform string) (settings.Listen, func(), *lockedBuffer, func() <-chan error) {
+			cfg := settings.DefaultAgent()
+			cfg.Common = commonSettings(t, cfg.Common)
+			cfg.Telemetry.OTLPEndpoint = otlp
+			cfg.Upstream.Kind, cfg.Upstream.URL = state.PlainService, platform
+			process, reloads, log := reloadable[settings.Agent]()
+			stop := runs(t, func(ctx context.Context) error { return StartAgent(ctx, cfg, process) })
+			reload := func() {
+				now := cfg
+				now.Shutdown.StopTimeout = reloaded
+				reloads <- now
+			}
+			return cfg.Listen, reload, log, stop
+		},
+	}
+	for role, start := range starts {
+		t.Run(role, func(t *testing.T) {
+			g := NewWithT(t)
+			server, _ := platformServer(t, httptest.NewServer)
+			pushes, release := make(chan string, 10), make(chan struct{})
+			receiver := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				pushes <- r.URL.Path
+				<-release
+			}))
+			t.Cleanup(receiver.Close)
+			t.Cleanup(func() { close(release) })
+			listen, reload, log, stop := start(t, receiver.URL+"/pushed/here", server.URL)
+			for _, address := range []string{listen.Callers, listen.Operators, listen.Control} {
+				g.Eventually(func() error {
+					conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address)
+					if err == nil {
+						_ = conn.Close()
+					}
+					return err
+				}).WithTimeout(settingsTimeout).Should(Succeed(), address)
+			}
+			reload()
+			g.Eventually(log.String).WithTimeout(settingsTimeout).Should(ContainSubstring("settings reloaded"))
+			ended := stop()
+			g.Eventually(pushes).WithTimeout(settingsTimeout).Should(Receive(Equal("/pushed/here")))
+			// With the timeout of the start, 5 s, the push that hangs holds
+			// the process longer than this.
+			g.Eventually(ended).WithTimeout(settingsTimeout / 2).Should(Receive(BeNil()))
+		})
+	}
+}
+
+// Guards against an entry that asks another address than platform.log or
+// platform.hosts, and against one that takes only http of the two schemes that
+// the settings allow.
+func TestEntryAsksItsPlatform(t *testing.T) {
+	for scheme, start := range map[string]func(http.Handler) *httptest.Server{
+		"http": httptest.NewServer, "https": httptest.NewTLSServer,
+	} {
+		t.Run(scheme, func(t *testing.T) {
+			g := NewWithT(t)
+			log, logPaths := platformServer(t, start)
+			hosts, hostPaths := platformServer(t, start)
+			// The clients of the platform trust the system's authorities; the
+			// test server's is added for the time of the test.
+			former := http.DefaultClient.Transport
+			t.Cleanup(func() { http.DefaultClient.Transport = former })
+			http.DefaultClient.Transport = log.Client().Transport
+			cfg := settings.DefaultEntry()
+			cfg.Common = commonSettings(t, cfg.Common)
+			cfg.Shutdown.StopTimeout = state.Duration(100 * time.Millisecond)
+			cfg.Platform = settings.Platform{Log: log.URL, Hosts: hosts.URL}
+			g.Expect(log.URL).To(HavePrefix(scheme + "://"))
+			stop := runs(t, func(ctx context.Context) error { return RunEntry(ctx, cfg, slog.New(slog.DiscardHandler)) })
+			g.Eventually(logPaths).WithTimeout(settingsTimeout).Should(Receive(HavePrefix("/v1/log/")))
+			g.Eventually(hostPaths).WithTimeout(settingsTimeout).Should(Receive(Equal("/v1/hosts")))
+			g.Eventually(stop()).WithTimeout(settingsTimeout).Should(Receive(BeNil()))
+			for len(logPaths) > 0 {
+				g.Expect(<-logPaths).To(HavePrefix("/v1/log/"))
+			}
+		})
+	}
+}
+
+// Guards against pushes at another interval than telemetry.otlp_interval.
+func TestPushFollowsItsInterval(t *testing.T) {
+	var pushes atomic.Int64
+	receiver := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// A connection that is kept would hold the virtual time.
+		w.Header().Set("Connection", "close")
+		pushes.Add(1)
+	}))
+	t.Cleanup(receiver.Close)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		common := settings.DefaultEntry().Common
+		common.Telemetry.OTLPEndpoint = receiver.URL + "/v1/metrics"
+		common.Telemetry.OTLPInterval = state.Duration(10 * time.Minute)
+		meter, err := telemetry.Start(t.Context(), common)
+		g.Expect(err).NotTo(HaveOccurred())
+		meter.ConfigLag(time.Second)
+		time.Sleep(10*time.Minute - time.Second)
+		g.Expect(pushes.Load()).To(BeZero())
+		time.Sleep(2 * time.Second)
+		g.Expect(pushes.Load()).To(BeEquivalentTo(1))
+		time.Sleep(20 * time.Minute)
+		g.Expect(pushes.Load()).To(BeEquivalentTo(3))
+		g.Expect(meter.Shutdown(t.Context())).To(Succeed())
+	})
+}
