entry: judge lateness by the caller's deadline

Cause: admission.AnswerBy ends a request up to 50 ms before its deadline, and the counts compared the end of an answer with that earlier time. A stream whose last event had been passed on and whose upstream kept the connection open counted as late although it was in time. No test held shutdown.* of an entry or the bound of the counts. Change: a request keeps the caller's deadline for the counts. Tests cover the outcome, the times of a stop at the start and after a reload, and callers beyond the 60,000 counts in table, JSON and CSV. The 60,000 bounds the counts of one process, not the answer of a query, which adds up the rows of all entries.

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -161,6 +161,7 @@
 	if entered {
 		defer g.inFlight.leave()
 	}
+	req.due = req.deadline
 	req.deadline = admission.AnswerBy(time.Now(), req.deadline)
 	x := exchangeOf(ctx)
 	req.method = x.request.Method
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -49,7 +49,7 @@
 	if v.Execution == verdict.Ran && v.Reason == verdict.ReasonOK {
 		failure = nil
 	}
-	outcome, _ := audit.OutcomeOf(failure, now.After(req.deadline))
+	outcome, _ := audit.OutcomeOf(failure, now.After(req.due))
 	s.ledger.add(ended{
 		id: req.id, at: now, caller: req.caller.Name, target: req.target.String(), adapter: req.target.adapter,
 		class: req.class, verdict: *v, outcome: outcome, attempts: e.attempts, upstream: e.lastTried,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -32,12 +32,15 @@
 // request is a caller's request on its way through the entry. One goroutine
 // owns it.
 type request struct {
-	id       string
-	number   uint64
-	target   target
-	caller   state.Caller
-	class    state.Class
-	arrived  time.Time
+	id      string
+	number  uint64
+	target  target
+	caller  state.Caller
+	class   state.Class
+	arrived time.Time
+	// due is the caller's deadline; deadline is when the last answer to it
+	// must leave.
+	due      time.Time
 	deadline time.Time
 
 	method string
--- /dev/null
+++ b/internal/entry/shutdown_test.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/audit"
+	"github.com/lagoonvalve/lagoonvalve/internal/oplang"
+	"github.com/lagoonvalve/lagoonvalve/internal/settings"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Guards against a stop that ignores shutdown.drain_timeout or
+// shutdown.stop_timeout, at the start or after a reload.
+func TestShutdownSettingsBoundTheStop(t *testing.T) {
+	shutdown := settings.Shutdown{DrainTimeout: state.Duration(7 * time.Second), StopTimeout: state.Duration(3 * time.Second)}
+	for _, reload := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			cfg := settings.DefaultEntry()
+			if !reload {
+				cfg.Shutdown = shutdown
+			}
+			e := newTestEntry(t, cfg)
+			e.deps.Logger = slog.New(slog.DiscardHandler)
+			if reload {
+				now := cfg
+				now.Shutdown = shutdown
+				e.Reload(t.Context(), settings.Reload(cfg, now))
+			}
+			g.Expect(e.gateway.inFlight.enter()).To(BeTrue())
+			e.ledger.counts.Add("c", audit.Served, verdict.ReasonOK)
+			started := time.Now()
+			// The request in flight never ends, and the writer of the log does
+			// not run: the drain takes its whole time, refusals get a second
+			// to reach their callers, and the last records their whole time.
+			e.stop()
+			g.Expect(time.Since(started)).To(Equal(7*time.Second + time.Second + 3*time.Second))
+		})
+	}
+}
+
+// Guards against counts that grow without a bound with the names of callers,
+// and against a bound that loses requests or that an answer does not show.
+func TestCountsBeyondTheBoundAreToldInEachForm(t *testing.T) {
+	const (
+		bound   = 60_000
+		surplus = 500
+	)
+	g := NewWithT(t)
+	e := newTestEntry(t, settings.DefaultEntry())
+	for i := range bound + surplus {
+		e.ledger.counts.Add(state.CallerName(fmt.Sprint("c", i)), audit.Served, verdict.ReasonOK)
+	}
+	rows := source{e}.counts(t.Context())
+	// One cell more holds all that is beyond the bound.
+	g.Expect(rows).To(HaveLen(bound + 1))
+	table := oplang.Table{Columns: sourceTables["counts"].columns, Rows: rows}
+	var total int64
+	for _, row := range rows {
+		var requests int64
+		_, err := fmt.Sscan(row[table.Column("requests")].String(), &requests)
+		g.Expect(err).NotTo(HaveOccurred())
+		total += requests
+	}
+	g.Expect(total).To(BeEquivalentTo(bound + surplus))
+	for _, format := range []oplang.Format{oplang.FormatTable, oplang.FormatJSON, oplang.FormatCSV} {
+		var out strings.Builder
+		g.Expect(oplang.Write(&out, table, format)).To(Succeed())
+		g.Expect(strings.Count(out.String(), "(other callers)")).To(Equal(1), string(format))
+		g.Expect(strings.Count(out.String(), "served")).To(Equal(bound+1), string(format))
+	}
+}
+
+// slowEnd is a body whose last read returns some time after its request ended.
+type slowEnd struct {
+	heldBody
+	after time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowEnd) Read(p []byte) (int, error) {
+	n, err := b.heldBody.Read(p)
+	if err != nil {
+		time.Sleep(b.after)
+	}
+	return n, err
+}
+
+// Guards against an answer that counts as late although it ended before the
+// caller's own deadline, in the time that is reserved for refusals.
+func TestAnswerInTheReserveIsNotLate(t *testing.T) {
+	for after, want := range map[time.Duration]audit.Outcome{
+		10 * time.Millisecond: audit.Served,
+		60 * time.Millisecond: audit.Late,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			e := newTestEntry(t, settings.DefaultEntry())
+			b := newGatewayBench(t, agentsOf(answers{"a": func(r *http.Request) (*http.Response, error) {
+				held := heldBody{strings.NewReader("data: [DONE]\n\n"), r.Context()}
+				resp := reply(http.StatusOK, nil, &slowEnd{held, after})
+				resp.Header.Set("Content-Type", "text/event-stream")
+				resp.ContentLength = -1
+				return resp, nil
+			}}), "a")
+			b.gateway.sink = requestSink{meter: e.meter, ledger: e.ledger}
+			_, err := b.send(t.Context(), true, func(r *request) { r.deadline = time.Now().Add(2 * time.Second) })
+			g.Expect(err).NotTo(HaveOccurred())
+			counted := e.ledger.counts.Total(time.Now()).Rows
+			g.Expect(counted).To(HaveLen(1))
+			g.Expect(counted[0].Outcome).To(Equal(want), after.String())
+		})
+	}
+}
