--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -116,3 +116,31 @@
 		})
 	}
 }
+
+// Guards against a passed request that the entry of either region does not
+// count, or that the first counts with another verdict than its caller gets.
+func TestForwardedRequestIsCountedAtBothEntries(t *testing.T) {
+	cases := map[string]struct {
+		far  func(*http.Request) (*http.Response, error)
+		want verdict.Reason
+	}{
+		"served there":  {served("far away"), verdict.ReasonOK},
+		"refused there": {refused(verdict.ReasonQueueFull), verdict.ReasonNoCapacity},
+		"broken there":  {broken, verdict.ReasonUpstreamFailed},
+	}
+	for name, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			first := newGatewayBench(t, agentsOf(answers{"far": c.far}))
+			first.cfg.remotes = []remoteEntry{{name: "entry-9", region: "south", callers: "far"}}
+			_, _ = first.send(t.Context(), true, nil)
+			g.Expect(first.sink.verdicts).To(HaveLen(1), name)
+			g.Expect(first.sink.verdicts[0].Reason).To(Equal(c.want), name)
+
+			second := newGatewayBench(t, agentsOf(answers{"a": served("x")}), "a")
+			_, err := second.send(t.Context(), true, func(r *request) { r.header = http.Header{headerForwarded: {"north"}} })
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(second.sink.verdicts).To(HaveLen(1), name)
+		})
+	}
+}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -112,6 +112,7 @@
 	}
 	g.Expect(documented).To(Equal(served))
 	for _, d := range telemetry.Definitions() {
+		g.Expect(documented).To(HaveKey(d.Name))
 		var quoted []string
 		for _, label := range d.Labels {
 			quoted = append(quoted, "`"+label+"`")
--- a/internal/verdict/document_test.go
+++ b/internal/verdict/document_test.go
@@ -28,4 +28,13 @@
 		existing[reason] = fmt.Sprint(reason.HTTPStatus())
 	}
 	g.Expect(documented).To(Equal(existing))
+
+	// Reasons leaves out a constant without a status.
+	source, err := os.ReadFile("reason.go")
+	g.Expect(err).NotTo(HaveOccurred())
+	constants := regexp.MustCompile("(?m)^\\tReason\\w+ +Reason = \"(\\w+)\"$").FindAllStringSubmatch(string(source), -1)
+	g.Expect(constants).To(HaveLen(len(existing)))
+	for _, constant := range constants {
+		g.Expect(existing).To(HaveKey(verdict.Reason(constant[1])))
+	}
 }
