ctl: test and explain the bound of an answer

Cause: no test held the 64 MiB that ctl reads of an answer, and its message did not say what the operator can do. Measured: go test ./internal/ctl -run Bound: passes in 0.26 s; it fails with a bound of 96 MiB and with a read that stops at the bound without noticing.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -85,7 +85,7 @@
 		return oplang.Answer{}, errors.Wrapf(ErrNoAnswer, "read: %v", err)
 	}
 	if len(data) > maxAnswerBytes {
-		return oplang.Answer{}, errors.Wrapf(ErrNoAnswer, "longer than %d bytes", maxAnswerBytes)
+		return oplang.Answer{}, errors.Wrapf(ErrNoAnswer, "longer than %d bytes; narrow a query with where, by or limit", maxAnswerBytes)
 	}
 	var answer oplang.Answer
 	err = json.Unmarshal(data, &answer)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -60,6 +60,40 @@
 	return string(data)
 }
 
+// endlessAnswer answers with rows that never end and counts what is read.
+type endlessAnswer struct{ read int }
+
+// RoundTrip implements http.RoundTripper.
+func (a *endlessAnswer) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(a)}, nil
+}
+
+// Read implements io.Reader.
+func (a *endlessAnswer) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = ' '
+	}
+	a.read += len(p)
+	return len(p), nil
+}
+
+// Guards against an answer without a bound that fills the memory of ctl, and
+// against one that is cut in silence and looks whole.
+func TestAnswerBeyondTheBoundIsToldInEachForm(t *testing.T) {
+	const bound = 64 << 20
+	for _, format := range []oplang.Format{oplang.FormatTable, oplang.FormatJSON, oplang.FormatCSV} {
+		g := NewWithT(t)
+		answer := &endlessAnswer{}
+		var out, complaints bytes.Buffer
+		client := &ctl.Client{URL: "http://entry", HTTP: &http.Client{Transport: answer}}
+		session := &ctl.Session{Client: client, Format: format, Out: &out, Err: &complaints}
+		g.Expect(session.Run(t.Context(), "show counts")).To(Equal(ctl.ExitUnreachable), string(format))
+		g.Expect(out.String()).To(BeEmpty(), string(format))
+		g.Expect(complaints.String()).To(ContainSubstring("longer than 67108864 bytes; narrow a query"), string(format))
+		g.Expect(answer.read).To(Equal(bound+1), string(format))
+	}
+}
+
 // Guards against exit codes by which a script would take a failure for a
 // success, or something that may have happened for something refused.
 func TestExitCodes(t *testing.T) {
