claims, entry: wait for a claim by duration; ask again after a void

Cause: two suspicions of a review. The wait for a claim was sent as a time of day, so that an owner whose clock is ahead by more than the rest of the deadline grants nothing. Change: the message carries a duration. After a void the refusal asks the owner once more; until the void has been read it says "may have run". Measured: go test ./internal/entry -run VoidedClaim passes; it fails if the owner is not asked again. The clock is not tested: the message has no time of day any more.

--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -169,8 +169,8 @@
 		return out
 	}
 	until := now.Add(o.settings.GiveUpAfter)
-	if !p.Deadline.IsZero() && p.Deadline.Before(until) {
-		until = p.Deadline
+	if within := now.Add(p.Within.Std()); p.Within > 0 && within.Before(until) {
+		until = within
 	}
 	w := &waiter{ticket: t, params: p, key: o.keyOf(p.Claim.Caller, id), until: until}
 	o.waiting[t] = w
--- a/internal/decide/claims/steps_test.go
+++ b/internal/decide/claims/steps_test.go
@@ -22,7 +22,7 @@
 	}}
 	w.sendings = append(w.sendings, s)
 	o := w.owners[w.pick(2, "owner")]
-	w.do(o, o.Ask(s.ticket, rpc.ClaimParams{Claim: s.claim, Deadline: w.now.Add(30 * time.Second)}, w.now))
+	w.do(o, o.Ask(s.ticket, rpc.ClaimParams{Claim: s.claim, Within: state.Duration(30 * time.Second)}, w.now))
 }
 
 func (w *world) read(o *owner, limit int) {
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -62,7 +62,7 @@
 			Agent:            replica.Agent,
 			AgentIncarnation: replica.AgentIncarnation,
 		},
-		Deadline: e.request.deadline,
+		Within: state.Duration(max(time.Until(e.request.deadline), time.Millisecond)),
 	})
 	e.consulted = err == nil
 	switch {
@@ -110,6 +110,8 @@
 		outcome.Done = &done
 	case v.Execution == verdict.NotRun:
 		outcome.Void = &state.ClaimVoid{Claim: e.claim, Witness: e.claims.self()}
+		// A resend may get a claim of its own from now on.
+		e.consulted = false
 	default:
 		return
 	}
--- a/internal/entry/gateway_test.go
+++ b/internal/entry/gateway_test.go
@@ -259,6 +259,25 @@
 	}
 }
 
+// Guards against "not run" for a request whose own attempts were refused by full
+// replicas, while a resend of it got a claim and ran in between.
+func TestRefusalAfterVoidedClaimAsksOwner(t *testing.T) {
+	for _, neverRan := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newGatewayBench(t, agentsOf(answers{"a": refused(verdict.ReasonQueueFull)}), "a")
+			b.claims.neverRan = neverRan
+			_, err := b.send(t.Context(), false, func(r *request) { r.deadline = time.Now().Add(time.Second) })
+			want := verdict.MayHaveRun
+			if neverRan {
+				want = verdict.NotRun
+			}
+			g.Expect(b.claims.outcomes).NotTo(BeEmpty())
+			g.Expect(verdict.Of(err).Execution).To(Equal(want))
+		})
+	}
+}
+
 // Guards against dispatch without a claim while its owner is away, and against
 // calling such a request not run.
 func TestNoDispatchWithoutClaim(t *testing.T) {
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -3,8 +3,6 @@
 package rpc
 
 import (
-	"time"
-
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -225,8 +223,10 @@
 
 // ClaimParams asks a claim owner for the right to run a request once.
 type ClaimParams struct {
-	Claim    state.Claim `json:"claim"`
-	Deadline time.Time   `json:"deadline"`
+	Claim state.Claim `json:"claim"`
+	// Within is how long the request can wait; zero means no bound. It is not
+	// a time of day, since the clocks of entries differ.
+	Within state.Duration `json:"within,omitempty"`
 }
 
 // ClaimResult is a claim owner's answer. Exactly one of Granted and Refusal
