--- /dev/null
+++ b/internal/entry/claimed_test.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Guards against a second run of work that may not be repeated, and against a
+// claim being given up whose work may have run.
+func TestBrokenAttemptOfClaimedRequestIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		agents := agentsOf(answers{"a": broken, "b": served("second")})
+		b := newGatewayBench(t, agents, "a")
+		_, err := b.send(t.Context(), false, nil)
+		g.Expect(verdict.Of(err).Execution).To(Equal(verdict.MayHaveRun))
+		g.Expect(agents.calls).To(HaveLen(1))
+		g.Expect(b.claims.outcomes).To(BeEmpty())
+	})
+}
+
+// Guards against a refusal of a resent request that calls its work not run
+// although an earlier sending may have run.
+func TestRefusalOfResentRequestAsksOwner(t *testing.T) {
+	for _, neverRan := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newGatewayBench(t, agentsOf(nil), "a")
+			b.claims.neverRan = neverRan
+			b.inFlight.close()
+			_, err := b.send(t.Context(), false, nil)
+			want := verdict.MayHaveRun
+			if neverRan {
+				want = verdict.NotRun
+			}
+			g.Expect(verdict.Of(err).Execution).To(Equal(want))
+		})
+	}
+}
+
+// Guards against "not run" for a request whose own attempts were refused by full
+// replicas, while a resend of it got a claim and ran in between.
+func TestRefusalAfterVoidedClaimAsksOwner(t *testing.T) {
+	for _, neverRan := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newGatewayBench(t, agentsOf(answers{"a": refused(verdict.ReasonQueueFull)}), "a")
+			b.claims.neverRan = neverRan
+			_, err := b.send(t.Context(), false, func(r *request) { r.deadline = time.Now().Add(10 * time.Second) })
+			want := verdict.MayHaveRun
+			if neverRan {
+				want = verdict.NotRun
+			}
+			g.Expect(b.claims.outcomes).NotTo(BeEmpty())
+			g.Expect(verdict.Of(err).Execution).To(Equal(want))
+		})
+	}
+}
+
+// Guards against dispatch without a claim while its owner is away, and against
+// calling such a request not run.
+func TestNoDispatchWithoutClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		agents := agentsOf(answers{"a": served("ran")})
+		b := newGatewayBench(t, agents, "a")
+		b.claims.err = rpc.ErrUnreachable
+		_, err := b.send(t.Context(), false, nil)
+		g.Expect(verdict.Of(err).Execution).To(Equal(verdict.MayHaveRun))
+		g.Expect(agents.calls).To(BeEmpty())
+		g.Expect(b.claims.asked).To(Equal(1))
+	})
+}
+
+// Guards against a resend that runs the work again or gets another answer
+// than the first.
+func TestKeptAnswerIsReplayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		agents := agentsOf(answers{"a": served("ran")})
+		b := newGatewayBench(t, agents, "a")
+		b.claims.result = &rpc.ClaimResult{
+			Refusal: &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan},
+			Done:    &state.ClaimDone{Status: http.StatusCreated, Answer: []byte("first"), AnswerKept: true},
+		}
+		got, err := b.send(t.Context(), false, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got.Code).To(Equal(http.StatusCreated))
+		g.Expect(got.Body.String()).To(Equal("first"))
+		g.Expect(agents.calls).To(BeEmpty())
+	})
+}
