entry: read at once for an operator who waits; name the busiest daemon

Cause: the run of 44 entries and 44 agents took two minutes to make its 60 changes, because the entry that makes a change read the log back every 2 s only. Change: while an entry waits for the place of an own change, its reads are not paced and take no tokens. The test of the pace now allows an operator's change 1 s instead of 3 s. The capacity run names the highest daemon.

--- a/cmd/lagoonvalve/capacity_test.go
+++ b/cmd/lagoonvalve/capacity_test.go
@@ -4,10 +4,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -127,12 +129,12 @@
 	}
 }
 
-func (c *capacityRun) report(what string, values []float64, limit float64) {
-	slices.Sort(values)
-	highest := values[len(values)-1]
-	c.t.Logf("%-40s median %.4g, highest %.4g, limit %.4g", what, values[len(values)/2], highest, limit)
-	if highest > limit {
-		c.t.Errorf("%s: %.4g exceeds %.4g", what, highest, limit)
+func (c *capacityRun) report(what string, values map[string]float64, limit float64) {
+	names := slices.SortedFunc(maps.Keys(values), func(a, b string) int { return cmp.Compare(values[a], values[b]) })
+	last := names[len(names)-1]
+	c.t.Logf("%-40s median %.4g, highest %.4g (%s), limit %.4g", what, values[names[len(names)/2]], values[last], last, limit)
+	if values[last] > limit {
+		c.t.Errorf("%s: %.4g at %s exceeds %.4g", what, values[last], last, limit)
 	}
 }
 
@@ -149,11 +151,12 @@
 // measurePropagation reports the time from the append of a change until all
 // entries answer with it.
 func (c *capacityRun) measurePropagation() {
-	var times []float64
+	times := make(map[string]float64)
 	for range 20 {
 		started := time.Now()
-		c.await("caller", c.create())
-		times = append(times, time.Since(started).Seconds())
+		name := c.create()
+		c.await("caller", name)
+		times[name] = time.Since(started).Seconds()
 	}
 	c.report("change in force at all entries, s", times, limitPropagation.Seconds())
 }
--- a/internal/entry/changes.go
+++ b/internal/entry/changes.go
@@ -36,6 +36,8 @@
 		return state.Outcome{}, changeTimedOut()
 	}
 	defer c.post(context.WithoutCancel(ctx), waiterRemoved{record: record.ID})
+	c.awaited.Add(1)
+	defer c.awaited.Add(-1)
 	if _, err := c.deps.appender.Append(ctx, platform.StreamConfig, record); errors.Is(err, platform.ErrUnavailable) {
 		return state.Outcome{}, appendVerdict(err)
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -80,7 +80,9 @@
 	region *state.RegionTables
 	// configRead is when the configuration was last read to its end, in Unix
 	// nanoseconds.
-	configRead  atomic.Int64
+	configRead atomic.Int64
+	// awaited counts the own changes that wait for their place in the log.
+	awaited     atomic.Int64
 	configReady bool
 	regionReady bool
 
--- a/internal/entry/readpace_test.go
+++ b/internal/entry/readpace_test.go
@@ -112,7 +112,7 @@
 		perSecond := float64(r.configReads()-before) / time.Since(start).Seconds()
 		t.Logf("slowest change in force in all %d entries after %v; an operator waited up to %v, an agent's registration up to %v; %.1f reads/s at the log",
 			entries, slowest, longestWait, longestRegistration, perSecond)
-		g.Expect(longestWait).To(BeNumerically("<", 3*time.Second))
+		g.Expect(longestWait).To(BeNumerically("<", time.Second), "an operator's change")
 		later, _ := r.members[0].control.view().region.Lease()
 		g.Expect(later.Epoch).To(Equal(held.Epoch), "the lease changed hands")
 		for _, m := range r.members {
--- a/internal/logclient/pace.go
+++ b/internal/logclient/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -15,11 +16,18 @@
 	PerSecond func() float64
 	// Burst is the size of the bucket; default 5.
 	Burst int
+	// Urgent reports whether somebody waits for a record of the stream. Reads
+	// are not paced then and take no tokens. Nil means never.
+	Urgent func() bool
 }
 
+// urgentPoll is the time between questions whether a read has become urgent.
+const urgentPoll = 20 * time.Millisecond
+
 // pacer applies a Pace to one tail.
 type pacer struct {
 	perSecond func() float64
+	urgent    func() bool
 	bucket    *rate.Limiter
 }
 
@@ -28,14 +36,28 @@
 		return pacer{}
 	}
 	setDefault(&p.Burst, 5)
-	return pacer{perSecond: p.PerSecond, bucket: rate.NewLimiter(rate.Limit(p.PerSecond()), p.Burst)}
+	if p.Urgent == nil {
+		p.Urgent = func() bool { return false }
+	}
+	return pacer{perSecond: p.PerSecond, urgent: p.Urgent, bucket: rate.NewLimiter(rate.Limit(p.PerSecond()), p.Burst)}
 }
 
-// wait takes a token and reports whether ctx lasted until there was one.
+// wait takes a token and reports whether ctx lasted until there was one or a
+// read became urgent.
 func (p pacer) wait(ctx context.Context) bool {
 	if p.bucket == nil {
 		return ctx.Err() == nil
 	}
 	p.bucket.SetLimit(rate.Limit(p.perSecond()))
-	return sleep(ctx, p.bucket.Reserve().Delay())
+	token := p.bucket.Reserve()
+	for end := time.Now().Add(token.Delay()); time.Now().Before(end); {
+		if p.urgent() {
+			token.Cancel()
+			return ctx.Err() == nil
+		}
+		if !sleep(ctx, min(urgentPoll, time.Until(end))) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
 }
