cmd: compile the capacity test again

Change: all values are kept by name. Measured: go vet ./cmd/... is clean; go test ./internal/entry -run ManyEntries passes.

--- a/cmd/lagoonvalve/capacity_test.go
+++ b/cmd/lagoonvalve/capacity_test.go
@@ -115,12 +115,12 @@
 	after := c.usages(names)
 	elapsed := time.Since(started)
 	for _, role := range []string{"entry-", "runner-"} {
-		var processor, traffic, memory []float64
+		processor, traffic, memory := make(map[string]float64), make(map[string]float64), make(map[string]float64)
 		for _, name := range names {
 			if strings.HasPrefix(name, role) {
-				processor = append(processor, (after[name].processor-before[name].processor).Seconds()/elapsed.Seconds())
-				traffic = append(traffic, (after[name].traffic-before[name].traffic)/elapsed.Seconds())
-				memory = append(memory, after[name].memory)
+				processor[name] = (after[name].processor - before[name].processor).Seconds() / elapsed.Seconds()
+				traffic[name] = (after[name].traffic - before[name].traffic) / elapsed.Seconds()
+				memory[name] = after[name].memory
 			}
 		}
 		c.report(role+" processor, share of a core", processor, limitProcessor)
