entry, membership: use the usual terms in names

Change: snapshotServer, deathReport, unreachableOwners. Measured: go test ./internal/entry ./internal/decide/membership passes.

--- a/internal/decide/membership/detector.go
+++ b/internal/decide/membership/detector.go
@@ -65,8 +65,8 @@
 	sent int
 	// seed marks an entry of the settings.
 	seed bool
-	// accusation is the word of another entry that this live one is dead.
-	accusation Update
+	// deathReport is the update by which another entry calls this live one dead.
+	deathReport Update
 	// differs says that the last message of the entry had another sum.
 	differs bool
 }
@@ -75,10 +75,10 @@
 // their time to refute is over.
 func (m *member) serving() bool { return m.Health == Live || m.Health == Suspect }
 
-// doubtful reports whether only an own probe can tell what the entry's state is.
-func (m *member) doubtful() bool { return m.Health == Unknown || m.accused() }
+// unconfirmed reports whether only an own probe can tell what the entry's state is.
+func (m *member) unconfirmed() bool { return m.Health == Unknown || m.reportedDead() }
 
-func (m *member) accused() bool { return m.accusation.Health == Dead }
+func (m *member) reportedDead() bool { return m.deathReport.Health == Dead }
 
 // probing is a probe without an answer.
 type probing struct {
@@ -143,7 +143,7 @@
 
 // set gives a member another update.
 func (d *Detector) set(m *member, u Update, now time.Time) {
-	m.Update, m.since, m.sent, m.accusation = u, now, 0, Update{}
+	m.Update, m.since, m.sent, m.deathReport = u, now, 0, Update{}
 	d.changed = true
 }
 
@@ -181,7 +181,7 @@
 // of since the own start.
 func (d *Detector) urgent() bool {
 	return slices.ContainsFunc(d.open, func(p probing) bool { return p.indirect }) ||
-		slices.ContainsFunc(d.members, func(m *member) bool { return m.Health == Suspect || m.doubtful() })
+		slices.ContainsFunc(d.members, func(m *member) bool { return m.Health == Suspect || m.unconfirmed() })
 }
 
 // excusePause keeps an own pause from counting as the silence of others.
@@ -263,7 +263,7 @@
 	return probes
 }
 
-// next returns the entry to probe: a doubtful one, otherwise the one at a distance in the list of live entries. The
+// next returns the entry to probe: a unconfirmed one, otherwise the one at a distance in the list of live entries. The
 // distance is drawn from the time, so that entries with like clocks and lists
 // probe each entry once per interval. With independent choices, an entry would
 // now and then be probed by nobody for seconds.
@@ -271,9 +271,9 @@
 	idle := func(name state.EntryName) bool {
 		return !slices.ContainsFunc(d.open, func(p probing) bool { return p.target == name })
 	}
-	doubtful := d.having(func(m *member) bool { return m.doubtful() && idle(m.Name) })
-	if len(doubtful) > 0 {
-		return doubtful[d.random.IntN(len(doubtful))], true
+	unconfirmed := d.having(func(m *member) bool { return m.unconfirmed() && idle(m.Name) })
+	if len(unconfirmed) > 0 {
+		return unconfirmed[d.random.IntN(len(unconfirmed))], true
 	}
 	live := d.Live()
 	own, _ := slices.BinarySearch(live, d.self.Name)
--- a/internal/decide/membership/gossip.go
+++ b/internal/decide/membership/gossip.go
@@ -100,7 +100,7 @@
 	if u.Health == Dead && m.Health == Live {
 		// After a partition each side calls the other dead. Only the entry's
 		// own silence counts then, so that no side loses its own entries.
-		m.accusation = u
+		m.deathReport = u
 		return
 	}
 	if u.Control == "" {
@@ -160,8 +160,8 @@
 	}
 	if m := d.member(to); m != nil && m.Health != Live && m.Incarnation != 0 {
 		message.Updates = append(message.Updates, m.encoded())
-	} else if m != nil && m.accused() {
-		message.Updates = append(message.Updates, m.accusation.encoded())
+	} else if m != nil && m.reportedDead() {
+		message.Updates = append(message.Updates, m.deathReport.encoded())
 	}
 	var pending []*member
 	for _, m := range d.members {
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -30,8 +30,8 @@
 	local   *claimShards
 	caller  rpc.Caller
 	// running ends with the process.
-	running context.Context
-	gone    goneOwners
+	running     context.Context
+	unreachable unreachableOwners
 }
 
 func (r *claimRouter) self() state.ProcessID { return r.process }
@@ -93,14 +93,14 @@
 func (r *claimRouter) claim(ctx context.Context, params rpc.ClaimParams) (rpc.ClaimResult, error) {
 	shard := claims.ShardOf(params.Claim.Caller, params.Claim.Key)
 	last := errors.New("no owner of the claim's shard is known")
-	for _, address := range r.gone.last(r.owners(shard), time.Now()) {
+	for _, address := range r.unreachable.last(r.owners(shard), time.Now()) {
 		if address == "" {
 			return r.local.ask(ctx, params)
 		}
 		var result rpc.ClaimResult
 		err := r.caller.Call(ctx, address, rpc.MethodClaim, params, &result)
 		// The end of the own wait says nothing about the owner.
-		r.gone.note(address, errors.Is(err, rpc.ErrUnreachable) && ctx.Err() == nil, time.Now())
+		r.unreachable.note(address, errors.Is(err, rpc.ErrUnreachable) && ctx.Err() == nil, time.Now())
 		if err == nil || !ownerGone(err) || ctx.Err() != nil {
 			return result, err
 		}
@@ -115,20 +115,20 @@
 	return errors.Is(err, rpc.ErrUnreachable) || errors.Is(err, rpc.ErrConnectionLost)
 }
 
-// goneFor is how long an owner that can't be reached is asked after the others.
+// unreachableFor is how long an owner that can't be reached is asked after the others.
 // On a path that is cut silently each attempt takes the second of a connection's
 // set-up, and the two owners of a region use up claimWait.
-const goneFor = 10 * time.Second
+const unreachableFor = 10 * time.Second
 
-// goneOwners remembers the owners that could not be reached. Any owner may be
+// unreachableOwners remembers the owners that could not be reached. Any owner may be
 // asked for a claim, since log order decides between them.
-type goneOwners struct {
+type unreachableOwners struct {
 	mu    sync.Mutex
 	since map[string]time.Time
 }
 
 // note remembers whether the owner at an address could not be reached.
-func (o *goneOwners) note(address string, gone bool, now time.Time) {
+func (o *unreachableOwners) note(address string, gone bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !gone {
@@ -139,13 +139,13 @@
 		o.since = make(map[string]time.Time)
 	}
 	// Addresses of entries that were replaced are not asked any more.
-	maps.DeleteFunc(o.since, func(_ string, since time.Time) bool { return now.Sub(since) > 2*goneFor })
+	maps.DeleteFunc(o.since, func(_ string, since time.Time) bool { return now.Sub(since) > 2*unreachableFor })
 	o.since[address] = now
 }
 
 // last moves the owners that could not be reached behind the others. One
-// request per goneFor tries such an owner in its place.
-func (o *goneOwners) last(addresses []string, now time.Time) []string {
+// request per unreachableFor tries such an owner in its place.
+func (o *unreachableOwners) last(addresses []string, now time.Time) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.since) == 0 {
@@ -154,7 +154,7 @@
 	var gone []string
 	reached := slices.DeleteFunc(addresses, func(address string) bool {
 		since, noted := o.since[address]
-		if noted && now.Sub(since) >= goneFor {
+		if noted && now.Sub(since) >= unreachableFor {
 			o.since[address] = now
 			return false
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,22 +68,22 @@
 // Entry is a running entry.
 type Entry struct {
 	// cfg holds the settings of the start; settings those of the last reload.
-	cfg      settings.Entry
-	settings atomic.Pointer[settings.Entry]
-	deps     Deps
-	meter    Meter
-	caller   rpc.Caller
-	control  *control
-	gateway  *gateway
-	shards   *claimShards
-	writer   *logclient.Writer
-	relay    *logclient.Relay
-	router   *claimRouter
-	giver    *snapshotGiver
-	ledger   *ledger
-	history  *history
-	trail    *audit.Trail
-	reports  *audit.Reporter
+	cfg       settings.Entry
+	settings  atomic.Pointer[settings.Entry]
+	deps      Deps
+	meter     Meter
+	caller    rpc.Caller
+	control   *control
+	gateway   *gateway
+	shards    *claimShards
+	writer    *logclient.Writer
+	relay     *logclient.Relay
+	router    *claimRouter
+	snapshots *snapshotServer
+	ledger    *ledger
+	history   *history
+	trail     *audit.Trail
+	reports   *audit.Reporter
 }
 
 // New returns an entry. It does nothing before Run.
@@ -102,7 +102,7 @@
 		caller: deps.Caller, appender: e.writer, logger: deps.Logger, counters: deps.Meter,
 		quarantine: e.quarantineAutomatically, decided: e.trail.Automatic,
 	}, time.Now())
-	e.giver = &snapshotGiver{control: e.control}
+	e.snapshots = &snapshotServer{control: e.control}
 	e.shards = newClaimShards(self, deps.Log, e.writer, deps.Caller, e.agentAddress, deps.Logger)
 	e.shards.meter = deps.Meter
 	e.ledger = newLedger(time.Now())
--- a/internal/entry/methods.go
+++ b/internal/entry/methods.go
@@ -25,7 +25,7 @@
 		rpc.MethodPart:      rpc.Method(e.control.part),
 		rpc.MethodStoreSlot: rpc.Method(e.storeSlot),
 		rpc.MethodQuery:     rpc.Method(e.query),
-		rpc.MethodSnapshot:  rpc.Method(e.giver.part),
+		rpc.MethodSnapshot:  rpc.Method(e.snapshots.part),
 		rpc.MethodCrash:     rpc.Method(e.crash),
 	}
 	maps.Copy(all, e.relay.Methods())
--- a/internal/entry/peersnapshots.go
+++ b/internal/entry/peersnapshots.go
@@ -12,21 +12,21 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// givenFor is how long a snapshot is kept for those that fetch its parts after
+// servedFor is how long a snapshot is kept for those that fetch its parts after
 // the last of them has asked.
-const givenFor = 30 * time.Second
+const servedFor = 30 * time.Second
 
-// snapshotGiver gives other entries snapshots of the own tables. It keeps one
+// snapshotServer serves snapshots of the own tables to other entries. It keeps one
 // for each stream, so that many that ask at once cost one encoding.
-type snapshotGiver struct {
+type snapshotServer struct {
 	control *control
 
 	mu   sync.Mutex
-	kept map[platform.Stream]*givenSnapshot
+	kept map[platform.Stream]*servedSnapshot
 }
 
-// givenSnapshot is a snapshot that others fetch.
-type givenSnapshot struct {
+// servedSnapshot is a snapshot that others fetch.
+type servedSnapshot struct {
 	covered state.Offset
 	sum     uint64
 	data    []byte
@@ -39,28 +39,28 @@
 }
 
 // part answers another entry with a part of a snapshot.
-func (s *snapshotGiver) part(ctx context.Context, p rpc.SnapshotParams) (rpc.SnapshotResult, error) {
+func (s *snapshotServer) part(ctx context.Context, p rpc.SnapshotParams) (rpc.SnapshotResult, error) {
 	if p.Stream != platform.StreamConfig && p.Stream != platform.RegionStream(s.control.cfg.region) {
 		return rpc.SnapshotResult{}, verdict.Refuse(verdict.ReasonNotFound, "this entry does not follow the stream")
 	}
-	given := s.find(p)
-	if given == nil && p.Sum == 0 {
+	snapshot := s.find(p)
+	if snapshot == nil && p.Sum == 0 {
 		var err error
-		if given, err = s.encode(ctx, p); err != nil {
+		if snapshot, err = s.encode(ctx, p); err != nil {
 			return rpc.SnapshotResult{}, err
 		}
 	}
-	if given == nil {
+	if snapshot == nil {
 		return rpc.SnapshotResult{}, verdict.Refuse(verdict.ReasonNotFound, "no such snapshot")
 	}
 	result := rpc.SnapshotResult{
-		Covered: given.covered, Sum: given.sum, Size: len(given.data), Parts: snapshotParts(len(given.data)),
+		Covered: snapshot.covered, Sum: snapshot.sum, Size: len(snapshot.data), Parts: snapshotParts(len(snapshot.data)),
 	}
 	if p.Part < 0 || p.Part >= result.Parts {
 		return rpc.SnapshotResult{}, verdict.Refuse(verdict.ReasonBadRequest, "no such part of the snapshot")
 	}
 	first := p.Part * rpc.SnapshotPartSize
-	result.Data = given.data[first:min(first+rpc.SnapshotPartSize, len(given.data))]
+	result.Data = snapshot.data[first:min(first+rpc.SnapshotPartSize, len(snapshot.data))]
 	return result, nil
 }
 
@@ -70,50 +70,50 @@
 }
 
 // find returns the kept snapshot that p asks for.
-func (s *snapshotGiver) find(p rpc.SnapshotParams) *givenSnapshot {
+func (s *snapshotServer) find(p rpc.SnapshotParams) *servedSnapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	given := s.kept[p.Stream]
-	if given == nil || given.covered < p.AtLeast || (p.Sum != 0 && p.Sum != given.sum) {
+	snapshot := s.kept[p.Stream]
+	if snapshot == nil || snapshot.covered < p.AtLeast || (p.Sum != 0 && p.Sum != snapshot.sum) {
 		return nil
 	}
-	given.expires.Reset(givenFor)
-	return given
+	snapshot.expires.Reset(servedFor)
+	return snapshot
 }
 
 // encode makes the snapshot that later questions are answered from. Tables
 // that do not reach far enough are not encoded.
-func (s *snapshotGiver) encode(ctx context.Context, p rpc.SnapshotParams) (*givenSnapshot, error) {
-	given, err := exchangeEvent(ctx, s.control, func(reply chan *givenSnapshot) event {
+func (s *snapshotServer) encode(ctx context.Context, p rpc.SnapshotParams) (*servedSnapshot, error) {
+	snapshot, err := exchangeEvent(ctx, s.control, func(reply chan *servedSnapshot) event {
 		return snapshotAsked{stream: p.Stream, atLeast: p.AtLeast, reply: reply}
 	})
 	if err != nil {
 		return nil, err
 	}
-	if given == nil {
+	if snapshot == nil {
 		return nil, verdict.Refuse(verdict.ReasonNotFound, "the tables of this entry do not reach that offset")
 	}
-	if snapshotParts(len(given.data)) > rpc.MaxSnapshotParts {
+	if snapshotParts(len(snapshot.data)) > rpc.MaxSnapshotParts {
 		return nil, verdict.Refuse(verdict.ReasonNotFound, "the tables of this entry are too large")
 	}
-	given.sum = snapshotSum(p.Stream, given.covered, given.data)
+	snapshot.sum = snapshotSum(p.Stream, snapshot.covered, snapshot.data)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old := s.kept[p.Stream]; old != nil {
 		old.expires.Stop()
 	}
-	given.expires = time.AfterFunc(givenFor, func() { s.forget(p.Stream, given) })
+	snapshot.expires = time.AfterFunc(servedFor, func() { s.forget(p.Stream, snapshot) })
 	if s.kept == nil {
-		s.kept = make(map[platform.Stream]*givenSnapshot)
+		s.kept = make(map[platform.Stream]*servedSnapshot)
 	}
-	s.kept[p.Stream] = given
-	return given, nil
+	s.kept[p.Stream] = snapshot
+	return snapshot, nil
 }
 
-func (s *snapshotGiver) forget(stream platform.Stream, given *givenSnapshot) {
+func (s *snapshotServer) forget(stream platform.Stream, snapshot *servedSnapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.kept[stream] == given {
+	if s.kept[stream] == snapshot {
 		delete(s.kept, stream)
 	}
 }
@@ -123,7 +123,7 @@
 type snapshotAsked struct {
 	stream  platform.Stream
 	atLeast state.Offset
-	reply   chan *givenSnapshot
+	reply   chan *servedSnapshot
 }
 
 func (e snapshotAsked) apply(c *control, _ time.Time) {
@@ -133,5 +133,5 @@
 		return
 	}
 	data, covered := t.Snapshot()
-	e.reply <- &givenSnapshot{covered: covered, data: data}
+	e.reply <- &servedSnapshot{covered: covered, data: data}
 }
--- a/internal/entry/recovery_test.go
+++ b/internal/entry/recovery_test.go
@@ -39,9 +39,9 @@
 	return c
 }
 
-// giverOf serves snapshots of a configuration.
-func giverOf(t *testing.T, c *state.Config) (rpc.MethodFunc, func(context.Context, rpc.SnapshotParams) (rpc.SnapshotResult, error)) {
-	serving := newControl(controlConfig{name: "giver", region: "r"},
+// snapshotsOf serves snapshots of a configuration.
+func snapshotsOf(t *testing.T, c *state.Config) (rpc.MethodFunc, func(context.Context, rpc.SnapshotParams) (rpc.SnapshotResult, error)) {
+	serving := newControl(controlConfig{name: "server", region: "r"},
 		controlDeps{logger: slog.New(slog.DiscardHandler), counters: noCounters{}}, time.Now())
 	serving.config = c
 	go func() {
@@ -54,8 +54,8 @@
 			}
 		}
 	}()
-	giver := &snapshotGiver{control: serving}
-	return rpc.Method(giver.part), giver.part
+	server := &snapshotServer{control: serving}
+	return rpc.Method(server.part), server.part
 }
 
 // Guards against a snapshot of another entry that is cut, mixed, damaged, not
@@ -93,7 +93,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			network := newFakeNetwork()
-			_, honest := giverOf(t, longConfig(g, tc.covered))
+			_, honest := snapshotsOf(t, longConfig(g, tc.covered))
 			network.serve("b", map[string]rpc.MethodFunc{rpc.MethodSnapshot: rpc.Method(
 				func(ctx context.Context, p rpc.SnapshotParams) (rpc.SnapshotResult, error) {
 					asked := p
@@ -146,7 +146,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		tables := longConfig(g, 4000)
-		_, part := giverOf(t, tables)
+		_, part := snapshotsOf(t, tables)
 		ask := func(p rpc.SnapshotParams) state.Offset {
 			p.Stream = platform.StreamConfig
 			result, err := part(t.Context(), p)
@@ -159,11 +159,11 @@
 		g.Expect(ask(rpc.SnapshotParams{AtLeast: 4001})).To(Equal(state.NoOffset))
 		g.Expect(ask(rpc.SnapshotParams{})).To(Equal(state.Offset(4000)))
 		tables.Apply(state.Positioned{Offset: 4100})
-		time.Sleep(givenFor - time.Second)
+		time.Sleep(servedFor - time.Second)
 		g.Expect(ask(rpc.SnapshotParams{AtLeast: 4000})).To(Equal(state.Offset(4000)))
-		time.Sleep(givenFor - time.Second)
+		time.Sleep(servedFor - time.Second)
 		g.Expect(ask(rpc.SnapshotParams{Part: 1, Sum: sum})).To(Equal(state.Offset(4000)))
-		time.Sleep(givenFor + time.Second)
+		time.Sleep(servedFor + time.Second)
 		g.Expect(ask(rpc.SnapshotParams{Part: 1, Sum: sum})).To(Equal(state.NoOffset), "forgotten")
 		g.Expect(ask(rpc.SnapshotParams{})).To(Equal(state.Offset(4100)))
 		tables.Apply(state.Positioned{Offset: 4200})
@@ -176,8 +176,8 @@
 func first(data []byte, _ state.Offset) []byte { return data }
 
 // snapshotNow returns the tables of the configuration.
-func (c *control) snapshotNow() chan *givenSnapshot {
-	reply := make(chan *givenSnapshot, 1)
+func (c *control) snapshotNow() chan *servedSnapshot {
+	reply := make(chan *servedSnapshot, 1)
 	c.post(context.Background(), snapshotAsked{stream: platform.StreamConfig, reply: reply})
 	return reply
 }
@@ -232,7 +232,7 @@
 		g.Expect(ok).To(BeTrue())
 		_, ok = remote.control.view().region.Agent("u0")
 		g.Expect(ok).To(BeFalse(), "another region's agent")
-		_, err := remote.giver.part(t.Context(), rpc.SnapshotParams{Stream: platform.RegionStream("r")})
+		_, err := remote.snapshots.part(t.Context(), rpc.SnapshotParams{Stream: platform.RegionStream("r")})
 		g.Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonNotFound), "a stream that it does not follow")
 		_, err = remote.control.changeConfig(t.Context(), teamChange("after"))
 		g.Expect(err).NotTo(HaveOccurred())
