roles: give the test of a reloaded stop timeout more time

Change: the start's stop timeout is a minute and waits are bounded by 20 s, so the check tells the two apart as before. Measured: go test ./internal/roles -run 'Shared|Asks|Interval' -count=2 passes; without the reload at the entry it fails.

--- a/internal/roles/shared_test.go
+++ b/internal/roles/shared_test.go
@@ -21,7 +21,11 @@
 
 // settingsTimeout bounds waits on loopback connections; passing runs need
 // milliseconds.
-const settingsTimeout = 5 * time.Second
+const settingsTimeout = 20 * time.Second
+
+// firstStop is the stop timeout of a start that a reload must replace, longer
+// than any wait of a passing run.
+const firstStop = state.Duration(time.Minute)
 
 // commonSettings are those of a process with free addresses.
 func commonSettings(t *testing.T, common settings.Common) settings.Common {
@@ -32,7 +36,7 @@
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		*address = free
 	}
-	common.Shutdown.DrainTimeout = 0
+	common.Shutdown.DrainTimeout, common.Shutdown.StopTimeout = 0, firstStop
 	return common
 }
 
@@ -129,9 +133,9 @@
 			g.Eventually(log.String).WithTimeout(settingsTimeout).Should(ContainSubstring("settings reloaded"))
 			ended := stop()
 			g.Eventually(pushes).WithTimeout(settingsTimeout).Should(Receive(Equal("/pushed/here")))
-			// With the timeout of the start, 5 s, the push that hangs holds
-			// the process longer than this.
-			g.Eventually(ended).WithTimeout(settingsTimeout / 2).Should(Receive(BeNil()))
+			// With the timeout of the start the push that hangs holds the
+			// process longer than this.
+			g.Eventually(ended).WithTimeout(settingsTimeout).Should(Receive(BeNil()))
 		})
 	}
 }
