agent: use the table of claims that the schedules prove

Cause: the agent had a table of its own beside claims.Seen, so the schedules of at-most-once never ran the shipped code. Found by the review of the claims. Change: the agent uses claims.Seen, which forgets an id once it is too old to be started (30 min) and now also keeps unknown and refused ends. The tests' claim ids have times of their bubbles, since an id from 24 years ahead is refused. Measured: go test ./internal/agent -run ForgetsOld fails before (the fourth claim of three is refused for good) and passes after; go test ./internal/agent ./internal/decide/claims ./internal/entry passes.

--- a/internal/agent/claimed_test.go
+++ b/internal/agent/claimed_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/google/uuid"
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/agent"
@@ -55,7 +57,7 @@
 		w.Expect(w.claimStatus(claimID, "first").State).To(Equal(rpc.ClaimRefused))
 		claimed := []string{agent.HeaderClaim, claimID, agent.HeaderAgent, "1"}
 		w.Expect(w.request(anyone, claimed...).verdict()).To(Equal("not-run"))
-		const other = "0190a0a0-0000-7000-8000-000000000002"
+		const other = "00dc6acf-ac00-7000-8000-000000000002"
 		stale := w.request(anyone, agent.HeaderClaim, other, agent.HeaderAgent, "0")
 		w.Expect(stale.verdict()).To(Equal("not-run"))
 		w.Expect(w.request(anyone, agent.HeaderClaim, other, agent.HeaderAgent, "1").verdict()).To(Equal("not-run"))
@@ -78,3 +80,23 @@
 		w.Expect(w.request(anyone).body).To(Equal("answer"), "what is loaded is served")
 	})
 }
+
+// Guards against an agent that refuses claims for good once it has seen as many
+// as it can remember.
+func TestAgentForgetsOldClaims(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.cfg.MaxClaims = 3
+		w.awake()
+		claimed := func() string {
+			id := uuid.Must(uuid.NewV7()).String()
+			return w.request(anyone, agent.HeaderClaim, id, agent.HeaderAgent, "1").verdict()
+		}
+		for range 3 {
+			w.Expect(claimed()).To(Equal("ran"))
+		}
+		w.Expect(claimed()).To(Equal("not-run"))
+		settle(40 * time.Minute)
+		w.wake()
+		w.Expect(claimed()).To(Equal("ran"))
+	})
+}
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -2,86 +2,73 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
 
+	decide "github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// maxClaimAnswer bounds the answers that are kept for a resend.
-const maxClaimAnswer = 4 * state.KiB
-
-// claims remembers the claims that this incarnation has seen. An entry is
-// never forgotten: a forgotten claim could be started a second time or be
-// reported as never run. At the bound no unseen claim is started any more, so
-// that "unseen" still means "never ran and never will".
+// claims remembers the claims that this incarnation has seen, for the time in
+// which one may still be started. At the bound no unseen claim is started any
+// more until older ones are forgotten.
 type claims struct {
-	max int
+	incarnation string
+	max         int
 
 	mu   sync.Mutex
-	seen map[uuid.UUID]*claimEntry
-}
-
-type claimEntry struct {
-	state rpc.ClaimState
-	done  *state.ClaimDone
+	seen *decide.Seen
 }
 
-func newClaims(maxClaims int) *claims {
-	return &claims{max: maxClaims, seen: make(map[uuid.UUID]*claimEntry)}
+func newClaims(incarnation string, maxClaims int) *claims {
+	return &claims{
+		incarnation: incarnation, max: maxClaims,
+		seen: decide.NewSeen(incarnation, decide.DefaultSettings()),
+	}
 }
 
 // begin marks a claim as running. If it was seen before, it returns what is
 // known of it; if it can't be run, a refusal.
-func (c *claims) begin(id uuid.UUID) (*claimEntry, *verdict.Verdict) {
+func (c *claims) begin(id uuid.UUID) (*rpc.ClaimStatusResult, *verdict.Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if entry, ok := c.seen[id]; ok {
-		known := *entry
+	now := time.Now()
+	if known, ok := c.seen.Known(id.String(), now); ok {
 		return &known, nil
 	}
-	if len(c.seen) >= c.max {
+	if c.seen.Len() >= c.max {
 		return nil, verdict.Refuse(verdict.ReasonNoCapacity, "the agent remembers as many claims as it can")
 	}
-	c.seen[id] = &claimEntry{state: rpc.ClaimRunning}
-	return nil, nil
+	return nil, c.seen.Start(id.String(), c.incarnation, now)
 }
 
 // end records how a running claim ended.
 func (c *claims) end(id uuid.UUID, final rpc.ClaimState, done *state.ClaimDone) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if entry, ok := c.seen[id]; ok {
-		entry.state, entry.done = final, done
-	}
+	c.seen.End(id.String(), final, done, time.Now())
 }
 
 // refuse marks a claim as refused for good unless it was seen before.
 func (c *claims) refuse(id uuid.UUID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.seen[id]; !ok && len(c.seen) < c.max {
-		c.seen[id] = &claimEntry{state: rpc.ClaimRefused}
-	}
+	c.seen.NotStarted(id.String(), time.Now())
 }
 
 // status reports a claim. One that was not seen is refused from now on.
-func (c *claims) status(id uuid.UUID) rpc.ClaimStatusResult {
-	c.refuse(id)
+func (c *claims) status(p rpc.ClaimStatusParams) rpc.ClaimStatusResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	entry, ok := c.seen[id]
-	if !ok {
-		return rpc.ClaimStatusResult{State: rpc.ClaimRefused}
-	}
-	return rpc.ClaimStatusResult{State: entry.state, Done: entry.done}
+	return c.seen.Status(p, time.Now())
 }
 
-// refusal is the answer to a request whose claim was seen before.
-func (e *claimEntry) refusal() *verdict.Verdict {
-	switch e.state {
+// seenVerdict is the answer to a request whose claim was seen before.
+func seenVerdict(s rpc.ClaimState) *verdict.Verdict {
+	switch s {
 	case rpc.ClaimRunning:
 		return verdict.Unknown(verdict.ReasonClaimInProgress, "the claim is in progress")
 	case rpc.ClaimRefused:
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -184,7 +184,7 @@
 	return func() { close(gate) }
 }
 
-const claimID = "0190a0a0-0000-7000-8000-000000000001"
+const claimID = "00dc6acf-ac00-7000-8000-000000000001"
 
 var anyone = context.Background()
 
--- a/internal/agent/methods.go
+++ b/internal/agent/methods.go
@@ -120,10 +120,8 @@
 	if err != nil {
 		return rpc.ClaimStatusResult{}, verdict.Refuse(verdict.ReasonBadRequest, "the claim is no UUID")
 	}
-	if p.AgentIncarnation != c.agent.process.Incarnation {
-		return rpc.ClaimStatusResult{State: rpc.ClaimUnknown}, nil
-	}
-	return c.agent.claims.status(id), nil
+	p.Claim = id.String()
+	return c.agent.claims.status(p), nil
 }
 
 // drain stops or resumes new work. Work that is queued or running goes on.
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	decide "github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/sse"
@@ -262,7 +263,7 @@
 	buf := copyBuffers.Get().(*[copyBuffer]byte)
 	defer copyBuffers.Put(buf)
 	control := http.NewResponseController(w)
-	kept := keptAnswer{limit: int(maxClaimAnswer)}
+	kept := keptAnswer{limit: int(decide.MaxKeptAnswer)}
 	var end sse.EndMark
 	for {
 		n, err := resp.Body.Read(buf[:])
@@ -342,7 +343,7 @@
 		a.claims.end(c.claim, rpc.ClaimUnknown, nil)
 	default:
 		done := &state.ClaimDone{Claim: c.claim.String(), Status: status, ContentType: contentType}
-		if answer != nil && len(answer) <= int(maxClaimAnswer) {
+		if answer != nil && len(answer) <= int(decide.MaxKeptAnswer) {
 			done.Answer, done.AnswerKept = answer, true
 		}
 		a.claims.end(c.claim, rpc.ClaimRan, done)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -85,7 +85,7 @@
 		service:   cfg.Upstream.Kind == state.PlainService,
 		services:  make(map[state.ServiceName]bool),
 		transport: deps.Transport,
-		claims:    newClaims(cfg.MaxClaims),
+		claims:    newClaims(cfg.Incarnation, cfg.MaxClaims),
 		leaving:   make(chan leaveReason, 1),
 		changed:   make(chan struct{}, 1),
 		gaps:      make(chan requestGap, gapBacklog),
--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -187,21 +187,21 @@
 }
 
 // answerSeen answers a request whose claim was seen before.
-func (a *Agent) answerSeen(w http.ResponseWriter, seen *claimEntry) {
-	v := seen.refusal()
-	if seen.state != rpc.ClaimRan || seen.done == nil || !seen.done.AnswerKept {
+func (a *Agent) answerSeen(w http.ResponseWriter, seen *rpc.ClaimStatusResult) {
+	v := seenVerdict(seen.State)
+	if seen.State != rpc.ClaimRan || seen.Done == nil || !seen.Done.AnswerKept {
 		a.refuse(w, v)
 		return
 	}
 	h := w.Header()
 	a.setLoad(h)
 	v.SetHeaders(h)
-	if seen.done.ContentType != "" {
-		h.Set("Content-Type", seen.done.ContentType)
+	if seen.Done.ContentType != "" {
+		h.Set("Content-Type", seen.Done.ContentType)
 	}
-	w.WriteHeader(seen.done.Status)
+	w.WriteHeader(seen.Done.Status)
 	// A write error has no recipient but the entry that left.
-	_, _ = w.Write(seen.done.Answer)
+	_, _ = w.Write(seen.Done.Answer)
 }
 
 // setLoad reports the load to the entry.
--- a/internal/decide/claims/seen.go
+++ b/internal/decide/claims/seen.go
@@ -108,6 +108,8 @@
 		return verdict.Refuse(verdict.ReasonClaimUnknown, "the claim was given up")
 	case rpc.ClaimRan:
 		return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan}
+	case rpc.ClaimUnknown:
+		return verdict.Unknown(verdict.ReasonClaimUnknown, "the outcome of the claim's run is not known")
 	}
 	return verdict.Unknown(verdict.ReasonClaimInProgress, "the claim is running")
 }
@@ -134,13 +136,32 @@
 
 // Finish notes the outcome of started work.
 func (s *Seen) Finish(done state.ClaimDone, now time.Time) {
+	s.End(done.Claim, rpc.ClaimRan, &done, now)
+}
+
+// End notes how started work ended: it ran, was refused for good before it
+// ran, or may have run. The done is nil unless the work ran.
+func (s *Seen) End(claim string, final rpc.ClaimState, done *state.ClaimDone, now time.Time) {
 	s.advance(now)
-	c, ok := s.claims[done.Claim]
+	c, ok := s.claims[claim]
 	if !ok || c.state != rpc.ClaimRunning {
 		return
 	}
-	kept := Keep(done)
-	c.state, c.done = rpc.ClaimRan, &kept
+	c.state = final
+	if done != nil {
+		kept := Keep(*done)
+		c.done = &kept
+	}
+}
+
+// Known returns what is known of a claim that was seen before.
+func (s *Seen) Known(claim string, now time.Time) (rpc.ClaimStatusResult, bool) {
+	s.advance(now)
+	c, ok := s.claims[claim]
+	if !ok {
+		return rpc.ClaimStatusResult{}, false
+	}
+	return rpc.ClaimStatusResult{State: c.state, Done: c.done}, true
 }
 
 // Status answers a question about a claim and refuses it from then on if it
