agent: make the ids of a test from the time of its bubble

Cause: uuid.NewV7 never goes back in time within a process, so in the second run of -count=2 the ids were 40 min ahead of the bubble's clock and refused. Change: the test builds its ids from the time.

--- a/internal/agent/claimed_test.go
+++ b/internal/agent/claimed_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"encoding/binary"
 	"net/http"
 	"testing"
 	"time"
@@ -87,9 +88,14 @@
 	inBubble(t, func(w *world) {
 		w.cfg.MaxClaims = 3
 		w.awake()
+		// Not uuid.NewV7, which never goes back to an earlier time, as the
+		// bubble of the next run does.
+		var id uuid.UUID
 		claimed := func() string {
-			id := uuid.Must(uuid.NewV7()).String()
-			return w.request(anyone, agent.HeaderClaim, id, agent.HeaderAgent, "1").verdict()
+			binary.BigEndian.PutUint64(id[:8], uint64(time.Now().UnixMilli())<<16|0x7000)
+			id[8] = 0x80
+			id[15]++
+			return w.request(anyone, agent.HeaderClaim, id.String(), agent.HeaderAgent, "1").verdict()
 		}
 		for range 3 {
 			w.Expect(claimed()).To(Equal("ran"))
