claims, agent: one verdict for a claim that was seen before

Cause: claims.Seen and the agent each had a switch that turns the state of a claim into a verdict, and Seen.Finish had no user but tests. Change: both call claims.SeenVerdict, which is the agent's; tests call Seen.End, as the agent does. No assertion is changed.

--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -65,17 +65,3 @@
 	defer c.mu.Unlock()
 	return c.seen.Status(p, time.Now())
 }
-
-// seenVerdict is the answer to a request whose claim was seen before.
-func seenVerdict(s rpc.ClaimState) *verdict.Verdict {
-	switch s {
-	case rpc.ClaimRunning:
-		return verdict.Unknown(verdict.ReasonClaimInProgress, "the claim is in progress")
-	case rpc.ClaimRefused:
-		return verdict.Refuse(verdict.ReasonConflict, "the claim was refused before")
-	case rpc.ClaimRan:
-		return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan, Detail: "the claim ran before"}
-	default:
-		return verdict.Unknown(verdict.ReasonClaimUnknown, "the outcome of the claim's run is not known")
-	}
-}
--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	decide "github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -188,7 +189,7 @@
 
 // answerSeen answers a request whose claim was seen before.
 func (a *Agent) answerSeen(w http.ResponseWriter, seen *rpc.ClaimStatusResult) {
-	v := seenVerdict(seen.State)
+	v := decide.SeenVerdict(seen.State)
 	if seen.State != rpc.ClaimRan || seen.Done == nil || !seen.Done.AnswerKept {
 		a.refuse(w, v)
 		return
--- a/internal/decide/claims/owner_test.go
+++ b/internal/decide/claims/owner_test.go
@@ -72,7 +72,7 @@
 		id := key(epoch, i)
 		g.Expect(s.Start(id, "1", epoch)).To(BeNil())
 		g.Expect(s.Start(id, "1", epoch).Execution).To(Equal(verdict.MayHaveRun))
-		s.Finish(state.ClaimDone{Claim: id, Answer: make([]byte, 5000), AnswerKept: true}, epoch)
+		s.End(id, rpc.ClaimRan, &state.ClaimDone{Claim: id, Answer: make([]byte, 5000), AnswerKept: true}, epoch)
 	}
 	status := s.Status(rpc.ClaimStatusParams{Claim: key(epoch, 1), AgentIncarnation: "1"}, epoch)
 	g.Expect(status.State).To(Equal(rpc.ClaimRan))
--- a/internal/decide/claims/seen.go
+++ b/internal/decide/claims/seen.go
@@ -83,7 +83,7 @@
 		return verdict.Refuse(verdict.ReasonBadRequest, "the claim's id is not a UUIDv7")
 	}
 	if c, ok := s.claims[claim]; ok {
-		return c.again()
+		return SeenVerdict(c.state)
 	}
 	made := keyTime(id)
 	if s.expired(made) {
@@ -99,19 +99,20 @@
 	return nil
 }
 
-// again is the verdict for a further dispatch of a claim.
-func (c *seen) again() *verdict.Verdict {
-	switch c.state {
+// SeenVerdict is the answer to a further dispatch of a claim in a state.
+func SeenVerdict(seen rpc.ClaimState) *verdict.Verdict {
+	switch seen {
+	case rpc.ClaimRunning:
+		return verdict.Unknown(verdict.ReasonClaimInProgress, "the claim is in progress")
 	case rpc.ClaimRefused:
 		// The claim was refused before any start, and the entry keeps it
 		// from being started until it is too old to be.
-		return verdict.Refuse(verdict.ReasonClaimUnknown, "the claim was given up")
+		return verdict.Refuse(verdict.ReasonConflict, "the claim was refused before")
 	case rpc.ClaimRan:
-		return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan}
-	case rpc.ClaimUnknown:
+		return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan, Detail: "the claim ran before"}
+	default:
 		return verdict.Unknown(verdict.ReasonClaimUnknown, "the outcome of the claim's run is not known")
 	}
-	return verdict.Unknown(verdict.ReasonClaimInProgress, "the claim is running")
 }
 
 // NotStarted notes that work was refused before its start, for good. It
@@ -134,11 +135,6 @@
 	return true
 }
 
-// Finish notes the outcome of started work.
-func (s *Seen) Finish(done state.ClaimDone, now time.Time) {
-	s.End(done.Claim, rpc.ClaimRan, &done, now)
-}
-
 // End notes how started work ended: it ran, was refused for good before it
 // ran, or may have run. The done is nil unless the work ran.
 func (s *Seen) End(claim string, final rpc.ClaimState, done *state.ClaimDone, now time.Time) {
--- a/internal/decide/claims/steps_test.go
+++ b/internal/decide/claims/steps_test.go
@@ -92,7 +92,7 @@
 	s := w.running[i]
 	w.running = append(w.running[:i], w.running[i+1:]...)
 	done := state.ClaimDone{Claim: s.claimID, Status: 200, Answer: []byte(s.claim.Key), AnswerKept: true}
-	w.agents[s.claim.Upstream].Finish(done, w.now)
+	w.agents[s.claim.Upstream].End(done.Claim, rpc.ClaimRan, &done, w.now)
 	if rapid.Bool().Draw(t, "entry reports") {
 		o := w.owners[w.pick(2, "owner")]
 		w.do(o, o.Outcome(rpc.ClaimOutcomeParams{Key: s.claim.Key, Done: &done}, s.claim.Entry, w.now))
--- a/internal/entry/claimworld_test.go
+++ b/internal/entry/claimworld_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
@@ -166,7 +167,7 @@
 
 // pause keeps the entry's claim owners from doing anything for d.
 func (e *claimsEntry) pause(d time.Duration) {
-	e.router.local.post(e.world.t.Context(), func(ctx context.Context, _ time.Time) { sleep(ctx, d) })
+	e.router.local.post(e.world.t.Context(), func(ctx context.Context, _ time.Time) { ctxtime.Sleep(ctx, d) })
 }
 
 // start begins a run of the entry that takes ring for the live entries.
@@ -255,7 +256,7 @@
 	text := "answer to " + key
 	if last > diesDispatched {
 		done := state.ClaimDone{Claim: claim, Status: http.StatusOK, Answer: []byte(text), AnswerKept: true}
-		w.agent.Finish(done, time.Now())
+		w.agent.End(claim, rpc.ClaimRan, &done, time.Now())
 	}
 	return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonOK}, text
 }
