entry, ctxtime: one sleep, one start of a request, one order of a ring

Cause: the same wait for a time or the end of a context stood in entry, logclient, load and standin; completions and calls began with the same lines; the order of regions was put together from ranks although Ring.First gives it; and each request for a cold model made a refusal that is seldom used. Change: ctxtime.Sleep, gateway.begin and Ring.First serve all of them, and the refusal is made when it is returned.

--- a/internal/entry/auditing.go
+++ b/internal/entry/auditing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -30,7 +31,7 @@
 // What can't be written waits within its bounds.
 func (e *Entry) flushAudit(ctx context.Context) error {
 	reported, closed := time.Now(), time.Now()
-	for sleep(ctx, auditInterval) {
+	for ctxtime.Sleep(ctx, auditInterval) {
 		now := time.Now()
 		e.flushTrail(ctx)
 		if now.Sub(closed) >= countWindow {
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -43,11 +43,9 @@
 	for region := range r.regions {
 		names = append(names, state.EntryName(region))
 	}
-	ring := membership.NewRing(names)
-	key := strconv.Itoa(shard)
-	ordered := make([]state.Region, len(names))
-	for _, name := range names {
-		ordered[ring.Rank(membership.RoleClaimOwner, key, name)] = state.Region(name)
+	ordered := make([]state.Region, 0, len(names))
+	for _, name := range membership.NewRing(names).First(membership.RoleClaimOwner, strconv.Itoa(shard), len(names)) {
+		ordered = append(ordered, state.Region(name))
 	}
 	return ordered
 }
--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -276,7 +277,7 @@
 // Call implements rpc.Caller.
 func (c darkPaths) Call(ctx context.Context, addr, method string, params, result any) error {
 	if slices.Contains(c.addresses, addr) {
-		sleep(ctx, time.Second)
+		ctxtime.Sleep(ctx, time.Second)
 		return errors.Wrap(rpc.ErrUnreachable, addr)
 	}
 	return c.Caller.Call(ctx, addr, method, params, result)
--- a/internal/entry/claimtail.go
+++ b/internal/entry/claimtail.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
@@ -55,7 +56,7 @@
 			s.noteTruncated(ctx, shard)
 			continue
 		}
-		sleep(ctx, tailPause)
+		ctxtime.Sleep(ctx, tailPause)
 	}
 }
 
@@ -68,7 +69,7 @@
 		if err == nil || errors.Is(err, platform.ErrTruncated) {
 			return max(page.Oldest, page.End-s.readBackRecords, 0)
 		}
-		if !sleep(ctx, tailPause) {
+		if !ctxtime.Sleep(ctx, tailPause) {
 			return 0
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/audit"
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
@@ -309,14 +310,14 @@
 		} else {
 			e.meter.Add("lagoonvalve_host_list_failures_total", 1)
 		}
-		sleep(ctx, hostsInterval)
+		ctxtime.Sleep(ctx, hostsInterval)
 	}
 	return nil
 }
 
 // keepRooms ends waiting requests in time.
 func (e *Entry) keepRooms(ctx context.Context) error {
-	for sleep(ctx, expireInterval) {
+	for ctxtime.Sleep(ctx, expireInterval) {
 		now := time.Now()
 		e.gateway.routes.each(func(r *route) { r.room.expire(now) })
 	}
@@ -325,7 +326,7 @@
 
 // forgetUnused drops the routes and loads that are no longer needed.
 func (e *Entry) forgetUnused(ctx context.Context) error {
-	for sleep(ctx, forgetInterval) {
+	for ctxtime.Sleep(ctx, forgetInterval) {
 		e.gateway.routes.dropIdle(time.Now())
 		current := e.control.view()
 		if current == nil {
@@ -342,7 +343,7 @@
 // Ready waits until the entry takes requests or ctx ends.
 func (e *Entry) Ready(ctx context.Context) error {
 	for e.readiness() != nil {
-		if !sleep(ctx, expireInterval) {
+		if !ctxtime.Sleep(ctx, expireInterval) {
 			return errors.Wrap(ctx.Err(), "wait for the entry")
 		}
 	}
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -112,7 +113,7 @@
 		if !again {
 			return v
 		}
-		if !sleep(ctx, pause) {
+		if !ctxtime.Sleep(ctx, pause) {
 			return endedWaiting(ctx, v)
 		}
 	}
@@ -163,9 +164,9 @@
 	if set == nil || len(set.replicas) == 0 {
 		e.route.coldSince.CompareAndSwap(0, e.request.arrived.UnixNano())
 		e.kick(e.request.target)
-		if refusal := noUpstream(); e.route.noCapacity.Load() && (e.isForwarded() || e.mayForward(refusal)) {
+		if e.route.noCapacity.Load() && (e.isForwarded() || e.mayMove()) {
 			e.final = true
-			return refusal
+			return noUpstream()
 		}
 	}
 	req := e.request
@@ -241,18 +242,6 @@
 	return v
 }
 
-// sleep waits for d or the end of ctx; it reports whether d passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // endedWaiting is the verdict of a request whose deadline or caller ended a
 // pause between attempts; last is the verdict of the attempt before.
 func endedWaiting(ctx context.Context, last *verdict.Verdict) *verdict.Verdict {
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -87,7 +88,7 @@
 			Adapters: route.room.adapters(),
 		}
 		if !f.ask(t, route, backlog, kicked) {
-			sleep(f.running, homePause)
+			ctxtime.Sleep(f.running, homePause)
 		}
 	}
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -56,17 +56,22 @@
 }
 
 func (e *execution) mayForward(refusal *verdict.Verdict) bool {
-	if refusal.Execution != verdict.NotRun || e.consulted {
+	if refusal.Execution != verdict.NotRun {
 		return false
 	}
 	switch refusal.Reason {
 	case verdict.ReasonNoReplica, verdict.ReasonNoCapacity, verdict.ReasonDeadlineUnmet, verdict.ReasonQueueFull:
-		return e.movable() && e.remoteAllowed(time.Now(), state.Bytes(len(e.request.body)))
+		return e.mayMove()
 	default:
 		return false
 	}
 }
 
+// mayMove reports whether the request may go to another region now.
+func (e *execution) mayMove() bool {
+	return !e.consulted && e.movable() && e.remoteAllowed(time.Now(), state.Bytes(len(e.request.body)))
+}
+
 // movable reports whether an entry of another region may serve the request if
 // the budget for paid traffic allows it.
 func (e *execution) movable() bool {
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -101,16 +101,24 @@
 	hedged(req *request, result telemetry.HedgeResult)
 }
 
-// serveGeneration answers a completion or chat request.
-func (g *gateway) serveGeneration(ctx context.Context, attrs attributes, body io.ReadCloser) error {
-	now := time.Now()
-	limits := g.currentLimits()
-	req, refusal := newRequest(now, attrs, limits)
+// begin makes the request and takes the view that it is served by.
+func (g *gateway) begin(attrs attributes, limits requestLimits) (*view, *request, *verdict.Verdict) {
+	req, refusal := newRequest(time.Now(), attrs, limits)
 	if refusal != nil {
-		return refusal
+		return nil, nil, refusal
 	}
 	current := g.view()
 	if refusal := current.unready(); refusal != nil {
+		return nil, nil, refusal
+	}
+	return current, req, nil
+}
+
+// serveGeneration answers a completion or chat request.
+func (g *gateway) serveGeneration(ctx context.Context, attrs attributes, body io.ReadCloser) error {
+	limits := g.currentLimits()
+	current, req, refusal := g.begin(attrs, limits)
+	if refusal != nil {
 		return refusal
 	}
 	data, refusal := readBody(body, limits.bodyLimit)
@@ -129,16 +137,11 @@
 
 // serveCall answers a call of a plain service.
 func (g *gateway) serveCall(ctx context.Context, attrs attributes, name, path string, body io.ReadCloser) error {
-	now := time.Now()
 	limits := g.currentLimits()
-	req, refusal := newRequest(now, attrs, limits)
+	current, req, refusal := g.begin(attrs, limits)
 	if refusal != nil {
 		return refusal
 	}
-	current := g.view()
-	if refusal := current.unready(); refusal != nil {
-		return refusal
-	}
 	service, ok := current.service(state.ServiceName(name))
 	if !ok {
 		return verdict.Refuse(verdict.ReasonUnknownService, "no such service: "+name)
--- a/internal/entry/history.go
+++ b/internal/entry/history.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/audit"
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/oplang"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
@@ -85,7 +86,7 @@
 	for ctx.Err() == nil {
 		page, err := e.deps.Log.Read(ctx, stream, next, 1, 0)
 		if err != nil && page.Oldest <= next {
-			sleep(ctx, tailPause)
+			ctxtime.Sleep(ctx, tailPause)
 			continue
 		}
 		next = max(next, page.Oldest, page.End-historyRecords)
@@ -99,7 +100,7 @@
 			break
 		}
 		e.deps.Logger.Warn("reading the audit stream failed; it is repeated", "error", err)
-		sleep(ctx, tailPause)
+		ctxtime.Sleep(ctx, tailPause)
 	}
 	return nil
 }
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/audit"
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
@@ -97,7 +98,7 @@
 func (e *Entry) measure(ctx context.Context) error {
 	rotated := time.Now()
 	var discarded uint64
-	for sleep(ctx, measureInterval) {
+	for ctxtime.Sleep(ctx, measureInterval) {
 		now := time.Now()
 		var waiting [state.ClassCount]int
 		e.gateway.routes.each(func(r *route) {
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -113,7 +114,7 @@
 // naive pings all others each second.
 func (e *peerEntry) naive(ctx context.Context) {
 	var calls sync.WaitGroup
-	for sleep(ctx, time.Second) {
+	for ctxtime.Sleep(ctx, time.Second) {
 		for _, other := range e.region.names {
 			calls.Go(func() {
 				limited, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
--- a/internal/entry/statements.go
+++ b/internal/entry/statements.go
@@ -11,6 +11,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/gen/operators"
 	"github.com/lagoonvalve/lagoonvalve/internal/audit"
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/oplang"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -182,7 +183,7 @@
 		done, err := c.prewarmNow(ctx, name, dryRun)
 		var refusal *verdict.Verdict
 		waits := errors.As(err, &refusal) && refusal.Reason == verdict.ReasonNoReplica
-		if !waits || dryRun || !sleep(ctx, prewarmPoll) {
+		if !waits || dryRun || !ctxtime.Sleep(ctx, prewarmPoll) {
 			return done, err
 		}
 	}
--- a/internal/entry/tails.go
+++ b/internal/entry/tails.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -60,7 +61,7 @@
 		} else {
 			c.deps.logger.Warn("reading a stream failed; it is repeated", "stream", stream, "error", err)
 		}
-		sleep(ctx, pause)
+		ctxtime.Sleep(ctx, pause)
 		pause = min(2*pause, maxTailPause)
 	}
 	return nil
--- a/internal/entry/wiring_test.go
+++ b/internal/entry/wiring_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/audit"
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
@@ -199,7 +200,7 @@
 		agents := agentsOf(answers{
 			"a": quick, "b": quick, "c": quick,
 			"d": inTurn(refused(verdict.ReasonUpstreamFailed), func(r *http.Request) (*http.Response, error) {
-				sleep(r.Context(), pause)
+				ctxtime.Sleep(r.Context(), pause)
 				return quick(r)
 			}),
 		})
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 )
 
 // Run sends the load and returns once every request has an outcome. When ctx
@@ -19,7 +21,7 @@
 	open := make(chan struct{}, cfg.MaxOpen)
 	var group sync.WaitGroup
 	for _, a := range plan {
-		if !waitUntil(ctx, s.start.Add(a.At)) {
+		if !ctxtime.Sleep(ctx, time.Until(s.start.Add(a.At))) {
 			break
 		}
 		select {
@@ -46,18 +48,3 @@
 	transport.MaxIdleConnsPerHost = maxOpen
 	return transport
 }
-
-func waitUntil(ctx context.Context, at time.Time) bool {
-	left := time.Until(at)
-	if left <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/logclient/pace.go
+++ b/internal/logclient/pace.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 )
 
 // Pace bounds the reads of a stream by a token bucket, since each of many
@@ -55,7 +57,7 @@
 			token.Cancel()
 			return ctx.Err() == nil
 		}
-		if !sleep(ctx, min(urgentPoll, time.Until(end))) {
+		if !ctxtime.Sleep(ctx, min(urgentPoll, time.Until(end))) {
 			return false
 		}
 	}
--- a/internal/logclient/relay.go
+++ b/internal/logclient/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -87,7 +88,7 @@
 		if err == nil || errors.Is(err, platform.ErrTruncated) {
 			return max(page.Oldest, page.End-state.Offset(r.cfg.Window)), true
 		}
-		if !sleep(ctx, delays.NextBackOff()) {
+		if !ctxtime.Sleep(ctx, delays.NextBackOff()) {
 			return 0, false
 		}
 	}
--- a/internal/logclient/resolve.go
+++ b/internal/logclient/resolve.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -46,7 +47,7 @@
 			w.finishAll(batch, errors.Wrap(platform.ErrUnknownOutcome, "stored, but not shown by the log"))
 			return nil
 		}
-		if w.allAbandoned(batch) || !sleep(ctx, delays.NextBackOff()) {
+		if w.allAbandoned(batch) || !ctxtime.Sleep(ctx, delays.NextBackOff()) {
 			w.finishAll(batch, errors.Wrap(platform.ErrUnknownOutcome, "not resolved before the end of the call"))
 			return nil
 		}
--- a/internal/logclient/send.go
+++ b/internal/logclient/send.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -44,7 +45,7 @@
 			continue
 		}
 		w.requeue(q, left)
-		if !sleep(ctx, delays.NextBackOff()) {
+		if !ctxtime.Sleep(ctx, delays.NextBackOff()) {
 			return
 		}
 	}
@@ -222,15 +223,3 @@
 	}
 	return records
 }
-
-// sleep waits for d and reports whether ctx lasted as long.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/logclient/tail.go
+++ b/internal/logclient/tail.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -62,7 +63,7 @@
 		if event := judge(page, err, next); event.Kind != "" {
 			event.Stream = stream
 			opts.OnEvent(event)
-			if !sleep(ctx, delays.NextBackOff()) {
+			if !ctxtime.Sleep(ctx, delays.NextBackOff()) {
 				return ctx.Err()
 			}
 			continue
@@ -73,7 +74,7 @@
 		if err := handle(page); err != nil {
 			return err
 		}
-		if page.Next == next && !sleep(ctx, emptyPause) {
+		if page.Next == next && !ctxtime.Sleep(ctx, emptyPause) {
 			return ctx.Err()
 		}
 		behind = page.Next > next && page.Next < page.End
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -253,7 +254,7 @@
 	}
 	answer := newAnswer(w, work)
 	for i := range work.tokens {
-		if !sleep(ctx, e.tokenTime(i)) {
+		if !ctxtime.Sleep(ctx, e.tokenTime(i)) {
 			panic(http.ErrAbortHandler)
 		}
 		answer.add(token(work.model, work.adapter, work.prompt, i))
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -197,7 +198,7 @@
 	if faults.Outage {
 		return platform.Page{}, errors.Wrap(platform.ErrUnavailable, "log outage")
 	}
-	if !sleep(ctx, faults.Delay.Std()) {
+	if !ctxtime.Sleep(ctx, faults.Delay.Std()) {
 		return platform.Page{}, errors.Wrap(platform.ErrUnavailable, "caller left during the read")
 	}
 	expired := time.NewTimer(wait)
@@ -237,18 +238,3 @@
 	page.Next = from + state.Offset(stop-start)
 	return page, kept.changed, nil
 }
-
-// sleep waits for d and reports whether ctx lasted as long.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -161,7 +162,7 @@
 	case platform.CacheMemory:
 		speed = e.cfg.MemorySpeed
 	}
-	sleep(alive, time.Duration(float64(weights)/float64(speed)*float64(time.Second)))
+	ctxtime.Sleep(alive, time.Duration(float64(weights)/float64(speed)*float64(time.Second)))
 	return nil
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -6,6 +6,8 @@
 	"maps"
 	"net/http"
 	"sync"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 )
 
 // PathExecutions lists the executions of a Service by key.
@@ -68,7 +70,7 @@
 	key := s.key(r, body)
 	count := s.execute(key)
 	lose, fail := s.callFaults()
-	if !sleep(r.Context(), s.Faults().Delay.Std()) || lose {
+	if !ctxtime.Sleep(r.Context(), s.Faults().Delay.Std()) || lose {
 		panic(http.ErrAbortHandler)
 	}
 	if fail {
