testenv: one setting of seeds and one heap measurement for all tests

Change: internal/testenv has both. Seeds, numbers of checks and steps are as they were; a flag on the command line goes before them everywhere.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -16,18 +15,11 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/audit"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// TestMain fixes the seed of rapid; the command line may give another.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { testenv.Main(m, testenv.Properties{Seed: 1}) }
 
 var (
 	writer = state.ProcessID{Name: "entry-1", Incarnation: "i1"}
--- a/internal/decide/account/account_test.go
+++ b/internal/decide/account/account_test.go
@@ -1,9 +1,7 @@
 package account_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,21 +11,11 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/account"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	defaults := map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "1500", "rapid.steps": "60", "rapid.nofailfile": "true",
-	}
-	for name, value := range defaults {
-		if !given[name] && flag.Set(name, value) != nil {
-			panic("unknown flag " + name)
-		}
-	}
-	os.Exit(m.Run())
+	testenv.Main(m, testenv.Properties{Seed: 20261204, Checks: 1500, Steps: 60})
 }
 
 // Guards against a replica loaded without a grant (I1) and against
--- a/internal/decide/claims/machine_test.go
+++ b/internal/decide/claims/machine_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"encoding/binary"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -15,20 +13,11 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// TestMain fixes the seed and the number of schedules, so that every run
-// gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "4000", "rapid.steps": "60", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testenv.Main(m, testenv.Properties{Seed: 7, Checks: 4000, Steps: 60}) }
 
 var epoch = time.UnixMilli(1_800_000_000_000)
 
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
 var start = time.Unix(1000, 0)
@@ -280,9 +281,9 @@
 		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
 			var used uint64
 			for b.Loop() {
-				before := heapInUse()
+				before := testenv.HeapInUse()
 				a := filledWatcher(agents)
-				used += heapInUse() - before
+				used += testenv.HeapInUse() - before
 				runtime.KeepAlive(a)
 			}
 			b.ReportMetric(float64(used)/float64(b.N)/float64(agents), "heap-B/agent")
@@ -308,11 +309,3 @@
 	a.Changes(ring)
 	return a
 }
-
-func heapInUse() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/decide/placement/machine_test.go
+++ b/internal/decide/placement/machine_test.go
@@ -1,9 +1,7 @@
 package placement_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,19 +11,10 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/placement"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
-// TestMain fixes the seed and the number of schedules, so that every run
-// gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "5", "rapid.checks": "1000", "rapid.steps": "60", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testenv.Main(m, testenv.Properties{Seed: 5, Checks: 1000, Steps: 60}) }
 
 // decider is an entry with its own, lagging copy of the tables.
 type decider struct {
--- a/internal/decide/scaling/seed_test.go
+++ b/internal/decide/scaling/seed_test.go
@@ -1,17 +1,9 @@
 package scaling_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
-// TestMain fixes the seed of property tests, so that each run checks the same
-// cases.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20260101"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testenv.Main(m, testenv.Properties{Seed: 20260101}) }
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -157,11 +158,11 @@
 		b.Run(fmt.Sprintf("models=%d", models), func(b *testing.B) {
 			now := time.Now()
 			c := newControl(controlConfig{name: "entry-1", region: "north"}, controlDeps{}, now)
-			before := heapInUse()
+			before := testenv.HeapInUse()
 			for i := range models {
 				fillHome(c, state.ReplicaKey{Model: state.ModelName(fmt.Sprintf("model-%d", i)), Version: "v"}, now)
 			}
-			used := heapInUse() - before
+			used := testenv.HeapInUse() - before
 			b.ReportAllocs()
 			for b.Loop() {
 				c.decideHomes(now)
@@ -189,11 +190,3 @@
 		h.demands[state.EntryName(fmt.Sprintf("entry-%d", i))] = demandSeen{backlog: rpc.Backlog{Rate: 0.1, Sent: 3}, at: now}
 	}
 }
-
-func heapInUse() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -12,19 +10,10 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
-// TestMain fixes the seed of property tests, so that each run checks the same
-// schedules.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "11", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testenv.Main(m, testenv.Properties{Seed: 11}) }
 
 // serveTimeout ends the calls that a stopped process had taken.
 const serveTimeout = 5 * time.Second
--- a/internal/logclient/fixtures_test.go
+++ b/internal/logclient/fixtures_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -16,20 +14,12 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
 const stream platform.Stream = "region/a"
 
-// TestMain fixes the seed of the property tests.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if set := flag.Lookup(name); set.Value.String() == set.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testenv.Main(m, testenv.Properties{Seed: 20261204}) }
 
 func record(id string) state.Record {
 	return state.Record{ID: id, Kind: state.KindAudit, Body: json.RawMessage(`{}`)}
--- a/internal/oplang/execute_test.go
+++ b/internal/oplang/execute_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"flag"
 	"strings"
 	"testing"
 	"time"
@@ -14,18 +13,11 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/oplang"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// TestMain fixes the seed of rapid; the command line may give another.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { testenv.Main(m, testenv.Properties{Seed: 1}) }
 
 var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,19 +11,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
-// TestMain fixes the seed and the number of schedules, so that every run
-// gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "11", "rapid.checks": "2000", "rapid.steps": "50", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testenv.Main(m, testenv.Properties{Seed: 11, Checks: 2000, Steps: 50}) }
 
 var start = time.Unix(1_800_000_000, 0)
 
