entry, agent: a call goes on to the next registration of a restarted agent

The agent refuses a claim that names another registration, truthfully as not run, but with the reason of operators' races, which is final; and an execution kept the replica set that it began with. Change: the reason is not_ready with a pause of 1 s, which entries try again with a new claim, and the set is read again before each further attempt. Measured: go test -run TestClaimNamesRestartedAgent ./internal/entry: refused without the new set, served with it.

--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -16,6 +16,10 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
+// registrationPause is about the time that a restarted agent takes to register
+// and entries to learn of it.
+const registrationPause = time.Second
+
 var (
 	errDeadline = errors.New("deadline exceeded")
 	errShutdown = errors.New("agent shut down")
@@ -75,7 +79,8 @@
 		return nil
 	}
 	if view.token == state.NoOffset || text != strconv.FormatInt(int64(view.token), 10) {
-		return verdict.Refuse(verdict.ReasonConflict, "the claim names another registration")
+		// The entry tries again with a claim that names the present one.
+		return verdict.Refuse(verdict.ReasonNotReady, "the claim names another registration").WithRetryAfter(registrationPause)
 	}
 	return nil
 }
--- a/internal/entry/claimed_test.go
+++ b/internal/entry/claimed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,6 +81,27 @@
 	})
 }
 
+// Guards against calls refused because the agent was restarted after the entry
+// learned of its registration.
+func TestClaimNamesRestartedAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		agents := agentsOf(answers{"b": served("ran")})
+		b := newGatewayBench(t, agents, "a")
+		agents.answer["a"] = func(r *http.Request) (*http.Response, error) {
+			services := b.view().services
+			replicas := slices.Clone(services["tickets"])
+			replicas[0].Agent, replicas[0].TrafficAddr = 7, "b"
+			services["tickets"] = replicas
+			return refused(verdict.ReasonNotReady)(r)
+		}
+		got, err := b.send(t.Context(), false, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got.Body.String()).To(Equal("ran"))
+		g.Expect(b.claims.outcomes).To(HaveLen(2), "the first claim is void, the second done")
+	})
+}
+
 // Guards against a resend that runs the work again or gets another answer
 // than the first.
 func TestKeptAnswerIsReplayed(t *testing.T) {
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -116,6 +116,9 @@
 		if !ctxtime.Sleep(ctx, pause) {
 			return endedWaiting(ctx, v)
 		}
+		// The refusal may come from an agent that has been restarted since the
+		// replica set was learned.
+		e.follow(e.view())
 	}
 }
 
