entry, sse: streams go on after a restart of their agent

Engines can resume streams, which the design named and nothing used. The benchmark of the relay did not run: its spy was written by many goroutines. Change: streams whose events have ids are passed on in whole events, and a cut one is asked for again at the same upstream by Last-Event-ID, which the engine must confirm. Claimed requests are not resumed. The spy has a mutex. Weighed in design.md section 5.

--- a/cmd/lagoonvalve/layout_test.go
+++ b/cmd/lagoonvalve/layout_test.go
@@ -26,6 +26,8 @@
 	late     int
 	service  bool
 	replicas int
+	// resume is how long engines keep streams whose readers have left.
+	resume string
 	// south adds a second region with one entry and that many runners.
 	south int
 }
@@ -68,13 +70,13 @@
 // cmdFleet starts a system: the stand-ins log, hosts, store, engine-N and
 // service, the entries entry-N and the agents runner-N and tickets-1. Arguments:
 // entries=N runners=N fencing=enforced|ignored memory=SIZE retain=RECORDS
-// replicas=N service=yes late=N south=N. The agents of the last late runners are left to
+// replicas=N service=yes late=N south=N resume=DURATION. The agents of the last late runners are left to
 // "start". south=N adds a region with entry-south, engine-south-N and
 // runner-south-N. The models seating (4 GiB, loads in 2 s) and trams
 // (2 GiB, 1 s) are configured by ctl.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	f := ts.Value(fleetKey{}).(*fleet)
-	opts := layoutOptions{entries: 1, runners: 1, fencing: "enforced", memory: "16GiB", replicas: 1}
+	opts := layoutOptions{entries: 1, runners: 1, fencing: "enforced", memory: "16GiB", replicas: 1, resume: "0s"}
 	for key, value := range pairs(ts, args) {
 		number, _ := strconv.Atoi(value)
 		switch key {
@@ -94,6 +96,8 @@
 			opts.replicas = number
 		case "south":
 			opts.south = number
+		case "resume":
+			opts.resume = value
 		case "service":
 			opts.service = value == "yes"
 		default:
@@ -151,7 +155,7 @@
 	kinds := [][]string{{"log", "log", "--retain-records", strconv.Itoa(opts.retain)}, append([]string{"hosts", "hosts"}, hosts...), {"store", "store"}}
 	for _, runner := range opts.runnerNames() {
 		name := "engine-" + runner
-		kinds = append(kinds, []string{name, "engine", "--name", name, "--memory", opts.memory, "--fencing", opts.fencing})
+		kinds = append(kinds, []string{name, "engine", "--name", name, "--memory", opts.memory, "--fencing", opts.fencing, "--resume-for", opts.resume})
 	}
 	if opts.service {
 		kinds = append(kinds, []string{"service", "service"})
--- a/cmd/lagoonvalve/requests_test.go
+++ b/cmd/lagoonvalve/requests_test.go
@@ -149,7 +149,7 @@
 	}
 	for _, chunk := range chunks {
 		chunk = strings.TrimPrefix(strings.TrimSpace(chunk), "data: ")
-		if chunk == "" || chunk == "[DONE]" {
+		if chunk == "" || chunk == "[DONE]" || strings.HasPrefix(chunk, "id: ") {
 			continue
 		}
 		var parsed struct {
--- a/cmd/lagoonvalve/roles.go
+++ b/cmd/lagoonvalve/roles.go
@@ -85,6 +85,7 @@
 			&cli.StringFlag{Name: "data-centre", Usage: "data centre of the hosts"},
 			&cli.FloatFlag{Name: "appends-per-second", Usage: "rate limit of the log; 0 for none"},
 			&cli.IntFlag{Name: "retain-records", Usage: "records that a stream of the log keeps; 0 for all"},
+			&cli.DurationFlag{Name: "resume-for", Usage: "how long an engine keeps streams whose readers have left; 0 for not at all"},
 			&cli.StringFlag{Name: "key-field", Usage: "field of a service's body that names a call", Value: "id"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error { return runStandin(ctx, kind, cmd) },
@@ -106,6 +107,7 @@
 		DataCentre:       state.DataCentre(cmd.String("data-centre")),
 		AppendsPerSecond: cmd.Float("appends-per-second"),
 		RetainRecords:    cmd.Int("retain-records"),
+		ResumeFor:        cmd.Duration("resume-for"),
 		KeyField:         cmd.String("key-field"),
 	}
 	for _, host := range cmd.StringSlice("host") {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -105,8 +105,13 @@
 	}
 	copyHeaders(outgoing.Header, req.header)
 	outgoing.Header.Del("Authorization")
-	// Only a claim of this entry may reach the agent.
+	// Only a claim of this entry may reach the agent, and only it knows which
+	// events of the stream have passed.
 	outgoing.Header.Del(headerClaim)
+	outgoing.Header.Del(sse.HeaderLastEventID)
+	if e.lastEvent != "" {
+		outgoing.Header.Set(sse.HeaderLastEventID, e.lastEvent)
+	}
 	h := outgoing.Header
 	h.Set(headerRequestID, req.id)
 	h.Set(headerCaller, string(req.caller.Name))
@@ -255,7 +260,7 @@
 
 // relay passes an answer on to the caller and judges it.
 func (e *execution) relay(ctx context.Context, a *answer) *verdict.Verdict {
-	defer a.close()
+	defer func() { a.close() }()
 	if a.failure != nil {
 		e.noteFailure(a)
 		return a.failure
@@ -266,9 +271,25 @@
 	w.Header().Set(headerRequestID, e.request.id)
 	w.override = a.response.StatusCode
 	watch := &tokenWatch{started: a.sentAt, kept: &e.kept, keep: e.claim != ""}
-	size, err := relayBody(w, io.TeeReader(a.response.Body, watch), watch)
-	whole := size == a.response.ContentLength || sse.Is(a.response.Header) && watch.end.Seen()
-	v := streamVerdict(ctx, a.response.Trailer, whole, err)
+	var body io.Reader = a.response.Body
+	events := sse.NewEvents(body)
+	if sse.Is(a.response.Header) {
+		body = events
+	}
+	size, err := relayBody(w, io.TeeReader(body, watch), watch)
+	v := e.judge(ctx, a, watch, size, err)
+	for events.LastID() != "" && e.mayResume(v) {
+		rest := e.resume(ctx, a, events.LastID())
+		if rest == nil {
+			break
+		}
+		a.close()
+		a = rest
+		events.Resume(a.response.Body)
+		more, err := relayBody(w, io.TeeReader(events, watch), watch)
+		size += more
+		v = e.judge(ctx, a, watch, size, err)
+	}
 	if v.Reason == verdict.ReasonUpstreamCrashed {
 		e.suspects.crashed(e.request.fingerprint, a.replica.Upstream)
 	}
@@ -278,10 +299,19 @@
 	e.suspects.completed(e.request.fingerprint)
 	w.start()
 	setTrailers(w.Header(), v)
-	e.learnFrom(a, watch, size)
+	if e.lastEvent == "" {
+		// The pause of a resumed stream is not the upstream's latency.
+		e.learnFrom(a, watch, size)
+	}
 	return v
 }
 
+// judge gives the verdict of an answer whose relay ended with err.
+func (e *execution) judge(ctx context.Context, a *answer, watch *tokenWatch, size int64, err error) *verdict.Verdict {
+	whole := size == a.response.ContentLength || sse.Is(a.response.Header) && watch.end.Seen()
+	return streamVerdict(ctx, a.response.Trailer, whole, err)
+}
+
 // setTrailers sends v after the body, where its outcome is known.
 func setTrailers(h http.Header, v *verdict.Verdict) {
 	h.Set(http.TrailerPrefix+verdict.HeaderVerdict, v.Execution.String())
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -44,6 +44,9 @@
 	forwarded bool
 	// consulted is set once the claim's owner has said what it knows.
 	consulted bool
+	// lastEvent is the id of the last event that the caller has of a stream
+	// that was cut.
+	lastEvent string
 	// claim is the record id of the open claim of a request that may not be
 	// repeated.
 	claim string
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -99,6 +99,7 @@
 	ejected(t target, upstream state.UpstreamName, cause telemetry.EjectionCause)
 	retried(req *request, reason verdict.Reason)
 	hedged(req *request, result telemetry.HedgeResult)
+	resumed(result telemetry.ResumeResult)
 }
 
 // begin makes the request and takes the view that it is served by.
--- a/internal/entry/gateway_test.go
+++ b/internal/entry/gateway_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -104,27 +105,40 @@
 
 func (f *fakeClaims) self() state.ProcessID { return state.ProcessID{Name: "entry-1"} }
 
-// sinkSpy remembers the verdicts.
+// sinkSpy remembers the verdicts. Benchmarks call it from many goroutines.
 type sinkSpy struct {
+	mu       sync.Mutex
 	verdicts []*verdict.Verdict
 	// heard counts the other calls by name.
 	heard map[string]int
 }
 
-func (s *sinkSpy) ended(_ *execution, v *verdict.Verdict) { s.verdicts = append(s.verdicts, v) }
+func (s *sinkSpy) ended(_ *execution, v *verdict.Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.verdicts = append(s.verdicts, v)
+}
+
+func (s *sinkSpy) hear(call string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[call]++
+}
 
-func (s *sinkSpy) retried(*request, verdict.Reason) { s.heard["retried"]++ }
+func (s *sinkSpy) retried(*request, verdict.Reason) { s.hear("retried") }
 
-func (s *sinkSpy) hedged(*request, telemetry.HedgeResult) { s.heard["hedged"]++ }
+func (s *sinkSpy) hedged(*request, telemetry.HedgeResult) { s.hear("hedged") }
 
-func (s *sinkSpy) waited(*request, time.Duration) { s.heard["waited"]++ }
+func (s *sinkSpy) resumed(result telemetry.ResumeResult) { s.hear(string(result)) }
 
-func (s *sinkSpy) streamed(*request, time.Duration) { s.heard["streamed"]++ }
+func (s *sinkSpy) waited(*request, time.Duration) { s.hear("waited") }
 
-func (s *sinkSpy) coldStarted(target, time.Duration) { s.heard["cold"]++ }
+func (s *sinkSpy) streamed(*request, time.Duration) { s.hear("streamed") }
+
+func (s *sinkSpy) coldStarted(target, time.Duration) { s.hear("cold") }
 
 func (s *sinkSpy) ejected(_ target, upstream state.UpstreamName, cause telemetry.EjectionCause) {
-	s.heard["ejected "+string(upstream)+" "+string(cause)]++
+	s.hear("ejected " + string(upstream) + " " + string(cause))
 }
 
 type gatewayBench struct {
@@ -232,7 +246,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		cut := func(*http.Request) (*http.Response, error) {
-			body := io.MultiReader(strings.NewReader("half"), iotestError{})
+			body := io.MultiReader(strings.NewReader("half"), iotest.ErrReader(errors.New("connection reset")))
 			return reply(http.StatusOK, nil, body), nil
 		}
 		agents := agentsOf(answers{"a": inTurn(cut, served("whole"))})
@@ -245,10 +259,6 @@
 	})
 }
 
-type iotestError struct{}
-
-func (iotestError) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
-
 // Guards against a request that is lost when its replica's agent is gone, and
 // against a dial failure counting as a run.
 func TestUnreachableAgentIsReplaced(t *testing.T) {
--- a/internal/entry/meter.go
+++ b/internal/entry/meter.go
@@ -24,6 +24,7 @@
 	ColdStart(model state.ModelName, d time.Duration)
 	Retry(reason verdict.Reason)
 	Hedge(result telemetry.HedgeResult)
+	Resume(result telemetry.ResumeResult)
 	Ejection(cause telemetry.EjectionCause)
 	Claim(result telemetry.ClaimResult)
 	ConfigLag(d time.Duration)
@@ -83,6 +84,8 @@
 
 func (s requestSink) retried(_ *request, reason verdict.Reason) { s.meter.Retry(reason) }
 
+func (s requestSink) resumed(result telemetry.ResumeResult) { s.meter.Resume(result) }
+
 func (s requestSink) hedged(_ *request, result telemetry.HedgeResult) {
 	s.meter.Hedge(result)
 }
--- a/internal/roles/standin.go
+++ b/internal/roles/standin.go
@@ -26,6 +26,9 @@
 	// Memory and Fencing are an engine's.
 	Memory  state.Bytes
 	Fencing state.FencingKind
+	// ResumeFor is how long an engine keeps streams whose readers have left;
+	// zero means that it keeps none.
+	ResumeFor time.Duration
 	// Store is the URL of the store that an engine loads from; empty means a
 	// store of its own.
 	Store string
@@ -89,7 +92,7 @@
 			store = &standin.HTTPFetcher{Base: opts.Store}
 		}
 		return standin.NewEngine(standin.EngineConfig{
-			Name: opts.Name, Memory: opts.Memory, Fencing: opts.Fencing,
+			Name: opts.Name, Memory: opts.Memory, Fencing: opts.Fencing, ResumeFor: opts.ResumeFor,
 		}, store), nil
 	case "service":
 		return standin.NewService(opts.Name, opts.KeyField), nil
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -4,7 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/sse"
 )
 
 // answer writes a completion, as server-sent events or as one JSON object.
@@ -39,7 +42,13 @@
 }
 
 func newAnswer(w http.ResponseWriter, work *completion) *answer {
-	return &answer{w: w, work: work}
+	if work.stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	if work.position > 0 {
+		w.Header().Set(sse.HeaderLastEventID, strconv.Itoa(work.position))
+	}
+	return &answer{w: w, work: work, sent: work.position}
 }
 
 // add takes the next token.
@@ -48,9 +57,6 @@
 	if !a.work.stream {
 		return
 	}
-	if a.sent == 0 {
-		a.w.Header().Set("Content-Type", "text/event-stream")
-	}
 	a.sent++
 	body := a.body(text)
 	if a.sent == a.work.tokens {
@@ -99,6 +105,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	// A write error means that the caller left, which ends the request.
+	if a.work.ids {
+		_, _ = fmt.Fprintf(a.w, "id: %d\n", a.sent)
+	}
 	_, _ = fmt.Fprintf(a.w, "data: %s\n\n", encoded)
 	a.flush()
 }
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -57,6 +57,10 @@
 	tokens  int
 	chat    bool
 	stream  bool
+	// ids gives the events of the stream ids, so that it can be resumed;
+	// position is after how many events it goes on.
+	ids      bool
+	position int
 }
 
 // CompletionText is the answer of an engine, so that a test can tell whose
@@ -147,6 +151,12 @@
 		return
 	}
 	defer e.end(work.replica)
+	if work.position, err = e.position(r); err != nil {
+		writeCompletionError(w, err)
+		return
+	}
+	work.ids = work.stream && e.cfg.ResumeFor > 0
+	defer e.keepStream(r)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(alive, cancel)()
@@ -245,15 +255,17 @@
 	if ctx.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	e.mu.Lock()
-	e.started++
-	e.mu.Unlock()
+	if work.position == 0 {
+		e.mu.Lock()
+		e.started++
+		e.mu.Unlock()
+	}
 	if text := e.Faults().CrashPrompt; text != "" && strings.Contains(work.prompt, text) {
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
 	answer := newAnswer(w, work)
-	for i := range work.tokens {
+	for i := work.position; i < work.tokens; i++ {
 		if !ctxtime.Sleep(ctx, e.tokenTime(i)) {
 			panic(http.ErrAbortHandler)
 		}
@@ -272,8 +284,11 @@
 
 func writeCompletionError(w http.ResponseWriter, err error) {
 	status, code := http.StatusServiceUnavailable, "unavailable"
-	if errors.Is(err, errNotLoaded) {
+	switch {
+	case errors.Is(err, errNotLoaded):
 		status, code = http.StatusNotFound, "model_not_loaded"
+	case errors.Is(err, errNotKept):
+		status, code = http.StatusGone, "stream_not_kept"
 	}
 	body := map[string]any{"error": map[string]string{"code": code, "message": err.Error()}}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -36,6 +36,10 @@
 	// RestartTime is how long a crashed engine refuses everything; default
 	// 1 s.
 	RestartTime time.Duration
+	// ResumeFor is how long the engine keeps a stream whose reader has left,
+	// without generating. The default, zero, gives streams no event ids and
+	// keeps none.
+	ResumeFor time.Duration
 }
 
 func (c EngineConfig) withDefaults() EngineConfig {
@@ -78,6 +82,7 @@
 	alive context.Context
 	kill  context.CancelFunc
 	up    time.Time
+	kept  keptStreams
 	// counters for tests
 	started int
 	refused int
@@ -108,6 +113,7 @@
 		replicas: make(map[state.ReplicaKey]*engineReplica),
 		token:    state.NoOffset,
 		role:     "both",
+		kept:     keptStreams{until: make(map[string]time.Time)},
 	}
 	e.alive, e.kill = context.WithCancel(context.Background())
 	return e
@@ -139,6 +145,7 @@
 	e.replicas = make(map[state.ReplicaKey]*engineReplica)
 	e.used = 0
 	e.role = "both"
+	clear(e.kept.until)
 	e.batch.reset()
 	e.cache.loseMemory()
 }
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -34,6 +34,7 @@
 	nameIdle           = "lagoonvalve_idle_accelerator_seconds_total"
 	nameRetries        = "lagoonvalve_retries_total"
 	nameHedges         = "lagoonvalve_hedges_total"
+	nameResumes        = "lagoonvalve_stream_resumes_total"
 	nameEjections      = "lagoonvalve_ejections_total"
 	nameClaims         = "lagoonvalve_claims_total"
 	nameConfigLag      = "lagoonvalve_config_lag_seconds"
@@ -70,6 +71,7 @@
 		{Name: nameAdapterLoads, Type: Counter, Labels: []string{"adapter", "result"}, Help: "Loads of adapters that ended."},
 		{Name: nameIdle, Type: Counter, Labels: []string{"model"}, Help: "Time that replicas were loaded without work."},
 		{Name: nameRetries, Type: Counter, Labels: []string{"reason"}, Help: "Further attempts by the reason of the failed one."},
+		{Name: nameResumes, Type: Counter, Labels: []string{"result"}, Help: "Cut streams that an upstream was asked to resume."},
 		{Name: nameHedges, Type: Counter, Labels: []string{"result"}, Help: "Hedged attempts by which attempt won."},
 		{Name: nameEjections, Type: Counter, Labels: []string{"cause"}, Help: "Upstreams taken out of routing as outliers."},
 		{Name: nameClaims, Type: Counter, Labels: []string{"result"}, Help: "Answered claims of non-idempotent requests."},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -50,6 +50,15 @@
 	ClaimRefused  ClaimResult = "refused"
 )
 
+// ResumeResult says what became of a stream that was cut.
+type ResumeResult string
+
+// The results.
+const (
+	ResumeDone   ResumeResult = "resumed"
+	ResumeFailed ResumeResult = "failed"
+)
+
 // HedgeResult says which attempt of a hedged request won.
 type HedgeResult string
 
@@ -191,6 +200,9 @@
 	i.count(nameRetries, 1, string(reason))
 }
 
+// Resume counts a cut stream that the upstream was asked to resume.
+func (i *Instruments) Resume(result ResumeResult) { i.count(nameResumes, 1, string(result)) }
+
 // Hedge counts a hedged request that ended.
 func (i *Instruments) Hedge(result HedgeResult) { i.count(nameHedges, 1, string(result)) }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -49,6 +49,7 @@
 	tel.Idle("m", 1500*time.Millisecond)
 	tel.Retry(verdict.ReasonQueueFull)
 	tel.Hedge(telemetry.HedgeFirstWon)
+	tel.Resume(telemetry.ResumeDone)
 	tel.Ejection(telemetry.EjectedFirstToken)
 	tel.Claim(telemetry.ClaimGranted)
 	tel.ConfigLag(time.Second)
@@ -85,7 +86,7 @@
 			}
 		}
 	}
-	g.Expect(counted).To(HaveLen(len(defined) - 19))
+	g.Expect(counted).To(HaveLen(len(defined) - 20))
 }
 
 var (
