claims: call a key unclaimed only after a fresh read of the log

Cause: an owner answered lookups, and requests for claims that found no room, from its table. An owner that is cut off from the log, or whose long poll hangs, called a key unclaimed although a second owner had claimed it, and the caller was told "not run" of work that may have run. Change: Owner.Lookup replaces Owner.Unseen. A lookup waits for a read of the stream's end that began after it, and for the tail to reach that end. All lookups that wait share the read; reads are paced to one in 100 ms a shard after a burst. Without proof within 250 ms the answer is "may have run". Owner.Ask without room waits for the same proof.

--- a/internal/decide/claims/api.go
+++ b/internal/decide/claims/api.go
@@ -42,6 +42,12 @@
 	// AnswerBytes bounds the kept answers in an owner's memory; default
 	// 16 MiB. Older ones are read back from the log.
 	AnswerBytes state.Bytes
+	// LookupFor bounds the wait of a lookup for the log; default 250 ms.
+	LookupFor time.Duration
+	// LookupInterval is the mean time between the reads that lookups of a
+	// shard share, Burst of which may come at once: at most 160 reads a second
+	// over ShardCount shards; default 100 ms.
+	LookupInterval time.Duration
 }
 
 // DefaultSettings returns the defaults.
@@ -58,6 +64,9 @@
 		Window:      30 * time.Minute,
 		MaxClaims:   100_000,
 		AnswerBytes: 16 * state.MiB,
+		LookupFor:   250 * time.Millisecond,
+
+		LookupInterval: 100 * time.Millisecond,
 	}
 }
 
@@ -71,6 +80,16 @@
 	Append []state.Record
 	// Questions go to agents; the answers go to AgentAnswered.
 	Questions []Question
+	// Found answers lookups.
+	Found []Found
+	// EndRead is a read of the stream's end, or nil.
+	EndRead *EndRead
+}
+
+// Found answers a lookup: Unseen says that the key was never claimed.
+type Found struct {
+	Ticket Ticket
+	Unseen bool
 }
 
 // Reply answers a request.
--- a/internal/decide/claims/apply.go
+++ b/internal/decide/claims/apply.go
@@ -267,6 +267,8 @@
 	if len(o.queue) > 0 && !now.Before(o.sendAt) {
 		o.flush(&out, now)
 	}
+	o.expireLookups(now, &out)
+	o.readEnd(now, &out)
 	return out
 }
 
--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -50,7 +50,10 @@
 	settings Settings
 	random   *rand.Rand
 
-	offset   state.Offset
+	offset state.Offset
+	// next is the offset to read next: all records before it since Begin have
+	// been read.
+	next     state.Offset
 	t0       time.Time
 	begun    bool
 	caughtUp bool
@@ -70,7 +73,8 @@
 	// append rate, one MinInterval each.
 	paidTo time.Time
 	// failed is set while the queue holds what a failed append left.
-	failed bool
+	failed  bool
+	lookups lookups
 }
 
 // NewOwner returns an owner that knows nothing. random makes record ids.
@@ -86,7 +90,7 @@
 }
 
 func (o *Owner) reset() {
-	o.offset = state.NoOffset
+	o.offset, o.next = state.NoOffset, 0
 	// Waiting requests keep the numbers of their callers.
 	o.table = newTable(o.callers, o.settings.AnswerBytes)
 	o.begun, o.caughtUp = false, false
@@ -125,7 +129,9 @@
 func (o *Owner) Waiting() int { return len(o.waiting) }
 
 // Settled reports whether nobody waits and no record is left to append.
-func (o *Owner) Settled() bool { return len(o.waiting) == 0 && len(o.queue) == 0 }
+func (o *Owner) Settled() bool {
+	return len(o.waiting) == 0 && len(o.queue) == 0 && o.lookups.waiting() == 0
+}
 
 // Truncated raises T0. Keys that are too old from now on are forgotten, since
 // no claim of theirs is ever granted again.
@@ -160,12 +166,7 @@
 		return out
 	}
 	if len(o.waiting) >= o.settings.MaxWaiting {
-		refusal := verdict.Unknown(verdict.ReasonQueueFull, "too many claims wait")
-		if o.Unseen(p.Claim.Caller, p.Claim.Key) {
-			// Neither this sending nor an earlier one got a claim.
-			refusal.Execution = verdict.NotRun
-		}
-		out.refuse(t, refusal.WithRetryAfter(o.settings.GiveUpAfter))
+		o.refuseFull(t, p, id, now, &out)
 		return out
 	}
 	until := now.Add(o.settings.GiveUpAfter)
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -169,8 +169,8 @@
 const lookupTimeout = 300 * time.Millisecond
 
 // unseen implements claimClient.
-func (r *claimRouter) unseen(caller state.CallerName, key string) bool {
-	ctx, cancel := context.WithTimeout(r.running, lookupTimeout)
+func (r *claimRouter) unseen(caller state.CallerName, key string, by time.Time) bool {
+	ctx, cancel := context.WithTimeout(r.running, min(lookupTimeout, time.Until(by)))
 	defer cancel()
 	params := rpc.ClaimLookupParams{Caller: caller, Key: key}
 	for _, address := range r.owners(claims.ShardOf(caller, key)) {
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -25,8 +25,9 @@
 	// outcome tells the owner how a claim ended. It does not wait; a lost
 	// outcome costs a later resend a question to the agent.
 	outcome(params rpc.ClaimOutcomeParams)
-	// unseen reports whether it is known that a key was never claimed.
-	unseen(caller state.CallerName, key string) bool
+	// unseen reports whether it is known by a time that a key was never
+	// claimed.
+	unseen(caller state.CallerName, key string, by time.Time) bool
 	self() state.ProcessID
 }
 
@@ -37,7 +38,10 @@
 	if e.request.idempotent || e.consulted || v.Execution != verdict.NotRun {
 		return v
 	}
-	if e.claims.unseen(e.request.caller.Name, e.request.key) {
+	// Half of the time that is reserved for a refusal's way to the caller may
+	// be used, so that the lookup does not make the refusal late.
+	by := e.request.deadline.Add(max(e.request.due.Sub(e.request.deadline), 0) / 2)
+	if e.claims.unseen(e.request.caller.Name, e.request.key, by) {
 		return v
 	}
 	known := *v
--- a/internal/entry/claimed_test.go
+++ b/internal/entry/claimed_test.go
@@ -28,7 +28,8 @@
 }
 
 // Guards against a refusal of a resent request that calls its work not run
-// although an earlier sending may have run.
+// although an earlier sending may have run, and against a refusal that the
+// question makes late.
 func TestRefusalOfResentRequestAsksOwner(t *testing.T) {
 	for _, neverRan := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
@@ -42,6 +43,7 @@
 				want = verdict.NotRun
 			}
 			g.Expect(verdict.Of(err).Execution).To(Equal(want))
+			g.Expect(b.claims.lookupBy).To(Equal(time.Now().Add(30*time.Second-25*time.Millisecond)), "half of the reserve")
 		})
 	}
 }
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -49,10 +49,12 @@
 	agentAddress func(state.UpstreamName) (string, bool)
 	logger       *slog.Logger
 	// meter counts the answers; nil counts none.
-	meter      Meter
-	events     chan shardEvent
-	shards     map[int]*claimShard
-	tickets    map[claims.Ticket]claimTicket
+	meter   Meter
+	events  chan shardEvent
+	shards  map[int]*claimShard
+	tickets map[claims.Ticket]claimTicket
+	// lookups are where the answers to lookups go. Each holds one.
+	lookups    map[claims.Ticket]chan<- bool
 	lastTicket claims.Ticket
 	// settings are those of the owners.
 	settings claims.Settings
@@ -96,6 +98,7 @@
 		events:       make(chan shardEvent, eventBuffer),
 		shards:       make(map[int]*claimShard),
 		tickets:      make(map[claims.Ticket]claimTicket),
+		lookups:      make(map[claims.Ticket]chan<- bool),
 
 		settings:        settings,
 		readBackRecords: claimReadBack,
@@ -162,7 +165,9 @@
 	reply := make(chan bool, 1)
 	s.post(ctx, func(running context.Context, now time.Time) {
 		shard := s.shard(running, claims.ShardOf(params.Caller, params.Key), now)
-		reply <- shard.owner.Unseen(params.Caller, params.Key)
+		s.lastTicket++
+		s.lookups[s.lastTicket] = reply
+		s.carryOut(running, shard, shard.owner.Lookup(s.lastTicket, params.Caller, params.Key, now))
 	})
 	select {
 	case unseen := <-reply:
@@ -230,6 +235,15 @@
 			s.reply(ctx, shard, ticket, reply.Result)
 		}
 	}
+	for _, found := range commands.Found {
+		if reply, ok := s.lookups[found.Ticket]; ok {
+			delete(s.lookups, found.Ticket)
+			reply <- found.Unseen
+		}
+	}
+	if commands.EndRead != nil {
+		go s.readEnd(ctx, shard, commands.EndRead.From)
+	}
 	for _, batch := range appendBatches(commands.Append) {
 		shard.appending++
 		go s.append(ctx, shard, batch)
--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -300,5 +300,10 @@
 			}
 		}
 		g.Expect(refused).To(BeNumerically("<=", 1), "of 64")
+		started := time.Now()
+		for n := range 64 {
+			router.unseen("d", keyAt(started, n), started.Add(10*time.Millisecond))
+		}
+		g.Expect(time.Since(started)).To(BeNumerically("<=", 10*time.Millisecond), "lookups end in time")
 	})
 }
--- a/internal/entry/claimtail.go
+++ b/internal/entry/claimtail.go
@@ -103,6 +103,19 @@
 	if page.Next >= page.End {
 		s.carryOut(ctx, shard, shard.owner.CaughtUp(now))
 	}
+	s.carryOut(ctx, shard, shard.owner.ReadTo(page.Next))
+}
+
+// readEnd tells an owner where its stream ends now. The read waits for no
+// record, so the log answers it from what it holds and from no cache.
+func (s *claimShards) readEnd(ctx context.Context, shard *claimShard, from state.Offset) {
+	limited, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	page, err := s.log.Read(limited, platform.ClaimStream(shard.number), from, 1, 0)
+	known := err == nil || errors.Is(err, platform.ErrTruncated)
+	s.post(ctx, func(running context.Context, now time.Time) {
+		s.carryOut(running, shard, shard.owner.EndKnown(page.End, known, now))
+	})
 }
 
 // firstTime returns the time of the oldest record that an owner reads, or zero
