entry: begin at a time of the log when a claim stream is empty

Cause: an owner whose shard has lost all its records took its own clock as T0. With a clock 5 minutes behind the log's it accepted a key again that an owner with the log's clock had claimed up to 5 minutes ahead of now. Each new owner of a rarely used shard also refused all keys for 5 minutes anew. Change: the owner appends a claim.void without effect and begins with the first record that it then reads, so T0 always comes from the log. Measured: go test ./internal/entry -run TestEmptiedShard: on the former code the claimed key runs a second time ("ok (ran)"); with T0 five minutes after the own clock the later request of the rarely used shard is refused (idempotency_key_too_old); now it passes.

--- a/internal/entry/claimnaive_test.go
+++ b/internal/entry/claimnaive_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -44,6 +46,39 @@
 	})
 }
 
+// Guards against a second run of a key whose claim is truncated with all records
+// of its shard, by an owner whose clock is behind the log's, and against an
+// emptied shard that refuses the requests of callers that seldom send one.
+func TestEmptiedShardIsKnownByTheLogsClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newClaimsWorld(t, 1)
+		defer w.stop()
+		w.logAhead = 5 * time.Minute
+		// An owner with the log's clock accepts a key that is 5 min ahead.
+		key := keyAt(time.Now().Add(10*time.Minute), 1)
+		number := claims.ShardOf("c", key)
+		claimed, err := state.NewRecord("claim", state.ProcessID{}, state.KindClaim, state.Claim{Caller: "c", Key: key})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = w.log.Append(t.Context(), platform.ClaimStream(number), []state.Record{claimed})
+		g.Expect(err).NotTo(HaveOccurred())
+		w.log.Truncate(platform.ClaimStream(number), 1)
+		router := w.entries[0].router
+		_, _ = w.send(router, key, completes)
+		time.Sleep(6 * time.Minute)
+		v, _ := w.send(router, key, completes)
+		g.Expect(v.Reason).To(Equal(verdict.ReasonKeyTooOld), v.Error())
+		g.Expect(v.Execution).To(Equal(verdict.MayHaveRun))
+		time.Sleep(shardIdle + time.Minute)
+		n := 1
+		for claims.ShardOf("c", keyAt(time.Now(), n)) != number {
+			n++
+		}
+		v, _ = w.send(router, keyAt(time.Now(), n), completes)
+		g.Expect(v.Reason).To(Equal(verdict.ReasonOK), v.Error())
+	})
+}
+
 // naive is what callers must see while nothing fails: a map of the answers.
 type naive map[string]struct {
 	fingerprint uint64
--- a/internal/entry/claimtail.go
+++ b/internal/entry/claimtail.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
@@ -48,7 +49,11 @@
 		err := logclient.Tail(ctx, s.log, platform.ClaimStream(shard.number), from, options,
 			func(page platform.Page) error {
 				from = page.Next
-				return s.deliver(ctx, shard, page)
+				empty, err := s.deliver(ctx, shard, page)
+				if empty {
+					s.mark(ctx, shard.number)
+				}
+				return err
 			})
 		var truncated *logclient.TruncatedError
 		if errors.As(err, &truncated) {
@@ -75,27 +80,48 @@
 	}
 }
 
-func (s *claimShards) deliver(ctx context.Context, shard *claimShard, page platform.Page) error {
-	done := make(chan struct{})
+// deliver gives a page to the owner. It reports whether the owner can't begin
+// because all records of the stream are gone.
+func (s *claimShards) deliver(ctx context.Context, shard *claimShard, page platform.Page) (empty bool, err error) {
+	done := make(chan bool, 1)
 	posted := s.post(ctx, func(running context.Context, now time.Time) {
-		defer close(done)
-		s.applyPage(running, shard, page, now)
+		done <- !s.applyPage(running, shard, page, now)
 	})
 	if !posted {
-		return ctx.Err()
+		return false, ctx.Err()
 	}
 	select {
-	case <-done:
-		return nil
+	case empty := <-done:
+		return empty, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return false, ctx.Err()
 	}
 }
 
-func (s *claimShards) applyPage(ctx context.Context, shard *claimShard, page platform.Page, now time.Time) {
+// mark appends a record without effect to a stream that has lost all its
+// records. Only its time, given by the log, shows from when on the stream is
+// known: the clock of this process may be behind that of the log.
+func (s *claimShards) mark(ctx context.Context, number int) {
+	record, err := state.NewRecord(uuid.NewString(), s.self, state.KindClaimVoid, state.ClaimVoid{Witness: s.self})
+	for err == nil {
+		limited, cancel := context.WithTimeout(ctx, claimWait)
+		_, failed := s.appender.Append(limited, platform.ClaimStream(number), record)
+		cancel()
+		if failed == nil || !ctxtime.Sleep(ctx, claimReadRetry) {
+			return
+		}
+	}
+}
+
+// applyPage applies a page. It reports false if the owner can't begin with it.
+func (s *claimShards) applyPage(ctx context.Context, shard *claimShard, page platform.Page, now time.Time) bool {
 	if !shard.began {
+		t0, known := firstTime(page)
+		if !known {
+			return false
+		}
 		shard.began = true
-		shard.owner.Begin(firstTime(page, now))
+		shard.owner.Begin(t0)
 	}
 	for _, record := range page.Records {
 		s.carryOut(ctx, shard, shard.owner.Apply(record, now))
@@ -104,6 +130,7 @@
 		s.carryOut(ctx, shard, shard.owner.CaughtUp(now))
 	}
 	s.carryOut(ctx, shard, shard.owner.ReadTo(page.Next))
+	return true
 }
 
 // readEnd tells an owner where its stream ends now. The read waits for no
@@ -118,17 +145,17 @@
 	})
 }
 
-// firstTime returns the time of the oldest record that an owner reads, or zero
-// if none before it may be missing.
-func firstTime(page platform.Page, now time.Time) time.Time {
+// firstTime returns the log's time of the oldest record that an owner reads, or
+// zero if none before it may be missing. It is not known if all records are
+// gone.
+func firstTime(page platform.Page) (t0 time.Time, known bool) {
 	switch {
 	case page.From == 0 && page.Oldest == 0:
-		return time.Time{}
+		return time.Time{}, true
 	case len(page.Records) > 0:
-		return page.Records[0].Time
+		return page.Records[0].Time, true
 	}
-	// All records are gone, and the newest of them may be as young as now.
-	return now
+	return time.Time{}, false
 }
 
 // noteTruncated tells an owner that records were lost unread. It begins again
--- a/internal/entry/claimworld_test.go
+++ b/internal/entry/claimworld_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +39,8 @@
 	// cuts are the connections that fail, by their ends; "log" is an end, and
 	// "long polls" stands for the reads of the log that wait.
 	cuts map[[2]string]bool
+	// logAhead is how far the log's clock is ahead of the entries'.
+	logAhead time.Duration
 	// endReads counts the reads of claim streams that do not wait.
 	endReads int
 	agent    *claims.Seen
@@ -167,6 +170,10 @@
 		p.world.mu.Unlock()
 	}
 	page, err := p.world.log.Read(ctx, stream, from, limit, wait)
+	page.Records = slices.Clone(page.Records)
+	for i := range page.Records {
+		page.Records[i].Time = page.Records[i].Time.Add(p.world.logAhead)
+	}
 	if p.world.isCut(p.name, "log") || wait > 0 && p.world.isCut(p.name, "long polls") {
 		return platform.Page{}, errors.Wrap(platform.ErrUnavailable, "cut off")
 	}
