entry: send the outcomes of claims at a planned stop

Cause: outcomes on their way to an owner, or held back by it for up to 200 ms, were dropped when an entry stopped as planned, so a resend after the agent's restart could not be told how its work ended. Change: the last step of a stop waits for the outcomes on their way and makes the owners send what they hold back, beside the trail and the counts and within shutdown.stop_timeout. A refused append is tried again in that time. While the log is down such a stop takes its whole stop timeout if outcomes are left.

--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -291,6 +291,18 @@
 	}
 }
 
+// Flush sends the next batch before its time, unless the log fails.
+func (o *Owner) Flush(now time.Time) Commands {
+	var out Commands
+	if len(o.queue) > 0 && (!o.failed || !now.Before(o.sendAt)) {
+		o.flush(&out, now)
+	}
+	return out
+}
+
+// Unsent reports whether records wait to be appended.
+func (o *Owner) Unsent() bool { return len(o.queue) > 0 }
+
 func (o *Owner) flush(out *Commands, now time.Time) {
 	o.failed = false
 	if o.paidTo.Before(now) {
--- a/internal/entry/auditing.go
+++ b/internal/entry/auditing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
@@ -62,11 +63,14 @@
 	}
 }
 
-// flushLast writes what is left of the trail and the final counts at a
-// graceful stop.
+// flushLast writes what is left of the trail, the final counts and the outcomes
+// of claims at a graceful stop.
 func (e *Entry) flushLast() {
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Load().Shutdown.StopTimeout.Std())
 	defer cancel()
+	var claims sync.WaitGroup
+	claims.Go(func() { e.router.flush(ctx) })
 	e.flushTrail(ctx)
 	e.flushCounts(ctx, time.Now(), true)
+	claims.Wait()
 }
--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -6,10 +6,12 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -32,6 +34,8 @@
 	// running ends with the process.
 	running     context.Context
 	unreachable unreachableOwners
+	// telling counts the outcomes on their way to an owner.
+	telling atomic.Int64
 }
 
 func (r *claimRouter) self() state.ProcessID { return r.process }
@@ -193,7 +197,9 @@
 
 // outcome implements claimClient.
 func (r *claimRouter) outcome(params rpc.ClaimOutcomeParams) {
+	r.telling.Add(1)
 	go func() {
+		defer r.telling.Add(-1)
 		ctx, cancel := context.WithTimeout(r.running, outcomeTimeout)
 		defer cancel()
 		for _, address := range r.owners(claims.ShardOf(params.Caller, params.Key)) {
@@ -209,3 +215,11 @@
 		}
 	}()
 }
+
+// flush waits at a planned stop until the owners have the outcomes of the own
+// claims, and the log those that this process holds back as an owner.
+func (r *claimRouter) flush(ctx context.Context) {
+	for r.telling.Load() > 0 && ctxtime.Sleep(ctx, claimTick) {
+	}
+	r.local.flush(ctx)
+}
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
@@ -185,6 +186,30 @@
 	})
 }
 
+// flush sends the records that the owners hold back, at a planned stop, and
+// waits until the log has them or ctx ends.
+func (s *claimShards) flush(ctx context.Context) {
+	for {
+		sent := make(chan bool, 1)
+		s.post(ctx, func(running context.Context, now time.Time) {
+			all := true
+			for _, shard := range s.shards {
+				s.carryOut(running, shard, shard.owner.Flush(now))
+				all = all && shard.appending == 0 && !shard.owner.Unsent()
+			}
+			sent <- all
+		})
+		select {
+		case all := <-sent:
+			if all || !ctxtime.Sleep(ctx, claimTick) {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // waiting counts the requests that wait at this entry's shards.
 func (s *claimShards) waiting(ctx context.Context) map[int]int {
 	reply := make(chan map[int]int, 1)
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -12,8 +13,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/audit"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/oplang"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
+	"github.com/lagoonvalve/lagoonvalve/internal/standin"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -48,6 +52,47 @@
 	}
 }
 
+// Guards against outcomes of claims that a planned stop drops, on their way to
+// the owner or while it holds them back, and against a stop that waits longer
+// for them than it may.
+func TestPlannedStopSendsOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		faults standin.LogFaults
+		stored int
+		took   time.Duration
+	}{
+		{standin.LogFaults{}, 1, 100 * time.Millisecond},
+		{standin.LogFaults{OutageNext: 1}, 1, time.Second},
+		{standin.LogFaults{Outage: true}, 0, settings.DefaultEntry().Shutdown.StopTimeout.Std()},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newClaimsWorld(t, 1)
+			defer w.stop()
+			deps := newTestEntry(t, settings.DefaultEntry()).deps
+			deps.Log = w.log
+			e := New(settings.DefaultEntry(), deps)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() { _ = e.writer.Run(ctx) }()
+			e.router = w.entries[0].router
+			key := keyAt(time.Now(), 1)
+			_, _ = w.send(e.router, key, completes)
+			w.log.SetFaults(c.faults)
+			started := time.Now()
+			e.flushLast()
+			g.Expect(time.Since(started)).To(BeNumerically("<=", c.took))
+			stored := 0
+			for _, record := range w.log.Records(platform.ClaimStream(claims.ShardOf("c", key))) {
+				if record.Kind == state.KindClaimDone {
+					stored++
+				}
+			}
+			g.Expect(stored).To(Equal(c.stored))
+		})
+	}
+}
+
 // Guards against counts that grow without a bound with the names of callers,
 // and against a bound that loses requests or that an answer does not show.
 func TestCountsBeyondTheBoundAreToldInEachForm(t *testing.T) {
