--- a/internal/entry/claimclient.go
+++ b/internal/entry/claimclient.go
@@ -6,10 +6,12 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -32,6 +34,8 @@
 	// running ends with the process.
 	running     context.Context
 	unreachable unreachableOwners
+	// telling counts the outcomes on their way to an owner.
+	telling atomic.Int64
 }
 
 func (r *claimRouter) self() state.ProcessID { return r.process }
@@ -169,8 +173,8 @@
 const lookupTimeout = 300 * time.Millisecond
 
 // unseen implements claimClient.
-func (r *claimRouter) unseen(caller state.CallerName, key string) bool {
-	ctx, cancel := context.WithTimeout(r.running, lookupTimeout)
+func (r *claimRouter) unseen(caller state.CallerName, key string, by time.Time) bool {
+	ctx, cancel := context.WithTimeout(r.running, min(lookupTimeout, time.Until(by)))
 	defer cancel()
 	params := rpc.ClaimLookupParams{Caller: caller, Key: key}
 	for _, address := range r.owners(claims.ShardOf(caller, key)) {
@@ -193,7 +197,9 @@
 
 // outcome implements claimClient.
 func (r *claimRouter) outcome(params rpc.ClaimOutcomeParams) {
+	r.telling.Add(1)
 	go func() {
+		defer r.telling.Add(-1)
 		ctx, cancel := context.WithTimeout(r.running, outcomeTimeout)
 		defer cancel()
 		for _, address := range r.owners(claims.ShardOf(params.Caller, params.Key)) {
@@ -209,3 +215,11 @@
 		}
 	}()
 }
+
+// flush waits at a planned stop until the owners have the outcomes of the own
+// claims, and the log those that this process holds back as an owner.
+func (r *claimRouter) flush(ctx context.Context) {
+	for r.telling.Load() > 0 && ctxtime.Sleep(ctx, claimTick) {
+	}
+	r.local.flush(ctx)
+}
