scaling, entry: wake the grant whose copy is nearest

Cause: a home had one mean load time for all grants of a model and took each replica for 16 slots. A wake did not prefer the upstream with the checkpoint in memory or on disk, predictions were the same for all grants, and scale-out was decided from wrong capacities. An agent had one load rate for all caches.

Change: an agent keeps a load rate per cache tier; agent.status names the rates and the concurrency besides the cached checkpoints. A home takes them from the answers to its own first questions and asks again after 10 min, when a replica has ended or when another agent has registered. What is not known counts as remote with 16 slots. Grants go by load time, then data centre, then load. The keep-alive's load time depends on the cache too.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -78,6 +78,25 @@
 	})
 }
 
+// Guards against a load from a cache that makes loads from the store look fast,
+// and against a status that hides the concurrency.
+func TestLoadRatesByCache(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.engine.cached = map[string]platform.CacheTier{modelA.Path(): platform.CacheMemory}
+		w.engine.loadTime = 100 * time.Millisecond
+		var before, after rpc.AgentStatus
+		w.start()
+		w.call(rpc.MethodAgentStatus, struct{}{}, &before)
+		w.Expect(w.wake().Refusal).To(BeNil())
+		w.call(rpc.MethodAgentStatus, struct{}{}, &after)
+		w.Expect(after.Concurrency).To(Equal(2))
+		w.Expect(after.LoadRates).To(HaveKeyWithValue(platform.CacheMemory, BeNumerically("<", before.LoadRates[platform.CacheMemory])))
+		for _, other := range []platform.CacheTier{platform.CacheDisk, platform.CacheRemote} {
+			w.Expect(after.LoadRates).To(HaveKeyWithValue(other, before.LoadRates[other]))
+		}
+	})
+}
+
 // Guards against heartbeats that stop or that follow each other too fast.
 func TestHeartbeatRate(t *testing.T) {
 	inBubble(t, func(w *world) {
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -25,9 +25,11 @@
 	// unreachableSlot is how long a load may go on without a slot.
 	unreachableSlot = 10 * time.Second
 	eventBacklog    = 256
-	// defaultLoadRate is assumed, in bytes per second, until the first load
-	// is measured.
-	defaultLoadRate = float64(512 * state.MiB)
+	// remoteRate, diskRate and memoryRate are assumed, in bytes per second,
+	// until the first load from there is measured.
+	remoteRate = float64(512 * state.MiB)
+	diskRate   = 2 * remoteRate
+	memoryRate = 4 * remoteRate
 )
 
 // control owns the account and the part. Its methods run on its goroutine
@@ -59,25 +61,29 @@
 	// it restarts. A listing that only takes long says nothing.
 	down        bool
 	appended    map[string]waitingIntent // by record id
-	loadStarted map[state.ReplicaKey]time.Time
-	loadRate    float64 // bytes of weights per second, measured
-	slots       map[state.ReplicaKey]string
-	shut        map[target]struct{} // what no request may use
-	measured    time.Time           // when the gauges were last set
-	heart       heart
+	loadStarted map[state.ReplicaKey]loadStart
+	// loadRates holds the bytes of weights per second by the place that they
+	// are loaded from.
+	loadRates map[platform.CacheTier]float64
+	slots     map[state.ReplicaKey]string
+	shut      map[target]struct{} // what no request may use
+	measured  time.Time           // when the gauges were last set
+	heart     heart
 }
 
 func newControl(ctx context.Context, a *Agent) *control {
 	c := &control{
-		agent:        a,
-		ctx:          ctx,
-		events:       make(chan func(), eventBacklog),
-		phase:        rpc.AgentStarting,
-		loadRate:     defaultLoadRate,
+		agent:  a,
+		ctx:    ctx,
+		events: make(chan func(), eventBacklog),
+		phase:  rpc.AgentStarting,
+		loadRates: map[platform.CacheTier]float64{
+			platform.CacheRemote: remoteRate, platform.CacheDisk: diskRate, platform.CacheMemory: memoryRate,
+		},
 		floor:        rpc.PartOffsets{Config: state.NoOffset, Region: state.NoOffset},
 		registration: registration{token: state.NoOffset},
 		appended:     make(map[string]waitingIntent),
-		loadStarted:  make(map[state.ReplicaKey]time.Time),
+		loadStarted:  make(map[state.ReplicaKey]loadStart),
 		slots:        make(map[state.ReplicaKey]string),
 		shut:         make(map[target]struct{}),
 	}
@@ -173,7 +179,7 @@
 		u.LastUsed = in.last()
 	}
 	if c.agent.deps.KeepAlive != nil {
-		u.KeepAlive = c.agent.deps.KeepAlive(key, c.loadTime(key))
+		u.KeepAlive = c.agent.deps.KeepAlive(key, c.loadTime(key, c.cachedAt(key)))
 	}
 	if keepAlive, ok := c.parts.part.KeepAlive[key.Model]; ok {
 		u.KeepAlive = keepAlive.Std()
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -233,6 +233,8 @@
 	incarnation int
 	replicas    []platform.EngineReplica
 	orders      []platform.Order
+	cached      map[string]platform.CacheTier
+	loadTime    time.Duration
 	// delay holds listings back until it is closed.
 	delay    chan struct{}
 	requests int
@@ -245,6 +247,7 @@
 		Incarnation: fmt.Sprint(e.incarnation),
 		Memory:      100,
 		Replicas:    slices.Clone(e.replicas),
+		Cached:      e.cached,
 	}
 }
 
@@ -279,6 +282,9 @@
 }
 
 func (e *fakeEngine) Do(_ context.Context, o platform.Order) error {
+	if o.Kind == platform.OrderLoad {
+		time.Sleep(e.loadTime)
+	}
 	if o.Kind == platform.OrderLoadAdapter {
 		time.Sleep(5 * time.Millisecond) // virtual time
 	}
--- a/internal/agent/methods.go
+++ b/internal/agent/methods.go
@@ -151,6 +151,8 @@
 		result.Grants = c.account.Grants()
 		result.Unfenced = c.account.IntentInForce()
 		result.Cached = c.account.Cached()
+		result.Concurrency = c.agent.cfg.Concurrency
+		result.LoadRates = c.rates()
 		result.Idle = c.idleTimes(time.Now())
 	})
 	return result, err
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -46,7 +47,7 @@
 		c.shut[t] = struct{}{}
 	}
 	if order.Kind == platform.OrderLoad {
-		c.loadStarted[order.ReplicaKey] = now
+		c.loadStarted[order.ReplicaKey] = loadStart{at: now, from: c.cachedAt(order.ReplicaKey)}
 	}
 	c.agent.deps.Counters.Add("agent_orders_total", 1)
 	go func() {
@@ -88,37 +89,55 @@
 	}
 }
 
+// loadStart is when a load was ordered, and where its weights were then.
+type loadStart struct {
+	at   time.Time
+	from platform.CacheTier
+}
+
+// cachedAt says where a checkpoint is, as of the last listing.
+func (c *control) cachedAt(key state.ReplicaKey) platform.CacheTier {
+	return cmp.Or(c.account.Cached()[key.Path()], platform.CacheRemote)
+}
+
 func (c *control) measureLoad(now time.Time, order platform.Order, err error) {
 	started := c.loadStarted[order.ReplicaKey]
 	delete(c.loadStarted, order.ReplicaKey)
-	took := now.Sub(started).Seconds()
+	took := now.Sub(started.at).Seconds()
 	if err != nil || took <= 0 {
 		return
 	}
 	rate := float64(order.Weights) / took
-	c.loadRate = rateWeight*rate + (1-rateWeight)*c.loadRate
+	c.loadRates[started.from] = rateWeight*rate + (1-rateWeight)*c.loadRates[started.from]
 }
 
 // readyIn predicts when a load ends.
 func (c *control) readyIn(now time.Time, key state.ReplicaKey) time.Duration {
-	whole := c.loadTime(key)
-	if whole == 0 {
-		return tickInterval
-	}
 	started, loading := c.loadStarted[key]
 	if !loading {
-		return whole
+		return max(c.loadTime(key, c.cachedAt(key)), tickInterval)
 	}
-	return max(whole-now.Sub(started), tickInterval)
+	return max(c.loadTime(key, started.from)-now.Sub(started.at), tickInterval)
 }
 
-// loadTime predicts how long a load takes; zero if the version is unknown.
-func (c *control) loadTime(key state.ReplicaKey) time.Duration {
+// loadTime predicts how long a load takes from a place; zero if the version is
+// unknown.
+func (c *control) loadTime(key state.ReplicaKey, from platform.CacheTier) time.Duration {
 	version, ok := c.parts.Version(key)
-	if !ok || c.loadRate <= 0 {
+	rate := c.loadRates[from]
+	if !ok || rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(version.Weights) / c.loadRate * float64(time.Second))
+	return time.Duration(float64(version.Weights) / rate * float64(time.Second))
+}
+
+// rates returns the load rates for a status.
+func (c *control) rates() map[platform.CacheTier]state.Bytes {
+	rates := make(map[platform.CacheTier]state.Bytes, len(c.loadRates))
+	for from, rate := range c.loadRates {
+		rates[from] = state.Bytes(rate)
+	}
+	return rates
 }
 
 // append stores records and hands the result to the control goroutine.
--- a/internal/bench/home.go
+++ b/internal/bench/home.go
@@ -89,6 +89,9 @@
 func (h *home) benefit() float64 { return scaling.Home{}.Benefit(h.input()) }
 
 func (h *home) loadTime(up int) time.Duration {
+	if h.o.exp.oneMean {
+		return h.meanLoad()
+	}
 	work, remote := h.o.loadWork(h.model, up)
 	if !remote {
 		return work
@@ -96,6 +99,25 @@
 	return scale(work, h.stretch)
 }
 
+// meanLoad is the load time of a home that does not know the caches.
+func (h *home) meanLoad() time.Duration {
+	var sum time.Duration
+	for _, id := range h.o.grants[h.model] {
+		work, _ := h.o.loadWork(h.model, id)
+		sum += work
+	}
+	return scale(sum, h.stretch/float64(len(h.o.grants[h.model])))
+}
+
+// slots is how many slots the home takes a replica for.
+func (h *home) slots() int {
+	const assumed = 16
+	if h.o.exp.oneMean {
+		return assumed
+	}
+	return slotsPerRunner
+}
+
 // expectedLoad is the load time under the best grant that is not blocked.
 func (h *home) expectedLoad() time.Duration {
 	best := h.o.loads[h.model]
@@ -111,7 +133,7 @@
 	in := scaling.HomeInput{Demands: h.demands(), Service: time.Second, Steady: h.steady}
 	for _, id := range h.o.grants[h.model] {
 		u, a := h.o.ups[id], h.o.agents[id]
-		g := scaling.Grant{Upstream: state.UpstreamName(strconv.Itoa(id)), DataCentre: state.DataCentre(strconv.Itoa(u.centre)), LoadTime: h.loadTime(id), Slots: slotsPerRunner}
+		g := scaling.Grant{Upstream: state.UpstreamName(strconv.Itoa(id)), DataCentre: state.DataCentre(strconv.Itoa(u.centre)), LoadTime: h.loadTime(id), Slots: h.slots()}
 		g.Usable = !u.lost && h.o.now.After(h.blocked[id])
 		g.SpareRefused = !h.o.now.After(h.noSpare[id])
 		in.Grants = append(in.Grants, g)
@@ -119,10 +141,10 @@
 		switch {
 		case u.lost:
 		case rep != nil && rep.ready:
-			in.Replicas = append(in.Replicas, scaling.Replica{Upstream: g.Upstream, State: state.ReplicaReady, Slots: slotsPerRunner, Queue: rep.users, Slowdown: h.o.coming(id)})
+			in.Replicas = append(in.Replicas, scaling.Replica{Upstream: g.Upstream, State: state.ReplicaReady, Slots: h.slots(), Queue: rep.users, Slowdown: h.o.coming(id)})
 		case !waking.IsZero():
 			left := max(g.LoadTime-h.o.now.Sub(waking), 100*time.Millisecond)
-			in.Replicas = append(in.Replicas, scaling.Replica{Upstream: g.Upstream, State: state.ReplicaLoading, Slots: slotsPerRunner, ReadyIn: left})
+			in.Replicas = append(in.Replicas, scaling.Replica{Upstream: g.Upstream, State: state.ReplicaLoading, Slots: h.slots(), ReadyIn: left})
 		}
 	}
 	return in
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -89,6 +89,9 @@
 	lostAt           time.Duration
 	logFrom, logTo   time.Duration
 	exact, preloaded bool
+	// oneMean lets homes know one mean load time for all grants of a model and
+	// assume 16 slots.
+	oneMean bool
 	// foretold lets ours know from the beginning which upstreams will be
 	// stragglers, and when.
 	foretold bool
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -87,8 +87,10 @@
 	Upstream   state.UpstreamName
 	DataCentre state.DataCentre
 	// LoadTime is the estimated time to load there, including the wait for
-	// the store and for evictions.
+	// the store and for evictions. It depends on where the checkpoint is.
 	LoadTime time.Duration
+	// Load is the requests on the upstream for each of its slots.
+	Load float64
 	// Usable is false if the agent does not answer, drains or cannot make
 	// room.
 	Usable bool
@@ -295,8 +297,8 @@
 }
 
 // wakeOrder lists the usable grants without a replica. Each in turn is the one
-// that loads soonest, in a data centre without a replica if that costs at most
-// a fifth more time.
+// that loads soonest; of those that take at most a fifth longer, the one whose
+// data centre has the fewest replicas, then the one with the least load.
 func wakeOrder(in HomeInput) []Grant {
 	used := make(map[state.UpstreamName]bool, len(in.Replicas))
 	for _, r := range in.Replicas {
@@ -316,7 +318,10 @@
 	for i := range free {
 		best := i
 		for j := i + 1; j < len(free) && free[j].LoadTime <= free[i].LoadTime*6/5; j++ {
-			if perCentre[free[j].DataCentre] < perCentre[free[best].DataCentre] {
+			if cmp.Or(
+				cmp.Compare(perCentre[free[j].DataCentre], perCentre[free[best].DataCentre]),
+				cmp.Compare(free[j].Load, free[best].Load),
+			) < 0 {
 				best = j
 			}
 		}
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -161,6 +161,10 @@
 	out := scaling.Home{}.Decide(in)
 	g.Expect([]state.UpstreamName{out.Wakes[0].Upstream, out.Wakes[1].Upstream, out.Wakes[2].Upstream}).
 		To(Equal([]state.UpstreamName{"u0", "u2", "u4"}))
+	in.Grants[3].Load, in.Grants[5].LoadTime = -1, 2*time.Second
+	out = scaling.Home{}.Decide(in)
+	g.Expect([]state.UpstreamName{out.Wakes[0].Upstream, out.Wakes[1].Upstream, out.Wakes[2].Upstream}).
+		To(Equal([]state.UpstreamName{"u5", "u3", "u0"}), "first the cached copy, then the least loaded elsewhere")
 	in.Replicas = []scaling.Replica{
 		{Upstream: "u0", State: state.ReplicaReady, Queue: 3, Adapters: []state.AdapterName{"held"}},
 		{Upstream: "u1", State: state.ReplicaReady, Queue: 1},
--- a/internal/entry/caches.go
+++ b/internal/entry/caches.go
@@ -12,9 +12,9 @@
 
 const (
 	// cacheInterval is the time between two questions of the decider about
-	// cached checkpoints. A question with its answer is about 240 B at four
-	// replicas an upstream, so 5/s took 1.2 KB/s of the decider's 3 KB/s. At
-	// 1,500 upstreams a round takes twelve minutes.
+	// cached checkpoints. A question with its answer is about 440 B at four
+	// replicas an upstream, 0.9 KB/s of the decider's 3 KB/s. At 1,500
+	// upstreams a round takes twelve minutes.
 	cacheInterval = 500 * time.Millisecond
 	// cacheTimeout bounds such a question.
 	cacheTimeout = time.Second
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -101,7 +101,11 @@
 	if h.decision.NoReplica {
 		steps = append(steps, "work waits, but no grant is usable")
 	}
-	e.reply <- append(steps, fmt.Sprintf("expected load time %s", h.loadTime.Round(time.Millisecond)))
+	for _, grant := range c.region.View().GrantsOf(e.key.Model) {
+		steps = append(steps, fmt.Sprintf("expected load time on %s: %s (%s)", grant.Upstream,
+			h.loadTimeOn(c, grant.Upstream).Round(time.Millisecond), c.homes.factsOf(grant.Upstream).cachedAt(e.key)))
+	}
+	e.reply <- steps
 }
 
 func (s source) explainRequest(e *explanation, id string) error {
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -46,7 +47,11 @@
 	version  uint64
 	parked   []parkedDemand
 	lastUsed time.Time
+	// loadTime is the mean of the measured loads that were not cached; zero if
+	// there was none.
 	loadTime time.Duration
+	// expected is the shortest load time under a usable grant.
+	expected time.Duration
 	decision scaling.HomeDecision
 	// benefit is what the waiters lose per second without a load.
 	benefit float64
@@ -94,6 +99,10 @@
 	wakes []wakeOrder
 	// probes are the questions of new homes.
 	probes []homeProbe
+	// agents is what the agents of grants have said of themselves, and
+	// questions are the ones to them that the last decisions made.
+	agents    map[state.UpstreamName]*agentFacts
+	questions []command
 	// versions makes the versions of sets of different homes differ.
 	versions uint64
 }
@@ -109,6 +118,7 @@
 	return homeTable{
 		policy:   scaling.Home{Config: cfg},
 		byKey:    make(map[state.ReplicaKey]*home),
+		agents:   make(map[state.UpstreamName]*agentFacts),
 		versions: uint64(time.Now().UnixNano()),
 	}
 }
@@ -124,7 +134,6 @@
 		replicas: make(map[state.UpstreamName]*homeReplica),
 		refused:  make(map[state.UpstreamName]time.Time),
 		reports:  make(map[state.UpstreamName]report),
-		loadTime: startLoadTime,
 	}
 	t.byKey[key] = created
 	t.bump(created)
@@ -233,8 +242,13 @@
 	return all
 }
 
+// usualLoad predicts a load that any grant may be used for.
+func (h *home) usualLoad() time.Duration {
+	return cmp.Or(h.expected, h.loadTime, startLoadTime)
+}
+
 func (h *home) readyIn(now time.Time) time.Duration {
-	shortest := h.loadTime
+	shortest := h.usualLoad()
 	for _, replica := range h.replicas {
 		if replica.at.State == state.ReplicaLoading {
 			shortest = min(shortest, max(wakePoll, replica.readyAt.Sub(now)))
@@ -245,6 +259,7 @@
 
 // decideHomes is the system that runs over all homes.
 func (c *control) decideHomes(now time.Time) {
+	c.homes.forgetAgents(now)
 	for key, h := range c.homes.byKey {
 		c.decideHome(h, now)
 		h.answer(c, now)
@@ -337,7 +352,7 @@
 			Upstream: name,
 			State:    replica.at.State,
 			ReadyIn:  max(0, replica.readyAt.Sub(now)),
-			Slots:    startSlots,
+			Slots:    c.homes.factsOf(name).slotsOr(startSlots),
 			Slowdown: replica.at.Slowdown,
 			Adapters: replica.at.Adapters,
 			Draining: config.Drained(name),
@@ -372,19 +387,29 @@
 
 func (h *home) grants(c *control, config *state.ConfigView, now time.Time) []scaling.Grant {
 	region := c.region.View()
+	h.expected = 0
 	var grants []scaling.Grant
 	for _, grant := range region.GrantsOf(h.key.Model) {
 		upstream, _, known := config.Upstream(grant.Upstream)
-		_, registered := region.Agent(grant.Upstream)
+		agent, registered := region.Agent(grant.Upstream)
 		until, refused := h.refused[grant.Upstream]
 		usable := known && registered && !grant.Revoked && grant.ReplicaKey == h.key &&
 			!config.Drained(grant.Upstream) && (!refused || now.After(until))
+		facts, loadTime := c.homes.factsOf(grant.Upstream), h.loadTimeOn(c, grant.Upstream)
+		if usable {
+			_, replica := h.replicas[grant.Upstream]
+			c.askAgent(upstream, agent.Token, replica, now)
+			if h.expected == 0 || loadTime < h.expected {
+				h.expected = loadTime
+			}
+		}
 		grants = append(grants, scaling.Grant{
 			Upstream:   grant.Upstream,
 			DataCentre: upstream.DataCentre,
-			LoadTime:   h.loadTime,
+			LoadTime:   loadTime,
+			Load:       facts.loadAt(now),
 			Usable:     usable,
-			Slots:      startSlots,
+			Slots:      facts.slotsOr(startSlots),
 
 			SpareRefused: h.spares.isRefused(grant.Upstream, now),
 		})
--- a/internal/entry/home_changes.go
+++ b/internal/entry/home_changes.go
@@ -80,6 +80,10 @@
 		if h.lastUsed.IsZero() {
 			h.lastUsed = now
 		}
+		if ends := change.Gone || change.Replica.State == state.ReplicaUnloading; ends && !change.Withdrawn {
+			// The checkpoint may be cached now.
+			c.homes.factsOf(change.Replica.Upstream).stale = true
+		}
 		if h.change(e.watcher, change, now) {
 			touched[h] = true
 		}
@@ -105,7 +109,7 @@
 	if change.Gone || change.Replica.State == state.ReplicaUnloading {
 		return ok && h.end(known, &change)
 	}
-	readyAt := now.Add(h.loadTime)
+	readyAt := now.Add(h.usualLoad())
 	if ok {
 		known.ended = nil
 		if known.polling && change.Replica.State == state.ReplicaLoading {
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -28,6 +30,10 @@
 	wakes   []string
 	loaded  map[string]bool
 	refuse  map[string]bool
+	// loads is how long loads take, a second if nothing is said.
+	loads map[string]time.Duration
+	// says is what the agents say of themselves besides their replicas.
+	says map[string]rpc.AgentStatus
 	// spares counts the wakes for a spare replica.
 	spares map[string]int
 	stop   context.CancelFunc
@@ -102,18 +108,19 @@
 	case b.loaded[name]:
 		return rpc.WakeResult{State: state.ReplicaReady}
 	}
-	time.AfterFunc(time.Second, func() {
+	load := cmp.Or(b.loads[name], time.Second)
+	time.AfterFunc(load, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.loaded[name] = true
 	})
-	return rpc.WakeResult{State: state.ReplicaLoading, ReadyIn: state.Duration(time.Second)}
+	return rpc.WakeResult{State: state.ReplicaLoading, ReadyIn: state.Duration(load)}
 }
 
 func (b *homeBench) status(name string) rpc.AgentStatus {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var status rpc.AgentStatus
+	status := b.says[name]
 	if b.loaded[name] {
 		status.Heartbeat.Replicas = []state.Replica{{ReplicaKey: testReplica, Upstream: state.UpstreamName(name), State: state.ReplicaReady}}
 	}
@@ -186,6 +193,41 @@
 	}
 }
 
+// Guards against a wake that ignores where the checkpoint is cached, and
+// against scale-out that takes each replica for the same slots.
+func TestHomeKnowsEachGrant(t *testing.T) {
+	for _, test := range []struct {
+		name                     string
+		tier                     platform.CacheTier
+		slots, waiting, replicas int
+		within                   time.Duration
+	}{
+		{name: "cached in memory", tier: platform.CacheMemory, slots: 16, waiting: 1, replicas: 1, within: time.Second},
+		{name: "cached on disk", tier: platform.CacheDisk, slots: 16, waiting: 1, replicas: 1, within: time.Second},
+		{name: "one request at once", tier: platform.CacheDisk, slots: 1, waiting: 100, replicas: 2, within: 7 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newHomeBench(t)
+			defer b.end()
+			rates := map[platform.CacheTier]state.Bytes{
+				platform.CacheMemory: 4 * state.GiB, platform.CacheDisk: 2 * state.GiB, platform.CacheRemote: state.GiB / 6,
+			}
+			b.loads = map[string]time.Duration{"u0": 6 * time.Second, "u1": 500 * time.Millisecond}
+			b.says = map[string]rpc.AgentStatus{
+				"u0": {Concurrency: test.slots, LoadRates: rates},
+				"u1": {Concurrency: test.slots, LoadRates: rates, Cached: map[string]platform.CacheTier{testReplica.Path(): test.tier}},
+			}
+			asked := time.Now()
+			set := b.ask("e1", test.waiting, test.replicas)
+			t.Logf("%s: ready after %s", test.name, time.Since(asked))
+			g.Expect(set[len(set)-1].Upstream).To(Equal(state.UpstreamName("u1")), test.name)
+			g.Expect(time.Since(asked)).To(BeNumerically("<", test.within), test.name)
+			g.Expect(b.woken()).To(HaveLen(test.replicas), test.name)
+		})
+	}
+}
+
 // Guards against a refusal that ends the wake of a model.
 func TestRefusedWakeTriesOtherGrant(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/home_wakes.go
+++ b/internal/entry/home_wakes.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -19,7 +21,10 @@
 	at := replicaAt(upstream, c.region.View(), h.key)
 	if adapter == "" {
 		at.State = state.ReplicaLoading
-		h.replicas[name] = &homeReplica{at: at, readyAt: now.Add(h.loadTime), polled: now, polling: true, woken: now}
+		h.replicas[name] = &homeReplica{at: at, readyAt: now.Add(h.loadTimeOn(c, name)), polled: now, polling: true}
+		if c.homes.factsOf(name).cachedAt(h.key) == platform.CacheRemote {
+			h.replicas[name].woken = now
+		}
 	} else if known, ok := h.replicas[name]; ok {
 		if known.polling {
 			return
@@ -47,6 +52,10 @@
 		}
 	}
 	c.homes.probes = c.homes.probes[:0]
+	for _, question := range c.homes.questions {
+		c.start(ctx, question)
+	}
+	c.homes.questions = c.homes.questions[:0]
 	for _, order := range c.homes.wakes {
 		started := c.start(ctx, func(ctx context.Context) event {
 			ctx, cancel := context.WithTimeout(ctx, wakeTimeout)
@@ -129,7 +138,8 @@
 	}
 	replica.at.State = state.ReplicaReady
 	if !replica.woken.IsZero() {
-		h.loadTime = (h.loadTime + now.Sub(replica.woken)) / 2
+		took := now.Sub(replica.woken)
+		h.loadTime = (cmp.Or(h.loadTime, took) + took) / 2
 	}
 	c.homes.bump(h)
 }
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -52,6 +52,9 @@
 func (e probeAnswered) apply(c *control, now time.Time) {
 	h := e.home
 	h.probing--
+	if !e.failed {
+		c.homes.factsOf(e.at.Upstream).note(e.status, now)
+	}
 	if c.homes.byKey[h.key] != h {
 		return // The home has moved away meanwhile.
 	}
@@ -78,7 +81,7 @@
 		return
 	}
 	at.Replica = replica
-	h.replicas[at.Upstream] = &homeReplica{at: at, readyAt: now.Add(h.loadTime), polled: now, answered: answered}
+	h.replicas[at.Upstream] = &homeReplica{at: at, readyAt: now.Add(h.loadTimeOn(c, at.Upstream)), polled: now, answered: answered}
 	c.homes.bump(h)
 }
 
--- a/internal/rpc/bench_test.go
+++ b/internal/rpc/bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -74,6 +75,16 @@
 	})
 	b.Run("heartbeat=unchanged", func(b *testing.B) { benchCall(b, rpc.MethodHeartbeat, beat, rpc.HeartbeatResult{}) })
 	b.Run("heartbeat=full", func(b *testing.B) { benchCall(b, rpc.MethodHeartbeat, full, rpc.HeartbeatResult{}) })
+	status := rpc.AgentStatus{Heartbeat: full, Memory: 80 * state.GiB, Grants: part.Grants, Concurrency: 16}
+	status.Cached = make(map[string]platform.CacheTier)
+	for _, grant := range part.Grants {
+		status.Cached[grant.Path()] = platform.CacheMemory
+	}
+	b.Run("status=before", func(b *testing.B) { benchCall(b, rpc.MethodAgentStatus, struct{}{}, status) })
+	status.LoadRates = map[platform.CacheTier]state.Bytes{
+		platform.CacheMemory: 2_345_678_901, platform.CacheDisk: 1_234_567_890, platform.CacheRemote: 512_345_678,
+	}
+	b.Run("status", func(b *testing.B) { benchCall(b, rpc.MethodAgentStatus, struct{}{}, status) })
 	b.Run("ping=quiet", func(b *testing.B) { benchCall(b, rpc.MethodPing, ping, ping) })
 	b.Run("ping=six-updates", func(b *testing.B) { benchCall(b, rpc.MethodPing, busy, busy) })
 }
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -351,15 +351,22 @@
 
 // AgentStatus is an agent's full account, for queries.
 type AgentStatus struct {
-	Heartbeat Heartbeat                     `json:"heartbeat"`
-	Memory    state.Bytes                   `json:"memory"`
-	Reserved  state.Bytes                   `json:"reserved"`
-	Grants    []state.Grant                 `json:"grants"`
-	Waiting   [state.ClassCount]int         `json:"waiting"`
-	Unfenced  []state.ReplicaKey            `json:"unfenced_intent,omitempty"`
-	Idle      map[string]string             `json:"idle,omitempty"`
-	Counters  map[string]uint64             `json:"counters,omitempty"`
-	Cached    map[string]platform.CacheTier `json:"cached,omitempty"`
+	Heartbeat Heartbeat             `json:"heartbeat"`
+	Memory    state.Bytes           `json:"memory"`
+	Reserved  state.Bytes           `json:"reserved"`
+	Grants    []state.Grant         `json:"grants"`
+	Waiting   [state.ClassCount]int `json:"waiting"`
+	Unfenced  []state.ReplicaKey    `json:"unfenced_intent,omitempty"`
+	Idle      map[string]string     `json:"idle,omitempty"`
+	Counters  map[string]uint64     `json:"counters,omitempty"`
+	// Cached says where the checkpoints are that are not remote, by
+	// "model/version".
+	Cached map[string]platform.CacheTier `json:"cached,omitempty"`
+	// LoadRates holds the bytes of weights a second that loads take, by where
+	// the weights are.
+	LoadRates map[platform.CacheTier]state.Bytes `json:"load_rates,omitempty"`
+	// Concurrency bounds the requests running on the upstream.
+	Concurrency int `json:"concurrency,omitempty"`
 }
 
 // CrashParams tells the owner of a fingerprint's attribution that a request
