entry, agent, roles: a planned stop ends within its settings

Cause: each step of a stop took up to a whole stop_timeout. An entry spent it on a pause for refusals (1 s more), on the last records and again on the last push of metrics; an agent on running work, orders, the audit trail and metrics, and twice the drain timeout if its host left. At the end of an entry's drain, waiting requests were refused with "draining", after which they waited again, and open streams went on until the process ended, after the last counts were written. Change: ctxtime.Stop divides the stop timeout; each step ends at its share. The end of the drain ends the contexts of the requests in flight, whose verdict is then "draining": not run where they waited, may have run where they were sent. Measured: go test ./internal/entry ./internal/agent ./internal/roles.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -205,6 +205,34 @@
 	})
 }
 
+// Guards against steps of a stop that take longer together than the drain and
+// settle times, when the engine and the log are away.
+func TestStopEndsInTime(t *testing.T) {
+	for _, leaveHost := range []bool{false, true} {
+		inBubble(t, func(w *world) {
+			w.cfg.Shutdown, w.cfg.Settle = 8*time.Second, 4*time.Second
+			w.awake()
+			w.hold()
+			running := w.background()
+			w.log.set(func(l *fakeLog) { l.down = true })
+			began := time.Now()
+			if leaveHost {
+				w.caller.setLeaving()
+				for ; w.agent.Ready() == nil; settle(time.Millisecond) {
+					began = time.Now()
+				}
+			} else {
+				w.stop()
+			}
+			w.Expect(<-w.ended).To(Succeed())
+			w.ended <- nil
+			w.Expect((<-running).verdict()).To(Equal("may-have-run"))
+			w.Expect(w.agent.StopBy().Sub(began)).To(BeNumerically("~", 12*time.Second, 10*time.Millisecond))
+			w.Expect(time.Now()).To(BeTemporally("<=", w.agent.RecordsBy()))
+		})
+	}
+}
+
 // Guards against a host that leaves with grants that nobody can move.
 func TestLeavingHostReleasesGrants(t *testing.T) {
 	inBubble(t, func(w *world) {
--- a/internal/agent/leave.go
+++ b/internal/agent/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -21,6 +22,16 @@
 	leavePoll = 20 * time.Millisecond
 )
 
+// The shares of the settle time, in percent, by which the steps after the drain have ended.
+// What is left after the last is for the last push of metrics.
+const (
+	runsShare        = 25
+	unloadsShare     = 40
+	ordersShare      = 60
+	connectionsShare = 70
+	recordsShare     = 85
+)
+
 // leave starts the shutdown. Any goroutine may call it.
 func (a *Agent) leave(why leaveReason) {
 	select {
@@ -30,34 +41,61 @@
 }
 
 // shutDown ends the agent's work: no new work from now on, then running work
-// within the shutdown timeout, then orders and the last records.
+// and the unloads of a host that leaves within the shutdown timeout, then what
+// is left, orders and the last records within the settle time.
 func (a *Agent) shutDown(c *control, why leaveReason) {
+	drained := time.Now().Add(time.Duration(a.drainTime.Load()))
 	a.deps.Logger.Info("leaving", "upstream", a.cfg.Upstream.Name, "host_leaving", why == leaveHost)
 	_ = c.ask(c.ctx, func() {
 		c.leaving = true
 		c.publish()
 	})
 	a.dispatcher.close(verdict.Refuse(verdict.ReasonDraining, "the upstream is leaving"))
-	finished := a.await(c.ctx, time.Duration(a.drainTime.Load()), func() bool { return a.dispatcher.running.Load() == 0 })
+	idle := func() bool { return a.dispatcher.running.Load() == 0 }
+	left := func() bool { return c.account.Left() }
+	leavesHost := why == leaveHost && c.account != nil
+	finished := a.await(c.ctx, drained, idle)
+	if finished && leavesHost {
+		_ = c.ask(c.ctx, func() { c.account.Leave() })
+		a.awaitControl(c, drained, left)
+	}
+	stop := ctxtime.NewStop(time.Duration(a.settleTime.Load()))
+	a.stopping.Store(&stop)
 	if !finished {
 		a.deps.Logger.Warn("ending work that still runs", "requests", a.dispatcher.running.Load())
 	}
 	a.endRuns()
-	a.await(c.ctx, time.Duration(a.settleTime.Load()), func() bool { return a.dispatcher.running.Load() == 0 })
+	a.await(c.ctx, stop.At(runsShare), idle)
 	if c.account == nil {
 		return
 	}
-	if why == leaveHost {
+	if leavesHost {
 		_ = c.ask(c.ctx, func() { c.account.Leave() })
-		a.awaitControl(c, time.Duration(a.drainTime.Load()), func() bool { return c.account.Left() })
+		a.awaitControl(c, stop.At(unloadsShare), left)
 	}
 	_ = c.ask(c.ctx, func() { c.account.Stop() })
-	a.awaitControl(c, time.Duration(a.settleTime.Load()), func() bool { return c.account.Stopped() })
+	if !a.awaitControl(c, stop.At(ordersShare), func() bool { return c.account.Stopped() }) {
+		a.deps.Logger.Warn("leaving before all orders and records were confirmed")
+	}
 }
 
-// await polls until done or for the given time.
-func (a *Agent) await(ctx context.Context, limit time.Duration, done func() bool) bool {
-	timer := time.NewTimer(limit)
+// RecordsBy returns until when the last records of a planned stop may be
+// written, or the zero time before the end of its drain.
+func (a *Agent) RecordsBy() time.Time { return a.shareOfStop(recordsShare) }
+
+// StopBy returns when a planned stop has to be over, or the zero time.
+func (a *Agent) StopBy() time.Time { return a.shareOfStop(100) }
+
+func (a *Agent) shareOfStop(percent time.Duration) time.Time {
+	if stop := a.stopping.Load(); stop != nil {
+		return stop.At(percent)
+	}
+	return time.Time{}
+}
+
+// await polls until done or until the given time.
+func (a *Agent) await(ctx context.Context, by time.Time, done func() bool) bool {
+	timer := time.NewTimer(time.Until(by))
 	defer timer.Stop()
 	ticker := time.NewTicker(leavePoll)
 	defer ticker.Stop()
@@ -74,13 +112,10 @@
 }
 
 // awaitControl is await for a condition of the control goroutine.
-func (a *Agent) awaitControl(c *control, limit time.Duration, done func() bool) {
-	reached := a.await(c.ctx, limit, func() bool {
+func (a *Agent) awaitControl(c *control, by time.Time, done func() bool) bool {
+	return a.await(c.ctx, by, func() bool {
 		ok := false
 		_ = c.ask(c.ctx, func() { ok = done() })
 		return ok
 	})
-	if !reached {
-		a.deps.Logger.Warn("leaving before all orders and records were confirmed")
-	}
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -51,6 +52,8 @@
 	changed chan struct{}
 	// drainTime and settleTime bound the shutdown, in nanoseconds.
 	drainTime, settleTime atomic.Int64
+	// stopping is set once the drain of a planned stop has ended.
+	stopping atomic.Pointer[ctxtime.Stop]
 	// gaps carries the gaps between requests to the control goroutine.
 	gaps chan requestGap
 
@@ -169,7 +172,11 @@
 	group.Go(func() error {
 		why := a.awaitEnd(ctx, running)
 		a.shutDown(c, why)
-		closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		closeBy := time.Now().Add(closeTimeout)
+		if planned := a.shareOfStop(connectionsShare); planned.Before(closeBy) {
+			closeBy = planned
+		}
+		closeCtx, cancel := context.WithDeadline(context.Background(), closeBy)
 		defer cancel()
 		if server.Shutdown(closeCtx) != nil {
 			_ = server.Close()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -138,10 +138,9 @@
 	switch {
 	case dialFailed && ctx.Err() == nil:
 		return verdict.Refuse(verdict.ReasonUpstreamFailed, "the upstream's agent can't be reached")
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return verdict.Unknown(verdict.ReasonDeadlineExceeded, "the deadline passed before the answer")
 	case ctx.Err() != nil:
-		return verdict.Unknown(verdict.ReasonCallerGone, "the caller left before the answer")
+		reason, why := endOf(ctx)
+		return verdict.Unknown(reason, why+" before the answer")
 	default:
 		return verdict.Unknown(verdict.ReasonUpstreamFailed, "the connection to the upstream's agent broke")
 	}
--- a/internal/entry/auditing.go
+++ b/internal/entry/auditing.go
@@ -64,8 +64,8 @@
 
 // flushLast writes what is left of the trail and the final counts at a
 // graceful stop.
-func (e *Entry) flushLast() {
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Load().Shutdown.StopTimeout.Std())
+func (e *Entry) flushLast(by time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
 	e.flushTrail(ctx)
 	e.flushCounts(ctx, time.Now(), true)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,6 +85,8 @@
 	history   *history
 	trail     *audit.Trail
 	reports   *audit.Reporter
+	// stopping is set once the drain of a planned stop has ended.
+	stopping atomic.Pointer[ctxtime.Stop]
 }
 
 // New returns an entry. It does nothing before Run.
@@ -217,8 +219,8 @@
 }
 
 // Run serves until ctx ends, then stops gracefully: it takes no new requests,
-// lets those in flight finish within the drain timeout and gives the rest a
-// verdict. It returns an error if it could not serve.
+// lets those in flight finish within the drain timeout, gives the rest a verdict
+// and ends within the stop timeout. It returns an error if it could not serve.
 func (e *Entry) Run(ctx context.Context, listeners Listeners) error {
 	running, stopRunning := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopRunning()
@@ -266,30 +268,64 @@
 	callersServer := newHTTPServer(callersHandler(callersAPI{gateway: e.gateway}, e.readiness))
 	api := operatorsAPI{control: e.control, tokens: e.tokens, run: statements{e}, change: e.change}
 	operatorsServer := newHTTPServer(operatorsHandler(api, e.readiness, e.deps.Metrics))
-	group.Go(func() error { return serveHTTP(ctx, callersServer, listeners.Callers) })
-	group.Go(func() error { return serveHTTP(ctx, operatorsServer, listeners.Operators) })
+	group.Go(func() error { return serveHTTP(ctx, callersServer, listeners.Callers, e.closeBy) })
+	group.Go(func() error { return serveHTTP(ctx, operatorsServer, listeners.Operators, e.closeBy) })
 	control := rpc.NewServer(e.methods())
 	control.Counter = e.deps.Counter
 	group.Go(func() error { return control.Serve(ctx, listeners.Control) })
 }
 
+// The shares of the stop timeout, in percent, by which the steps after the drain have ended.
+// What is left after the last is for the last push of metrics.
+const (
+	requestsShare    = 25
+	recordsShare     = 70
+	connectionsShare = 80
+)
+
 // stop drains the entry. Peers hear that it is leaving with the next pings.
 func (e *Entry) stop() {
 	e.deps.Logger.Info("entry is stopping")
 	shutdown := e.settings.Load().Shutdown
-	drainTimeout := shutdown.DrainTimeout.Std()
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdown.DrainTimeout.Std())
 	defer cancel()
 	e.control.post(ctx, leavingSet{})
-	if err := e.gateway.drain(ctx); err != nil {
-		e.deps.Logger.Warn("requests were still in flight at the end of the drain", "error", err)
-		sleepPlain(shutdown.StopTimeout.Std())
+	empty, drained := e.gateway.drain(ctx)
+	stop := ctxtime.NewStop(shutdown.StopTimeout.Std())
+	e.stopping.Store(&stop)
+	if !drained {
+		e.deps.Logger.Warn("requests were still in flight at the end of the drain")
+		e.endRequests(empty, stop.At(requestsShare))
 	}
-	e.flushLast()
+	e.flushLast(stop.At(recordsShare))
 }
 
-// sleepPlain gives refused requests the time to reach their callers.
-func sleepPlain(d time.Duration) { time.Sleep(min(d, time.Second)) }
+// endRequests ends the requests in flight with a verdict, so that the last
+// counts hold them.
+func (e *Entry) endRequests(empty <-chan struct{}, by time.Time) {
+	e.gateway.inFlight.endAll()
+	ctx, cancel := context.WithDeadline(context.Background(), by)
+	defer cancel()
+	select {
+	case <-empty:
+	case <-ctx.Done():
+		e.deps.Logger.Warn("requests did not end with their contexts")
+	}
+}
+
+// StopBy returns when a planned stop has to be over, or the zero time before
+// the end of its drain.
+func (e *Entry) StopBy() time.Time { return e.shareOfStop(100) }
+
+// closeBy returns until when connections may become idle.
+func (e *Entry) closeBy() time.Time { return e.shareOfStop(connectionsShare) }
+
+func (e *Entry) shareOfStop(percent time.Duration) time.Time {
+	if stop := e.stopping.Load(); stop != nil {
+		return stop.At(percent)
+	}
+	return time.Time{}
+}
 
 // leavingSet makes the entry give up its roles.
 type leavingSet struct{}
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -242,12 +240,9 @@
 	return v
 }
 
-// endedWaiting is the verdict of a request whose deadline or caller ended a
-// pause between attempts; last is the verdict of the attempt before.
+// endedWaiting is the verdict of a request whose context ended during a pause
+// between attempts; last is the verdict of the attempt before.
 func endedWaiting(ctx context.Context, last *verdict.Verdict) *verdict.Verdict {
-	reason := verdict.ReasonCallerGone
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		reason = verdict.ReasonDeadlineExceeded
-	}
+	reason, _ := endOf(ctx)
 	return &verdict.Verdict{Execution: last.Execution, Reason: reason, Detail: "while waiting after: " + string(last.Reason)}
 }
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/quarantine"
@@ -178,6 +176,8 @@
 	if refusal := current.identify(req, attrs, g.cfg.defaultCaller); refusal != nil {
 		return refusal
 	}
+	ctx, release := g.inFlight.withEnd(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline, context.DeadlineExceeded)
 	defer cancel()
 	e := &execution{gateway: g, request: req, exchange: x}
@@ -274,15 +274,13 @@
 }
 
 // drain stops taking requests and waits until those in flight have ended or
-// ctx does; what still waits for a replica then is refused.
-func (g *gateway) drain(ctx context.Context) error {
+// ctx does. It returns a channel that is closed once they have.
+func (g *gateway) drain(ctx context.Context) (empty <-chan struct{}, drained bool) {
+	empty = g.inFlight.close()
 	select {
-	case <-g.inFlight.close():
-		return nil
+	case <-empty:
+		return empty, true
 	case <-ctx.Done():
+		return empty, false
 	}
-	g.routes.each(func(r *route) {
-		r.room.refuseAll(verdict.Refuse(verdict.ReasonDraining, "this entry is stopping"))
-	})
-	return errors.Wrap(ctx.Err(), "requests in flight at the end of the drain timeout")
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -75,10 +75,9 @@
 	case errors.As(err, &gone):
 		return verdict.Unknown(verdict.ReasonCallerGone, "the caller left during the answer")
 	case whole:
-	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return verdict.Unknown(verdict.ReasonDeadlineExceeded, "the deadline passed during the answer")
 	case ctx.Err() != nil:
-		return verdict.Unknown(verdict.ReasonCallerGone, "the caller left during the answer")
+		reason, why := endOf(ctx)
+		return verdict.Unknown(reason, why+" during the answer")
 	case err != nil:
 		return verdict.Unknown(verdict.ReasonStreamCut, "the upstream's answer was cut")
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -144,12 +144,17 @@
 
 // serveHTTP serves on listener until ctx ends, then closes what is left. The
 // server writes the end of an answer after the handler has returned, so that
-// the connections get closeTimeout to become idle.
-func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener) error {
+// connections get closeTimeout to become idle, but not longer than closeBy
+// says of a planned stop.
+func serveHTTP(ctx context.Context, server *http.Server, listener net.Listener, closeBy func() time.Time) error {
 	closed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(closed)
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		by := time.Now().Add(closeTimeout)
+		if planned := closeBy(); !planned.IsZero() && planned.Before(by) {
+			by = planned
+		}
+		limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), by)
 		defer cancel()
 		if server.Shutdown(limited) != nil {
 			_ = server.Close()
--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -111,10 +109,8 @@
 		w.queue.Remove(id)
 		delete(w.waiters, id)
 	}
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return verdict.Refuse(verdict.ReasonDeadlineExceeded, "the deadline passed while the request waited")
-	}
-	return verdict.Refuse(verdict.ReasonCallerGone, "the caller left while the request waited")
+	reason, why := endOf(ctx)
+	return verdict.Refuse(reason, why+" while the request waited")
 }
 
 // leave gives a request's place back. full says that a replica refused it
@@ -163,16 +159,6 @@
 	}
 }
 
-// refuseAll ends all waiting requests with v.
-func (w *waitingRoom) refuseAll(v *verdict.Verdict) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for id := range w.waiters {
-		w.queue.Remove(id)
-		w.finish(id, v)
-	}
-}
-
 // waiting returns the waiting requests by class, their predicted work and
 // the number of requests at replicas.
 func (w *waitingRoom) waiting() ([state.ClassCount]int, time.Duration, int) {
--- a/internal/roles/agent.go
+++ b/internal/roles/agent.go
@@ -77,7 +77,8 @@
 	})
 	go serveAgentOperators(background, cfg, a, meter, secured.operators, logger)
 	err = a.Run(ctx)
-	last, cancel := context.WithTimeout(background, time.Duration(shared.stopTimeout.Load()))
+	shared.stopBy = shared.endBy(a.StopBy())
+	last, cancel := context.WithDeadline(background, shared.endBy(a.RecordsBy()))
 	defer cancel()
 	if flushErr := trail.Flush(last); flushErr != nil {
 		logger.Warn("last audit entries not written", "error", flushErr)
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -64,7 +64,9 @@
 		e.Reload(ctx, now)
 		shared.stopTimeout.Store(int64(now.Shutdown.StopTimeout))
 	})
-	return e.Run(ctx, listeners)
+	err = e.Run(ctx, listeners)
+	shared.stopBy = e.StopBy()
+	return err
 }
 
 // sharedParts are the parts that entries and agents have in common.
@@ -73,32 +75,44 @@
 	secured certificates
 	client  *rpc.Client
 	// stopTimeout is Shutdown.StopTimeout of the last reload, in nanoseconds.
-	stopTimeout *atomic.Int64
-	// close ends all of them.
-	close func()
+	stopTimeout atomic.Int64
+	// stopBy is when a planned stop has to be over; zero where none was begun.
+	stopBy time.Time
+	logger *slog.Logger
+}
+
+// close ends all of them.
+func (p *sharedParts) close() {
+	p.client.Close()
+	shutdownTelemetry(p.meter, p.endBy(p.stopBy), p.logger)
+}
+
+// endBy returns planned, or the end of a stop timeout from now if it is zero.
+func (p *sharedParts) endBy(planned time.Time) time.Time {
+	if planned.IsZero() {
+		return time.Now().Add(time.Duration(p.stopTimeout.Load()))
+	}
+	return planned
 }
 
 // openShared starts telemetry, reads the certificates and makes the client of
 // calls to other processes.
-func openShared(ctx context.Context, common settings.Common, logger *slog.Logger) (sharedParts, error) {
+func openShared(ctx context.Context, common settings.Common, logger *slog.Logger) (*sharedParts, error) {
 	meter, err := telemetry.Start(ctx, common)
 	if err != nil {
-		return sharedParts{}, err
+		return nil, err
 	}
 	secured, err := openCertificates(common.TLS, logger)
 	if err != nil {
-		shutdownTelemetry(meter, common.Shutdown.StopTimeout.Std(), logger)
-		return sharedParts{}, err
+		shutdownTelemetry(meter, time.Now().Add(common.Shutdown.StopTimeout.Std()), logger)
+		return nil, err
 	}
 	client := rpc.NewClient()
 	client.Counter = meter
 	client.Dial = secured.internal.Dial
-	stopTimeout := &atomic.Int64{}
-	stopTimeout.Store(int64(common.Shutdown.StopTimeout))
-	return sharedParts{meter: meter, secured: secured, client: client, stopTimeout: stopTimeout, close: func() {
-		client.Close()
-		shutdownTelemetry(meter, time.Duration(stopTimeout.Load()), logger)
-	}}, nil
+	shared := &sharedParts{meter: meter, secured: secured, client: client, logger: logger}
+	shared.stopTimeout.Store(int64(common.Shutdown.StopTimeout))
+	return shared, nil
 }
 
 // certificates are those of a process by the other side of a connection.
@@ -145,8 +159,8 @@
 	return source.Listener(listener), nil
 }
 
-func shutdownTelemetry(meter *telemetry.Telemetry, timeout time.Duration, logger *slog.Logger) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func shutdownTelemetry(meter *telemetry.Telemetry, by time.Time, logger *slog.Logger) {
+	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
 	if err := meter.Shutdown(ctx); err != nil {
 		logger.Warn("last metrics not pushed", "error", err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,7 +114,8 @@
 	// DrainTimeout is how long the process finishes accepted work after it
 	// has stopped taking new work. Default 30s.
 	DrainTimeout state.Duration `toml:"drain_timeout" validate:"min_duration=0s,max_duration=1h"`
-	// StopTimeout is how long it then takes to end what is left and to
-	// write its last records. Default 5s.
+	// StopTimeout is how long it then takes at most until its end: to end
+	// what is left, write the last records and push the last metrics.
+	// Default 5s.
 	StopTimeout state.Duration `toml:"stop_timeout" validate:"min_duration=100ms,max_duration=10m"`
 }
