oplang, entry, ctl: bounded answers to queries

Cause: an entry sent answers of any size and gathered any number of rows from others; only ctl stopped, at 64 MiB, and then said that "a command may have taken effect" even of a query. Change: an answer of more than 16 MiB of rows, or a query that gathers more than a million cells, is refused as answer_too_large; nothing of it is sent, since a script could take a part for the whole. The message names a limit that fits. The other entries get the statement and send only the rows that its where and since keep, so that these narrow what is gathered. ctl tells queries and commands apart by parsing the statement; what it can't parse counts as a command. Its own bound is 32 MiB. Measured: go test ./internal/oplang ./internal/entry ./internal/ctl. The new checks fail without checkSize, without checkGathered, with entries that send all rows, and without the question whether the statement may change anything. "by" is not applied by the other entries, so that a table of more than a million cells can be grouped only after it is narrowed. That many entries answer at once is bounded only by 64 MiB a message.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -14,20 +14,22 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/oplang"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
 // operatePath is the path of the operators' API for statements.
 const operatePath = "/v1/operate"
 
-// maxAnswerBytes bounds an answer; 100,000 rows take about 10 MiB.
-const maxAnswerBytes = 64 << 20
+// maxAnswerBytes bounds an answer. An entry's own bound, on the rows, is well
+// below.
+const maxAnswerBytes = 2 * oplang.MaxAnswerBytes
 
 // ErrNotSent means that no entry was reached, so that nothing was done.
 var ErrNotSent = errors.New("entry not reached")
 
-// ErrNoAnswer means that the statement was sent and no answer came back. A
-// command may have taken effect.
+// ErrNoAnswer means that the statement was sent and no usable answer came back.
+// A command may have taken effect; a query changes nothing.
 var ErrNoAnswer = errors.New("no answer")
 
 // Request is the body of a request to the operators' API.
@@ -80,12 +82,12 @@
 }
 
 func readAnswer(response *http.Response) (oplang.Answer, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	data, err := io.ReadAll(io.LimitReader(response.Body, int64(maxAnswerBytes)+1))
 	if err != nil {
 		return oplang.Answer{}, errors.Wrapf(ErrNoAnswer, "read: %v", err)
 	}
-	if len(data) > maxAnswerBytes {
-		return oplang.Answer{}, errors.Wrapf(ErrNoAnswer, "longer than %d bytes; narrow a query with where, by or limit", maxAnswerBytes)
+	if state.Bytes(len(data)) > maxAnswerBytes {
+		return oplang.Answer{}, errors.Wrapf(ErrNoAnswer, "longer than %s; narrow a query with where, by or limit", maxAnswerBytes)
 	}
 	var answer oplang.Answer
 	err = json.Unmarshal(data, &answer)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -80,7 +80,7 @@
 // Guards against an answer without a bound that fills the memory of ctl, and
 // against one that is cut in silence and looks whole.
 func TestAnswerBeyondTheBoundIsToldInEachForm(t *testing.T) {
-	const bound = 64 << 20
+	const bound = 32 << 20
 	for _, format := range []oplang.Format{oplang.FormatTable, oplang.FormatJSON, oplang.FormatCSV} {
 		g := NewWithT(t)
 		answer := &endlessAnswer{}
@@ -89,7 +89,8 @@
 		session := &ctl.Session{Client: client, Format: format, Out: &out, Err: &complaints}
 		g.Expect(session.Run(t.Context(), "show counts")).To(Equal(ctl.ExitUnreachable), string(format))
 		g.Expect(out.String()).To(BeEmpty(), string(format))
-		g.Expect(complaints.String()).To(ContainSubstring("longer than 67108864 bytes; narrow a query"), string(format))
+		g.Expect(complaints.String()).To(ContainSubstring("longer than 32MiB; narrow a query"), string(format))
+		g.Expect(complaints.String()).NotTo(ContainSubstring("taken effect"), string(format))
 		g.Expect(answer.read).To(Equal(bound+1), string(format))
 	}
 }
@@ -108,6 +109,7 @@
 		{200, `{"columns":["n"],"rows":[[1]],"incomplete":["entry-2"]}`, ctl.ExitIncomplete, "n\n1\nincomplete: no answer from entry-2\n", "incomplete: 1"},
 		{400, encode(oplang.NewErrorAnswer(mistake)), ctl.ExitMistake, "", "show lodaed\n     ^\ncolumn 6: unexpected"},
 		{409, encode(oplang.NewErrorAnswer(verdict.Refuse(verdict.ReasonConflict, "revision 3"))), ctl.ExitRefused, "", "conflict: "},
+		{422, encode(oplang.NewErrorAnswer(verdict.Refuse(verdict.ReasonAnswerTooLarge, "add: limit 7"))), ctl.ExitRefused, "", "answer_too_large: "},
 		{502, encode(oplang.NewErrorAnswer(verdict.Unknown(verdict.ReasonUnknownOutcome, "log"))), ctl.ExitUnreachable, "", "unknown_outcome: "},
 		{503, `{"error":{"code":"not_ready","verdict":"not-run","message":"starting"}}`, ctl.ExitRefused, "", "not_ready: starting"},
 		{401, "", ctl.ExitRefused, "", "unauthorized: the token is unknown"},
@@ -132,7 +134,7 @@
 }
 
 // Guards against a lost connection reported as nothing done, and against a
-// refused connection reported as possibly done.
+// query or a refused connection reported as possibly done.
 func TestUnreachableTellsWhatMayHaveHappened(t *testing.T) {
 	g := NewWithT(t)
 	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
@@ -143,6 +145,9 @@
 		session := &ctl.Session{Client: client, Out: io.Discard, Err: &complaints}
 		g.Expect(session.Run(t.Context(), "prewarm m")).To(Equal(ctl.ExitUnreachable))
 		g.Expect(complaints.String()).To(ContainSubstring("may have taken effect"))
+		complaints.Reset()
+		g.Expect(session.Run(t.Context(), "explain model m")).To(Equal(ctl.ExitUnreachable))
+		g.Expect(complaints.String()).NotTo(ContainSubstring("may have taken effect"))
 		server.Close()
 		complaints.Reset()
 		_, err := client.Operate(t.Context(), "prewarm m")
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -42,8 +42,8 @@
 	answer, err := s.Client.Operate(ctx, statement)
 	if err != nil {
 		s.complain("%v", err)
-		if errors.Is(err, ErrNoAnswer) {
-			s.complain("a command may have taken effect; look at: show audit since < 10m")
+		if errors.Is(err, ErrNoAnswer) && mayChange(statement) {
+			s.complain("the command may have taken effect; look at: show audit since < 10m")
 		}
 		return ExitUnreachable
 	}
@@ -61,6 +61,13 @@
 	return ExitOK
 }
 
+// mayChange reports whether a statement is not known to be a query. An entry
+// of a later version may know commands that this client does not.
+func mayChange(statement string) bool {
+	parsed, err := oplang.Parse(statement)
+	return err != nil || parsed.Changes()
+}
+
 func (s *Session) fail(statement string, failure *oplang.AnswerError) ExitCode {
 	if failure.Code == oplang.CodeMistake {
 		if m := failure.Mistake; m != nil && m.Column >= 1 && m.Column <= len(statement)+1 {
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -105,7 +105,7 @@
 	for i := range bound + surplus {
 		e.ledger.counts.Add(state.CallerName(fmt.Sprint("c", i)), audit.Served, verdict.ReasonOK)
 	}
-	rows := source{e}.counts(t.Context())
+	rows := source{entry: e}.counts(t.Context())
 	// One cell more holds all that is beyond the bound.
 	g.Expect(rows).To(HaveLen(bound + 1))
 	table := oplang.Table{Columns: sourceTables["counts"].columns, Rows: rows}
--- a/internal/entry/sources.go
+++ b/internal/entry/sources.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -16,11 +17,21 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// queryTimeout bounds the wait for the other entries' part of a query.
-const queryTimeout = 2 * time.Second
+const (
+	// queryTimeout bounds the wait for the other entries' part of a query.
+	queryTimeout = 2 * time.Second
+	// gatheredCells bounds the cells that an entry gathers for a query. A cell
+	// takes 40 B and its text, so that they stay well below the 256 MB that a
+	// daemon may use.
+	gatheredCells = 1_000_000
+)
 
 // source gives the tables that queries read. It implements oplang.Source.
-type source struct{ entry *Entry }
+type source struct {
+	entry *Entry
+	// statement is the query, for the other entries.
+	statement string
+}
 
 // sourceTable is a table and where its rows come from.
 type sourceTable struct {
@@ -109,28 +120,41 @@
 }
 
 // Rows implements oplang.Source.
-func (s source) Rows(ctx context.Context, table string) (oplang.Table, error) {
-	found, ok := sourceTables[table]
+func (s source) Rows(ctx context.Context, q *oplang.Show, now time.Time) (oplang.Table, error) {
+	found, ok := sourceTables[q.Table]
 	if !ok {
-		return oplang.Table{}, verdict.Refuse(verdict.ReasonNotFound, "no such table: "+table)
+		return oplang.Table{}, verdict.Refuse(verdict.ReasonNotFound, "no such table: "+q.Table)
 	}
 	if refusal := s.entry.control.view().unready(); refusal != nil {
 		return oplang.Table{}, refusal
 	}
-	answer := oplang.Table{Columns: found.columns, Rows: found.rows(s, ctx)}
+	answer, err := q.Filter(oplang.Table{Columns: found.columns, Rows: found.rows(s, ctx)}, now)
+	if err != nil {
+		return oplang.Table{}, err
+	}
 	if found.everywhere {
-		s.askOthers(ctx, table, &answer)
+		s.askOthers(ctx, rpc.QueryParams{Table: q.Table, Statement: s.statement, At: now}, &answer)
 	}
 	if found.once != nil {
 		answer.Rows = append(answer.Rows, found.once(s, ctx)...)
 	}
-	return answer, nil
+	return answer, checkGathered(answer)
+}
+
+func checkGathered(answer oplang.Table) error {
+	if len(answer.Rows)*len(answer.Columns) > gatheredCells {
+		return verdict.Refuse(verdict.ReasonAnswerTooLarge, fmt.Sprintf(
+			"the query has to gather more than %d cells; narrow it with where or since", gatheredCells))
+	}
+	return nil
 }
 
-// askOthers adds the other entries' rows and names those that did not answer.
-func (s source) askOthers(ctx context.Context, table string, answer *oplang.Table) {
+// askOthers adds the other entries' rows, up to one answer beyond the bound,
+// and names those that did not answer.
+func (s source) askOthers(ctx context.Context, params rpc.QueryParams, answer *oplang.Table) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
+	columns := answer.Columns
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	for name, address := range s.entry.control.view().addresses {
@@ -138,30 +162,32 @@
 			continue
 		}
 		wait.Go(func() {
-			rows, err := s.askOne(ctx, address, table, answer.Columns)
+			rows, err := s.askOne(ctx, address, params, columns)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
 				answer.Incomplete = append(answer.Incomplete, string(name))
 				return
 			}
-			answer.Rows = append(answer.Rows, rows...)
+			if checkGathered(*answer) == nil {
+				answer.Rows = append(answer.Rows, rows...)
+			}
 		})
 	}
 	wait.Wait()
 	slices.Sort(answer.Incomplete)
 }
 
-func (s source) askOne(ctx context.Context, address, table string, columns []oplang.Column) ([][]oplang.Value, error) {
+func (s source) askOne(ctx context.Context, address string, params rpc.QueryParams, columns []oplang.Column) ([][]oplang.Value, error) {
 	var result rpc.QueryResult
-	if err := s.entry.caller.Call(ctx, address, rpc.MethodQuery, rpc.QueryParams{Table: table}, &result); err != nil {
+	if err := s.entry.caller.Call(ctx, address, rpc.MethodQuery, params, &result); err != nil {
 		return nil, err
 	}
 	rows := make([][]oplang.Value, 0, len(result.Rows))
 	for _, cells := range result.Rows {
 		// A later version may have added columns at the end.
 		if len(cells) < len(columns) {
-			return nil, errors.Errorf("table %s: row of %d columns, want %d", table, len(cells), len(columns))
+			return nil, errors.Errorf("table %s: row of %d columns, want %d", params.Table, len(cells), len(columns))
 		}
 		row := make([]oplang.Value, 0, len(columns))
 		for i, cell := range cells[:len(columns)] {
@@ -185,8 +211,15 @@
 	if refusal := e.control.view().unready(); refusal != nil {
 		return rpc.QueryResult{}, refusal
 	}
+	rows := found.rows(source{entry: e}, ctx)
+	// A statement of another version that this one can't read filters nothing.
+	if parsed, err := oplang.Parse(p.Statement); err == nil && parsed.Show != nil && parsed.Show.Table == p.Table {
+		if kept, err := parsed.Show.Filter(oplang.Table{Columns: found.columns, Rows: rows}, p.At); err == nil {
+			rows = kept.Rows
+		}
+	}
 	var result rpc.QueryResult
-	for _, row := range found.rows(source{e}, ctx) {
+	for _, row := range rows {
 		cells := make([]string, len(row))
 		for i, value := range row {
 			cells[i] = value.String()
--- a/internal/entry/statements.go
+++ b/internal/entry/statements.go
@@ -32,7 +32,7 @@
 		return nil, err
 	}
 	executor := oplang.Executor{
-		Source:  source(s),
+		Source:  source{entry: s.entry, statement: statement},
 		Changer: changer{entry: s.entry, who: who},
 		Now:     time.Now,
 	}
--- a/internal/oplang/execute.go
+++ b/internal/oplang/execute.go
@@ -39,11 +39,41 @@
 }
 
 func (e *Executor) show(ctx context.Context, q *Show) (Table, error) {
-	table, err := e.Source.Rows(ctx, q.Table)
+	now := e.Now()
+	table, err := e.Source.Rows(ctx, q, now)
 	if err != nil {
 		return Table{}, errors.Wrapf(err, "read %s", q.Table)
 	}
-	return q.Apply(table, e.Now())
+	if table, err = q.Apply(table, now); err != nil {
+		return Table{}, err
+	}
+	return table, checkSize(table)
+}
+
+// Changes reports whether the statement is a command, which may change
+// something, and not a query.
+func (s *Statement) Changes() bool { return s.Show == nil && s.Explain == nil }
+
+// MaxAnswerBytes bounds the rows of an answer as JSON; 100,000 rows take about
+// 10 MiB. An entry and its client each hold several copies of an answer.
+const MaxAnswerBytes = 16 * state.MiB
+
+// checkSize refuses an answer beyond MaxAnswerBytes. A part of it could be
+// taken for the whole, by a script above all.
+func checkSize(table Table) error {
+	var size state.Bytes
+	for i, row := range table.Rows {
+		encoded, err := json.Marshal(row)
+		if err != nil {
+			return errors.Wrap(err, "encode row")
+		}
+		if size += state.Bytes(len(encoded) + 1); size > MaxAnswerBytes {
+			return verdict.Refuse(verdict.ReasonAnswerTooLarge, fmt.Sprintf(
+				"the answer has %d rows, of which %d fit into %s; narrow the query with where, since or by, or add: limit %d",
+				len(table.Rows), i, MaxAnswerBytes, max(i, 1)))
+		}
+	}
+	return nil
 }
 
 // Role returns the least role that may give the statement. Whether it concerns
--- a/internal/oplang/execute_test.go
+++ b/internal/oplang/execute_test.go
@@ -40,7 +40,9 @@
 	refuse error
 }
 
-func (f *fakeEntry) Rows(context.Context, string) (oplang.Table, error) { return f.table, nil }
+func (f *fakeEntry) Rows(context.Context, *oplang.Show, time.Time) (oplang.Table, error) {
+	return f.table, nil
+}
 
 func (f *fakeEntry) Explain(_ context.Context, subject, name string) (oplang.Table, error) {
 	return oplang.Table{Columns: []oplang.Column{{Name: "step"}}, Rows: [][]oplang.Value{{oplang.Text(subject + " " + name)}}}, nil
@@ -85,6 +87,28 @@
 	return executor.Run(context.Background(), s, oplang.Operator{Name: "ann", Team: "tickets"})
 }
 
+// Guards against an answer without a bound, and against a refusal whose advice
+// does not help.
+func TestAnswerBeyondTheBoundIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := &fakeEntry{table: oplang.Table{Columns: []oplang.Column{{Name: "name"}}}}
+	for range 100 {
+		// Signs that take more room in JSON count as they are sent.
+		f.table.Rows = append(f.table.Rows, []oplang.Value{oplang.Text(strings.Repeat("\x01", 100_000))})
+	}
+	_, err := run(f, "show models")
+	g.Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonAnswerTooLarge))
+	_, advice, _ := strings.Cut(verdict.Of(err).Detail, "or add: ")
+	g.Expect(advice).To(Equal("limit 27"))
+	table, err := run(f, "show models "+advice)
+	g.Expect(err).NotTo(HaveOccurred())
+	var out bytes.Buffer
+	g.Expect(oplang.Write(&out, table, oplang.FormatJSON)).To(Succeed())
+	g.Expect(out.Len()).To(BeNumerically("<", oplang.MaxAnswerBytes+100))
+	_, err = run(f, "show models limit 28")
+	g.Expect(verdict.Of(err).Reason).To(Equal(verdict.ReasonAnswerTooLarge))
+}
+
 // Guards against mistakes in names and types of columns that go unnoticed or
 // point elsewhere.
 func TestQueryMistakesPointAtTheirColumn(t *testing.T) {
--- a/internal/oplang/ports.go
+++ b/internal/oplang/ports.go
@@ -19,9 +19,10 @@
 
 // Source gives the rows of the tables that queries read.
 type Source interface {
-	// Rows returns all rows of a table that is listed in Tables. A table
-	// with a history has a time column called "time" for "since".
-	Rows(ctx context.Context, table string) (Table, error)
+	// Rows returns the rows of a query's table, which is listed in Tables. It
+	// may leave out those that the query's filter at now does not keep. A
+	// table with a history has a time column called "time" for "since".
+	Rows(ctx context.Context, q *Show, now time.Time) (Table, error)
 	// Explain tells why a model or a request is in its present state, one
 	// row per step. Subject is "model" or "request".
 	Explain(ctx context.Context, subject, name string) (Table, error)
--- a/internal/oplang/query.go
+++ b/internal/oplang/query.go
@@ -15,16 +15,10 @@
 // Apply runs the query over the rows of its table: since, where, by, order
 // and limit, in this order. Rows of equal order keep theirs.
 func (q *Show) Apply(table Table, now time.Time) (Table, error) {
-	keep, err := q.filter(table, now)
+	result, err := q.Filter(table, now)
 	if err != nil {
 		return Table{}, err
 	}
-	result := Table{Columns: table.Columns, Incomplete: table.Incomplete}
-	for _, row := range table.Rows {
-		if keep(row) {
-			result.Rows = append(result.Rows, row)
-		}
-	}
 	if len(q.By) > 0 {
 		if result, err = q.group(result); err != nil {
 			return Table{}, err
@@ -43,6 +37,21 @@
 	return result, nil
 }
 
+// Filter keeps the rows that since and where keep.
+func (q *Show) Filter(table Table, now time.Time) (Table, error) {
+	keep, err := q.filter(table, now)
+	if err != nil {
+		return Table{}, err
+	}
+	result := Table{Columns: table.Columns, Incomplete: table.Incomplete}
+	for _, row := range table.Rows {
+		if keep(row) {
+			result.Rows = append(result.Rows, row)
+		}
+	}
+	return result, nil
+}
+
 // test tells whether a query keeps a row.
 type test func(row []Value) bool
 
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -3,6 +3,8 @@
 package rpc
 
 import (
+	"time"
+
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -374,6 +376,10 @@
 // QueryParams asks an entry for its own rows of a table.
 type QueryParams struct {
 	Table string `json:"table"`
+	// Statement is the query. Rows that its since and where do not keep at
+	// the given time may be left out.
+	Statement string    `json:"statement,omitempty"`
+	At        time.Time `json:"at,omitzero"`
 }
 
 // QueryResult holds an entry's rows. The cells are text; both sides know the
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -10,6 +10,7 @@
 	ReasonOK               Reason = "ok"
 	ReasonBadRequest       Reason = "bad_request"
 	ReasonBodyTooLarge     Reason = "body_too_large"
+	ReasonAnswerTooLarge   Reason = "answer_too_large"
 	ReasonUnauthorized     Reason = "unauthorized"
 	ReasonForbidden        Reason = "forbidden"
 	ReasonUnknownModel     Reason = "unknown_model"
@@ -50,6 +51,7 @@
 	ReasonOK:               http.StatusOK,
 	ReasonBadRequest:       http.StatusBadRequest,
 	ReasonBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	ReasonAnswerTooLarge:   http.StatusUnprocessableEntity,
 	ReasonUnauthorized:     http.StatusUnauthorized,
 	ReasonForbidden:        http.StatusForbidden,
 	ReasonUnknownModel:     http.StatusNotFound,
