--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -143,10 +143,9 @@
 	switch {
 	case dialFailed && ctx.Err() == nil:
 		return verdict.Refuse(verdict.ReasonUpstreamFailed, "the upstream's agent can't be reached")
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return verdict.Unknown(verdict.ReasonDeadlineExceeded, "the deadline passed before the answer")
 	case ctx.Err() != nil:
-		return verdict.Unknown(verdict.ReasonCallerGone, "the caller left before the answer")
+		reason, why := endOf(ctx)
+		return verdict.Unknown(reason, why+" before the answer")
 	default:
 		return verdict.Unknown(verdict.ReasonUpstreamFailed, "the connection to the upstream's agent broke")
 	}
@@ -278,7 +277,7 @@
 	}
 	size, err := relayBody(w, io.TeeReader(body, watch), watch)
 	v := e.judge(ctx, a, watch, size, err)
-	for events.LastID() != "" && e.mayResume(v) {
+	for ctx.Err() == nil && events.LastID() != "" && e.mayResume(v) {
 		rest := e.resume(ctx, a, events.LastID())
 		if rest == nil {
 			break
--- a/internal/entry/auditing.go
+++ b/internal/entry/auditing.go
@@ -65,8 +65,8 @@
 
 // flushLast writes what is left of the trail, the final counts and the outcomes
 // of claims at a graceful stop.
-func (e *Entry) flushLast() {
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Load().Shutdown.StopTimeout.Std())
+func (e *Entry) flushLast(by time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
 	var claims sync.WaitGroup
 	claims.Go(func() { e.router.flush(ctx) })
