bench, routing, account: measure adapters, prefer their holders, pace loads

Change: an experiment adapters; routing also samples two replicas that hold the adapter asked for; the account bounds its adapter loads at once by how long they take (scaling.AdapterPacer), which shares the limit without a count. Sends beyond the byte budget are counted in all experiments.

--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -133,6 +133,7 @@
 	runningLong int
 	running     map[uint64]*attempt
 	ticking     bool
+	adapters    agentAdapters
 	waking      map[int]time.Time
 	speed       estimate.Calibration
 	// step is the slowdown in the last heartbeat, and reported the one that
@@ -172,6 +173,7 @@
 	}
 	rep.users++
 	a.waiting[at.id] = at
+	a.wantAdapter(at.r)
 	a.pump()
 	a.tick()
 }
@@ -205,6 +207,7 @@
 		rep.lastUsed = a.o.now
 	}
 	a.lastUsed[at.r.model] = a.o.now
+	a.releaseAdapter(at.r)
 }
 
 // tick expires waiting items while there are any.
@@ -223,6 +226,9 @@
 }
 
 func (a *agent) fits(it admission.Item) bool {
+	if it.Adapter != "" && !a.u.hasAdapter(adapterOf(it.Adapter)) {
+		return false
+	}
 	return !it.Long || estimate.LongLimit{}.Fits(slotsPerRunner, a.runningLong)
 }
 
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -135,4 +135,5 @@
 	"swing":      func(e *experiment) { e.exact, e.preloaded = true, true },
 	"stragglers": func(e *experiment) { e.slowShare = 0 },
 	"long":       func(e *experiment) { e.longShare = 0 },
+	"adapters":   func(e *experiment) { e.noAffinity = true },
 }
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -40,6 +40,7 @@
 			g.Expect(r.lost).To(BeZero())
 			g.Expect(r.repeated).To(BeZero())
 			g.Expect(r.overfull).To(BeZero())
+			g.Expect(r.overBudget).To(BeZero())
 			total := 0
 			for _, n := range r.offered {
 				total += n
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -89,7 +89,7 @@
 	}
 	return admission.Item{
 		ID: id, Caller: r.caller, Class: r.class, Arrived: r.arrived, Deadline: r.answerBy,
-		Cost: guess.Service, Long: guess.Long, Size: r.volume, Key: modelKey(r.model),
+		Cost: guess.Service, Long: guess.Long, Size: r.volume, Key: modelKey(r.model), Adapter: adapterName(r.adapter),
 	}
 }
 
@@ -182,11 +182,11 @@
 		e.scratch = append(e.scratch, routing.Candidate{
 			Replica: id, Queue: queue, Sent: v.sent, Slots: slotsPerRunner,
 			Latency:  scale(service, e.slowdown(id)),
-			Locality: e.locality(id), AdapterLoaded: true,
+			Locality: e.locality(id), AdapterLoaded: e.knowsAdapter(r, id),
 			Ejected: e.tracker.Ejected(e.o.now, id, e.o.rng.Float64()),
 		})
 	}
-	req := routing.Request{Volume: volume, Remote: e.volume.Allows(e.o.now, volume), Exclude: exclude}
+	req := routing.Request{Adapter: e.prefersAdapter(r), Volume: volume, Remote: e.volume.Allows(e.o.now, volume), Exclude: exclude}
 	index, ok := e.policy.Select(e.o.rng, e.scratch, req)
 	if !ok {
 		return nil, false
@@ -231,7 +231,9 @@
 
 func (e *entry) send(r *request, u *upstream) {
 	if e.o.remote(e.id, u) {
-		e.volume.Take(e.o.now, r.volume)
+		if !e.volume.Take(e.o.now, r.volume) {
+			e.o.result.overBudget++
+		}
 		e.o.result.crossed += r.volume
 	}
 	e.tracker.Probe(e.o.now, u.id)
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -24,10 +24,13 @@
 	id, region, centre int
 	w                  *world
 	replicas           map[int]*replica
-	running            map[*execution]struct{}
-	lost               bool
-	slowFrom, slowTo   time.Time
-	slowFactor         float64
+	adapters           map[int]*heldAdapter
+	// loadedBefore holds the adapters that the upstream has ever loaded.
+	loadedBefore     map[int]bool
+	running          map[*execution]struct{}
+	lost             bool
+	slowFrom, slowTo time.Time
+	slowFactor       float64
 	// idle sums the time with a loaded replica and nothing running.
 	idle      time.Duration
 	idleSince time.Time
@@ -116,6 +119,7 @@
 		u.w.closeIdle(rep)
 	}
 	clear(u.replicas)
+	clear(u.adapters)
 	u.account()
 }
 
@@ -156,6 +160,7 @@
 		u.w.closeIdle(rep)
 	}
 	delete(u.replicas, model)
+	u.dropAdaptersOf(model)
 	u.account()
 }
 
@@ -170,16 +175,17 @@
 // world is the platform under one version of the system.
 type world struct {
 	*sim
-	size    size
-	exp     experiment
-	rng     *rand.Rand
-	ups     []*upstream
-	store   *store
-	grants  [][]int
-	loads   []time.Duration
-	tiers   [][]float64
-	result  *result
-	pending int
+	size         size
+	exp          experiment
+	rng          *rand.Rand
+	ups          []*upstream
+	store        *store
+	adapterStore *store
+	grants       [][]int
+	loads        []time.Duration
+	tiers        [][]float64
+	result       *result
+	pending      int
 }
 
 func newWorld(seed uint64, s size, e experiment) *world {
@@ -189,10 +195,11 @@
 	if speed == 0 {
 		speed = 1
 	}
-	w.store = &store{w: w, speed: speed, updated: epoch}
+	w.store = &store{w: w, speed: speed, spacing: time.Second / storeStarts, atOnce: storeAtOnce, updated: epoch}
+	w.adapterStore = &store{w: w, speed: 1, atOnce: adaptersInTransit, updated: epoch}
 	for i := range s.runners {
 		centre := i % s.centres
-		u := &upstream{id: i, centre: centre, region: centre % s.regions, w: w, replicas: make(map[int]*replica), running: make(map[*execution]struct{})}
+		u := &upstream{id: i, centre: centre, region: centre % s.regions, w: w, replicas: make(map[int]*replica), adapters: make(map[int]*heldAdapter), loadedBefore: make(map[int]bool), running: make(map[*execution]struct{})}
 		w.ups = append(w.ups, u)
 	}
 	w.place(rand.New(rand.NewPCG(seed, 3)))
--- a/internal/bench/naive.go
+++ b/internal/bench/naive.go
@@ -76,14 +76,19 @@
 func (n *naive) pump(u *upstream) {
 	for len(u.running) < slotsPerRunner && len(n.queues[u.id]) > 0 && !u.lost {
 		job := n.queues[u.id][0]
+		if !n.naiveAdapter(u, job.r) {
+			return
+		}
 		n.queues[u.id] = n.queues[u.id][1:]
 		back := n.delay(job.r.entry, u)
+		u.useAdapter(job.r, 1)
 		u.run(job.r, func() {
 			n.after(back, func() { n.begin(job.r) })
 		}, func(ok bool) {
 			if rep := u.replicas[job.r.model]; rep != nil {
 				rep.users--
 			}
+			u.useAdapter(job.r, -1)
 			if !ok {
 				n.after(back, func() { n.retry(job.r) })
 				return
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -16,6 +16,8 @@
 	offered, inTime                  [state.ClassCount]int
 	refused, late, cut, failed, lost int
 	repeated, hedges                 int
+	// overBudget counts sends to other regions beyond the byte budget.
+	overBudget int
 	// overfull counts loads and requests beyond an upstream's capacity.
 	overfull                     int
 	loads                        int
@@ -31,11 +33,16 @@
 	coldStart  time.Duration
 	bestLoad   time.Duration
 	peakInTime int
+	// burstFirst is the time to first token of the burst for adapters.
+	burstFirst *hdrhistogram.Histogram
+	// adapterLoads counts loads of adapters, mostInTransit those at once, and
+	// adapterReloads those of adapters in steady use that had been evicted.
+	adapterLoads, mostInTransit, adapterReloads int
 }
 
 func newResult() *result {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3) }
-	return &result{first: histogram(), shortTotal: histogram(), coldFirst: histogram()}
+	return &result{first: histogram(), shortTotal: histogram(), coldFirst: histogram(), burstFirst: histogram()}
 }
 
 func (r *result) served() int {
@@ -139,6 +146,9 @@
 		_ = h.RecordValue(max(int64(d/time.Microsecond), 1))
 	}
 	record(w.result.first, r.first)
+	if r.burst {
+		record(w.result.burstFirst, r.first)
+	}
 	if !r.long {
 		record(w.result.shortTotal, w.now.Sub(r.arrived))
 	}
--- a/internal/bench/store.go
+++ b/internal/bench/store.go
@@ -3,10 +3,14 @@
 import "time"
 
 // store is the weight store: it starts 3 loads a second and runs 4 at full
-// speed; more share that speed.
+// speed; more share that speed. Adapters have a store of their own.
 type store struct {
-	w         *world
-	speed     float64
+	w     *world
+	speed float64
+	// spacing is the least time between two starts.
+	spacing time.Duration
+	// atOnce is how many transfers run at full speed.
+	atOnce    float64
 	transfers []*transfer
 	updated   time.Time
 	nextStart time.Time
@@ -28,7 +32,7 @@
 	if start.Before(s.w.now) {
 		start = s.w.now
 	}
-	s.nextStart = start.Add(time.Second / storeStarts)
+	s.nextStart = start.Add(s.spacing)
 	s.w.after(start.Sub(s.w.now), func() {
 		s.advance()
 		s.transfers = append(s.transfers, &transfer{left: work.Seconds(), done: done})
@@ -37,7 +41,7 @@
 }
 
 func (s *store) rate() float64 {
-	return s.speed * min(1, storeAtOnce/float64(max(len(s.transfers), 1)))
+	return s.speed * min(1, s.atOnce/float64(max(len(s.transfers), 1)))
 }
 
 func (s *store) advance() {
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -23,6 +23,10 @@
 	weights scaling.HomeConfig
 	// quick scales the length of long experiments.
 	quick float64
+	// adapters are spread over the active models in proportion to demand.
+	adapters int
+	// adapterLoad is the time to load one at full speed.
+	adapterLoad time.Duration
 }
 
 // sizes are today's deployments and one region of the two-year size: an eighth
@@ -30,9 +34,9 @@
 // ticketing platform, and the region as a part of it, give tail latency ten
 // times the default weight.
 var sizes = []size{
-	{name: "ticketing", weights: scaling.HomeConfig{TailWeight: 100}, regions: 3, centres: 3, runners: 20, models: 60, active: 12, entries: 3, rate: 12, maxGrants: 6, quick: 1},
-	{name: "archive", regions: 3, centres: 3, runners: 12, models: 25, active: 8, entries: 3, rate: 7, maxGrants: 5, quick: 1},
-	{name: "region", weights: scaling.HomeConfig{TailWeight: 100}, regions: 1, centres: 3, runners: 1500, models: 590, active: 300, entries: 44, rate: 137.5, maxGrants: 35, quick: 0.1},
+	{name: "ticketing", weights: scaling.HomeConfig{TailWeight: 100}, regions: 3, centres: 3, runners: 20, models: 60, active: 12, entries: 3, rate: 12, maxGrants: 6, quick: 1, adapters: 100, adapterLoad: 8 * time.Millisecond},
+	{name: "archive", regions: 3, centres: 3, runners: 12, models: 25, active: 8, entries: 3, rate: 7, maxGrants: 5, quick: 1, adapters: 80, adapterLoad: 12 * time.Millisecond},
+	{name: "region", weights: scaling.HomeConfig{TailWeight: 100}, regions: 1, centres: 3, runners: 1500, models: 590, active: 300, entries: 44, rate: 137.5, maxGrants: 35, quick: 0.1, adapters: 1600, adapterLoad: 8 * time.Millisecond},
 }
 
 const (
@@ -42,8 +46,10 @@
 
 // request is one arrival and how it ended.
 type request struct {
-	id       uint64
-	model    int
+	id    uint64
+	model int
+	// adapter is zero if none is asked for.
+	adapter  int
 	caller   state.CallerName
 	class    state.Class
 	entry    int
@@ -58,6 +64,8 @@
 	repeatable bool
 	volume     state.Bytes
 
+	// burst marks the requests of a burst for adapters.
+	burst   bool
 	runs    int
 	started bool
 	first   time.Duration
@@ -97,6 +105,11 @@
 	sessions bool
 	// onceShare is the share of non-idempotent work; zero means 0.05.
 	onceShare float64
+	// adapterRepeats is how often the burst asks for each adapter of the
+	// busiest models; zero means that nothing asks for adapters.
+	adapterRepeats int
+	// noAffinity makes ours blind to what upstreams hold in their caches.
+	noAffinity bool
 }
 
 func steady(time.Duration) float64 { return 1 }
@@ -116,6 +129,7 @@
 	{name: "slow-store", length: 90 * time.Second, rate: steady, storeSpeed: 0.5, coldModels: 12},
 	{name: "centre-lost", length: 90 * time.Second, rate: func(time.Duration) float64 { return 2 }, lostAt: 30 * time.Second},
 	{name: "quiet-day", length: 6 * time.Hour, rate: steady, sessions: true},
+	adaptersExperiment,
 	{name: "log-down", length: 720 * time.Second, rate: steady, logFrom: 60 * time.Second, logTo: 660 * time.Second},
 }
 
@@ -142,6 +156,9 @@
 	for i := range e.coldModels {
 		all = append(all, draw(rng, s, e, s.models-1-i, e.length/2+time.Duration(i)*100*time.Millisecond))
 	}
+	if e.adapterRepeats > 0 {
+		all = withAdapters(seed, s, e, all)
+	}
 	for i, r := range all {
 		r.id = uint64(i + 1)
 	}
--- a/internal/decide/account/account.go
+++ b/internal/decide/account/account.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -162,6 +163,7 @@
 	fence  Stamp
 
 	wishes map[target]*Wish
+	pacer  scaling.AdapterPacer
 	slots  map[state.ReplicaKey]*slot
 
 	intent intents
--- a/internal/decide/account/account_test.go
+++ b/internal/decide/account/account_test.go
@@ -191,3 +191,37 @@
 		NewWithT(t).Expect(a.TakesSpare(key(c.spare), c.beside)).To(Equal(c.takes), "%+v", c)
 	}
 }
+
+// Guards against all adapters that wait being ordered at once, whatever is in
+// transit at other runners.
+func TestAdapterLoadsArePaced(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	a := account.New(account.Config{Upstream: upstream, Memory: capacity, Fencing: state.FencingEnforced}, catalogue{}, nil)
+	a.Register(1, state.Intent{})
+	a.SetGrants([]state.Grant{{ID: 0, ReplicaKey: key(0), Upstream: upstream}})
+	listed := platform.EngineStatus{Incarnation: "1", Replicas: []platform.EngineReplica{{ReplicaKey: key(0), State: state.ReplicaReady}}}
+	unused := func(state.ReplicaKey, state.AdapterName) account.Use { return account.Use{KeepAlive: time.Hour} }
+	for i := range 2 {
+		g.Expect(a.Wake(account.Wish{Key: key(0), Adapter: adapterOf(key(0), i), Since: now, Until: now.Add(time.Hour)})).To(BeNil())
+	}
+	most := 0
+	for range 6 {
+		a.Observe(now, a.Listing(), listed)
+		loads := 0
+		for _, cmd := range a.Tick(now, unused) {
+			switch cmd := cmd.(type) {
+			case account.AppendIntent:
+				a.IntentRead(cmd.Sequence)
+			case account.SendOrder:
+				if cmd.Order.Kind == platform.OrderLoadAdapter {
+					loads++
+					continue
+				}
+				a.Result(now, cmd.ID, account.Done)
+			}
+		}
+		most = max(most, loads)
+	}
+	g.Expect(most).To(Equal(1))
+}
--- a/internal/decide/account/fulfil.go
+++ b/internal/decide/account/fulfil.go
@@ -35,7 +35,7 @@
 	if ask, wait := a.askSlot(now, w); wait {
 		return ask, a.slots[w.Key].pending
 	}
-	if !a.canSend() || a.loadsInFlight() >= a.cfg.MaxLoads {
+	if !a.canSend() || a.ordersInFlight(platform.OrderLoad) >= a.cfg.MaxLoads {
 		return nil, true
 	}
 	cmd := a.send(now, platform.Order{
@@ -59,6 +59,9 @@
 	if !a.canSend() {
 		return nil, true
 	}
+	if !a.pacer.Allows(a.ordersInFlight(platform.OrderLoadAdapter)) {
+		return nil, false
+	}
 	cmd := a.send(now, platform.Order{
 		Kind:       platform.OrderLoadAdapter,
 		ReplicaKey: w.Key,
@@ -90,10 +93,10 @@
 	return unknown < maxUnknown
 }
 
-func (a *Account) loadsInFlight() int {
+func (a *Account) ordersInFlight(kind platform.OrderKind) int {
 	count := 0
 	for _, o := range a.orders {
-		if o.kind == platform.OrderLoad && o.answered == 0 {
+		if o.kind == kind && o.answered == 0 {
 			count++
 		}
 	}
--- a/internal/decide/account/listing.go
+++ b/internal/decide/account/listing.go
@@ -149,6 +149,9 @@
 		a.orders = slices.Delete(a.orders, i, i+1)
 		return
 	}
+	if outcome == Done && o.kind == platform.OrderLoadAdapter {
+		a.pacer.Ended(now.Sub(o.at), o.size)
+	}
 	a.stamp++
 	o.answered, o.outcome, o.at = a.stamp, outcome, now
 	switch {
--- a/internal/decide/routing/candidate.go
+++ b/internal/decide/routing/candidate.go
@@ -61,6 +61,8 @@
 	Prefill time.Duration
 	// Volume is the predicted traffic of the request in both directions.
 	Volume state.Bytes
+	// Adapter says that the request asks for an adapter.
+	Adapter bool
 	// Remote says that the volume budget allows other regions.
 	Remote bool
 	// Exclude is the Replica of an earlier attempt, or -1.
--- a/internal/decide/routing/policy.go
+++ b/internal/decide/routing/policy.go
@@ -90,9 +90,10 @@
 	return best, best >= 0
 }
 
-// TwoChoices samples two candidates of each locality and one by its prefix,
-// and takes the one with the smallest expected delay. Sampling keeps entries
-// that act on the same old reports from all choosing the same replica.
+// TwoChoices samples two candidates of each locality, one by its prefix and two
+// that hold the adapter, and takes the one with the smallest expected delay.
+// Sampling keeps entries that act on the same old reports from all choosing the
+// same replica.
 type TwoChoices struct{ Config DelayConfig }
 
 // Select implements Policy.
@@ -101,6 +102,7 @@
 	var seen [OtherRegion + 1]int
 	var sampled [OtherRegion + 1][2]int
 	affine := -1
+	holders, held := 0, [2]int{}
 	for i := range candidates {
 		cand := &candidates[i]
 		if !usable(cand, &req) {
@@ -109,6 +111,10 @@
 		if cand.Prefix > 0 && (affine < 0 || cand.Prefix > candidates[affine].Prefix) {
 			affine = i
 		}
+		if req.Adapter && cand.AdapterLoaded {
+			reservoir(rng, &held, holders, i)
+			holders++
+		}
 		reservoir(rng, &sampled[cand.Locality], seen[cand.Locality], i)
 		seen[cand.Locality]++
 	}
@@ -125,6 +131,11 @@
 			}
 		}
 	}
+	for _, i := range held[:min(holders, 2)] {
+		if delay := cfg.delay(&candidates[i], &req); best < 0 || delay < bestDelay {
+			best, bestDelay = i, delay
+		}
+	}
 	return best, best >= 0
 }
 
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -100,6 +100,24 @@
 	g.Expect(i).To(Equal(1), "the prefix gain exceeds the penalty of the region")
 }
 
+// Guards against an adapter loaded at ever more replicas because sampling misses
+// the one that has it, and against queueing for it longer than its load takes.
+func TestAdapterHolderIsPreferred(t *testing.T) {
+	g := NewWithT(t)
+	rng, all := source(), candidates(35)
+	for i := range all {
+		all[i].Queue, all[i].Sent, all[i].Locality = 0, 0, routing.SameDataCentre
+		all[i].AdapterLoaded = i == 20
+	}
+	for range 100 {
+		i, _ := routing.TwoChoices{}.Select(rng, all, routing.Request{Exclude: -1, Adapter: true})
+		g.Expect(i).To(Equal(20))
+	}
+	all[20].Queue = 8
+	i, _ := routing.TwoChoices{}.Select(rng, all, routing.Request{Exclude: -1, Adapter: true})
+	g.Expect(i).NotTo(Equal(20))
+}
+
 // Guards against a wrong, unbounded or stale memory of prefixes.
 func TestPrefixBeliefsAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/decide/scaling/scaling_test.go
+++ b/internal/decide/scaling/scaling_test.go
@@ -315,3 +315,22 @@
 	b.Release(now, slot)
 	g.Expect(b.Renew(now, slot)).To(BeFalse())
 }
+
+// Guards against agents that go on loading adapters at the same pace while too
+// many are in transit, and against one that never loads again.
+func TestAdapterPacerYieldsToCongestion(t *testing.T) {
+	g := NewWithT(t)
+	var p scaling.AdapterPacer
+	g.Expect(p.Allows(0)).To(BeTrue())
+	g.Expect(p.Allows(1)).To(BeFalse())
+	for i := range 200 {
+		p.Ended(time.Duration(i%3+1)*8*time.Millisecond, state.Bytes(i%3+1))
+	}
+	g.Expect(p.Allows(15)).To(BeTrue(), "larger adapters are not congestion")
+	g.Expect(p.Allows(16)).To(BeFalse())
+	for range 10 {
+		p.Ended(80*time.Millisecond, 1)
+	}
+	g.Expect(p.Allows(1)).To(BeFalse())
+	g.Expect(p.Allows(0)).To(BeTrue())
+}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -196,6 +196,7 @@
 	}
 	policy := routing.TwoChoices{Config: cfg.delay}
 	wanted := routing.Request{
+		Adapter: req.target.adapter != "",
 		Prefill: req.cost,
 		Volume:  state.Bytes(len(req.body)),
 		Remote:  remote,
