scaling, entry: all regions together keep to the limits of the weight store

Cause: each region's slot keeper gave out the whole limits, so three regions started 9 loads a second and 12 shared the store's speed, where the store of a deployment takes 3 and 4. The limits were not settings either. Settings limits.store_loads_per_second and store_loads_at_once. One message a second from each region's slot keeper.

--- a/internal/decide/scaling/broker.go
+++ b/internal/decide/scaling/broker.go
@@ -192,6 +192,24 @@
 	return true
 }
 
+// SetLimits changes the limits. Slots beyond them end as their loads do.
+func (b *Broker) SetLimits(now time.Time, limits StoreLimits) {
+	b.cfg.AtOnce = limits.AtOnce
+	if b.starts.Limit() != rate.Limit(limits.PerSecond) {
+		b.starts.SetLimitAt(now, rate.Limit(limits.PerSecond))
+	}
+}
+
+// Demand returns what the broker's holders have and want.
+func (b *Broker) Demand(now time.Time) StoreDemand {
+	b.expire(now)
+	demand := StoreDemand{Active: len(b.leases), Waiting: len(b.pending)}
+	for _, interest := range b.pending {
+		demand.Benefit = max(demand.Benefit, interest.benefit)
+	}
+	return demand
+}
+
 // Release gives a slot back.
 func (b *Broker) Release(now time.Time, slot string) {
 	b.expire(now)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -42,7 +42,10 @@
 	address    string
 	peers      []rpc.Peer
 	// remotes are the entries of other regions in the settings.
-	remotes   []rpc.Peer
+	remotes []rpc.Peer
+	// regions has the control addresses of other regions' entries.
+	regions   map[state.Region]map[state.EntryName]string
+	store     scaling.StoreLimits
 	home      scaling.HomeConfig
 	retention time.Duration
 	// seed is that of the random choices.
@@ -115,6 +118,7 @@
 		crashes: quarantine.NewTracker(quarantine.DefaultSettings()),
 	}
 	c.configRead.Store(now.UnixNano())
+	c.slotKeeper.limits = cfg.store
 	c.slotKeeper.assign(c.peers.ring.Owner(roleStoreSlots, ""), cfg.name, cfg.self.Incarnation, now)
 	return c
 }
@@ -155,7 +159,7 @@
 func (c *control) tick(ctx context.Context, now time.Time) {
 	c.probePeers(ctx, now)
 	c.watchAgents(ctx, now)
-	c.slotKeeper.assign(c.peers.ring.Owner(roleStoreSlots, ""), c.cfg.name, c.cfg.self.Incarnation, now)
+	c.keepSlots(ctx, now)
 	c.decideHomes(now)
 	c.decideRegion(ctx, now)
 	c.crashes.Tick(now)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/estimate"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -123,6 +124,8 @@
 		region:     e.cfg.Region,
 		dataCentre: e.cfg.DataCentre,
 		address:    e.cfg.Listen.Control,
+		regions:    otherRegions(e.cfg),
+		store:      scaling.StoreLimits{PerSecond: e.cfg.Limits.StoreLoadsPerSecond, AtOnce: e.cfg.Limits.StoreLoadsAtOnce},
 		home:       homeConfig(e.cfg.Weights),
 		retention:  e.deps.Retention,
 		seed:       rand.Uint64(),
--- a/internal/entry/methods.go
+++ b/internal/entry/methods.go
@@ -22,11 +22,12 @@
 
 		rpc.MethodClaimLookup: rpc.Method(e.shards.lookup),
 
-		rpc.MethodPart:      rpc.Method(e.control.part),
-		rpc.MethodStoreSlot: rpc.Method(e.storeSlot),
-		rpc.MethodQuery:     rpc.Method(e.query),
-		rpc.MethodSnapshot:  rpc.Method(e.snapshots.part),
-		rpc.MethodCrash:     rpc.Method(e.crash),
+		rpc.MethodPart:       rpc.Method(e.control.part),
+		rpc.MethodStoreSlot:  rpc.Method(e.storeSlot),
+		rpc.MethodStoreShare: rpc.Method(e.storeShare),
+		rpc.MethodQuery:      rpc.Method(e.query),
+		rpc.MethodSnapshot:   rpc.Method(e.snapshots.part),
+		rpc.MethodCrash:      rpc.Method(e.crash),
 	}
 	maps.Copy(all, e.relay.Methods())
 	return all
@@ -87,6 +88,25 @@
 	return result, err
 }
 
+// storeShare answers the question of a region, or passes it on to the entry
+// that divides the store's limits.
+func (e *Entry) storeShare(ctx context.Context, p rpc.StoreShareParams) (rpc.StoreShareResult, error) {
+	current := e.control.view()
+	if refusal := current.unready(); refusal != nil {
+		return rpc.StoreShareResult{}, refusal
+	}
+	owner := current.ring.Owner(roleStoreSlots, "")
+	if owner == e.control.cfg.name || p.Forwarded {
+		return exchangeEvent(ctx, e.control, func(reply chan rpc.StoreShareResult) event {
+			return shareAsked{params: p, reply: reply}
+		})
+	}
+	p.Forwarded = true
+	var result rpc.StoreShareResult
+	err := e.caller.Call(ctx, current.addresses[owner], rpc.MethodStoreShare, p, &result)
+	return result, err
+}
+
 func (e *Entry) crash(ctx context.Context, p rpc.CrashParams) (struct{}, error) {
 	e.control.post(ctx, crashReported{params: p})
 	return struct{}{}, nil
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -13,12 +13,15 @@
 // weight store.
 const roleStoreSlots membership.Role = "store-slots"
 
-// slotKeeper hands out the slots of the weight store while this entry has
-// that role. A broker that takes over waits one TTL before its first grant, so
-// that the slots of its predecessor have ended.
+// slotKeeper hands out the region's slots of the weight store while this entry
+// has that role. A broker that takes over waits one TTL before its first grant,
+// so that the slots of its predecessor have ended.
 type slotKeeper struct {
 	broker *scaling.Broker
 	owner  state.EntryName
+	// limits are those of the store, for all regions together.
+	limits scaling.StoreLimits
+	region regionShare
 }
 
 // assign follows the role; a new broker starts when this entry gets it.
@@ -27,6 +30,7 @@
 		return
 	}
 	k.owner = owner
+	k.region = regionShare{asked: now}
 	if owner == self || k.broker == nil {
 		k.broker = scaling.NewBroker(now, incarnation, scaling.BrokerConfig{})
 	}
--- a/internal/entry/wiring_test.go
+++ b/internal/entry/wiring_test.go
@@ -52,6 +52,8 @@
 		return 1
 	},
 	"log_appends_per_second": func(e *Entry) float64 { return e.writer.AppendsPerSecond() },
+	"store_loads_per_second": func(e *Entry) float64 { return e.control.slotKeeper.limits.PerSecond },
+	"store_loads_at_once":    func(e *Entry) float64 { return float64(e.control.slotKeeper.limits.AtOnce) },
 	"caller_in_flight": func(e *Entry) float64 {
 		return float64(acquired(e, func(i int) (state.CallerName, state.ModelName) { return "c", name("m", i) }))
 	},
@@ -95,12 +97,14 @@
 	changed.Limits = settings.EntryLimits{
 		BodyBytes: 2048, QueueRequests: 7, QueueBytes: 4096, ModelInFlight: 11, CallerInFlight: 13,
 		DefaultDeadline: 2 * second, MaxDeadline: 3 * second, StarvationBound: 5, LogAppendsPerSecond: 17,
+		StoreLoadsPerSecond: 23, StoreLoadsAtOnce: 29,
 	}
 	changed.Weights = settings.EntryWeights{Weights: settings.Weights{Idle: 2, ColdStart: 19}, TailLatency: 7}
 	want := map[string]float64{
 		"body_bytes": 2048, "queue_requests": 7, "queue_bytes": 4096, "model_in_flight": 11, "caller_in_flight": 13,
 		"default_deadline": 2e9, "max_deadline": 3e9, "starvation_bound": 5, "log_appends_per_second": 17,
 		"cross_region_bytes_per_second": 0, "idle": 2, "cold_start": 19, "tail_latency": 7,
+		"store_loads_per_second": 23, "store_loads_at_once": 29,
 	}
 	for _, table := range []any{changed.Limits, changed.Weights} {
 		for _, field := range reflect.VisibleFields(reflect.TypeOf(table)) {
@@ -125,7 +129,7 @@
 			g := NewWithT(t)
 			g.Expect(before[key]).NotTo(Equal(want[key]))
 			g.Expect(check(started)).To(Equal(want[key]))
-			if key == "starvation_bound" {
+			if key == "starvation_bound" || strings.HasPrefix(key, "store_") {
 				g.Expect(check(reloaded)).To(Equal(before[key]))
 				return
 			}
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -21,6 +21,7 @@
 	MethodClaimDone   = "claims.done"
 	MethodClaimLookup = "claims.lookup"
 	MethodStoreSlot   = "store.slot"
+	MethodStoreShare  = "store.share"
 	MethodPing        = "entry.ping"
 	MethodQuery       = "entry.query"
 	MethodReport      = "decider.report"
@@ -315,6 +316,31 @@
 	RetryAfter state.Duration `json:"retry_after,omitempty"`
 }
 
+// StoreShareParams asks for a region's share of the limits of the weight store.
+type StoreShareParams struct {
+	Region state.Region `json:"region"`
+	// Active loads run, Waiting ones have no slot yet; Benefit is the highest
+	// of those that wait.
+	Active  int     `json:"active"`
+	Waiting int     `json:"waiting"`
+	Benefit float64 `json:"benefit"`
+	// Number counts the questions of a keeper of slots; Answered is the last
+	// one whose answer it has.
+	Number   uint64 `json:"number"`
+	Answered uint64 `json:"answered"`
+	// Forwarded marks a question that another entry passed on.
+	Forwarded bool `json:"forwarded,omitempty"`
+}
+
+// StoreShareResult is a share. Given is false if there is none yet.
+type StoreShareResult struct {
+	Given     bool    `json:"given"`
+	PerSecond float64 `json:"per_second"`
+	AtOnce    int     `json:"at_once"`
+	// For is how long the region may use more than its floor.
+	For state.Duration `json:"for"`
+}
+
 // WakeParams asks an agent to load a replica or an adapter under its grant.
 type WakeParams struct {
 	state.ReplicaKey
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -21,6 +21,8 @@
 			StarvationBound:           16,
 			CrossRegionBytesPerSecond: state.MiB,
 			LogAppendsPerSecond:       20,
+			StoreLoadsPerSecond:       3,
+			StoreLoadsAtOnce:          4,
 		},
 		Weights: EntryWeights{Weights: defaultWeights(), TailLatency: 10},
 	}
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -45,6 +45,11 @@
 	// LogAppendsPerSecond is this entry's share of the log's rate limit.
 	// Default 20 appends a second.
 	LogAppendsPerSecond int `toml:"log_appends_per_second" validate:"min=1,max=1000"`
+	// StoreLoadsPerSecond and StoreLoadsAtOnce are the limits of the weight
+	// store for all regions together, which share them by need; the same at
+	// all entries. Default 3 (per second) and 4.
+	StoreLoadsPerSecond float64 `toml:"store_loads_per_second" validate:"gt=0,max=10000" reload:"no"`
+	StoreLoadsAtOnce    int     `toml:"store_loads_at_once" validate:"min=1,max=10000" reload:"no"`
 }
 
 // Weights says what the deployment values. Only the ratio of the two counts.
