--- a/internal/entry/shares_test.go
+++ b/internal/entry/shares_test.go
@@ -65,7 +65,7 @@
 		watch := func(d time.Duration) (inNorth, inSouth int) {
 			for began := time.Now(); time.Since(began) < d; time.Sleep(50 * time.Millisecond) {
 				n, s := north.step(g, time.Now()), south.step(g, time.Now())
-				g.Expect(n+s).To(BeNumerically("<=", limit))
+				g.Expect(n + s).To(BeNumerically("<=", limit))
 				inNorth, inSouth = max(inNorth, n), max(inSouth, s)
 			}
 			return inNorth, inSouth
