claims: bound the answers that an agent keeps in bytes

Cause: an agent kept answers of up to 4 KiB for up to 100,000 claims within 30 minutes, with no bound in bytes. Change: Seen keeps answers up to AnswerBytes (16 MiB), the newest first, with the owner's table of answers. A claim without its answer keeps its id, state and status. The detail of the verdict for a claim that ran says that its answer is not kept; an answer that is kept is sent instead of it, as before. The length of the content type counts too, at owners as well. Measured: go test ./internal/decide/claims -run TestSeenIsBounded passes and fails when the bound is taken out (an old answer is still kept).

--- a/internal/decide/claims/api.go
+++ b/internal/decide/claims/api.go
@@ -39,8 +39,9 @@
 	// MaxClaims bounds the claims that an owner remembers; default 100,000.
 	// The keys of those that it forgets are too old from then on.
 	MaxClaims int
-	// AnswerBytes bounds the kept answers in an owner's memory; default
-	// 16 MiB. Older ones are read back from the log.
+	// AnswerBytes bounds the kept answers in the memory of an owner, which
+	// reads older ones back from the log, and of an agent, which says that
+	// they are not kept; default 16 MiB.
 	AnswerBytes state.Bytes
 	// LookupFor bounds the wait of a lookup for the log; default 250 ms.
 	LookupFor time.Duration
--- a/internal/decide/claims/owner_test.go
+++ b/internal/decide/claims/owner_test.go
@@ -63,16 +63,29 @@
 	}
 }
 
-// Guards against an agent whose table grows without bound or that starts a
-// claim that it has forgotten, also when its clock is set back.
+// Guards against an agent whose table or kept answers grow without bound or that
+// starts a claim that it has forgotten, also when its clock is set back, or whose
+// answer it no longer keeps.
 func TestSeenIsBounded(t *testing.T) {
 	g := NewWithT(t)
-	s := claims.NewSeen("1", claims.DefaultSettings())
+	settings := claims.DefaultSettings()
+	settings.AnswerBytes = 100 * state.KiB
+	s := claims.NewSeen("1", settings)
 	for i := range byte(100) {
 		id := key(epoch, i)
 		g.Expect(s.Start(id, "1", epoch)).To(BeNil())
 		g.Expect(s.Start(id, "1", epoch).Execution).To(Equal(verdict.MayHaveRun))
-		s.End(id, rpc.ClaimRan, &state.ClaimDone{Claim: id, Answer: make([]byte, 5000), AnswerKept: true}, epoch)
+		size := 4000 + 1000*int(i%2)
+		s.End(id, rpc.ClaimRan, &state.ClaimDone{Claim: id, Status: 201, Answer: make([]byte, size), AnswerKept: true}, epoch)
+	}
+	for i := range byte(100) {
+		known, _ := s.Known(key(epoch, i), epoch)
+		g.Expect(known.State).To(Equal(rpc.ClaimRan))
+		g.Expect(known.Done.Status).To(Equal(201))
+		// The newest 24 of 4,000 B and their overhead fit; 5,000 B are too long.
+		g.Expect(known.Done.AnswerKept).To(Equal(i >= 52 && i%2 == 0), "%d", i)
+		g.Expect(len(known.Done.Answer) == 4000).To(Equal(known.Done.AnswerKept))
+		g.Expect(s.Start(key(epoch, i), "1", epoch)).NotTo(BeNil())
 	}
 	status := s.Status(rpc.ClaimStatusParams{Claim: key(epoch, 1), AgentIncarnation: "1"}, epoch)
 	g.Expect(status.State).To(Equal(rpc.ClaimRan))
--- a/internal/decide/claims/seen.go
+++ b/internal/decide/claims/seen.go
@@ -24,18 +24,22 @@
 
 type seen struct {
 	state rpc.ClaimState
-	done  *state.ClaimDone
+	// done is the outcome without its answer, or nil. Nothing in it is of the
+	// upstream's size.
+	done *state.ClaimDone
 	// made is the time in the claim's id.
 	made time.Time
 }
 
 // Seen is an agent's table of claims. It belongs to one incarnation and is
 // bounded by the time window: an id older than the window is never started,
-// so its entry can be forgotten.
+// so its entry can be forgotten. Answers are kept up to AnswerBytes, the newest
+// first; their loss forgets no id.
 type Seen struct {
 	incarnation string
 	settings    Settings
 	claims      map[string]*seen
+	answers     answers[string]
 	// now is the latest time seen. A clock that is set back must not make
 	// forgotten ids acceptable again.
 	now    time.Time
@@ -44,7 +48,10 @@
 
 // NewSeen returns the table of one incarnation of an agent.
 func NewSeen(incarnation string, settings Settings) *Seen {
-	return &Seen{incarnation: incarnation, settings: settings, claims: map[string]*seen{}}
+	return &Seen{
+		incarnation: incarnation, settings: settings,
+		claims: map[string]*seen{}, answers: newAnswers[string](settings.AnswerBytes),
+	}
 }
 
 // Len returns the number of claims in the table.
@@ -63,8 +70,10 @@
 	for id, c := range s.claims {
 		if c.state != rpc.ClaimRunning && s.expired(c.made) {
 			delete(s.claims, id)
+			s.answers.drop(id)
 		}
 	}
+	s.answers.trim()
 }
 
 func (s *Seen) expired(made time.Time) bool { return s.now.Sub(made) > s.settings.Window }
@@ -109,7 +118,7 @@
 		// from being started until it is too old to be.
 		return verdict.Refuse(verdict.ReasonConflict, "the claim was refused before")
 	case rpc.ClaimRan:
-		return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan, Detail: "the claim ran before"}
+		return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan, Detail: "the claim ran before, and its answer is not kept"}
 	default:
 		return verdict.Unknown(verdict.ReasonClaimUnknown, "the outcome of the claim's run is not known")
 	}
@@ -146,8 +155,19 @@
 	c.state = final
 	if done != nil {
 		kept := Keep(*done)
-		c.done = &kept
+		if kept.AnswerKept {
+			s.answers.add(claim, kept)
+		}
+		c.done = &state.ClaimDone{Claim: kept.Claim, Status: kept.Status}
+	}
+}
+
+// result returns what is known of a claim in the table.
+func (s *Seen) result(claim string, c *seen) rpc.ClaimStatusResult {
+	if kept, ok := s.answers.byKey[claim]; ok {
+		return rpc.ClaimStatusResult{State: c.state, Done: &kept}
 	}
+	return rpc.ClaimStatusResult{State: c.state, Done: c.done}
 }
 
 // Known returns what is known of a claim that was seen before.
@@ -157,7 +177,7 @@
 	if !ok {
 		return rpc.ClaimStatusResult{}, false
 	}
-	return rpc.ClaimStatusResult{State: c.state, Done: c.done}, true
+	return s.result(claim, c), true
 }
 
 // Status answers a question about a claim and refuses it from then on if it
@@ -170,7 +190,7 @@
 		return rpc.ClaimStatusResult{State: rpc.ClaimRefused}
 	}
 	if c, ok := s.claims[p.Claim]; ok {
-		return rpc.ClaimStatusResult{State: c.state, Done: c.done}
+		return s.result(p.Claim, c)
 	}
 	return rpc.ClaimStatusResult{State: rpc.ClaimUnknown}
 }
--- a/internal/decide/claims/table.go
+++ b/internal/decide/claims/table.go
@@ -41,14 +41,14 @@
 	byKey   map[keyID]*claim
 	byID    map[string]*claim
 	ran     map[keyID]ran
-	answers answers
+	answers answers[keyID]
 }
 
 func newTable(callers map[state.CallerName]uint32, answerBytes state.Bytes) table {
 	return table{
 		callers: callers,
 		byKey:   map[keyID]*claim{}, byID: map[string]*claim{}, ran: map[keyID]ran{},
-		answers: answers{byKey: map[keyID]state.ClaimDone{}, limit: answerBytes},
+		answers: newAnswers[keyID](answerBytes),
 	}
 }
 
@@ -143,17 +143,23 @@
 const answerOverhead = 256
 
 // answers holds the answers kept last.
-type answers struct {
-	byKey map[keyID]state.ClaimDone
+type answers[K comparable] struct {
+	byKey map[K]state.ClaimDone
 	// order lists the keys, oldest first. It may name keys that are gone.
-	order []keyID
+	order []K
 	bytes state.Bytes
 	limit state.Bytes
 }
 
-func sizeOf(done state.ClaimDone) state.Bytes { return state.Bytes(cap(done.Answer) + answerOverhead) }
+func newAnswers[K comparable](limit state.Bytes) answers[K] {
+	return answers[K]{byKey: map[K]state.ClaimDone{}, limit: limit}
+}
+
+func sizeOf(done state.ClaimDone) state.Bytes {
+	return state.Bytes(cap(done.Answer) + len(done.ContentType) + answerOverhead)
+}
 
-func (a *answers) add(key keyID, done state.ClaimDone) {
+func (a *answers[K]) add(key K, done state.ClaimDone) {
 	a.byKey[key] = done
 	a.order = append(a.order, key)
 	a.bytes += sizeOf(done)
@@ -164,7 +170,7 @@
 }
 
 // trim removes the oldest places of keys that are gone.
-func (a *answers) trim() {
+func (a *answers[K]) trim() {
 	for len(a.order) > 0 {
 		if _, ok := a.byKey[a.order[0]]; ok {
 			return
@@ -173,7 +179,7 @@
 	}
 }
 
-func (a *answers) drop(key keyID) {
+func (a *answers[K]) drop(key K) {
 	if done, ok := a.byKey[key]; ok {
 		a.bytes -= sizeOf(done)
 		delete(a.byKey, key)
