claims: answer lookups of an empty stream once it has been read

Cause: a lookup whose read of the end came back before the owner had begun with an empty stream was answered "may have run" after 250 ms, since reading nothing did not move the place up to which the owner had read. Change: ReadTo answers the lookups that are fresh also if nothing was read. Measured: go test ./internal/entry -run TestLaggingOwner, extended by a lookup at an unused shard, fails without the change (3 of 3 runs) and passes with it (5 of 5).

--- a/internal/decide/claims/lookup.go
+++ b/internal/decide/claims/lookup.go
@@ -145,8 +145,8 @@
 // ReadTo says that all records before next have been read.
 func (o *Owner) ReadTo(next state.Offset) Commands {
 	var out Commands
-	if o.begun && next > o.next {
-		o.next = next
+	if o.begun {
+		o.next = max(o.next, next)
 		o.answerFresh(&out)
 	}
 	return out
--- a/internal/entry/claimfaults_test.go
+++ b/internal/entry/claimfaults_test.go
@@ -300,6 +300,7 @@
 			defer w.stop()
 			first, second := w.entries[0], w.entries[1]
 			key, other := w.keysOfOneShard(first, second)
+			g.Expect(first.router.unseen("c", key, time.Now().Add(time.Second))).To(BeTrue(), "an unused shard")
 			_, _ = w.send(first.router, other, completes)
 			time.Sleep(time.Second)
 			g.Expect(first.router.unseen("c", key, time.Now().Add(time.Second))).To(BeTrue())
