--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -13,7 +15,10 @@
 
 	"github.com/google/uuid"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/standin"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -197,3 +202,45 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkShardTakeover measures a new owner from the first question to the
+// first grant, with 200,000 records of claims and outcomes in the log, less room
+// for the benchmark's own: were one left out, keys would be too old for 5 min.
+func BenchmarkShardTakeover(b *testing.B) {
+	const number, records = 3, claimReadBack - 100
+	log := standin.NewLog(standin.LogConfig{})
+	process := state.ProcessID{Name: "entry-1", Incarnation: uuid.NewString()}
+	var batch []state.Record
+	for n := range records / 2 {
+		claim, _ := state.NewRecord(uuid.NewString(), process, state.KindClaim, state.Claim{
+			Caller: state.CallerName(fmt.Sprint("caller-", n%40)), Key: keyAt(time.Now(), n), Fingerprint: uint64(n),
+			Entry: process, Upstream: "upstream-0001", AgentIncarnation: process.Incarnation,
+		})
+		done, _ := state.NewRecord(uuid.NewString(), process, state.KindClaimDone, state.ClaimDone{Claim: claim.ID, Status: 200})
+		batch = append(batch, claim, done)
+	}
+	if _, err := log.Append(b.Context(), platform.ClaimStream(number), batch); err != nil {
+		b.Fatal(err)
+	}
+	server := httptest.NewServer(log)
+	defer server.Close()
+	for name, read := range map[string]platform.Log{"direct": log, "http": platform.NewHTTPLog(server.URL, platform.HTTPOptions{})} {
+		b.Run(name, func(b *testing.B) {
+			asked := 0
+			for b.Loop() {
+				ctx, cancel := context.WithCancel(b.Context())
+				writer := logclient.NewWriter(read, logclient.WriterConfig{AppendsPerSecond: 1000, AppendBurst: 100})
+				shards := newClaimShards(process, read, writer, nil, nil, slog.New(slog.DiscardHandler))
+				go func() { _ = writer.Run(ctx) }()
+				go func() { _ = shards.run(ctx) }()
+				for granted := false; !granted; asked++ {
+					params := rpc.ClaimParams{Claim: state.Claim{Caller: "c", Key: keyOfShard(number, "c", asked)}}
+					result, err := shards.ask(ctx, params)
+					granted = err == nil && result.Granted != ""
+				}
+				cancel()
+			}
+			b.ReportMetric(float64(asked)/float64(b.N), "asked/op")
+		})
+	}
+}
--- a/internal/entry/claimfaults_test.go
+++ b/internal/entry/claimfaults_test.go
@@ -143,15 +143,6 @@
 	}
 }
 
-// keysOfOneShard returns two keys of now of a shard that the entry owns first.
-func (w *claimsWorld) keysOfOneShard(e *claimsEntry, asker *claimsEntry) (first, second string) {
-	first = w.keyOwnedBy(e, asker, 0)
-	for n := 1; second == "" || second == first || claims.ShardOf("c", second) != claims.ShardOf("c", first); n++ {
-		second = keyAt(time.Now(), n)
-	}
-	return first, second
-}
-
 // Guards against work that runs a second time when an owner comes back from a
 // pause that was longer than its takeover.
 func TestPausedOwnerIsTakenOver(t *testing.T) {
@@ -222,13 +213,7 @@
 		earlier := w.keyOwnedBy(a, b, 0)
 		number := claims.ShardOf("c", earlier)
 		shard := platform.ClaimStream(number)
-		keyNow := func() string {
-			for n := 0; ; n++ {
-				if key := keyAt(time.Now(), n); claims.ShardOf("c", key) == number {
-					return key
-				}
-			}
-		}
+		keyNow := func() string { return keyOfShard(number, "c", 0) }
 		_, _ = w.send(a.router, earlier, completes)
 		time.Sleep(time.Second)
 		w.cut("entry-0", "log", true)
@@ -269,10 +254,7 @@
 		shards := e.router.local
 		_, _ = w.send(e.router, key, completes)
 		time.Sleep(time.Second)
-		other := keyAt(time.Now(), 2)
-		for n := 3; claims.ShardOf("c", other) != claims.ShardOf("c", key); n++ {
-			other = keyAt(time.Now(), n)
-		}
+		other := keyOfShard(claims.ShardOf("c", key), "c", 2)
 		g.Expect(e.router.unseen("c", other, time.Now().Add(time.Second))).To(BeTrue())
 		w.log.SetFaults(standin.LogFaults{Outage: true})
 		number := claims.ShardOf("c", key)
@@ -299,7 +281,8 @@
 			w := newClaimsWorld(t, 2)
 			defer w.stop()
 			first, second := w.entries[0], w.entries[1]
-			key, other := w.keysOfOneShard(first, second)
+			key := w.keyOwnedBy(first, second, 0)
+			other := keyOfShard(claims.ShardOf("c", key), "c", 1000)
 			g.Expect(first.router.unseen("c", key, time.Now().Add(time.Second))).To(BeTrue(), "an unused shard")
 			_, _ = w.send(first.router, other, completes)
 			time.Sleep(time.Second)
--- a/internal/entry/claimnaive_test.go
+++ b/internal/entry/claimnaive_test.go
@@ -25,11 +25,7 @@
 		var keys []string
 		number := claims.ShardOf("c", keyAt(time.Now(), 0))
 		for range 12 {
-			n := 0
-			for claims.ShardOf("c", keyAt(time.Now(), n)) != number {
-				n++
-			}
-			keys = append(keys, keyAt(time.Now(), n))
+			keys = append(keys, keyOfShard(number, "c", 0))
 			_, _ = w.send(e.router, keys[len(keys)-1], completes)
 			time.Sleep(2 * time.Minute)
 		}
@@ -70,11 +66,7 @@
 		g.Expect(v.Reason).To(Equal(verdict.ReasonKeyTooOld), v.Error())
 		g.Expect(v.Execution).To(Equal(verdict.MayHaveRun))
 		time.Sleep(shardIdle + time.Minute)
-		n := 1
-		for claims.ShardOf("c", keyAt(time.Now(), n)) != number {
-			n++
-		}
-		v, _ = w.send(router, keyAt(time.Now(), n), completes)
+		v, _ = w.send(router, keyOfShard(number, "c", 1), completes)
 		g.Expect(v.Reason).To(Equal(verdict.ReasonOK), v.Error())
 	})
 }
--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -111,11 +111,8 @@
 		g := NewWithT(t)
 		w := newClaimsWorld(t, 2)
 		defer w.stop()
-		first, n := keyAt(time.Now(), 0), 1
-		for claims.ShardOf("c", keyAt(time.Now(), n)) != claims.ShardOf("c", first) {
-			n++
-		}
-		second := keyAt(time.Now(), n)
+		first := keyAt(time.Now(), 0)
+		second := keyOfShard(claims.ShardOf("c", first), "c", 1)
 		_, _ = w.send(w.entries[0].router, first, completes)
 		w.log.SetFaults(standin.LogFaults{Outage: true})
 		for _, e := range w.entries {
--- a/internal/entry/claimworld_test.go
+++ b/internal/entry/claimworld_test.go
@@ -282,3 +282,13 @@
 	id[6], id[8] = 0x70, 0x80
 	return id.String()
 }
+
+// keyOfShard returns a key of now that belongs to the shard, the first whose
+// number is from or more.
+func keyOfShard(shard int, caller state.CallerName, from int) string {
+	for n := from; ; n++ {
+		if key := keyAt(time.Now(), n); claims.ShardOf(caller, key) == shard {
+			return key
+		}
+	}
+}
