--- a/internal/entry/claimshards_test.go
+++ b/internal/entry/claimshards_test.go
@@ -112,7 +112,7 @@
 		w := newClaimsWorld(t, 2)
 		defer w.stop()
 		first := keyAt(time.Now(), 0)
-		second := sameShard(first)
+		second := keyOfShard(claims.ShardOf("c", first), "c", 1)
 		_, _ = w.send(w.entries[0].router, first, completes)
 		w.log.SetFaults(standin.LogFaults{Outage: true})
 		for _, e := range w.entries {
@@ -146,21 +146,12 @@
 			}
 			time.Sleep(outage)
 			w.log.SetFaults(standin.LogFaults{})
-			v, _ := w.send(router, sameShard(key), completes)
+			v, _ := w.send(router, keyOfShard(claims.ShardOf("c", key), "c", 1000), completes)
 			g.Expect(v.Reason).To(Equal(verdict.ReasonOK), "case %d: %s", n, v.Error())
 		})
 	}
 }
 
-// sameShard returns another key of now in the shard of key.
-func sameShard(key string) string {
-	for n := 1000; ; n++ {
-		if other := keyAt(time.Now(), n); claims.ShardOf("c", other) == claims.ShardOf("c", key) {
-			return other
-		}
-	}
-}
-
 // Guards against outcomes that are lost with an unused shard while the log is
 // down, and against a shard that outcomes of the largest size block for good.
 func TestOutcomesSurviveLongOutage(t *testing.T) {
@@ -176,7 +167,8 @@
 		answer := []byte(strings.Repeat("x", int(claims.MaxKeptAnswer)))
 		for n := range 300 {
 			done := state.ClaimDone{Claim: fmt.Sprint(n), Status: http.StatusOK, Answer: answer, AnswerKept: true}
-			shards.outcome(t.Context(), rpc.ClaimOutcomeParams{Caller: "c", Key: key, Done: &done}, e.router.process)
+			params := rpc.ClaimOutcomeParams{Caller: "c", Key: key, Done: &done}
+			_, _ = shards.outcome(t.Context(), rpc.ClaimOutcomeFrom{ClaimOutcomeParams: params, From: e.router.process})
 		}
 		time.Sleep(shardIdle + time.Minute)
 		w.log.SetFaults(standin.LogFaults{})
@@ -297,8 +289,8 @@
 	return c.Caller.Call(ctx, addr, method, params, result)
 }
 
-// Guards against claims that never reach the next region because the attempts
-// to reach the entries of a region that is cut off use up their time.
+// Guards against claims and lookups that never reach the next region because the
+// attempts to reach the entries of a region that is cut off use up their time.
 func TestClaimsPassRegionThatIsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -314,6 +306,15 @@
 			}
 		}
 		g.Expect(refused).To(BeNumerically("<=", 1), "of 64")
+		time.Sleep(2 * unreachableFor)
+		unknown := 0
+		for n := range 64 {
+			if !router.unseen("d", keyAt(time.Now(), n), time.Now().Add(time.Second)) {
+				unknown++
+			}
+		}
+		g.Expect(unknown).To(BeNumerically("<=", 1), "of 64 lookups")
+		time.Sleep(2 * unreachableFor)
 		started := time.Now()
 		for n := range 64 {
 			router.unseen("d", keyAt(started, n), started.Add(10*time.Millisecond))
