state, membership, agent: free the grants of deleted upstreams

Cause: an upstream that was deleted from the configuration while its host was gone kept its grants. Nobody watched its agent, and neither its registration nor its grants named its host. An upstream created again on another host would have inherited the grants, whose replicas are in an engine that it can't see.

Change: agent.start names the host. Watchers, the decider and the planner use one list of upstreams: those configured and those whose registration names a host on which they are not configured any more. Such a former upstream gets no work, its grants are revoked, and host.gone frees them by the same rule as before. A start on another host has no effect while grants are held, and the agent tries again every 10 s; host.gone leaves alone what has registered elsewhere; only heartbeats of the old registration count for the old agent; reports name the host. Records without a host are read as before.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -366,6 +366,25 @@
 	})
 }
 
+// Guards against an agent that never registers, or that appends without end,
+// after its first record was void because the upstream's grants were held on
+// another host.
+func TestRegistersOnceOtherHostIsGone(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.cfg.Upstream.Host = "next"
+		w.appendRecord("o", "old", state.KindAgentStart, state.AgentStart{Upstream: "u1", Incarnation: "old", Host: "old"})
+		w.start()
+		settle(5 * time.Minute)
+		w.Expect(w.wakeRefused()).To(Equal(verdict.ReasonNotReady))
+		starts := len(w.log.kinds(region))
+		w.Expect(starts).To(And(BeNumerically(">", 3), BeNumerically("<", 40)))
+		w.appendRecord("g", "e", state.KindHostGone, state.HostGone{Host: "old", Upstreams: []state.UpstreamName{"u1"}})
+		w.grant()
+		settle(15 * time.Second)
+		w.Expect(w.wake().Refusal).To(BeNil())
+	})
+}
+
 // Guards against orders of an agent that has a registered successor.
 func TestSuccessorEndsOrders(t *testing.T) {
 	inBubble(t, func(w *world) {
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -205,7 +205,10 @@
 		switch p.Kind {
 		case state.KindAgentStart:
 			start := decode[state.AgentStart](p)
-			part.Registration = &state.AgentRegistration{Upstream: "u1", Incarnation: start.Incarnation, Token: p.Offset}
+			if r := part.Registration; r != nil && r.Elsewhere(start.Host) && len(part.Grants) > 0 {
+				continue
+			}
+			part.Registration = &state.AgentRegistration{Upstream: "u1", Incarnation: start.Incarnation, Token: p.Offset, Host: start.Host}
 		case state.KindIntent:
 			in := decode[state.Intent](p)
 			part.Intent = &state.IntentSet{Agent: in.Agent, Offset: p.Offset, Record: p.ID, Models: in.Models, Orders: in.Orders}
@@ -217,6 +220,8 @@
 			for i := range part.Grants {
 				part.Grants[i].Revoked = part.Grants[i].Revoked || part.Grants[i].ID == body.Grant
 			}
+		case state.KindHostGone:
+			part.Registration, part.Grants = nil, nil
 		case state.KindRelease:
 			body := decode[state.Release](p)
 			part.Grants = slices.DeleteFunc(part.Grants, func(g state.Grant) bool { return g.ID == body.Grant })
--- a/internal/agent/follow.go
+++ b/internal/agent/follow.go
@@ -16,7 +16,9 @@
 	// part does not show: a void one changes nothing in the part.
 	ownWait = time.Second
 	// appendRetry is the pause after a failed append.
-	appendRetry  = time.Second
+	appendRetry = time.Second
+	// heldRetry is the pause after a registration without effect.
+	heldRetry    = 10 * time.Second
 	minReadRetry = 100 * time.Millisecond
 	maxReadRetry = 5 * time.Second
 )
@@ -26,6 +28,8 @@
 	record state.Record
 	busy   bool
 	stored bool
+	// offset is the place of the record once it is stored.
+	offset state.Offset
 	retry  time.Time
 	known  bool
 	token  state.FencingToken
@@ -110,6 +114,7 @@
 	}
 	part := &c.parts.part
 	c.readRegistration(part)
+	c.retryRegistration(part)
 	c.readIntent(part)
 	c.checkSuccessor(part)
 	if c.account != nil {
@@ -149,6 +154,24 @@
 	c.agent.deps.Logger.Info("registered", "upstream", c.agent.cfg.Upstream.Name, "agent", r.Token)
 }
 
+// retryRegistration registers again if the tables are past the record and do
+// not show it. It has no effect while an agent of an upstream of the same name
+// holds grants on another host.
+func (c *control) retryRegistration(part *state.UpstreamPart) {
+	r := &c.registration
+	if r.known || !r.stored || part.Registration != nil && part.Registration.Token >= r.offset {
+		return
+	}
+	pause := appendRetry
+	if part.Registration != nil {
+		pause = heldRetry
+		c.agent.deps.Logger.Warn("not registered; grants of the upstream are held on another host",
+			"upstream", c.agent.cfg.Upstream.Name, "host", part.Registration.Host)
+	}
+	r.record, r.stored = state.Record{}, false
+	r.retry = time.Now().Add(pause)
+}
+
 func intentOf(part *state.UpstreamPart) state.Intent {
 	if part.Intent == nil {
 		return state.Intent{Agent: state.NoOffset}
@@ -208,6 +231,7 @@
 			Upstream:    c.agent.cfg.Upstream.Name,
 			Incarnation: c.agent.process.Incarnation,
 			Fencing:     c.agent.cfg.Upstream.Fencing,
+			Host:        c.agent.cfg.Upstream.Host,
 		})
 		if err != nil {
 			c.agent.deps.Logger.Error("encoding the registration failed", "error", err)
@@ -216,9 +240,9 @@
 		r.record = record
 	}
 	r.busy = true
-	c.append(r.record, func(_ state.Offset, err error) {
+	c.append(r.record, func(offset state.Offset, err error) {
 		r.busy = false
-		r.stored = err == nil
+		r.stored, r.offset = err == nil, offset
 		if r.stored {
 			return
 		}
--- a/internal/decide/membership/agents.go
+++ b/internal/decide/membership/agents.go
@@ -14,6 +14,7 @@
 // agent is what a watcher knows of one upstream's agent.
 type agent struct {
 	upstream state.Upstream
+	former   bool
 	// since is when the watch began.
 	since    time.Time
 	seen     time.Time
@@ -32,7 +33,7 @@
 
 // offered returns the replicas that may get new work.
 func (a *agent) offered() map[state.ReplicaKey]state.Replica {
-	if a.silent || a.leaving || a.state == rpc.AgentDraining {
+	if a.former || a.silent || a.leaving || a.state == rpc.AgentDraining {
 		return nil
 	}
 	return a.replicas
@@ -69,18 +70,30 @@
 	}
 }
 
-// Watch sets the upstreams to watch. Silence of a new one counts from now.
-// Nothing is reported of those that are no longer watched: their new watcher
-// does that.
-func (a *Agents) Watch(upstreams iter.Seq[state.Upstream], now time.Time) {
+// Watch sets the upstreams to watch. Silence of a new one, or of one on another
+// host than before, counts from now. Nothing is reported of those that are no
+// longer watched: their new watcher does that.
+func (a *Agents) Watch(upstreams iter.Seq[Watched], now time.Time) {
 	keep := make(map[state.UpstreamName]bool, len(a.agents))
 	for u := range upstreams {
 		keep[u.Name] = true
-		if known, ok := a.agents[u.Name]; ok {
-			known.upstream = u
-			continue
+		known, ok := a.agents[u.Name]
+		switch {
+		case !ok || known.upstream.Host != u.Host:
+			known = &agent{upstream: u.Upstream, former: u.Former, since: now, token: state.NoOffset}
+			a.agents[u.Name] = known
+			if ok {
+				a.offer(known)
+			}
+		case known.former != u.Former:
+			known.upstream, known.former = u.Upstream, u.Former
+			a.offer(known)
+		default:
+			known.upstream = u.Upstream
+		}
+		if u.Former {
+			known.token = max(known.token, u.Agent)
 		}
-		a.agents[u.Name] = &agent{upstream: u, since: now, token: state.NoOffset}
 	}
 	for name := range a.agents {
 		if !keep[name] {
@@ -173,7 +186,7 @@
 			// What ends it is the agent's latest report, which may be one of
 			// a successor.
 			change.Replica.Agent, change.Replica.AgentIncarnation = known.token, known.runs.current
-			change.Gone, change.Withdrawn = true, known.silent || known.leaving
+			change.Gone, change.Withdrawn = true, known.former || known.silent || known.leaving
 			change.Sequence, change.Revision = known.sequence, a.revision
 			a.current[id] = change
 		}
@@ -304,7 +317,7 @@
 	reports := make([]AgentReport, 0, len(a.agents))
 	for name, known := range a.agents {
 		reports = append(reports, AgentReport{
-			Upstream: name, Incarnation: known.runs.current, Agent: known.token, Health: a.judge(known, now),
+			Upstream: name, Host: known.upstream.Host, Incarnation: known.runs.current, Agent: known.token, Health: a.judge(known, now),
 		})
 	}
 	return reports
--- a/internal/decide/membership/api.go
+++ b/internal/decide/membership/api.go
@@ -68,7 +68,9 @@
 
 // AgentReport is what a watcher tells the region's decider of an agent.
 type AgentReport struct {
-	Upstream    state.UpstreamName `json:"upstream"`
+	Upstream state.UpstreamName `json:"upstream"`
+	// Host is the one on which the upstream is watched.
+	Host        state.HostName     `json:"host"`
 	Incarnation string             `json:"incarnation"`
 	Agent       state.FencingToken `json:"agent"`
 	// Health is Unknown until the watcher has watched for long enough.
--- a/internal/decide/membership/fleet.go
+++ b/internal/decide/membership/fleet.go
@@ -13,6 +13,7 @@
 const forgetAfter = time.Hour
 
 type report struct {
+	host   state.HostName
 	health Health
 	at     time.Time
 	// aliveAt is the last report by any watcher that the agent was heard.
@@ -43,6 +44,9 @@
 // agent was heard outweighs one of its silence.
 func (f *Fleet) Report(r AgentReport, now time.Time) {
 	old := f.reports[r.Upstream]
+	if old.host != r.Host {
+		old = report{} // An upstream of the same name on another host.
+	}
 	heard := r.Health == Live || r.Health == Suspect || r.Health == Leaving
 	recent := !old.aliveAt.IsZero() && now.Sub(old.aliveAt) < f.settings.ReportFreshFor
 	if !heard && recent {
@@ -51,7 +55,7 @@
 	if r.Health == Unknown && now.Sub(old.at) < f.settings.ReportFreshFor {
 		return
 	}
-	next := report{health: r.Health, at: now, aliveAt: old.aliveAt}
+	next := report{host: r.Host, health: r.Health, at: now, aliveAt: old.aliveAt}
 	if heard {
 		next.aliveAt = now
 	}
@@ -116,7 +120,7 @@
 
 func (f *Fleet) judge(u state.Upstream, now time.Time) Health {
 	r, ok := f.reports[u.Name]
-	fresh := ok && now.Sub(r.at) < f.settings.ReportFreshFor
+	fresh := ok && r.host == u.Host && now.Sub(r.at) < f.settings.ReportFreshFor
 	switch {
 	case fresh && r.health == Dead:
 		return Dead
--- a/internal/decide/membership/membership_test.go
+++ b/internal/decide/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"runtime"
 	"slices"
@@ -62,6 +63,16 @@
 	return state.Upstream{Name: state.UpstreamName(name), Host: state.HostName("h-" + name), TrafficAddr: name + ":1"}
 }
 
+func watched(all ...state.Upstream) iter.Seq[membership.Watched] {
+	return func(yield func(membership.Watched) bool) {
+		for _, u := range all {
+			if !yield(membership.Watched{Upstream: u}) {
+				return
+			}
+		}
+	}
+}
+
 func beat(run string, token state.FencingToken, sequence uint64, models ...state.ModelName) rpc.Heartbeat {
 	h := rpc.Heartbeat{Agent: token, Sequence: sequence}
 	if len(models) == 0 {
@@ -89,7 +100,7 @@
 func TestAgentsReportChanges(t *testing.T) {
 	g := NewWithT(t)
 	a, ring := membership.NewAgents(membership.DefaultSettings()), membership.NewRing([]state.EntryName{"home"})
-	a.Watch(slices.Values([]state.Upstream{upstream("u")}), start)
+	a.Watch(watched(upstream("u")), start)
 	g.Expect(a.Health("u", start)).To(Equal(membership.Unknown))
 	observe := func(h rpc.Heartbeat, d time.Duration) rpc.HeartbeatResult {
 		return a.Observe(h, after(d))
@@ -145,7 +156,7 @@
 		g := NewWithT(t)
 		rng := rand.New(rand.NewPCG(seed, 0))
 		a := membership.NewAgents(membership.DefaultSettings())
-		a.Watch(slices.Values([]state.Upstream{upstream("u")}), start)
+		a.Watch(watched(upstream("u")), start)
 		offered, last := map[state.ModelName]bool{}, rpc.ReplicaChange{}
 		for _, i := range append(rng.Perm(len(sent)), rng.Perm(len(sent))...) {
 			a.Observe(sent[i], start)
@@ -175,7 +186,7 @@
 func TestWithdrawnReplicas(t *testing.T) {
 	g := NewWithT(t)
 	a, ring := membership.NewAgents(membership.DefaultSettings()), membership.NewRing([]state.EntryName{"home"})
-	a.Watch(slices.Values([]state.Upstream{upstream("u")}), start)
+	a.Watch(watched(upstream("u")), start)
 	revision := uint64(0)
 	next := func() rpc.ReplicaChange {
 		change := a.Changes(ring)[0].Changes[0]
@@ -194,8 +205,8 @@
 	g.Expect(next()).To(And(HaveField("Gone", true), HaveField("Withdrawn", true)))
 	g.Expect(a.Observe(beat("1", 5, 2), after(15*time.Second)).SendFull).To(BeFalse())
 	g.Expect(a.Changes(ring)).To(BeEmpty(), "an overtaken heartbeat is no sign of life")
-	a.Watch(slices.Values([]state.Upstream{}), start)
-	a.Watch(slices.Values([]state.Upstream{upstream("u")}), start)
+	a.Watch(watched(), start)
+	a.Watch(watched(upstream("u")), start)
 	a.Observe(beat("1", 5, 3, "m"), start)
 	g.Expect(next().Gone).To(BeFalse(), "an upstream that was not watched for a while")
 }
@@ -213,7 +224,7 @@
 	}
 	report := func(f *membership.Fleet, d time.Duration, health ...membership.Health) {
 		for i, h := range health {
-			f.Report(membership.AgentReport{Upstream: []state.UpstreamName{"u", "twin"}[i], Health: h}, after(d))
+			f.Report(membership.AgentReport{Upstream: []state.UpstreamName{"u", "twin"}[i], Host: u.Host, Health: h}, after(d))
 		}
 	}
 	f := membership.NewFleet(membership.DefaultSettings())
@@ -238,17 +249,51 @@
 	g.Expect(judge(f, 43*time.Second)).To(Equal(membership.Leaving))
 }
 
+// Guards against work for a former upstream, and against the word of one agent
+// that counts for another of the name on another host.
+func TestFormerUpstream(t *testing.T) {
+	g := NewWithT(t)
+	ring := membership.NewRing([]state.EntryName{"home"})
+	u, moved := upstream("u"), upstream("u")
+	moved.Host = "h-next"
+	former := slices.Values([]membership.Watched{{Upstream: u, Former: true, Agent: 5}})
+	a := membership.NewAgents(membership.DefaultSettings())
+	a.Watch(former, start)
+	a.Observe(beat("2", state.NoOffset, 1, "m"), after(10*time.Second))
+	g.Expect(a.Health("u", after(15*time.Second))).To(Equal(membership.Dead), "another agent of the name")
+	a.Watch(watched(moved), after(16*time.Second))
+	g.Expect(a.Health("u", after(16*time.Second))).To(Equal(membership.Unknown), "another host")
+	a.Watch(watched(u), start)
+	a.Observe(beat("1", 5, 2, "m"), start)
+	g.Expect(changed(a, ring)).To(Equal([]string{"home m false"}))
+	a.Watch(former, after(time.Second))
+	a.Observe(beat("1", 5, 2), after(5*time.Second))
+	g.Expect(changed(a, ring)).To(Equal([]string{"home m true"}))
+	g.Expect(a.Health("u", after(19*time.Second))).To(Equal(membership.Suspect))
+
+	f := membership.NewFleet(membership.DefaultSettings())
+	judge := func(at state.Upstream, host state.HostName, health membership.Health) membership.Health {
+		f.Report(membership.AgentReport{Upstream: "u", Host: host, Health: health}, after(time.Minute))
+		return f.Health(slices.Values([]state.Upstream{at}), after(time.Minute))["u"]
+	}
+	f.Hosts(nil, start)
+	f.Hosts(nil, after(time.Minute))
+	g.Expect(judge(u, u.Host, membership.Dead)).To(Equal(membership.Gone))
+	g.Expect(judge(moved, u.Host, membership.Live)).To(Equal(membership.Unknown))
+	g.Expect(judge(moved, moved.Host, membership.Dead)).To(Equal(membership.Gone))
+}
+
 // BenchmarkHeartbeat measures an unchanged heartbeat at a watcher of 34
 // agents, and the changes of one second.
 func BenchmarkHeartbeat(b *testing.B) {
 	a, ring := membership.NewAgents(membership.DefaultSettings()), membership.NewRing(names(350))
-	var watched []state.Upstream
+	var all []state.Upstream
 	for i := range 34 {
-		watched = append(watched, upstream(fmt.Sprint("u", i)))
+		all = append(all, upstream(fmt.Sprint("u", i)))
 	}
-	a.Watch(slices.Values(watched), start)
+	a.Watch(watched(all...), start)
 	h := beat("1", 5, 2, "m", "n", "o")
-	for i, u := range watched {
+	for i, u := range all {
 		h.Upstream, h.Agent = u.Name, state.FencingToken(i)
 		a.Observe(h, start)
 	}
@@ -292,12 +337,12 @@
 
 func filledWatcher(agents int) *membership.Agents {
 	a, ring := membership.NewAgents(membership.DefaultSettings()), membership.NewRing(names(44))
-	var watched []state.Upstream
+	var all []state.Upstream
 	for i := range agents {
-		watched = append(watched, upstream(fmt.Sprintf("runner-%05d", i)))
+		all = append(all, upstream(fmt.Sprintf("runner-%05d", i)))
 	}
-	a.Watch(slices.Values(watched), start)
-	for i, u := range watched {
+	a.Watch(watched(all...), start)
+	for i, u := range all {
 		h := beat(fmt.Sprint("run", i), state.FencingToken(i), 2, "m", "n", "o")
 		h.Upstream = u.Name
 		for j := range h.Replicas {
--- a/internal/decide/placement/machine_test.go
+++ b/internal/decide/placement/machine_test.go
@@ -34,11 +34,14 @@
 	lease  *lease.Machine
 }
 
-// runner is an upstream with its agent, which acts only on grants that it has
-// read. The engine's loaded replicas outlive the agent.
+// runner is an upstream on a host with its agent, which acts only on grants that
+// it has read. The engine's loaded replicas outlive the agent.
 type runner struct {
+	name   state.UpstreamName
+	host   state.HostName
+	health membership.Health
 	tables *state.RegionTables
-	token  state.FencingToken
+	run    string
 	loaded map[state.Offset]state.Grant
 	alive  bool
 }
@@ -50,18 +53,17 @@
 	late    []state.Record
 	names   []state.EntryName
 	entries []*decider
-	runners map[state.UpstreamName]*runner
-	order   []state.UpstreamName
+	runners []*runner
+	former  map[state.UpstreamName]state.Upstream
 	effects map[string]int
 }
 
 func newRegionWorld(effects map[string]int) *regionWorld {
-	w := &regionWorld{region: newRegion(), now: time.Unix(100, 0), runners: map[state.UpstreamName]*runner{}, effects: effects}
+	w := &regionWorld{region: newRegion(), now: time.Unix(100, 0), effects: effects, former: map[state.UpstreamName]state.Upstream{}}
 	w.tables = state.NewRegionTables()
 	for i := range 5 {
 		name := w.upstream(i, 2, 30*state.GiB)
-		w.order = append(w.order, name)
-		w.runners[name] = &runner{tables: state.NewRegionTables(), token: state.NoOffset, loaded: map[state.Offset]state.Grant{}}
+		w.run(name)
 	}
 	w.model("m", 2, 20*state.GiB)
 	w.model("n", 3, 15*state.GiB)
@@ -73,6 +75,47 @@
 	return w
 }
 
+// run starts the runner of an upstream on its configured host.
+func (w *regionWorld) run(name state.UpstreamName) {
+	u, _, _ := w.config.View().Upstream(name)
+	w.runners = append(w.runners, &runner{name: name, host: u.Host, health: membership.Live, tables: state.NewRegionTables(), loaded: map[state.Offset]state.Grant{}})
+}
+
+// move deletes an upstream or lets it run on another host, while its old runner
+// goes on.
+func (w *regionWorld) move(t *rapid.T, name state.UpstreamName) {
+	u, _, configured := w.config.View().Upstream(name)
+	if !configured {
+		u = w.former[name]
+	}
+	w.former[name] = u
+	u.Host = state.HostName(fmt.Sprint("h", len(w.runners)))
+	var next any = u
+	deleted := configured && rapid.Bool().Draw(t, "deletes")
+	if deleted {
+		next = nil
+	}
+	if out := w.set(state.EntityUpstream, string(name), next); out.Effect != state.EffectApplied {
+		t.Fatalf("move of %s: %+v", name, out)
+	}
+	if !deleted {
+		w.run(name)
+	}
+}
+
+// health is what a decider with a view of the tables knows of the runners.
+func (w *regionWorld) health(view *state.RegionView) map[state.UpstreamName]membership.Health {
+	health := map[state.UpstreamName]membership.Health{}
+	for u := range membership.WatchedUpstreams(w.config.View(), view, "r") {
+		for _, r := range w.runners {
+			if r.name == u.Name && r.host == u.Host {
+				health[u.Name] = r.health
+			}
+		}
+	}
+	return health
+}
+
 func (w *regionWorld) restart(i, run int) {
 	id := state.ProcessID{Name: string(w.names[i]), Incarnation: fmt.Sprint(run)}
 	*w.entries[i] = decider{id: id, tables: state.NewRegionTables(), lease: lease.NewMachine(id, lease.DefaultSettings(), w.now)}
@@ -128,7 +171,7 @@
 	if !in.Held || in.Lease.Writer != e.id {
 		return
 	}
-	w.in.Epoch, w.in.Config, w.in.Tables = in.Lease.Epoch, w.config.View(), view
+	w.in.Epoch, w.in.Config, w.in.Tables, w.in.Health = in.Lease.Epoch, w.config.View(), view, w.health(view)
 	p := placement.Make(w.in)
 	for _, b := range p.Gone {
 		w.send(t, body(e.id, state.KindHostGone, b))
@@ -143,27 +186,30 @@
 
 // act lets an agent register, load under its grants and give grants back.
 func (w *regionWorld) act(t *rapid.T) {
-	name := rapid.SampledFrom(w.order).Draw(t, "agent")
-	r := w.runners[name]
-	if w.in.Health[name] == membership.Gone {
+	r := rapid.SampledFrom(w.runners).Draw(t, "agent")
+	name := r.name
+	if r.health == membership.Gone {
 		t.Skip()
 	}
-	id := state.ProcessID{Name: string(name)}
 	if !r.alive {
-		w.send(t, body(id, state.KindAgentStart, state.AgentStart{Upstream: name}))
-		r.alive, r.tables = true, state.NewRegionTables()
+		r.alive, r.tables, r.run = true, state.NewRegionTables(), fmt.Sprint(r.host, "/", len(w.log))
 	}
+	id := state.ProcessID{Name: string(name), Incarnation: r.run}
 	w.follow(r.tables, rapid.SampledFrom([]int{1000, 1, 1000}).Draw(t, "reads"))
 	view := r.tables.View()
-	if latest, ok := view.Agent(name); ok {
-		r.token = latest.Token
+	latest, ok := view.Agent(name)
+	if !ok || latest.Incarnation != r.run {
+		// Not registered yet, void, or superseded. An agent that is void or
+		// restarted registers again.
+		w.send(t, body(id, state.KindAgentStart, state.AgentStart{Upstream: name, Incarnation: r.run, Host: r.host}))
+		return
 	}
 	for _, g := range view.GrantsOn(name) {
 		_, loaded := r.loaded[g.ID]
 		switch {
 		case g.Revoked:
 			delete(r.loaded, g.ID)
-			w.send(t, body(id, state.KindRelease, state.Release{Grant: g.ID, Agent: r.token}))
+			w.send(t, body(id, state.KindRelease, state.Release{Grant: g.ID, Agent: latest.Token}))
 		case !loaded && len(r.loaded) == 0:
 			// A released grant that this lagging view still shows must not
 			// be loaded again: the agent knows its own releases.
@@ -175,19 +221,21 @@
 }
 
 func (w *regionWorld) fault(t *rapid.T) {
-	name := rapid.SampledFrom(w.order).Draw(t, "upstream")
-	switch rapid.SampledFrom([]string{"health", "restart entry", "restart agent", "late", "limit", "late", "gone"}).Draw(t, "fault") {
+	r := rapid.SampledFrom(w.runners).Draw(t, "upstream")
+	switch rapid.SampledFrom([]string{"move", "health", "restart entry", "restart agent", "late", "limit", "late", "gone"}).Draw(t, "fault") {
 	case "health":
-		if w.in.Health[name] != membership.Gone {
-			w.in.Health[name] = rapid.SampledFrom([]membership.Health{membership.Live, membership.Suspect, membership.Dead, membership.Leaving}).Draw(t, "health")
+		if r.health != membership.Gone {
+			r.health = rapid.SampledFrom([]membership.Health{membership.Live, membership.Suspect, membership.Dead, membership.Leaving}).Draw(t, "health")
 		}
 	case "gone": // The host has really ended; its engine with it.
-		w.in.Health[name] = membership.Gone
-		clear(w.runners[name].loaded)
+		r.health = membership.Gone
+		clear(r.loaded)
+	case "move":
+		w.move(t, r.name)
 	case "restart entry":
 		w.restart(rapid.IntRange(0, 2).Draw(t, "entry"), len(w.log)+1)
 	case "restart agent":
-		w.runners[name].alive = false
+		r.alive = false
 	case "limit":
 		m, _, _ := w.config.View().Model("n")
 		m.MaxReplicas = rapid.IntRange(0, 3).Draw(t, "limit")
@@ -204,11 +252,16 @@
 // model has no more of both than its highest limit.
 func (w *regionWorld) check(t *rapid.T) {
 	view, loaded := w.tables.View(), map[state.ModelName]int{}
-	for name, r := range w.runners {
+	holder := map[state.Offset]*runner{}
+	for _, r := range w.runners {
 		for id, g := range r.loaded {
 			if _, ok := view.Grant(id); !ok {
-				t.Fatalf("I1: %s has %+v loaded without a grant", name, g)
+				t.Fatalf("I1: %s on %s has %+v loaded without a grant", r.name, r.host, g)
+			}
+			if other := holder[id]; other != nil {
+				t.Fatalf("I1: %s has %+v loaded on %s and %s", r.name, g, r.host, other.host)
 			}
+			holder[id] = r
 			loaded[g.Model]++
 		}
 	}
@@ -220,7 +273,8 @@
 }
 
 // Guards I1 against deciders that are paused, restarted or have lost their
-// lease, agents that die, appends that are lost or late, and changed limits.
+// lease, agents that die, appends that are lost or late, changed limits, and
+// upstreams that are deleted or moved to another host while their agents run.
 func TestDecidersUnderFaults(t *testing.T) {
 	effects := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
@@ -232,7 +286,7 @@
 			},
 		})
 	})
-	for _, want := range []string{"grant applied", "grant conflict", "lease.take applied", "lease.take conflict", "revoke applied", "release applied", "host.gone applied"} {
+	for _, want := range []string{"grant applied", "grant conflict", "lease.take applied", "lease.take conflict", "revoke applied", "release applied", "host.gone applied", "agent.start conflict"} {
 		if effects[want] < 50 {
 			t.Errorf("the schedules reach too little of %q: %v", want, effects)
 		}
--- a/internal/decide/placement/plan.go
+++ b/internal/decide/placement/plan.go
@@ -258,8 +258,9 @@
 	return left
 }
 
-// newFleet collects the region's upstreams. Model runners become nodes; the
-// others only matter for whether their host is gone.
+// newFleet collects the region's upstreams. Model runners become nodes, and so
+// do those that the configuration no longer has, which have only grants to give
+// back; the others only matter for whether their host is gone.
 func newFleet(in Input) *fleet {
 	f := &fleet{
 		settings: in.Settings,
@@ -267,17 +268,14 @@
 		byHost:   map[state.HostName][]state.UpstreamName{},
 	}
 	heard := map[state.HostName]bool{}
-	for u := range in.Config.Upstreams() {
-		if u.Region != in.Region {
-			continue
-		}
+	for u := range membership.WatchedUpstreams(in.Config, in.Tables, in.Region) {
 		health := in.Health[u.Name]
 		f.byHost[u.Host] = append(f.byHost[u.Host], u.Name)
 		heard[u.Host] = heard[u.Host] || health != membership.Gone
-		if u.Kind != state.ModelRunner {
+		if u.Kind != state.ModelRunner && !u.Former {
 			continue
 		}
-		drained := in.Config.Drained(u.Name)
+		drained := u.Former || in.Config.Drained(u.Name)
 		f.nodes[u.Name] = &node{
 			name: u.Name, host: u.Host, centre: u.DataCentre, memory: u.Memory,
 			eligible: health == membership.Live && !drained,
--- a/internal/decide/placement/plan_test.go
+++ b/internal/decide/placement/plan_test.go
@@ -43,6 +43,12 @@
 	if m, at, ok := view.Model(state.ModelName(name)); ok && kind == state.EntityModel && m.Name != "" {
 		revision = at
 	}
+	if _, at, ok := view.Upstream(state.UpstreamName(name)); ok && kind == state.EntityUpstream {
+		revision = at
+	}
+	if v == nil {
+		data = nil // deletes
+	}
 	record, _ := state.NewRecord("", state.ProcessID{}, state.KindConfigChange, state.ConfigChange{Entity: kind, Name: name, Expected: revision, Value: data})
 	return r.config.Apply(state.Positioned{Offset: r.config.Offset() + 1, Record: record})
 }
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -27,11 +27,13 @@
 
 // fleetTable is the decider's picture of the region's upstreams.
 type fleetTable struct {
-	fleet    *membership.Fleet
-	watched  time.Time
-	reported time.Time
-	demands  map[state.ModelName]demandNoted
-	caches   cacheTable
+	fleet   *membership.Fleet
+	watched time.Time
+	// upstreams caches what control.watched returns.
+	upstreams watchedTable
+	reported  time.Time
+	demands   map[state.ModelName]demandNoted
+	caches    cacheTable
 	// hosts is the last reading of the host list.
 	hosts []platform.HostInfo
 	// entryHashes holds the hashes of the entry addresses that the watched
@@ -85,23 +87,25 @@
 	if e.params.Ring != c.peers.ringSum {
 		return
 	}
-	exceptions := make(map[state.UpstreamName]membership.Health, len(e.params.Exceptions))
+	exceptions := make(map[state.UpstreamName]rpc.AgentException, len(e.params.Exceptions))
 	for _, exception := range e.params.Exceptions {
-		exceptions[exception.Upstream] = membership.Health(exception.Health)
+		exceptions[exception.Upstream] = exception
 	}
 	region := c.region.View()
-	for upstream := range c.config.View().Upstreams() {
-		if upstream.Region != c.cfg.region ||
-			c.peers.ring.Owner(membership.RoleWatcher, string(upstream.Name)) != e.params.From {
+	for _, upstream := range c.watched() {
+		if c.peers.ring.Owner(membership.RoleWatcher, string(upstream.Name)) != e.params.From {
 			continue
 		}
-		health, ok := exceptions[upstream.Name]
-		if !ok {
-			health = membership.Live
+		health := membership.Live
+		if exception, ok := exceptions[upstream.Name]; ok {
+			if exception.Host != upstream.Host {
+				continue // The watcher's tables are not those of this entry.
+			}
+			health = membership.Health(exception.Health)
 		}
 		agent, _ := region.Agent(upstream.Name)
 		c.fleet.fleet.Report(membership.AgentReport{
-			Upstream: upstream.Name, Incarnation: agent.Incarnation, Agent: agent.Token, Health: health,
+			Upstream: upstream.Name, Host: upstream.Host, Incarnation: agent.Incarnation, Agent: agent.Token, Health: health,
 		}, now)
 	}
 }
@@ -201,7 +205,7 @@
 		Epoch:    epoch,
 		Config:   config,
 		Tables:   c.region.View(),
-		Health:   c.fleet.fleet.Health(config.Upstreams(), now),
+		Health:   c.fleet.fleet.Health(membership.Upstreams(c.watched()), now),
 		Demand:   demands,
 		Cached:   c.fleet.caches.byCheckpoint(config),
 	}
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -393,7 +393,7 @@
 		upstream, _, known := config.Upstream(grant.Upstream)
 		agent, registered := region.Agent(grant.Upstream)
 		until, refused := h.refused[grant.Upstream]
-		usable := known && registered && !grant.Revoked && grant.ReplicaKey == h.key &&
+		usable := known && registered && !agent.Elsewhere(upstream.Host) && !grant.Revoked && grant.ReplicaKey == h.key &&
 			!config.Drained(grant.Upstream) && (!refused || now.After(until))
 		facts, loadTime := c.homes.factsOf(grant.Upstream), h.loadTimeOn(c, grant.Upstream)
 		if usable {
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -96,7 +96,7 @@
 	epoch := must(nextRecord(l, state.KindLeaseTake, state.LeaseTake{Holder: "entry-1", Replaces: state.NoOffset})).Offset
 	for i := range regionUpstreams {
 		upstream := largeUpstream(8 * i).Name
-		agent := must(nextRecord(l, state.KindAgentStart, state.AgentStart{Upstream: upstream, Incarnation: uuid.NewString(), Fencing: state.FencingEnforced}))
+		agent := must(nextRecord(l, state.KindAgentStart, state.AgentStart{Upstream: upstream, Incarnation: uuid.NewString(), Fencing: state.FencingEnforced, Host: state.HostName("host-" + upstream)}))
 		var models []state.ReplicaKey
 		for j := range 3 {
 			key := largeVersion(3*i + j)
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/membership"
@@ -37,14 +39,28 @@
 	}
 }
 
+// watchedTable holds the upstreams of the region that some entry watches, as of
+// the offsets of both streams.
+type watchedTable struct {
+	config, region state.Offset
+	upstreams      []membership.Watched
+}
+
+// watched returns the upstreams of the region that some entry watches.
+func (c *control) watched() []membership.Watched {
+	t := &c.fleet.upstreams
+	config, region := c.config.Offset(), c.region.Offset()
+	if t.upstreams == nil || t.config != config || t.region != region {
+		all := membership.WatchedUpstreams(c.config.View(), c.region.View(), c.cfg.region)
+		*t = watchedTable{config, region, slices.Collect(all)}
+	}
+	return t.upstreams
+}
+
 // ownUpstreams iterates over the upstreams that this entry watches.
-func (c *control) ownUpstreams() func(func(state.Upstream) bool) {
-	config := c.config.View()
-	return func(yield func(state.Upstream) bool) {
-		for upstream := range config.Upstreams() {
-			if upstream.Region != c.cfg.region {
-				continue
-			}
+func (c *control) ownUpstreams() iter.Seq[membership.Watched] {
+	return func(yield func(membership.Watched) bool) {
+		for _, upstream := range c.watched() {
 			if c.peers.ring.Owner(membership.RoleWatcher, string(upstream.Name)) != c.cfg.name {
 				continue
 			}
@@ -117,10 +133,9 @@
 	if h.Full {
 		return h.Upstream
 	}
-	region := c.region.View()
-	for upstream := range c.config.View().Upstreams() {
-		if agent, ok := region.Agent(upstream.Name); ok && agent.Token == h.Agent {
-			return upstream.Name
+	for agent := range c.region.View().Agents() {
+		if agent.Token == h.Agent {
+			return agent.Upstream
 		}
 	}
 	return ""
@@ -146,7 +161,9 @@
 	params := rpc.ReportParams{From: c.cfg.name, Ring: c.peers.ringSum}
 	for _, report := range c.agents.Reports(now) {
 		if report.Health != membership.Live {
-			params.Exceptions = append(params.Exceptions, rpc.AgentException{Upstream: report.Upstream, Health: uint8(report.Health)})
+			params.Exceptions = append(params.Exceptions, rpc.AgentException{
+				Upstream: report.Upstream, Host: report.Host, Health: uint8(report.Health),
+			})
 		}
 	}
 	params.Demands = c.homeDemands()
--- a/internal/rpc/bench_test.go
+++ b/internal/rpc/bench_test.go
@@ -27,7 +27,7 @@
 func typicalPart() state.UpstreamPart {
 	part := state.UpstreamPart{
 		Upstream:     "runner-00042",
-		Registration: &state.AgentRegistration{Upstream: "runner-00042", Incarnation: uuid.NewString(), Token: 12_345_678, Fencing: state.FencingIgnored},
+		Registration: &state.AgentRegistration{Upstream: "runner-00042", Incarnation: uuid.NewString(), Token: 12_345_678, Fencing: state.FencingIgnored, Host: "host-00042"},
 		Intent:       &state.IntentSet{Upstream: "runner-00042", Agent: 12_345_678, Offset: 12_345_690, Record: uuid.NewString(), Orders: 1},
 	}
 	for i := range 4 {
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -125,6 +125,8 @@
 // AgentException is a watched agent that is not simply live.
 type AgentException struct {
 	Upstream state.UpstreamName `json:"upstream"`
+	// Host is the one on which From watches the upstream.
+	Host state.HostName `json:"host"`
 	// Health is the number of a membership state.
 	Health uint8 `json:"health"`
 }
--- a/internal/state/config_test.go
+++ b/internal/state/config_test.go
@@ -134,6 +134,11 @@
 	apply(at(7, state.KindQuarantine, state.Quarantine{Fingerprint: 9}))
 	g.Expect(tables.View().Quarantined(9, start)).To(BeFalse())
 	g.Expect(apply(at(7, state.KindAgentStart, state.AgentStart{Upstream: "u"}))).To(Equal(state.EffectIgnored))
+	for i, host := range []state.HostName{"h1", "h1", "h2"} {
+		apply(at(state.Offset(8+2*i), state.KindAgentStart, state.AgentStart{Upstream: "u", Host: host}))
+		_, left := tables.View().IntentOf("u")
+		g.Expect(left).To(Equal(host == "h1"), "a successor on another host has another engine")
+	}
 }
 
 // BenchmarkConfig measures a change with the view after it, and snapshots.
--- a/internal/state/configview.go
+++ b/internal/state/configview.go
@@ -100,7 +100,7 @@
 // Services iterates over the services.
 func (v *ConfigView) Services() iter.Seq[Service] { return v.services.all() }
 
-// Upstreams iterates over the upstreams.
+// Upstreams iterates over the upstreams in order of name.
 func (v *ConfigView) Upstreams() iter.Seq[Upstream] { return v.upstreams.all() }
 
 // Drains iterates over the drains.
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -320,6 +320,7 @@
 	epoch   state.Epoch
 	grants  []state.Grant
 	latest  map[state.UpstreamName]state.FencingToken
+	hosts   map[state.UpstreamName]state.HostName
 	configs map[state.ModelName]state.Offset
 }
 
@@ -357,25 +358,38 @@
 			return g.ID == b.Grant && known && token == b.Agent
 		})
 	case state.AgentStart:
-		n.latest[b.Upstream] = offset
+		held := slices.ContainsFunc(n.grants, func(g state.Grant) bool { return g.Upstream == b.Upstream })
+		if held && n.elsewhere(b.Upstream, b.Host) && b.Host != "" {
+			return
+		}
+		n.latest[b.Upstream], n.hosts[b.Upstream] = offset, b.Host
 	case state.HostGone:
 		if b.Epoch != n.epoch || n.epoch < 0 {
 			return
 		}
 		for _, name := range b.Upstreams {
+			if n.elsewhere(name, b.Host) {
+				continue
+			}
 			drop(func(g state.Grant) bool { return g.Upstream == name })
 			delete(n.latest, name)
+			delete(n.hosts, name)
 		}
 	}
 }
 
+func (n *naiveGrants) elsewhere(name state.UpstreamName, host state.HostName) bool {
+	return n.hosts[name] != "" && n.hosts[name] != host
+}
+
 // Guards I1 at the log: for any order of records, late and stale ones
 // included, the tables equal those of the naive reading after each record,
 // and a model never has more grants than the limit of its newest grant.
 func TestGrantsMatchNaiveReading(t *testing.T) {
 	effects := map[state.Effect]int{}
+	elsewhere := 0
 	rapid.Check(t, func(t *rapid.T) {
-		n := &naiveGrants{epoch: state.NoOffset, latest: map[state.UpstreamName]state.FencingToken{}, configs: map[state.ModelName]state.Offset{}}
+		n := &naiveGrants{epoch: state.NoOffset, latest: map[state.UpstreamName]state.FencingToken{}, hosts: map[state.UpstreamName]state.HostName{}, configs: map[state.ModelName]state.Offset{}}
 		tables, offset := state.NewRegionTables(), state.Offset(0)
 		views := map[*state.RegionView]string{}
 		old := func(label string) state.Offset {
@@ -388,6 +402,7 @@
 			return old("epoch")
 		}
 		model := rapid.SampledFrom([]state.ModelName{"m", "n"})
+		host := rapid.SampledFrom([]state.HostName{"h1", "h1", "h2", ""})
 		upstream := rapid.SampledFrom([]state.UpstreamName{"a", "b", "c"})
 		grant := func(t *rapid.T) {
 			b := state.GrantBody{Epoch: epoch(), Upstream: upstream.Draw(t, "on"), Limit: rapid.IntRange(0, 3).Draw(t, "limit"), Config: state.Offset(rapid.IntRange(0, 3).Draw(t, "config"))}
@@ -411,7 +426,10 @@
 		}
 		take := func(t *rapid.T) { put(tables, n, offset, state.KindLeaseTake, state.LeaseTake{Replaces: epoch()}) }
 		register := func(t *rapid.T) {
-			put(tables, n, offset, state.KindAgentStart, state.AgentStart{Upstream: upstream.Draw(t, "of")})
+			b := state.AgentStart{Upstream: upstream.Draw(t, "of"), Host: host.Draw(t, "host")}
+			if out := put(tables, n, offset, state.KindAgentStart, b); out.Effect == state.EffectConflict {
+				elsewhere++
+			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(*rapid.T) {
@@ -420,6 +438,12 @@
 				if want := fmt.Sprint(n.grants); got != want && (got != "[]" || len(n.grants) > 0) {
 					t.Fatalf("grants after %d:\n%s\nnaive:\n%s", offset, got, want)
 				}
+				for _, name := range []state.UpstreamName{"a", "b", "c"} {
+					agent, ok := v.Agent(name)
+					if token, want := n.latest[name]; ok != want || ok && (agent.Token != token || agent.Host != n.hosts[name]) {
+						t.Fatalf("registration of %s: %+v, want %d on %q", name, agent, token, n.hosts[name])
+					}
+				}
 				for _, g := range n.grants {
 					if !slices.Contains(v.GrantsOf(g.Model), g) || !slices.Contains(v.GrantsOn(g.Upstream), g) {
 						t.Fatalf("grant %+v is missing from an index", g)
@@ -439,7 +463,7 @@
 				put(tables, n, offset, state.KindRevoke, state.Revoke{Epoch: epoch(), Grant: old("grant")})
 			},
 			"gone": func(t *rapid.T) {
-				put(tables, n, offset, state.KindHostGone, state.HostGone{Epoch: epoch(), Upstreams: []state.UpstreamName{upstream.Draw(t, "gone")}})
+				put(tables, n, offset, state.KindHostGone, state.HostGone{Epoch: epoch(), Host: host.Draw(t, "host"), Upstreams: []state.UpstreamName{upstream.Draw(t, "gone")}})
 			},
 			"restore": func(t *rapid.T) {
 				data, covered := tables.Snapshot()
@@ -457,10 +481,10 @@
 			},
 		})
 	})
-	if effects[state.EffectApplied] < 1000 || effects[state.EffectConflict] < 1000 {
-		t.Fatalf("the schedules reach too little: %v", effects)
+	if effects[state.EffectApplied] < 1000 || effects[state.EffectConflict] < 1000 || elsewhere < 100 {
+		t.Fatalf("the schedules reach too little: %v, %d starts on another host", effects, elsewhere)
 	}
-	t.Log(effects)
+	t.Log(effects, elsewhere)
 }
 
 func put[B state.Body](tables *state.RegionTables, n *naiveGrants, offset state.Offset, kind state.Kind, body B) state.Outcome {
--- a/internal/state/records.go
+++ b/internal/state/records.go
@@ -84,9 +84,12 @@
 	Upstream    UpstreamName `json:"upstream"`
 	Incarnation string       `json:"incarnation"`
 	Fencing     FencingKind  `json:"fencing"`
+	// Host is where the agent runs. Records of early versions lack it.
+	Host HostName `json:"host,omitempty"`
 }
 
-// HostGone ends the grants of the upstreams of a host.
+// HostGone ends the grants of the upstreams of a host. It leaves alone those
+// whose agent is registered on another host.
 type HostGone struct {
 	Epoch Epoch    `json:"epoch"`
 	Host  HostName `json:"host"`
--- a/internal/state/region.go
+++ b/internal/state/region.go
@@ -197,33 +197,49 @@
 }
 
 // startAgent registers an agent. It ends neither grants nor the predecessor's
-// intent: both stay with the upstream.
+// intent: both stay with the upstream on its host. An agent on another host,
+// whose upstream was created again or moved, is registered only once the
+// grants are released or freed: the replicas loaded under them would otherwise
+// be those of an engine that the new agent does not see.
 func (r *RegionTables) startAgent(p Positioned, b AgentStart) string {
+	old, ok := r.agents.get(b.Upstream)
+	moved := ok && b.Host != "" && old.value.Elsewhere(b.Host)
+	if on, held := r.byUpstream.get(b.Upstream); moved && held && len(on.value) > 0 {
+		return "an agent on another host holds grants of the upstream"
+	}
 	r.beforeWrite()
-	if old, ok := r.agents.get(b.Upstream); ok {
+	if ok {
 		delete(r.tokens, old.value.Token)
 	}
+	if moved {
+		r.intents.remove(b.Upstream) // It says what the other host's engine may load.
+	}
 	r.tokens[p.Offset] = b.Upstream
 	r.agents.set(b.Upstream, AgentRegistration{
-		Upstream: b.Upstream, Incarnation: b.Incarnation, Token: p.Offset, Fencing: b.Fencing,
+		Upstream: b.Upstream, Incarnation: b.Incarnation, Token: p.Offset, Fencing: b.Fencing, Host: b.Host,
 	}, stamp{})
 	return ""
 }
 
 // hostGone frees the grants of the host's upstreams. It ends their
 // registrations too, so that nothing that an agent of the host appends later
-// takes effect before it registers again.
+// takes effect before it registers again. An upstream whose agent is registered
+// on another host has moved since the decider saw it.
 func (r *RegionTables) hostGone(_ Positioned, b HostGone) string {
 	if !r.current(b.Epoch) {
 		return staleEpoch
 	}
 	r.beforeWrite()
 	for _, name := range b.Upstreams {
+		agent, registered := r.agents.get(name)
+		if registered && agent.value.Elsewhere(b.Host) {
+			continue
+		}
 		on, _ := r.byUpstream.get(name)
 		for _, g := range on.value {
 			r.drop(g)
 		}
-		if agent, ok := r.agents.get(name); ok {
+		if registered {
 			delete(r.tokens, agent.value.Token)
 			r.agents.remove(name)
 		}
--- a/internal/state/regionview.go
+++ b/internal/state/regionview.go
@@ -24,6 +24,14 @@
 	Incarnation string       `json:"incarnation"`
 	Token       FencingToken `json:"token"`
 	Fencing     FencingKind  `json:"fencing"`
+	// Host is where the agent runs; empty if its record did not name it.
+	Host HostName `json:"host,omitempty"`
+}
+
+// Elsewhere reports whether the agent is known to run on another host. Its
+// grants then belong to that host until they are released or the host is gone.
+func (a AgentRegistration) Elsewhere(host HostName) bool {
+	return a.Host != "" && a.Host != host
 }
 
 // IntentSet is the standing intent in force for an upstream.
