entry, audit: read the audit stream when a query asks for it

Cause: each entry followed its region's audit stream, which entries write every 2 s, although only operators' queries need it: a third of the reads of the log by arithmetic at 350 entries. The recent part of the trail kept the order in which entries arrived, so that entries of other processes that were read late displaced newer own ones, and it kept the reports of counts, of up to 64 KiB each, beside the 16 MiB of the history. Change: a query of the tables audit and counts reads on from where the last one ended, at most the newest 20,000 records, for 2 s. The answer is marked as incomplete, and says how far it reaches, if the log did not give all or since looks further back. The trail sorts its recent part by time and leaves out reports of counts. The test of the paced audit stream guarded the reads of a follower that no longer exists; its place takes one that allows no read without a query and bounds those of each query. The new checks fail if the reader begins anew at each query, forgets that it skipped records, or the recent part is not sorted. The first query at an entry costs up to 42 reads. "show audit" no longer lists the reports of counts.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -154,6 +154,13 @@
 	mine.Observe(log.records)
 	g.Expect(mine.Recent(start, 10)).To(HaveExactElements(HaveField("Name", "2"), HaveField("Name", "1")))
 	g.Expect(mine.Recent(start.Add(2*time.Second), 10)).To(HaveLen(1))
+	g.Expect(mine.Reach()).To(BeZero())
+	// Entries that are read late take no room from newer ones.
+	small := audit.NewTrail(writer, "north", log, audit.Options{Recent: 2})
+	small.Operator(entry(3))
+	small.Observe(log.records)
+	g.Expect(small.Recent(start, 10)).To(HaveExactElements(HaveField("Name", "3"), HaveField("Name", "2")))
+	g.Expect(small.Reach()).To(Equal(entry(2).Time))
 }
 
 // Guards against requests lost or counted twice while windows close, reports
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -25,7 +25,7 @@
 	// ExitUnreachable means that no answer came, or that the entry could
 	// not find out whether a change took effect.
 	ExitUnreachable ExitCode = 3
-	// ExitIncomplete means that some entries did not answer a query.
+	// ExitIncomplete means that a query was answered in part.
 	ExitIncomplete ExitCode = 4
 )
 
@@ -55,7 +55,7 @@
 		return ExitUnreachable
 	}
 	if len(answer.Incomplete) > 0 {
-		s.complain("incomplete: %d entries did not answer", len(answer.Incomplete))
+		s.complain("incomplete: %d parts are missing", len(answer.Incomplete))
 		return ExitIncomplete
 	}
 	return ExitOK
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,6 +85,8 @@
 	history   *history
 	trail     *audit.Trail
 	reports   *audit.Reporter
+	// auditReader reads the trail and the reports of other processes.
+	auditReader *auditReader
 	// stopping is set once the drain of a planned stop has ended.
 	stopping atomic.Pointer[ctxtime.Stop]
 }
@@ -110,6 +112,7 @@
 	e.shards.meter = deps.Meter
 	e.ledger = newLedger(time.Now())
 	e.reports = audit.NewReporter(e.ledger.counts, self, cfg.Region, auditAppender{e.writer})
+	e.auditReader = newAuditReader(deps.Log, cfg.Region, e.observeAudit)
 	e.gateway = e.newGateway(self)
 	e.applyLimits(cfg.Limits)
 	return e
@@ -258,7 +261,6 @@
 	group.Go(func() error { return e.control.followStream(ctx, e.relay, region) })
 	group.Go(func() error { return e.readHosts(ctx) })
 	group.Go(func() error { return e.flushAudit(ctx) })
-	group.Go(func() error { return e.followAudit(ctx) })
 	group.Go(func() error { return e.measure(ctx) })
 	group.Go(func() error { return e.keepRooms(ctx) })
 	group.Go(func() error { return e.forgetUnused(ctx) })
--- a/internal/entry/sources.go
+++ b/internal/entry/sources.go
@@ -39,6 +39,8 @@
 	// everywhere says that each entry has a part of the rows.
 	everywhere bool
 	rows       func(source, context.Context) [][]oplang.Value
+	// fromAudit says that the region's audit stream is read for the rows.
+	fromAudit bool
 	// once gives rows that only the entry that was asked adds.
 	once func(source, context.Context) [][]oplang.Value
 }
@@ -75,11 +77,11 @@
 	},
 	"counts": {
 		columns:    []oplang.Column{text("caller"), text("outcome"), text("reason"), count("requests"), instant("from"), instant("to"), text("entry"), text("complete")},
-		everywhere: true, rows: source.counts, once: source.endedCounts,
+		everywhere: true, rows: source.counts, once: source.endedCounts, fromAudit: true,
 	},
 	"audit": {
 		columns: []oplang.Column{instant("time"), text("actor"), text("action"), text("entity"), text("name"), truth("accepted"), text("reason"), text("before"), text("after"), text("detail"), number("offset")},
-		rows:    source.audit,
+		rows:    source.audit, fromAudit: true,
 	},
 	"claims": {
 		columns:    []oplang.Column{number("shard"), text("entry"), count("waiting")},
@@ -128,6 +130,10 @@
 	if refusal := s.entry.control.view().unready(); refusal != nil {
 		return oplang.Table{}, refusal
 	}
+	var lacks []string
+	if found.fromAudit {
+		lacks = s.readAudit(ctx, q, now)
+	}
 	answer, err := q.Filter(oplang.Table{Columns: found.columns, Rows: found.rows(s, ctx)}, now)
 	if err != nil {
 		return oplang.Table{}, err
@@ -135,6 +141,7 @@
 	if found.everywhere {
 		s.askOthers(ctx, rpc.QueryParams{Table: q.Table, Statement: s.statement, At: now}, &answer)
 	}
+	answer.Incomplete = append(answer.Incomplete, lacks...)
 	if found.once != nil {
 		answer.Rows = append(answer.Rows, found.once(s, ctx)...)
 	}
--- a/internal/oplang/check.go
+++ b/internal/oplang/check.go
@@ -86,6 +86,13 @@
 	return positiveDuration(q.Since)
 }
 
+// SinceTime returns the time back to which the query looks at now, and false if
+// it names none.
+func (q *Show) SinceTime(now time.Time) (time.Time, bool) {
+	back, err := q.since()
+	return now.Add(-back), err == nil && back > 0
+}
+
 // limit returns the largest number of rows; zero means all.
 func (q *Show) limit() (int, error) {
 	if q.Limit == nil {
--- a/internal/oplang/format.go
+++ b/internal/oplang/format.go
@@ -39,7 +39,7 @@
 type Answer struct {
 	Columns []string  `json:"columns"`
 	Rows    [][]Value `json:"rows"`
-	// Incomplete names the entries that did not answer.
+	// Incomplete is that of Table.
 	Incomplete []string     `json:"incomplete,omitempty"`
 	Error      *AnswerError `json:"error,omitempty"`
 }
--- a/internal/oplang/value.go
+++ b/internal/oplang/value.go
@@ -202,7 +202,8 @@
 	Columns []Column
 	// Rows have one cell for each column.
 	Rows [][]Value
-	// Incomplete names the entries that did not answer.
+	// Incomplete names the entries that did not answer and what else the rows
+	// lack.
 	Incomplete []string
 }
 
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -87,6 +87,7 @@
 		{Name: prefix + "control_commands_dropped_total", Type: Counter, Help: "Commands of an entry that were dropped because too many ran."},
 		{Name: prefix + "region_append_failures_total", Type: Counter, Help: "Appends of decisions to the region's stream that failed."},
 		{Name: prefix + "host_list_failures_total", Type: Counter, Help: "Readings of the host list that failed."},
+		{Name: prefix + "audit_read_failures_total", Type: Counter, Help: "Queries for which the audit stream could not be read to its end."},
 		{Name: prefix + "audit_flush_failures_total", Type: Counter, Help: "Writes of the audit trail or the counts that failed; they are repeated."},
 		{Name: prefix + "crash_reports_lost_total", Type: Counter, Help: "Reports of crashed upstreams that did not reach the entry that attributes them."},
 		{Name: prefix + "replica_changes_lost_total", Type: Counter, Help: "Changes of replicas that did not reach their home."},
