settings, platform: authorities of the platform's https addresses

Cause: https addresses of the log, the host list, an upstream or the endpoint of metrics were checked only against the host's authorities, and a test of them replaced the transport of http.DefaultClient. log_format and peers had no test, and no test noticed swapped listen addresses. Change: tls.platform.ca_file, for both roles, read at the start. A file without any https address is a mistake, since connections would be in clear text where the settings look otherwise. The test of the platform's addresses uses the setting with a server with TLS on loopback; further ones cover the engine, requests to an upstream, the push of metrics, log_format and peers. The test of shared settings now asks each address for what only its own job answers. That an agent's process passes the authorities on to the transport of its requests is not checked end to end.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -124,6 +125,8 @@
 	Burst account.BurstRule
 	// Transport carries requests to the upstream; default one made for it.
 	Transport http.RoundTripper
+	// TLS is that of the default Transport; nil trusts the host's authorities.
+	TLS *tls.Config
 	// Listen binds a listen address; default TCP.
 	Listen   func(ctx context.Context, addr string) (net.Listener, error)
 	Logger   *slog.Logger
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -412,3 +416,22 @@
 		w.Expect(w.engine.allOrders()).To(BeEmpty())
 	})
 }
+
+// Guards against requests to an upstream whose certificate comes from an
+// unknown authority, and against authorities that are ignored.
+func TestUpstreamWithTLS(t *testing.T) {
+	g := NewWithT(t)
+	upstream := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer upstream.Close()
+	authorities := x509.NewCertPool()
+	authorities.AddCert(upstream.Certificate())
+	for want, secured := range map[int]*tls.Config{
+		http.StatusOK:         {RootCAs: authorities, MinVersion: tls.VersionTLS12},
+		http.StatusBadGateway: {RootCAs: x509.NewCertPool(), MinVersion: tls.VersionTLS12},
+	} {
+		answer := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "/v1/services/s/x", strings.NewReader("{}"))
+		serviceAgent(t, upstream.URL, 1, secured).ServeHTTP(answer, request)
+		g.Expect(answer.Code).To(Equal(want))
+	}
+}
--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -45,7 +46,9 @@
 	})
 }
 
-func benchAgent(b *testing.B, base string, concurrency int) http.Handler {
+// serviceAgent is an agent in front of a plain service; secured is its TLS.
+func serviceAgent(t testing.TB, base string, concurrency int, secured *tls.Config) http.Handler {
+	t.Helper()
 	a, err := agent.New(agent.Config{
 		Upstream: state.Upstream{
 			Name: "u1", Kind: state.PlainService, Region: "north",
@@ -58,9 +61,10 @@
 		Appender: &fakeLog{},
 		Caller:   &fakeCaller{},
 		Queue:    newClassQueue(256, 64*state.MiB),
+		TLS:      secured,
 	})
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	return a
 }
@@ -84,7 +88,7 @@
 	for name, write := range answers {
 		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { write(w) }))
 		b.Run("bare/"+name, func(b *testing.B) { benchRelay(b, bareCopy(engine.URL)) })
-		b.Run("agent/"+name, func(b *testing.B) { benchRelay(b, benchAgent(b, engine.URL, 64)) })
+		b.Run("agent/"+name, func(b *testing.B) { benchRelay(b, serviceAgent(b, engine.URL, 64, nil)) })
 		engine.Close()
 	}
 }
@@ -119,7 +123,7 @@
 		stream(true)(w, r)
 	}))
 	defer engine.Close()
-	relays := map[string]http.Handler{"bare": bareCopy(engine.URL), "agent": benchAgent(b, engine.URL, streams)}
+	relays := map[string]http.Handler{"bare": bareCopy(engine.URL), "agent": serviceAgent(b, engine.URL, streams, nil)}
 	for name, relay := range relays {
 		b.Run(name, func(b *testing.B) {
 			server := httptest.NewServer(relay)
--- a/internal/agent/defaults.go
+++ b/internal/agent/defaults.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -104,7 +105,7 @@
 		}
 	}
 	if d.Transport == nil {
-		d.Transport = newTransport(cfg.Concurrency)
+		d.Transport = newTransport(cfg.Concurrency, d.TLS)
 	}
 	return d
 }
@@ -121,10 +122,11 @@
 
 // newTransport makes the connections to the upstream. It takes no proxy from
 // the environment and passes compressed answers on as they are.
-func newTransport(concurrency int) *http.Transport {
+func newTransport(concurrency int, secured *tls.Config) *http.Transport {
 	dialer := net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
+		TLSClientConfig:     secured,
 		DisableCompression:  true,
 		MaxIdleConns:        concurrency,
 		MaxIdleConnsPerHost: concurrency,
--- a/internal/entry/wiring_test.go
+++ b/internal/entry/wiring_test.go
@@ -20,6 +20,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
@@ -336,3 +337,21 @@
 		g.Expect(string(page)).To(ContainSubstring("| " + name + " | " + strings.Join(names, ", ") + " |\n"))
 	}
 }
+
+// Guards against peers of the settings that are left out, or taken for entries
+// of another region.
+func TestPeersReachTheirComponents(t *testing.T) {
+	g := NewWithT(t)
+	cfg := settings.DefaultEntry()
+	cfg.Name, cfg.Region = "a", "north"
+	cfg.Peers = []settings.Peer{
+		{Name: "b", Region: "north", Control: "b:2", Callers: "b:1"},
+		{Name: "c", Region: "south", Control: "c:2", Callers: "c:1"},
+		{Name: "d", Region: "south", Control: "d:2"},
+	}
+	e := newTestEntry(t, cfg)
+	g.Expect(e.control.cfg.peers).To(Equal([]rpc.Peer{{Name: "b", Control: "b:2"}}))
+	g.Expect(e.control.cfg.remotes).To(Equal([]rpc.Peer{{Name: "c", Control: "c:2"}, {Name: "d", Control: "d:2"}}))
+	g.Expect(e.router.regions).To(Equal(map[state.Region]map[state.EntryName]string{"south": {"c": "c:2", "d": "d:2"}}))
+	g.Expect(e.gateway.cfg.remotes).To(Equal([]remoteEntry{{name: "c", region: "south", callers: "c:1"}}))
+}
--- a/internal/roles/agent.go
+++ b/internal/roles/agent.go
@@ -65,7 +65,7 @@
 			logger.Error("log writer ended", "error", err)
 		}
 	}()
-	a, trail, retention, err := newAgent(cfg, writer, entries, meter, secured, logger)
+	a, trail, retention, err := newAgent(cfg, writer, entries, shared)
 	if err != nil {
 		return err
 	}
@@ -87,8 +87,9 @@
 }
 
 func newAgent(cfg settings.Agent, writer *logclient.Writer, entries *directory,
-	meter *telemetry.Telemetry, secured certificates, logger *slog.Logger,
+	shared *sharedParts,
 ) (*agent.Agent, *audit.Trail, *retention, error) {
+	meter, secured := shared.meter, shared.secured
 	config := agentConfig(cfg)
 	config.Incarnation = uuid.NewString()
 	self := state.ProcessID{Name: cfg.Name, Incarnation: config.Incarnation}
@@ -107,14 +108,15 @@
 		Listen: func(ctx context.Context, addr string) (net.Listener, error) {
 			return bind(ctx, addr, secured.internal)
 		},
-		Logger:   logger,
+		TLS:      shared.authorities,
+		Logger:   shared.logger,
 		Counters: meter,
 		Meter:    meter,
 		Bytes:    meter,
 		Decided:  trail.Automatic,
 	}
 	if cfg.Upstream.Kind != state.PlainService {
-		deps.Engine = platform.NewHTTPEngine(cfg.Upstream.URL, platform.HTTPOptions{}, 0)
+		deps.Engine = platform.NewHTTPEngine(cfg.Upstream.URL, shared.http, 0)
 	}
 	a, err := agent.New(config, deps)
 	return a, trail, keep, err
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -49,8 +51,8 @@
 		return err
 	}
 	e := entry.New(cfg, entry.Deps{
-		Log:       platform.NewHTTPLog(cfg.Platform.Log, platform.HTTPOptions{}),
-		Hosts:     platform.NewHTTPHostList(cfg.Platform.Hosts, platform.HTTPOptions{}),
+		Log:       platform.NewHTTPLog(cfg.Platform.Log, shared.http),
+		Hosts:     platform.NewHTTPHostList(cfg.Platform.Hosts, shared.http),
 		Caller:    shared.client,
 		Logger:    logger,
 		Metrics:   meter.Handler(),
@@ -74,6 +76,9 @@
 	meter   *telemetry.Telemetry
 	secured certificates
 	client  *rpc.Client
+	// http is for calls of the platform, and authorities is its TLS.
+	http        platform.HTTPOptions
+	authorities *tls.Config
 	// stopTimeout is Shutdown.StopTimeout of the last reload, in nanoseconds.
 	stopTimeout atomic.Int64
 	// stopBy is when a planned stop has to be over; zero where none was begun.
@@ -98,6 +103,10 @@
 // openShared starts telemetry, reads the certificates and makes the client of
 // calls to other processes.
 func openShared(ctx context.Context, common settings.Common, logger *slog.Logger) (*sharedParts, error) {
+	authorities, err := common.TLS.Platform.Client()
+	if err != nil {
+		return nil, errors.Wrap(err, "TLS")
+	}
 	meter, err := telemetry.Start(ctx, common)
 	if err != nil {
 		return nil, err
@@ -110,11 +119,22 @@
 	client := rpc.NewClient()
 	client.Counter = meter
 	client.Dial = secured.internal.Dial
-	shared := &sharedParts{meter: meter, secured: secured, client: client, logger: logger}
+	shared := &sharedParts{meter: meter, secured: secured, client: client, logger: logger, authorities: authorities}
+	shared.http = platformOptions(authorities)
 	shared.stopTimeout.Store(int64(common.Shutdown.StopTimeout))
 	return shared, nil
 }
 
+// platformOptions are those of the clients of the platform.
+func platformOptions(authorities *tls.Config) platform.HTTPOptions {
+	if authorities == nil {
+		return platform.HTTPOptions{}
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.TLSClientConfig = authorities
+	return platform.HTTPOptions{Client: &http.Client{Transport: transport}}
+}
+
 // certificates are those of a process by the other side of a connection.
 type certificates struct{ callers, operators, internal *certs.Source }
 
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -173,3 +173,19 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an agent that does not know the entries of its settings, or
+// asks those of other regions.
+func TestAgentKnowsTheEntriesOfItsRegion(t *testing.T) {
+	g := NewWithT(t)
+	common := settings.DefaultAgent().Common
+	common.Region = "north"
+	common.Peers = []settings.Peer{
+		{Name: "a", Region: "north", Control: "a:2"}, {Name: "b", Region: "south", Control: "b:2"}, {Name: "c", Region: "north", Control: "c:2"},
+	}
+	entries := newDirectory(nil, entryAddresses(common))
+	g.Expect(entries.addresses()).To(Equal([]string{"a:2", "c:2"}))
+	watcher, ok := entries.watch()
+	g.Expect(ok).To(BeTrue())
+	g.Expect(watcher).To(Equal("a:2"))
+}
--- a/internal/roles/shared_test.go
+++ b/internal/roles/shared_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/pem"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,10 +17,14 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/loopback"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
 // settingsTimeout bounds waits on loopback connections; passing runs need
@@ -75,7 +83,8 @@
 }
 
 // Guards against a role that ignores listen.*, telemetry.otlp_endpoint or a
-// reloaded shutdown.stop_timeout, which then bounds nothing at the stop.
+// reloaded shutdown.stop_timeout, which then bounds nothing at the stop, and
+// against listen addresses that are swapped.
 func TestSharedSettingsReachBothRoles(t *testing.T) {
 	const reloaded = state.Duration(3 * time.Second)
 	starts := map[string]func(t *testing.T, otlp, platform string) (settings.Listen, func(), *lockedBuffer, func() <-chan error){
@@ -129,6 +138,7 @@
 					return err
 				}).WithTimeout(settingsTimeout).Should(Succeed(), address)
 			}
+			answersAs(g, t, listen)
 			reload()
 			g.Eventually(log.String).WithTimeout(settingsTimeout).Should(ContainSubstring("settings reloaded"))
 			stopped := time.Now()
@@ -145,8 +155,8 @@
 }
 
 // Guards against an entry that asks another address than platform.log or
-// platform.hosts, and against one that takes only http of the two schemes that
-// the settings allow.
+// platform.hosts, against one that takes only http of the two schemes that
+// the settings allow, and against one that ignores tls.platform.
 func TestEntryAsksItsPlatform(t *testing.T) {
 	for scheme, start := range map[string]func(http.Handler) *httptest.Server{
 		"http": httptest.NewServer, "https": httptest.NewTLSServer,
@@ -155,13 +165,9 @@
 			g := NewWithT(t)
 			log, logPaths := platformServer(t, start)
 			hosts, hostPaths := platformServer(t, start)
-			// The clients of the platform trust the system's authorities; the
-			// test server's is added for the time of the test.
-			former := http.DefaultClient.Transport
-			t.Cleanup(func() { http.DefaultClient.Transport = former })
-			http.DefaultClient.Transport = log.Client().Transport
 			cfg := settings.DefaultEntry()
 			cfg.Common = commonSettings(t, cfg.Common)
+			cfg.TLS.Platform.CAFile = authorityFile(t, log)
 			cfg.Shutdown.StopTimeout = state.Duration(100 * time.Millisecond)
 			cfg.Platform = settings.Platform{Log: log.URL, Hosts: hosts.URL}
 			g.Expect(log.URL).To(HavePrefix(scheme + "://"))
@@ -176,6 +182,78 @@
 	}
 }
 
+// authorityFile is a file with the certificate of a server with TLS, if it has
+// one.
+func authorityFile(t *testing.T, server *httptest.Server) string {
+	t.Helper()
+	if server.Certificate() == nil {
+		return ""
+	}
+	path := filepath.Join(t.TempDir(), "ca.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}
+	NewWithT(t).Expect(os.WriteFile(path, pem.EncodeToMemory(block), 0o600)).To(Succeed())
+	return path
+}
+
+// Guards against an agent that ignores tls.platform for the control side of its
+// engine or for the push of metrics, and against one that starts without the
+// authorities.
+func TestAgentTrustsItsUpstream(t *testing.T) {
+	g := NewWithT(t)
+	upstream, paths := platformServer(t, httptest.NewTLSServer)
+	for _, trusted := range []bool{true, false} {
+		cfg := settings.DefaultAgent()
+		cfg.Common = commonSettings(t, cfg.Common)
+		cfg.Shutdown.StopTimeout = state.Duration(time.Second)
+		cfg.Upstream.URL, cfg.Upstream.Memory = upstream.URL, state.GiB
+		cfg.Telemetry.OTLPEndpoint = upstream.URL + "/push"
+		if trusted {
+			cfg.TLS.Platform.CAFile = authorityFile(t, upstream)
+		}
+		shared, err := openShared(t.Context(), cfg.Common, slog.New(slog.DiscardHandler))
+		g.Expect(err).NotTo(HaveOccurred())
+		a, _, _, err := newAgent(cfg, logclient.NewWriter(nil, logclient.WriterConfig{}), newDirectory(shared.client, nil), shared)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = platform.NewHTTPEngine(cfg.Upstream.URL, shared.http, 0).Status(t.Context())
+		g.Expect(err).To(HaveOccurred(), "the stand-in refuses")
+		g.Expect(a.Ready()).NotTo(Succeed())
+		shared.meter.ConfigLag(time.Second)
+		shared.close()
+		var asked []string
+		for len(paths) > 0 {
+			asked = append(asked, <-paths)
+		}
+		if trusted {
+			g.Expect(asked).To(ContainElements(platform.PathEngineStatus, "/push"))
+		} else {
+			g.Expect(asked).To(BeEmpty())
+		}
+	}
+	cfg := settings.DefaultAgent()
+	cfg.TLS.Platform.CAFile = filepath.Join(t.TempDir(), "absent.pem")
+	g.Expect(RunAgent(t.Context(), cfg, slog.New(slog.DiscardHandler))).To(MatchError(ContainSubstring("authorities")))
+}
+
+// answersAs checks that each address of a role does the job that the settings
+// give it.
+func answersAs(g Gomega, t *testing.T, listen settings.Listen) {
+	ask := func(method, address, path string) *http.Response {
+		req, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, strings.NewReader("{}"))
+		g.Expect(err).NotTo(HaveOccurred())
+		req.Close = true
+		resp, err := http.DefaultClient.Do(req)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.Body.Close()).To(Succeed())
+		return resp
+	}
+	g.Expect(ask(http.MethodPost, listen.Callers, "/v1/completions").Header.Get(verdict.HeaderVerdict)).To(Equal("not-run"))
+	g.Expect(ask(http.MethodGet, listen.Callers, "/metrics").StatusCode).NotTo(Equal(http.StatusOK))
+	g.Expect(ask(http.MethodGet, listen.Operators, "/metrics").StatusCode).To(Equal(http.StatusOK))
+	client := rpc.NewClient()
+	defer client.Close()
+	g.Expect(client.Call(t.Context(), listen.Control, "no.such", struct{}{}, nil)).To(MatchError(ContainSubstring("unknown method")))
+}
+
 // Guards against pushes at another interval than telemetry.otlp_interval.
 func TestPushFollowsItsInterval(t *testing.T) {
 	var pushes atomic.Int64
--- a/internal/settings/access.go
+++ b/internal/settings/access.go
@@ -78,13 +78,31 @@
 	if c.CAFile == "" {
 		return config, nil, nil
 	}
-	pem, err := os.ReadFile(c.CAFile)
+	pool, err := readAuthorities(c.CAFile)
+	return config, pool, err
+}
+
+func readAuthorities(path string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(path)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "authorities")
+		return nil, errors.Wrap(err, "authorities")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, nil, errors.Errorf("authorities %s: no certificate in the file", c.CAFile)
+		return nil, errors.Errorf("authorities %s: no certificate in the file", path)
+	}
+	return pool, nil
+}
+
+// Client returns the configuration of the side that opens connections, or nil
+// if the authorities of the host count.
+func (a Authorities) Client() (*tls.Config, error) {
+	if a.CAFile == "" {
+		return nil, nil
+	}
+	pool, err := readAuthorities(a.CAFile)
+	if err != nil {
+		return nil, err
 	}
-	return config, pool, nil
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,17 @@
 	// both sides check the other's certificate against its CAFile, which is
 	// required here.
 	Internal Certificate `toml:"internal"`
+	// Platform checks the https addresses that this process calls: the log,
+	// the host list, an agent's upstream and the endpoint of metrics.
+	Platform Authorities `toml:"platform"`
+}
+
+// Authorities names whom connections that this process opens trust.
+type Authorities struct {
+	// CAFile is a PEM file with the authorities that the other side's
+	// certificate must come from; it is read at the start. Default: those of
+	// the host.
+	CAFile string `toml:"ca_file"`
 }
 
 // Certificate names the PEM files of one side of a connection.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,6 +88,8 @@
 team = "y"
 role = "root"
 sha256 = "abc"
+[tls.platform]
+ca_file = "ca.pem"
 `
 
 // Guards against a mistake that is not reported, is reported twice or points
@@ -113,6 +115,7 @@
 		`entry.toml:25: peers[1].control: want an address with host and port, such as "10.0.0.1:8080"`,
 		`entry.toml:29: tokens[0].role: want one of viewer, operator, administrator`,
 		`entry.toml:30: tokens[0].sha256: want exactly 64 characters`,
+		`entry.toml:32: tls.platform.ca_file: set, but no address of the platform begins with https`,
 	}))
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -35,6 +35,7 @@
 	}
 	v.RegisterStructValidation(checkCommon, Common{})
 	v.RegisterStructValidation(checkEntry, Entry{})
+	v.RegisterStructValidation(checkAgent, Agent{})
 	v.RegisterStructValidation(checkEntryLimits, EntryLimits{})
 	return v
 }
@@ -69,6 +70,7 @@
 	if entry.Listen.Operators == "" {
 		level.ReportError("", "listen.operators", "Operators", "required", "")
 	}
+	checkAuthorities(level, entry.Common, entry.Platform.Log, entry.Platform.Hosts)
 	seen := make(map[string]bool, len(entry.Tokens))
 	for i, token := range entry.Tokens {
 		if seen[token.SHA256] {
@@ -78,6 +80,22 @@
 	}
 }
 
+// checkAgent checks what only an agent must have.
+func checkAgent(level validator.StructLevel) {
+	if agent, ok := level.Current().Interface().(Agent); ok {
+		checkAuthorities(level, agent.Common, agent.Upstream.URL)
+	}
+}
+
+// checkAuthorities checks that authorities have something to check: otherwise
+// connections are in clear text where the settings look as if they were not.
+func checkAuthorities(level validator.StructLevel, common Common, urls ...string) {
+	secured := func(url string) bool { return strings.HasPrefix(strings.ToLower(url), "https:") }
+	if common.TLS.Platform.CAFile != "" && !slices.ContainsFunc(append(urls, common.Telemetry.OTLPEndpoint), secured) {
+		level.ReportError("", "tls.platform.ca_file", "CAFile", "https", "")
+	}
+}
+
 func checkEntryLimits(level validator.StructLevel) {
 	limits, ok := level.Current().Interface().(EntryLimits)
 	if ok && limits.MaxDeadline < limits.DefaultDeadline {
@@ -151,6 +169,8 @@
 		return `want an address with host and port, such as "10.0.0.1:8080"`
 	case "http_url":
 		return `want a URL such as "http://10.0.0.1:8080"`
+	case "https":
+		return "set, but no address of the platform begins with https"
 	case "oneof":
 		return "want one of " + strings.ReplaceAll(param, " ", ", ")
 	case "unique":
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,7 +52,7 @@
 	}
 	options := []sdkmetric.Option{sdkmetric.WithReader(page), sdkmetric.WithResource(describe(common))}
 	if common.Telemetry.OTLPEndpoint != "" {
-		push, err := pushReader(ctx, common.Telemetry)
+		push, err := pushReader(ctx, common)
 		if err != nil {
 			return nil, err
 		}
@@ -75,8 +76,17 @@
 	)
 }
 
-func pushReader(ctx context.Context, t settings.Telemetry) (sdkmetric.Reader, error) {
-	exporter, err := otlpmetrichttp.New(ctx, otlpmetrichttp.WithEndpointURL(t.OTLPEndpoint))
+func pushReader(ctx context.Context, common settings.Common) (sdkmetric.Reader, error) {
+	t := common.Telemetry
+	options := []otlpmetrichttp.Option{otlpmetrichttp.WithEndpointURL(t.OTLPEndpoint)}
+	authorities, err := common.TLS.Platform.Client()
+	if err != nil {
+		return nil, err
+	}
+	if authorities != nil && strings.HasPrefix(t.OTLPEndpoint, "https:") {
+		options = append(options, otlpmetrichttp.WithTLSClientConfig(authorities))
+	}
+	exporter, err := otlpmetrichttp.New(ctx, options...)
 	if err != nil {
 		return nil, errors.Wrap(err, "set up the push of metrics")
 	}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -231,3 +232,21 @@
 	})
 	g.Expect(allocations).To(BeNumerically("<=", 2))
 }
+
+// Guards against a log in another form than telemetry.log_format names, and
+// against lines that do not name their process.
+func TestLogFormat(t *testing.T) {
+	g := NewWithT(t)
+	for format, want := range map[string]string{
+		"text": `level=INFO msg="a b" process=p region=north n=1`,
+		"json": `"level":"INFO","msg":"a b","process":"p","region":"north","n":1}`,
+	} {
+		common := settings.DefaultEntry().Common
+		common.Name, common.Region, common.Telemetry.LogFormat = "p", "north", format
+		var out bytes.Buffer
+		logger, _ := telemetry.NewLogger(&out, common)
+		logger.Info("a b", "n", 1)
+		g.Expect(out.String()).To(HaveSuffix(want+"\n"), format)
+		g.Expect(json.Valid(out.Bytes())).To(Equal(format == "json"), format)
+	}
+}
