agent: benchmark of the memory with 50 replicas and 500 queued requests

Cause: docs/CAPACITY.md listed that memory as not measured. Change: BenchmarkMemory runs an agent over the network in memory of its tests, with the real queue and an engine that holds what runs. The harness takes a queue and a body and starts an agent without virtual time.

--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -10,8 +11,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/agent"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -153,6 +160,66 @@
 	return (memoryInUse() - before) / uint64(streams)
 }
 
+// BenchmarkMemory reports the memory of an agent with 50 replicas and of 500
+// queued requests of 4 KiB on a connection each. The fakes, and both ends of
+// the connections, are in it.
+func BenchmarkMemory(b *testing.B) {
+	const replicas, queued, concurrency = 50, 500, 2
+	for b.Loop() {
+		w := newWorld(b)
+		w.cfg.Concurrency = concurrency
+		queue := admission.NewQueue(admission.Config{MaxRequests: queued, MaxBytes: 64 * state.MiB, Concurrency: concurrency, StarvationBound: 16})
+		w.queue = queue
+		var versions []state.ModelVersion
+		for i := range replicas {
+			key := state.ReplicaKey{Model: state.ModelName(fmt.Sprint("m", i)), Version: "v1"}
+			versions = append(versions, state.ModelVersion{Model: key.Model, Name: key.Version, Weights: 1, KVHeadroom: 1})
+			grant := state.Record{ID: fmt.Sprint("g", i), Kind: state.KindGrant, Body: encode(state.GrantBody{ReplicaKey: key, Upstream: "u1"})}
+			_, _ = w.log.Append(context.Background(), region, grant)
+			w.engine.replicas = append(w.engine.replicas, platform.EngineReplica{ReplicaKey: key, State: state.ReplicaReady, Size: 2})
+		}
+		w.parts.alter(func(_ rpc.PartParams, result *rpc.PartResult) {
+			result.Part.Versions = append(result.Part.Versions, versions...)
+		})
+		release := w.hold()
+		before := memoryInUse()
+		w.launch()
+		w.Eventually(func() int { return len(loaded(w.caller.sent())) }).WithTimeout(time.Minute).Should(Equal(replicas))
+		idle := memoryInUse()
+		var sent sync.WaitGroup
+		w.body = strings.Repeat("x", 4<<10)
+		for i := range queued + concurrency {
+			sent.Go(func() {
+				got := w.request(anyone, agent.HeaderModel, fmt.Sprint("m", i%replicas), agent.HeaderDeadline, "600000")
+				if got.status != http.StatusOK {
+					b.Errorf("status %d %s", got.status, got.reason())
+				}
+			})
+		}
+		w.Eventually(queue.Len).WithTimeout(time.Minute).Should(Equal(queued))
+		full := memoryInUse()
+		b.ReportMetric((float64(idle)-float64(before))/(1<<10), "KiB/agent")
+		b.ReportMetric((float64(full)-float64(idle))/queued/(1<<10), "KiB/request")
+		b.ReportMetric((float64(full)-float64(before))/(1<<20), "MiB")
+		release()
+		sent.Wait()
+		w.stop()
+		w.Expect(<-w.ended).To(Succeed())
+		w.client.CloseIdleConnections()
+		_ = w.engine.server.Close()
+	}
+}
+
+// loaded lists the replicas that the last full heartbeat names.
+func loaded(beats []rpc.Heartbeat) (replicas []state.Replica) {
+	for _, beat := range beats {
+		if beat.Full {
+			replicas = beat.Replicas
+		}
+	}
+	return replicas
+}
+
 func memoryInUse() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -36,6 +36,9 @@
 	engine *fakeEngine
 	caller *fakeCaller
 	parts  *fakeParts
+	queue  agent.Queue
+	// body is that of the requests.
+	body   string
 	cfg    agent.Config
 	client *http.Client
 	stop   context.CancelFunc
@@ -43,7 +46,7 @@
 	agent  *agent.Agent
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	n := &memNet{listeners: make(map[string]*memListener)}
 	w := &world{
 		GomegaWithT: NewWithT(t),
@@ -51,11 +54,13 @@
 		log:         &fakeLog{streams: make(map[platform.Stream][]state.Positioned)},
 		engine:      &fakeEngine{net: n},
 		caller:      &fakeCaller{},
+		body:        `{"prompt":"x"}`,
 		client:      &http.Client{Transport: &http.Transport{DialContext: n.Dial}},
 	}
 	w.engine.handle(func(out http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(out, "answer") })
 	w.engine.start()
 	w.parts = &fakeParts{log: w.log}
+	w.queue = newClassQueue(256, 64*state.MiB)
 	w.cfg = agent.Config{
 		Upstream: state.Upstream{
 			Name: "u1", Kind: state.ModelRunner, Region: "north", Memory: 100,
@@ -77,12 +82,17 @@
 
 // start runs an agent and lets it settle.
 func (w *world) start() {
+	w.launch()
+	settle(2 * time.Second)
+}
+
+func (w *world) launch() {
 	a, err := agent.New(w.cfg, agent.Deps{
 		Engine:    w.engine,
 		Parts:     w.parts,
 		Appender:  w.log,
 		Caller:    w.caller,
-		Queue:     newClassQueue(256, 64*state.MiB),
+		Queue:     w.queue,
 		Watcher:   func() (string, bool) { return "watcher", true },
 		Transport: &http.Transport{DialContext: w.net.Dial, DisableCompression: true},
 		Listen:    w.net.Listen,
@@ -93,7 +103,6 @@
 	ended := make(chan error, 1)
 	w.stop, w.ended, w.agent = cancel, ended, a
 	go func() { ended <- a.Run(ctx) }()
-	settle(2 * time.Second)
 }
 
 // end stops the agent and everything else in the bubble.
@@ -149,7 +158,7 @@
 // request sends a request as an entry does; headers are name, value pairs.
 func (w *world) request(ctx context.Context, headers ...string) answer {
 	url := "http://" + trafficAddr + "/v1/completions"
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(`{"prompt":"x"}`))
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(w.body))
 	req.Header.Set(agent.HeaderModel, "a")
 	req.Header.Set(agent.HeaderVersion, "v1")
 	for i := 0; i < len(headers); i += 2 {
