bench: entries leave lost upstreams alone, as in the roles

Cause: An entry of the bench went on sending to the upstreams of a lost data centre until a load changed the model's replica set. Its retry budget ran out and it refused the rest. An entry of the roles drops such a replica at once (route.dropReplica).

Change: An attempt that finds an upstream gone marks it in the entry's view, and the entry sends nothing more there.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -63,6 +63,15 @@
 	g.Expect(swing.late).To(BeNumerically(">", 100))
 }
 
+// Guards against entries that go on sending to lost upstreams until their retry
+// budget is used up.
+func TestEntriesLeaveLostUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	r := simulate(3, sizes[0], find(t, "centre-lost"), variant{})
+	g.Expect(r.failed).NotTo(BeZero())
+	g.Expect(r.refused).To(BeNumerically("<", 50))
+}
+
 // Guards against results that depend on map order or other hidden state.
 func TestSameSeedSameTable(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -19,6 +19,9 @@
 	// open holds the entry's unfinished attempts there by send time.
 	open map[uint64]time.Time
 	sent int
+	// failed is set by an attempt that found the upstream gone; the replicas
+	// there get no further attempt. Upstreams do not come back in a run.
+	failed bool
 }
 
 // entry admits and routes requests.
@@ -175,6 +178,9 @@
 	}
 	for _, id := range e.o.published[model] {
 		v := e.view(id)
+		if v.failed {
+			continue
+		}
 		queue := routing.AgedQueue(v.queue, slotsPerRunner, e.o.now.Sub(v.received), service)
 		if queue+v.sent >= window {
 			continue
@@ -292,9 +298,13 @@
 }
 
 func (e *entry) refused(at *attempt, v *verdict.Verdict) {
-	if e.settle(at) {
-		e.again(at, v)
+	if !e.settle(at) {
+		return
+	}
+	if v.Reason == verdict.ReasonUpstreamFailed {
+		e.view(at.up.id).failed = true
 	}
+	e.again(at, v)
 }
 
 // again decides on a further attempt after a failed one.
--- a/internal/bench/observe.go
+++ b/internal/bench/observe.go
@@ -65,6 +65,7 @@
 	}
 	if !ok {
 		e.tracker.Forget(at.up.id)
+		e.view(at.up.id).failed = true
 		e.again(at, verdict.Unknown(verdict.ReasonUpstreamFailed, "connection lost"))
 		return
 	}
