scaling: busy models get more than one spare replica

A home never asked for a third replica as a spare.

Change: A spare pays by the loss to be expected because all present replicas are stragglers, which falls tenfold with each. With a tail weight of 100 that is a third replica from 2 requests/s, or from 0.2 beside other models.

--- a/internal/decide/scaling/spare.go
+++ b/internal/decide/scaling/spare.go
@@ -1,7 +1,9 @@
 package scaling
 
-// SpareKind says whether a wake is for a spare replica: a second one of a model
-// in steady use, so that a straggler is not its only one.
+import "math"
+
+// SpareKind says whether a wake is for a spare replica: a further one of a model
+// in steady use, so that not all of its replicas are stragglers.
 type SpareKind uint8
 
 const (
@@ -15,10 +17,13 @@
 )
 
 const (
-	// stragglerLoss is the time by which a request is late on average because
-	// its model's only replica is a straggler: a tenth of the upstreams, 6 s
-	// late, for 5 min of an hour.
-	stragglerLoss = 0.05
+	// stragglerDelay is the time by which a request is late on average while
+	// all replicas of its model are on upstreams that straggle at times: 6 s,
+	// for 5 min of an hour.
+	stragglerDelay = 0.5
+	// stragglerShare is the share of the upstreams that straggle together. With
+	// each further replica, so many fewer models have none that is spared.
+	stragglerShare = 0.1
 	// besideShare is the part of an accelerator's cost that a spare beside
 	// other models is charged: it takes memory, but no accelerator.
 	besideShare = 0.05
@@ -27,13 +32,13 @@
 	minSteady = 0.1
 )
 
-// spare proposes a second replica where the expected loss through stragglers
-// costs more than the accelerator time.
+// spare proposes a further replica where the loss to be expected because all
+// present ones are stragglers costs more than the accelerator time.
 func (c HomeConfig) spare(in HomeInput, view outlook) (Wake, bool) {
-	if view.ready != 1 || view.loading > 0 || in.Steady < minSteady {
+	if view.ready == 0 || view.loading > 0 || in.Steady < minSteady {
 		return Wake{}, false
 	}
-	gain := c.TailWeight * stragglerLoss * in.Steady
+	gain := c.TailWeight * stragglerDelay * math.Pow(stragglerShare, float64(view.ready)) * in.Steady
 	if gain < c.IdleWeight*besideShare {
 		return Wake{}, false
 	}
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -62,7 +62,7 @@
 	Weights
 	// TailLatency is the weight of time by which requests are late because
 	// their model's only replica is a straggler. Default 10. A higher value
-	// gives more models in steady use a spare replica.
+	// gives more models in steady use a spare replica, or two.
 	TailLatency float64 `toml:"tail_latency" validate:"gt=0,max=1000"`
 }
 
