estimate: an overdue first token counts at once in full

Cause: An agent raised its slowdown by half per note of an overdue token, so that an upstream with few requests admitted several that could not finish before it showed a tenfold slowdown. Half of the requests cut with stragglers were sent in the first two seconds.

Change: The recent median becomes at least the wait that has been seen.

The test line that expected a factor of 1 after a wait of three times the usual rested on the former step; it now expects 3, and 1 again after a usual token. Against the former code, TestOverdueTokenNeverLowersFactor fails with 1 instead of 3.

--- a/internal/decide/estimate/calibration.go
+++ b/internal/decide/estimate/calibration.go
@@ -25,13 +25,13 @@
 }
 
 // Overdue adds a wait for a first token that has not come yet. The wait is a
-// lower bound of the time to the token, so it raises the recent median and
-// never lowers it: counted as a measurement, it would pull the factor of a
-// tenfold slowdown down to about three.
+// lower bound of the time to the token, so the recent median becomes at least as
+// long and never shorter: counted as a measurement, it would pull the factor of
+// a tenfold slowdown down to about three. Raised by steps, it would show a
+// tenfold slowdown of an upstream with few requests only after several of them.
+// A single slow token counts until a few usual ones have come.
 func (c *Calibration) Overdue(waited time.Duration) {
-	if waited.Seconds() > c.recent.value {
-		c.recent.addStep(waited.Seconds(), recentStep)
-	}
+	c.recent.value = max(c.recent.value, waited.Seconds())
 }
 
 // Patience is how long to wait for a first token before the wait counts as
--- a/internal/decide/estimate/estimate_test.go
+++ b/internal/decide/estimate/estimate_test.go
@@ -87,7 +87,8 @@
 }
 
 // Guards against an overdue first token that hides how slow an upstream is: the
-// wait so far is shorter than the time to the token.
+// wait so far is shorter than the time to the token. Guards as well against a
+// single slow token that counts for long.
 func TestOverdueTokenNeverLowersFactor(t *testing.T) {
 	g := NewWithT(t)
 	var c estimate.Calibration
@@ -95,6 +96,16 @@
 		c.Observe(100 * time.Millisecond)
 	}
 	c.Overdue(c.Patience())
+	g.Expect(c.Factor()).To(BeNumerically("~", 3, 0.01), "a wait is a lower bound")
+	c.Overdue(c.Patience() / 2)
+	g.Expect(c.Factor()).To(BeNumerically("~", 3, 0.01))
+	c.Observe(100 * time.Millisecond)
+	g.Expect(c.Factor()).To(Equal(1.0))
+	c.Overdue(time.Second)
+	for range 3 {
+		g.Expect(c.Factor()).To(BeNumerically(">", 2))
+		c.Observe(100 * time.Millisecond)
+	}
 	g.Expect(c.Factor()).To(Equal(1.0))
 	for range 12 {
 		c.Observe(time.Second)
