bench, routing, entry: measure prompt prefixes, let entries agree on replicas

Plain services had beliefs too. Change: an experiment prefixes; entries agree on a replica by rendezvous hashing over the caller and the first 2 KiB of the prompt and assume that it holds half of it (routing.Rank, AssumePrefix); a prompt has up to 32 blocks instead of 16; the gain counts only while a replica has a free slot; services have no beliefs.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -86,6 +86,9 @@
 			}
 			table.add(s, e, runAll(seed, s, e))
 		}
+		if len(opts.Experiments) == 0 || slices.Contains(opts.Experiments, "roles") {
+			table.judgeRoles(seed, s)
+		}
 	}
 	if err := table.flush(); err != nil {
 		return errors.Wrap(err, "write table")
@@ -135,5 +138,7 @@
 	"swing":      func(e *experiment) { e.exact, e.preloaded = true, true },
 	"stragglers": func(e *experiment) { e.slowShare = 0 },
 	"long":       func(e *experiment) { e.longShare = 0 },
+	"kv-move":    func(e *experiment) { e.kvGbit = 0 },
+	"prefixes":   func(e *experiment) { e.noAffinity = true },
 	"adapters":   func(e *experiment) { e.noAffinity = true },
 }
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -34,6 +34,7 @@
 	retries  *retry.Budget
 	volume   *routing.VolumeBudget
 	policy   routing.TwoChoices
+	prefixes entryPrefixes
 	scratch  []routing.Candidate
 	live     map[*request][]*attempt
 	attempts map[*request]int
@@ -182,11 +183,12 @@
 		e.scratch = append(e.scratch, routing.Candidate{
 			Replica: id, Queue: queue, Sent: v.sent, Slots: slotsPerRunner,
 			Latency:  scale(service, e.slowdown(id)),
-			Locality: e.locality(id), AdapterLoaded: e.knowsAdapter(r, id),
+			Locality: e.locality(id), AdapterLoaded: e.knowsAdapter(r, id), Prefix: e.prefix(r, id), Rank: e.rank(r, id),
 			Ejected: e.tracker.Ejected(e.o.now, id, e.o.rng.Float64()),
 		})
 	}
-	req := routing.Request{Adapter: e.prefersAdapter(r), Volume: volume, Remote: e.volume.Allows(e.o.now, volume), Exclude: exclude}
+	routing.AssumePrefix(e.scratch)
+	req := routing.Request{Prefill: service, Adapter: e.prefersAdapter(r), Volume: volume, Remote: e.volume.Allows(e.o.now, volume), Exclude: exclude}
 	index, ok := e.policy.Select(e.o.rng, e.scratch, req)
 	if !ok {
 		return nil, false
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -25,6 +25,9 @@
 	w                  *world
 	replicas           map[int]*replica
 	adapters           map[int]*heldAdapter
+	prefixes           prefixCache
+	// exporting is until when the upstream's link is busy with KV caches.
+	exporting time.Time
 	// loadedBefore holds the adapters that the upstream has ever loaded.
 	loadedBefore     map[int]bool
 	running          map[*execution]struct{}
@@ -60,13 +63,13 @@
 	}
 	r.runs++
 	u.account()
-	factor := u.factor()
-	u.w.after(scale(r.prefill, factor), func() {
+	factor, saved := u.factor(), u.prefillSaved(r)
+	u.w.after(scale(r.prefill-saved, factor), func() {
 		if !x.over {
 			onFirst()
 		}
 	})
-	u.w.after(scale(r.total, factor), func() { x.end(true) })
+	u.w.after(scale(r.total-saved, factor), func() { x.end(true) })
 	return x
 }
 
--- a/internal/bench/observe.go
+++ b/internal/bench/observe.go
@@ -51,6 +51,7 @@
 	first := e.o.now.Sub(at.sentAt) - at.wait
 	e.tracker.Observe(e.o.now, at.up.id, first, 0)
 	at.isFirst = true
+	e.notePrefix(at.r, at.up.id)
 	e.o.begin(at.r)
 	for _, other := range append([]*attempt(nil), e.live[at.r]...) {
 		if other != at {
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -18,6 +18,12 @@
 	repeated, hedges                 int
 	// overBudget counts sends to other regions beyond the byte budget.
 	overBudget int
+	// promptBytes counts the prompts processed, and hitBytes what of them was
+	// in a prefix cache.
+	promptBytes, hitBytes int
+	// kvMoves counts moved KV caches, and kvBytes their volume.
+	kvMoves int
+	kvBytes float64
 	// overfull counts loads and requests beyond an upstream's capacity.
 	overfull                     int
 	loads                        int
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -66,6 +66,10 @@
 		t.target(s, e, fmt.Sprintf("idle replica hours / oracle (naive: %.2f)", ratio(o.naive.replicaIdle, o.naive.oracleIdle)), ratio(o.ours.replicaIdle, o.ours.oracleIdle), 1.3, true)
 	case "adapters":
 		t.judgeAdapters(s, e, o)
+	case "kv-move":
+		t.judgeMoves(s, e, o)
+	case "prefixes":
+		t.judgePrefixes(s, e, o)
 	case "broadcast":
 		t.target(s, e, "(cold start - round trip) / best load", ratio(o.ours.coldStart, o.ours.bestLoad), 1.2, true)
 	}
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -65,11 +65,16 @@
 	volume     state.Bytes
 
 	// burst marks the requests of a burst for adapters.
-	burst   bool
-	runs    int
-	started bool
-	first   time.Duration
-	ended   bool
+	burst bool
+	// session, prompt and the length of its system prompt are set in sessions
+	// with growing prompts; blocks are hashes of the prompt.
+	session, system int
+	prompt          []byte
+	blocks          []uint64
+	runs            int
+	started         bool
+	first           time.Duration
+	ended           bool
 }
 
 // experiment describes demand and faults over time.
@@ -108,6 +113,14 @@
 	// adapterRepeats is how often the burst asks for each adapter of the
 	// busiest models; zero means that nothing asks for adapters.
 	adapterRepeats int
+	// turns replaces single requests by sessions of that many turns on average.
+	turns int
+	// noPrefixCache lets engines forget each prompt at once, so that all
+	// beliefs are wrong.
+	noPrefixCache bool
+	// kvGbit is the bandwidth in Gbit/s at which an upstream exports KV caches;
+	// zero means that none is moved.
+	kvGbit float64
 	// noAffinity makes ours blind to what upstreams hold in their caches.
 	noAffinity bool
 }
@@ -130,6 +143,8 @@
 	{name: "centre-lost", length: 90 * time.Second, rate: func(time.Duration) float64 { return 2 }, lostAt: 30 * time.Second},
 	{name: "quiet-day", length: 6 * time.Hour, rate: steady, sessions: true},
 	adaptersExperiment,
+	prefixesExperiment,
+	kvMoveExperiment,
 	{name: "log-down", length: 720 * time.Second, rate: steady, logFrom: 60 * time.Second, logTo: 660 * time.Second},
 }
 
@@ -139,7 +154,7 @@
 	weights := zipf(s.active)
 	var all []*request
 	at := time.Duration(0)
-	for !e.sessions {
+	for !e.sessions && e.turns == 0 {
 		at += time.Duration(rng.ExpFloat64() / (s.rate * e.rate(at)) * float64(time.Second))
 		if at >= e.length {
 			break
@@ -149,6 +164,9 @@
 	if e.sessions {
 		all = append(all, sessions(rng, s, e)...)
 	}
+	if e.turns > 0 {
+		all = turns(rng, s, e)
+	}
 	for i := range e.burst {
 		spread := time.Duration(float64(e.burstOver) * float64(i) / float64(e.burst))
 		all = append(all, draw(rng, s, e, s.models-1, e.burstAt+spread))
--- a/internal/decide/routing/candidate.go
+++ b/internal/decide/routing/candidate.go
@@ -39,6 +39,9 @@
 	// Prefix is the believed share of the prompt in the prefix cache, from 0
 	// to 1.
 	Prefix float64
+	// Rank orders the replicas for a prompt prefix alike at all entries; see
+	// Rank.
+	Rank uint64
 	// Ejected says that the replica's upstream is out of rotation.
 	Ejected bool
 }
--- a/internal/decide/routing/policy.go
+++ b/internal/decide/routing/policy.go
@@ -51,7 +51,10 @@
 	if !cand.AdapterLoaded {
 		expected += c.AdapterPenalty
 	}
-	if cand.Prefix > 0 {
+	// The gain of a cached prefix never makes up for a queue: the caller's
+	// prediction may contain more than the prefill, and what is cached is
+	// only believed.
+	if cand.Prefix > 0 && load < slots {
 		expected -= time.Duration(c.PrefixWeight * cand.Prefix * float64(req.Prefill))
 	}
 	switch cand.Locality {
--- a/internal/decide/routing/prefix.go
+++ b/internal/decide/routing/prefix.go
@@ -15,7 +15,7 @@
 	MaxBlocks int
 	// BlockBytes is the size of a hashed block of the prompt; default 512.
 	BlockBytes int
-	// MaxPrefix bounds the blocks hashed per prompt; default 16.
+	// MaxPrefix bounds the blocks hashed per prompt; default 32.
 	MaxPrefix int
 }
 
@@ -45,7 +45,7 @@
 		cfg.BlockBytes = 512
 	}
 	if cfg.MaxPrefix <= 0 {
-		cfg.MaxPrefix = 16
+		cfg.MaxPrefix = 32
 	}
 	return &PrefixBeliefs{cfg: cfg, places: make(map[belief]int)}
 }
@@ -117,3 +117,51 @@
 
 // Len counts the beliefs.
 func (b *PrefixBeliefs) Len() int { return len(b.places) }
+
+const (
+	// affinityBlocks is the length of the prefix by which sessions meet at a
+	// replica: longer than most system prompts that sessions share, and not
+	// longer than the first prompt of most sessions.
+	affinityBlocks = 4
+	// assumedShare of a prompt is assumed to be cached where entries agree to
+	// send it. It lies below what an entry believes that has seen the session.
+	assumedShare = 0.5
+)
+
+// Affinity names the start of a prompt of a caller; zero if the prompt is
+// shorter than a block.
+func Affinity(caller state.CallerName, blocks []uint64) uint64 {
+	if len(blocks) == 0 {
+		return 0
+	}
+	return blocks[min(len(blocks), affinityBlocks)-1] ^ xxhash.Sum64String(string(caller))
+}
+
+// Rank is the place of an upstream in an order for an affinity that all entries
+// agree on (rendezvous hashing).
+func Rank(affinity uint64, upstream state.UpstreamName) uint64 {
+	if affinity == 0 {
+		return 0
+	}
+	mixed := (affinity ^ xxhash.Sum64String(string(upstream))) * 0x9e3779b97f4a7c15
+	return mixed ^ mixed>>29
+}
+
+// AssumePrefix takes the usable candidate of the highest rank outside other
+// regions for one that holds part of the prompt: the entries that have served
+// earlier turns of the session have sent them there.
+func AssumePrefix(candidates []Candidate) {
+	best := -1
+	for i := range candidates {
+		cand := &candidates[i]
+		if cand.Rank == 0 || cand.Ejected || cand.Locality == OtherRegion {
+			continue
+		}
+		if best < 0 || cand.Rank > candidates[best].Rank {
+			best = i
+		}
+	}
+	if best >= 0 {
+		candidates[best].Prefix = max(candidates[best].Prefix, assumedShare)
+	}
+}
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -118,6 +119,38 @@
 	g.Expect(i).NotTo(Equal(20))
 }
 
+// Guards against entries that do not agree on the replica of a session, against
+// a replica of a session that changes as its prompt grows, and against all
+// sessions at one replica.
+func TestSessionsMeetAtOneReplica(t *testing.T) {
+	g := NewWithT(t)
+	chosen := func(affinity uint64, from int) int {
+		all := candidates(12)
+		all = append(all[from:], all[:from]...)
+		for i := range all {
+			all[i].Prefix, all[i].Rank = 0, routing.Rank(affinity, state.UpstreamName(fmt.Sprint(all[i].Replica)))
+		}
+		routing.AssumePrefix(all)
+		best := slices.IndexFunc(all, func(c routing.Candidate) bool { return c.Prefix > 0 })
+		g.Expect(all[best].Locality).NotTo(Equal(routing.OtherRegion))
+		return all[best].Replica
+	}
+	counts := make(map[int]int)
+	for i := range 800 {
+		blocks := []uint64{1, 2, 3, uint64(i) * 7919, 5}
+		affinity := routing.Affinity("a", blocks)
+		g.Expect(routing.Affinity("a", blocks[:4])).To(Equal(affinity))
+		g.Expect(routing.Affinity("b", blocks)).NotTo(Equal(affinity))
+		g.Expect(chosen(affinity, 5)).To(Equal(chosen(affinity, 0)))
+		counts[chosen(affinity, 0)]++
+	}
+	g.Expect(counts).To(HaveLen(8), "all replicas of the own region")
+	for _, n := range counts {
+		g.Expect(n).To(BeNumerically("<", 150))
+	}
+	g.Expect(routing.Affinity("a", nil)).To(BeZero())
+}
+
 // Guards against a wrong, unbounded or stale memory of prefixes.
 func TestPrefixBeliefsAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -52,6 +52,8 @@
 	// blocks are the hashes of the leading blocks of the prompt, for cache
 	// affinity.
 	blocks []uint64
+	// affinity names the start of the prompt; see routing.Affinity.
+	affinity uint64
 	// fingerprint names the request's content, for quarantine and claims.
 	fingerprint uint64
 	maxTokens   int
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -194,6 +194,7 @@
 		}
 		r.candidates = append(r.candidates, r.candidate(now, i, replica, set.loads[i], req, cfg))
 	}
+	routing.AssumePrefix(r.candidates)
 	policy := routing.TwoChoices{Config: cfg.delay}
 	wanted := routing.Request{
 		Adapter: req.target.adapter != "",
@@ -231,6 +232,7 @@
 		Locality:      localityOf(replica, cfg),
 		AdapterLoaded: req.target.adapter == "" || slices.Contains(replica.Adapters, req.target.adapter),
 		Prefix:        r.beliefs.Share(n, req.blocks),
+		Rank:          routing.Rank(req.affinity, replica.Upstream),
 		Ejected:       tracker.Ejected(now, n, r.rng.Float64()),
 	}
 }
@@ -299,11 +301,16 @@
 	return max(r.trackers[req.kind()].Slowdown(r.indexOf(replica.Upstream)), replica.Slowdown)
 }
 
-// fillBlocks computes the prompt's prefix blocks for affinity.
+// fillBlocks computes the prompt's prefix blocks for affinity. Plain services
+// have no prefix cache.
 func (r *route) fillBlocks(req *request) {
+	if r.target.service != "" {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	req.blocks = r.beliefs.Blocks(req.blocks[:0], r.target.key, req.body)
+	req.affinity = routing.Affinity(req.caller.Name, req.blocks)
 }
 
 // rateMeter counts arrivals in a sliding pair of windows.
