--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -326,6 +326,12 @@
 	g.Expect(b.Take(epoch, 100)).To(BeFalse())
 	g.Expect(b.Take(epoch.Add(time.Second), 100)).To(BeTrue())
 	g.Expect(b.Allows(epoch.Add(time.Second), 51)).To(BeFalse())
+	// 50 are left; requests under way at once may send more than there is.
+	for range 3 {
+		b.Spend(epoch.Add(time.Second), 250)
+	}
+	g.Expect(b.Allows(epoch.Add(7*time.Second), 1)).To(BeFalse())
+	g.Expect(b.Allows(epoch.Add(8*time.Second+20*time.Millisecond), 1)).To(BeTrue())
 }
 
 // Guards against allocation on the path of every request.
--- a/internal/decide/routing/volume.go
+++ b/internal/decide/routing/volume.go
@@ -48,7 +48,18 @@
 	return !b.none && b.limiter.TokensAt(now) >= float64(volume)
 }
 
-// Take takes volume from the budget and reports whether there was room.
+// Take takes volume from the budget and reports whether there was room. Without
+// room it takes nothing.
 func (b *VolumeBudget) Take(now time.Time, volume state.Bytes) bool {
 	return b.limiter.AllowN(now, int(volume))
 }
+
+// Spend takes volume that has been sent, whether there was room or not. What
+// exceeds the budget leaves none until the rate has made up for it.
+func (b *VolumeBudget) Spend(now time.Time, volume state.Bytes) {
+	for volume > 0 {
+		part := min(volume, state.Bytes(b.limiter.Burst()))
+		b.limiter.ReserveN(now, int(part))
+		volume -= part
+	}
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -68,6 +68,9 @@
 		a.failure = verdict.Refuse(verdict.ReasonBadRequest, "the request can't be sent on")
 		return a
 	}
+	if e.isPaid(replica) {
+		e.spendVolume(a.sentAt, state.Bytes(len(e.request.body)))
+	}
 	response, err := e.clientFor(e.request).Do(outgoing) //nolint:bodyclose // answer.close closes it.
 	a.headAt = time.Now()
 	if err != nil {
@@ -83,6 +86,9 @@
 	return a
 }
 
+// isPaid reports whether traffic to a replica crosses regions.
+func (e *execution) isPaid(replica rpc.ReplicaAt) bool { return replica.Region != e.cfg.route.region }
+
 // clientFor keeps requests that may not be repeated off kept connections:
 // net/http sends some requests again when a kept connection turns out to be
 // closed.
@@ -267,6 +273,9 @@
 	w.override = a.response.StatusCode
 	watch := &tokenWatch{started: a.sentAt, kept: &e.kept, keep: e.claim != ""}
 	size, err := relayBody(w, io.TeeReader(a.response.Body, watch), watch)
+	if e.isPaid(a.replica) {
+		e.spendVolume(time.Now(), state.Bytes(size))
+	}
 	whole := size == a.response.ContentLength || sse.Is(a.response.Header) && watch.end.Seen()
 	v := streamVerdict(ctx, a.response.Trailer, whole, err)
 	if v.Reason == verdict.ReasonUpstreamCrashed {
@@ -295,8 +304,7 @@
 		return
 	}
 	e.firstToken = watch.first
-	if a.replica.Region != e.cfg.route.region {
-		e.takeVolume(now, state.Bytes(size)+state.Bytes(len(e.request.body)))
+	if e.isPaid(a.replica) {
 		return
 	}
 	if e.request.stream {
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -49,16 +49,23 @@
 		change  func(*request)
 		local   func(*http.Request) (*http.Response, error)
 		forward bool
+		// far is the other region's answer if it does not serve.
+		far func(*http.Request) (*http.Response, error)
 	}{
 		"no upstream in the region": {forward: true},
 		"already forwarded":         {change: func(r *request) { r.header = http.Header{headerForwarded: {"south"}} }},
 		"lowest class":              {change: func(r *request) { r.class = state.ClassLow }},
 		"may have run here":         {local: inTurn(broken, broken)},
+		"refused there too":         {far: refused(verdict.ReasonQueueFull)},
 	}
 	for name, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
-			agents := agentsOf(answers{"a": c.local, "far": served("far away")})
+			paid, far := c.forward || c.far != nil, c.far
+			if far == nil {
+				far = served("far away")
+			}
+			agents := agentsOf(answers{"a": c.local, "far": far})
 			addresses := []string{"a"}
 			if c.local == nil {
 				addresses = nil
@@ -67,6 +74,8 @@
 			b.cfg.remotes = []remoteEntry{{name: "entry-9", region: "south", callers: "far"}}
 			b.claims.neverRan = true
 			got, err := b.send(t.Context(), false, c.change)
+			full := 16 * state.MiB
+			g.Expect(b.remoteAllowed(time.Now(), full)).To(Equal(!paid), "paid traffic: %s", name)
 			if c.forward {
 				g.Expect(err).NotTo(HaveOccurred(), name)
 				g.Expect(got.Body.String()).To(Equal("far away"), name)
@@ -74,6 +83,10 @@
 				return
 			}
 			g.Expect(err).To(HaveOccurred(), name)
+			if paid {
+				g.Expect(agents.calls).To(ConsistOf("far"), name)
+				return
+			}
 			g.Expect(agents.calls).NotTo(ContainElement("far"), name)
 		})
 	}
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -263,10 +263,11 @@
 	return g.volume.Allows(now, volume)
 }
 
-func (g *gateway) takeVolume(now time.Time, volume state.Bytes) {
+// spendVolume takes paid traffic that has been sent from the budget.
+func (g *gateway) spendVolume(now time.Time, volume state.Bytes) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.volume.Take(now, volume)
+	g.volume.Spend(now, volume)
 }
 
 func (r *request) estimateKey() estimate.Key {
