entry: take no end of a stream from a truncated read without a page

Cause: the body of a truncated read is optional for the log's client. Without it the end is 0, which a lookup of an owner that has read nothing took for the end of an empty stream, and so called a key unclaimed. Change: such a read shows the end only if its page says what is left. Measured: go test ./internal/entry -run TestMissingPage fails if every truncated read counts, and passes.

--- a/internal/entry/claimnaive_test.go
+++ b/internal/entry/claimnaive_test.go
@@ -71,6 +71,16 @@
 	})
 }
 
+// Guards against a lookup that takes the missing page of a truncated read for the
+// end of an empty stream.
+func TestMissingPageShowsNoEnd(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(knowsEnd(platform.Page{}, platform.ErrTruncated, 0)).To(BeFalse())
+	g.Expect(knowsEnd(platform.Page{Oldest: 2, End: 2}, platform.ErrTruncated, 0)).To(BeTrue())
+	g.Expect(knowsEnd(platform.Page{}, platform.ErrUnavailable, 0)).To(BeFalse())
+	g.Expect(knowsEnd(platform.Page{}, nil, 0)).To(BeTrue())
+}
+
 // naive is what callers must see while nothing fails: a map of the answers.
 type naive map[string]struct {
 	fingerprint uint64
--- a/internal/entry/claimtail.go
+++ b/internal/entry/claimtail.go
@@ -139,12 +139,21 @@
 	limited, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	page, err := s.log.Read(limited, platform.ClaimStream(shard.number), from, 1, 0)
-	known := err == nil || errors.Is(err, platform.ErrTruncated)
+	known := knowsEnd(page, err, from)
 	s.post(ctx, func(running context.Context, now time.Time) {
 		s.carryOut(running, shard, shard.owner.EndKnown(page.End, known, now))
 	})
 }
 
+// knowsEnd reports whether a read from an offset on shows the stream's end. The
+// page of a read that is older than retention may be missing.
+func knowsEnd(page platform.Page, err error, from state.Offset) bool {
+	if errors.Is(err, platform.ErrTruncated) {
+		return page.Oldest > from && page.End >= page.Oldest
+	}
+	return err == nil
+}
+
 // firstTime returns the log's time of the oldest record that an owner reads, or
 // zero if none before it may be missing. It is not known if all records are
 // gone.
