--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -388,6 +388,7 @@
 func (h *home) grants(c *control, config *state.ConfigView, now time.Time) []scaling.Grant {
 	region := c.region.View()
 	h.expected = 0
+	version, _, _ := config.Version(h.key)
 	var grants []scaling.Grant
 	for _, grant := range region.GrantsOf(h.key.Model) {
 		upstream, _, known := config.Upstream(grant.Upstream)
@@ -395,7 +396,8 @@
 		until, refused := h.refused[grant.Upstream]
 		usable := known && registered && !agent.Elsewhere(upstream.Host) && !grant.Revoked && grant.ReplicaKey == h.key &&
 			!config.Drained(grant.Upstream) && (!refused || now.After(until))
-		facts, loadTime := c.homes.factsOf(grant.Upstream), h.loadTimeOn(c, grant.Upstream)
+		facts := c.homes.factsOf(grant.Upstream)
+		loadTime := h.loadTimeBy(facts, version)
 		if usable {
 			_, replica := h.replicas[grant.Upstream]
 			c.askAgent(upstream, agent.Token, replica, now)
--- a/internal/entry/home_agents.go
+++ b/internal/entry/home_agents.go
@@ -82,11 +82,15 @@
 	return time.Duration(float64(weights) / float64(rate) * float64(time.Second))
 }
 
-// loadTimeOn predicts a load of the model on an upstream. A remote one takes
-// as long as those measured, which include the wait for the store.
+// loadTimeOn predicts a load of the model on an upstream.
 func (h *home) loadTimeOn(c *control, name state.UpstreamName) time.Duration {
-	facts := c.homes.factsOf(name)
 	version, _, _ := c.config.View().Version(h.key)
+	return h.loadTimeBy(c.homes.factsOf(name), version)
+}
+
+// loadTimeBy predicts a load by what the agent has said. A remote one takes as
+// long as those measured, which include the wait for the store.
+func (h *home) loadTimeBy(facts *agentFacts, version state.ModelVersion) time.Duration {
 	remote := cmp.Or(h.loadTime, facts.loadTime(platform.CacheRemote, version.Weights), startLoadTime)
 	from := facts.cachedAt(h.key)
 	cached := facts.loadTime(from, version.Weights)
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -224,6 +224,17 @@
 			g.Expect(set[len(set)-1].Upstream).To(Equal(state.UpstreamName("u1")), test.name)
 			g.Expect(time.Since(asked)).To(BeNumerically("<", test.within), test.name)
 			g.Expect(b.woken()).To(HaveLen(test.replicas), test.name)
+			if test.replicas > 1 {
+				return
+			}
+			time.Sleep(10 * time.Second) // until the demand is forgotten
+			b.mu.Lock()
+			b.says["u1"] = b.says["u0"]
+			clear(b.loaded)
+			b.mu.Unlock()
+			b.post(t.Context(), changesReceived{changes: []rpc.ReplicaChange{{Replica: set[0], Gone: true, Sequence: 9}}})
+			time.Sleep(time.Second)
+			g.Expect(b.ask("e1", 1, 1)[0].Upstream).To(Equal(state.UpstreamName("u0")), "the copy has left the cache")
 		})
 	}
 }
