capacity: measure control work beside requests

Change: with -capacity.rate the load generator sends requests at each entry in a second measurement of the same run. Control traffic and memory are held against their limits again; the processor time of traffic is the difference between the two. The models of the requests may have 4 replicas. No limit is changed.

--- a/cmd/lagoonvalve/capacity_test.go
+++ b/cmd/lagoonvalve/capacity_test.go
@@ -10,17 +10,20 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math"
 	"net/http"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/load"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -29,7 +32,8 @@
 	capacity        = flag.Bool("capacity", false, "measure control traffic, memory and processor time of a fleet of processes")
 	capacityEntries = flag.Int("capacity.entries", 4, "entries of the fleet")
 	capacityAgents  = flag.Int("capacity.agents", 136, "agents of the fleet, each with an engine")
-	capacityTime    = flag.Duration("capacity.time", time.Minute, "time of the measurement")
+	capacityTime    = flag.Duration("capacity.time", time.Minute, "time of each measurement")
+	capacityRate    = flag.Float64("capacity.rate", 0, "requests/s at each entry in a second measurement; 0 makes none")
 )
 
 // The limits of control work per daemon and the configuration at the two-year
@@ -45,18 +49,25 @@
 	changeInterval   = time.Second * 86_400 / 75_000
 	// clockTicks is the kernel's unit of processor time in /proc.
 	clockTicks = 100
+	// loadReplicas is how many replicas each of the two models may have that
+	// the requests are for, and loadTokens the length of the answers, half of
+	// which are streams.
+	loadReplicas = 4
+	loadTokens   = 40
 )
 
 // TestCapacity guards against a daemon whose control work exceeds its limits,
 // and against a change that is not in force everywhere in time. It runs a few
-// hundred processes for minutes, so it only runs with -capacity.
+// hundred processes for minutes, so it only runs with -capacity. With requests
+// the processor time of traffic is what a process uses beyond its own use
+// without them in the same run; the processes can't tell more.
 func TestCapacity(t *testing.T) {
 	if !*capacity {
 		t.Skip("runs with -capacity only")
 	}
 	f := newFleet(t.TempDir(), os.Getenv("PATH"))
 	defer f.killAll()
-	opts := layoutOptions{entries: *capacityEntries, runners: *capacityAgents, fencing: "enforced", memory: "16GiB", replicas: 1}
+	opts := layoutOptions{entries: *capacityEntries, runners: *capacityAgents, fencing: "enforced", memory: "16GiB", replicas: loadReplicas}
 	c := capacityRun{t: t, fleet: f}
 	c.check(f.build(opts))
 	c.check(f.fillConfiguration(fleetUpstreams - opts.runners))
@@ -64,7 +75,10 @@
 	c.await("adapter", fmt.Sprintf("adapter-%d", fleetAdapters-1))
 	c.await("upstream", "far-0")
 	time.Sleep(20 * time.Second) // The decider grants the new models.
-	c.measureControl(opts)
+	idle := c.measureControl(opts, "", func() {})
+	if *capacityRate > 0 {
+		c.measureTraffic(opts, idle)
+	}
 	c.measurePropagation()
 }
 
@@ -97,23 +111,71 @@
 	memory    float64
 }
 
-// measureControl compares what each daemon uses with its limits while nothing
-// but changes of the configuration happens.
-func (c *capacityRun) measureControl(opts layoutOptions) {
+// measureTraffic measures control work beside requests.
+func (c *capacityRun) measureTraffic(opts layoutOptions, idle map[string]float64) {
+	cfg := load.Config{
+		Caller: "box-office", Seed: 1, Rate: 4, Duration: 15 * time.Second, Deadline: 20 * time.Second,
+		ShortTokens: loadTokens, LongTokens: loadTokens, StreamShare: 0.5, MaxRequests: 100_000, MaxOpen: 2000,
+	}
+	for _, name := range opts.entryNames() {
+		cfg.URLs = append(cfg.URLs, "http://"+c.fleet.processes[name].addr)
+	}
+	for _, model := range []string{"seating", "trams"} {
+		cfg.Models = append(cfg.Models, load.Weighted{Value: model, Weight: 1})
+	}
+	c.send(cfg) // The models are loaded.
+	cfg.Rate, cfg.Duration = *capacityRate*float64(opts.entries), *capacityTime
+	var report *load.Report
+	busy := c.measureControl(opts, ", with requests", func() { report = c.send(cfg) })
+	c.t.Logf("requests: %d planned, %d in time, %d late, %d refused %v, %d cut, %d wrong, %d not sent; p99 %.1f ms",
+		report.Planned, report.All.InTime, report.All.Late, report.All.Refused, report.All.Reasons, report.All.Cut,
+		report.All.Wrong, report.All.Unsent, report.All.Total.P99)
+	for _, role := range []string{"entry-", "runner-"} {
+		more := make(map[string]float64)
+		total := 0.0
+		for name := range busy {
+			if strings.HasPrefix(name, role) {
+				more[name] = busy[name] - idle[name]
+				total += more[name]
+			}
+		}
+		c.report(role+" processor beyond that without requests", more, math.Inf(1))
+		c.t.Logf("%-55s %.0f µs", role+" processor per request", total*capacityTime.Seconds()*1e6/float64(report.Planned))
+	}
+}
+
+func (c *capacityRun) send(cfg load.Config) *load.Report {
+	report, err := load.Run(c.t.Context(), cfg, load.NewTransport(cfg.MaxOpen))
+	c.check(err)
+	return report
+}
+
+// measureControl compares what each daemon uses with its limits while the
+// configuration changes and during runs. It returns the share of a core of
+// each daemon; with requests that has no limit, since traffic is in it.
+func (c *capacityRun) measureControl(opts layoutOptions, suffix string, during func()) map[string]float64 {
 	names := opts.entryNames()
 	for _, runner := range opts.runnerNames() {
 		names = append(names, "runner-"+runner)
 	}
 	before := c.usages(names)
 	started := time.Now()
+	var running sync.WaitGroup
+	running.Go(during)
 	ticker := time.NewTicker(changeInterval)
 	defer ticker.Stop()
 	for time.Since(started) < *capacityTime {
 		<-ticker.C
 		c.create()
 	}
+	running.Wait()
 	after := c.usages(names)
 	elapsed := time.Since(started)
+	shares := make(map[string]float64)
+	processorLimit := limitProcessor
+	if suffix != "" {
+		processorLimit = math.Inf(1)
+	}
 	for _, role := range []string{"entry-", "runner-"} {
 		processor, traffic, memory := make(map[string]float64), make(map[string]float64), make(map[string]float64)
 		for _, name := range names {
@@ -123,16 +185,18 @@
 				memory[name] = after[name].memory
 			}
 		}
-		c.report(role+" processor, share of a core", processor, limitProcessor)
-		c.report(role+" control traffic, B/s", traffic, limitTraffic)
-		c.report(role+" resident memory, B", memory, limitMemory)
+		maps.Copy(shares, processor)
+		c.report(role+" processor, share of a core"+suffix, processor, processorLimit)
+		c.report(role+" control traffic, B/s"+suffix, traffic, limitTraffic)
+		c.report(role+" resident memory, B"+suffix, memory, limitMemory)
 	}
+	return shares
 }
 
 func (c *capacityRun) report(what string, values map[string]float64, limit float64) {
 	names := slices.SortedFunc(maps.Keys(values), func(a, b string) int { return cmp.Compare(values[a], values[b]) })
 	last := names[len(names)-1]
-	c.t.Logf("%-40s median %.4g, highest %.4g (%s), limit %.4g", what, values[names[len(names)/2]], values[last], last, limit)
+	c.t.Logf("%-55s median %.4g, highest %.4g (%s), limit %.4g", what, values[names[len(names)/2]], values[last], last, limit)
 	if values[last] > limit {
 		c.t.Errorf("%s: %.4g at %s exceeds %.4g", what, values[last], last, limit)
 	}
