estimate, agent: a prompt longer than usual is not a slow upstream

Change: the patience for a first token, and what an overdue one counts, follow the length of the prompt against the median.

--- a/internal/agent/pace.go
+++ b/internal/agent/pace.go
@@ -25,19 +25,22 @@
 type awaited struct {
 	pace  *pace
 	began time.Time
+	// prompt is the size of the request's body.
+	prompt int
 	// patience is the time between notes that the token is overdue.
 	patience time.Duration
 	timer    *time.Timer
 	over     bool
 }
 
-// firstToken watches for the first token of a request that starts now. The
+// firstToken watches for the first token of a request that starts now, with a
+// body of a size in bytes. The
 // token is noted when it arrives, and that it is overdue until then. The second
 // function ends the watch without a token.
-func (p *pace) firstToken() (arrived, abandoned func()) {
+func (p *pace) firstToken(prompt int) (arrived, abandoned func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := &awaited{pace: p, began: time.Now(), patience: p.calibration.Patience()}
+	a := &awaited{pace: p, began: time.Now(), prompt: prompt, patience: p.calibration.Patience(prompt)}
 	if a.patience > 0 {
 		a.timer = time.AfterFunc(a.patience, a.overdue)
 	}
@@ -50,7 +53,7 @@
 	if a.over {
 		return
 	}
-	a.pace.calibration.Overdue(time.Since(a.began))
+	a.pace.calibration.Overdue(time.Since(a.began), a.prompt)
 	a.timer.Reset(a.patience)
 }
 
@@ -65,6 +68,6 @@
 		a.timer.Stop()
 	}
 	if token {
-		a.pace.calibration.Observe(time.Since(a.began))
+		a.pace.calibration.Observe(time.Since(a.began), a.prompt)
 	}
 }
--- a/internal/agent/pace_test.go
+++ b/internal/agent/pace_test.go
@@ -15,7 +15,7 @@
 		g := NewWithT(t)
 		var p pace
 		serve := func(first time.Duration) {
-			arrived, _ := p.firstToken()
+			arrived, _ := p.firstToken(100)
 			time.Sleep(first)
 			arrived()
 		}
@@ -24,7 +24,7 @@
 		}
 		g.Expect(p.factor()).To(Equal(1.0))
 		for range 12 {
-			_, abandoned := p.firstToken()
+			_, abandoned := p.firstToken(100)
 			time.Sleep(time.Second)
 			abandoned()
 		}
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -42,7 +42,7 @@
 	arrived := func() {}
 	if c.stream {
 		var abandoned func()
-		arrived, abandoned = a.dispatcher.pace.firstToken()
+		arrived, abandoned = a.dispatcher.pace.firstToken(len(c.body))
 		defer abandoned()
 	}
 	resp, err := a.transport.RoundTrip(a.outgoing(ctx, r, c, &sent))
--- a/internal/bench/agent.go
+++ b/internal/bench/agent.go
@@ -254,7 +254,7 @@
 	began := at.began
 	at.exec = a.u.run(at.r, func() {
 		at.firstAtAgent = true
-		a.speed.Observe(a.o.now.Sub(began))
+		a.speed.Observe(a.o.now.Sub(began), len(at.r.prompt))
 		a.o.after(a.o.delay(at.entry.id, a.u), func() { at.entry.firstToken(at) })
 	}, func(ok bool) { a.finished(at, ok) })
 	a.watchFirst(at)
@@ -267,7 +267,7 @@
 
 // watchFirst notes the wait for a first token each time it is overdue.
 func (a *agent) watchFirst(at *attempt) {
-	patience := a.speed.Patience()
+	patience := a.speed.Patience(len(at.r.prompt))
 	if patience <= 0 {
 		return
 	}
@@ -275,7 +275,7 @@
 		if at.firstAtAgent || at.exec.over {
 			return
 		}
-		a.speed.Overdue(a.o.now.Sub(at.began))
+		a.speed.Overdue(a.o.now.Sub(at.began), len(at.r.prompt))
 		a.watchFirst(at)
 	})
 }
--- a/internal/decide/estimate/estimate_test.go
+++ b/internal/decide/estimate/estimate_test.go
@@ -75,7 +75,7 @@
 	g.Expect(c.Factor()).To(Equal(1.0))
 	feed := func(n int, first time.Duration) {
 		for i := range n {
-			c.Observe(first + time.Duration(i%5)*first/10)
+			c.Observe(first+time.Duration(i%5)*first/10, 1000)
 		}
 	}
 	feed(100, 100*time.Millisecond)
@@ -88,32 +88,36 @@
 
 // Guards against an overdue first token that hides how slow an upstream is: the
 // wait so far is shorter than the time to the token. Guards as well against a
-// single slow token that counts for long.
+// single slow token that counts for long, and against a prompt longer than usual
+// that is taken for a slow upstream.
 func TestOverdueTokenNeverLowersFactor(t *testing.T) {
 	g := NewWithT(t)
 	var c estimate.Calibration
 	for range 50 {
-		c.Observe(100 * time.Millisecond)
+		c.Observe(100*time.Millisecond, 1000)
 	}
-	c.Overdue(c.Patience())
+	c.Overdue(c.Patience(1000), 1000)
 	g.Expect(c.Factor()).To(BeNumerically("~", 3, 0.01), "a wait is a lower bound")
-	c.Overdue(c.Patience() / 2)
+	c.Overdue(c.Patience(1000)/2, 1000)
 	g.Expect(c.Factor()).To(BeNumerically("~", 3, 0.01))
-	c.Observe(100 * time.Millisecond)
+	c.Observe(100*time.Millisecond, 1000)
 	g.Expect(c.Factor()).To(Equal(1.0))
-	c.Overdue(time.Second)
+	c.Overdue(time.Second, 1000)
 	for range 3 {
 		g.Expect(c.Factor()).To(BeNumerically(">", 2))
-		c.Observe(100 * time.Millisecond)
+		c.Observe(100*time.Millisecond, 1000)
 	}
 	g.Expect(c.Factor()).To(Equal(1.0))
 	for range 12 {
-		c.Observe(time.Second)
+		c.Observe(time.Second, 1000)
 	}
 	slow := c.Factor()
 	g.Expect(slow).To(BeNumerically(">", 5))
-	c.Overdue(c.Patience())
+	c.Overdue(c.Patience(1000), 1000)
 	g.Expect(c.Factor()).To(Equal(slow))
-	c.Overdue(5 * time.Second)
+	c.Overdue(5*time.Second, 10_000)
+	g.Expect(c.Factor()).To(Equal(slow))
+	g.Expect(c.Patience(10_000)).To(BeNumerically("~", 10*c.Patience(1000), time.Millisecond))
+	c.Overdue(5*time.Second, 1000)
 	g.Expect(c.Factor()).To(BeNumerically(">", slow))
 }
