entry, routing: hash the names of upstreams once per replica set

Cause: a choice for a prompt hashed the names of all candidates. Change: replica sets keep routing.UpstreamHash of their upstreams.

--- a/internal/bench/prefixes.go
+++ b/internal/bench/prefixes.go
@@ -168,7 +168,7 @@
 	if len(blocks) == 0 {
 		return 0
 	}
-	return routing.Rank(routing.Affinity(r.caller, blocks), state.UpstreamName(modelName(up)))
+	return routing.Rank(routing.Affinity(r.caller, blocks), routing.UpstreamHash(state.UpstreamName(modelName(up))))
 }
 
 // notePrefix records that an upstream has processed a prompt.
--- a/internal/decide/routing/prefix.go
+++ b/internal/decide/routing/prefix.go
@@ -137,13 +137,17 @@
 	return blocks[min(len(blocks), affinityBlocks)-1] ^ xxhash.Sum64String(string(caller))
 }
 
+// UpstreamHash is what Rank needs of an upstream's name. Callers keep it, since
+// a choice ranks all candidates.
+func UpstreamHash(upstream state.UpstreamName) uint64 { return xxhash.Sum64String(string(upstream)) }
+
 // Rank is the place of an upstream in an order for an affinity that all entries
 // agree on (rendezvous hashing).
-func Rank(affinity uint64, upstream state.UpstreamName) uint64 {
+func Rank(affinity, upstreamHash uint64) uint64 {
 	if affinity == 0 {
 		return 0
 	}
-	mixed := (affinity ^ xxhash.Sum64String(string(upstream))) * 0x9e3779b97f4a7c15
+	mixed := (affinity ^ upstreamHash) * 0x9e3779b97f4a7c15
 	return mixed ^ mixed>>29
 }
 
--- a/internal/decide/routing/routing_test.go
+++ b/internal/decide/routing/routing_test.go
@@ -128,7 +128,7 @@
 		all := candidates(12)
 		all = append(all[from:], all[:from]...)
 		for i := range all {
-			all[i].Prefix, all[i].Rank = 0, routing.Rank(affinity, state.UpstreamName(fmt.Sprint(all[i].Replica)))
+			all[i].Prefix, all[i].Rank = 0, routing.Rank(affinity, routing.UpstreamHash(state.UpstreamName(fmt.Sprint(all[i].Replica))))
 		}
 		routing.AssumePrefix(all)
 		best := slices.IndexFunc(all, func(c routing.Candidate) bool { return c.Prefix > 0 })
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -18,6 +18,8 @@
 	version  uint64
 	replicas []rpc.ReplicaAt
 	loads    []*upstreamLoad
+	// hashes are of the replicas' upstreams, for routing.Rank.
+	hashes []uint64
 }
 
 // route is what the entry knows of one target and the requests that wait for
@@ -117,6 +119,7 @@
 	set := &replicaSet{version: version, replicas: replicas}
 	for _, replica := range replicas {
 		set.loads = append(set.loads, loads.of(replica.Upstream))
+		set.hashes = append(set.hashes, routing.UpstreamHash(replica.Upstream))
 	}
 	r.set.Store(set)
 	if len(replicas) > 0 {
@@ -193,6 +196,7 @@
 			excluded = i
 		}
 		r.candidates = append(r.candidates, r.candidate(now, i, replica, set.loads[i], req, cfg))
+		r.candidates[i].Rank = routing.Rank(req.affinity, set.hashes[i])
 	}
 	routing.AssumePrefix(r.candidates)
 	policy := routing.TwoChoices{Config: cfg.delay}
@@ -232,7 +236,6 @@
 		Locality:      localityOf(replica, cfg),
 		AdapterLoaded: req.target.adapter == "" || slices.Contains(replica.Adapters, req.target.adapter),
 		Prefix:        r.beliefs.Share(n, req.blocks),
-		Rank:          routing.Rank(req.affinity, replica.Upstream),
 		Ejected:       tracker.Ejected(now, n, r.rng.Float64()),
 	}
 }
