--- a/internal/decide/routing/policy.go
+++ b/internal/decide/routing/policy.go
@@ -51,11 +51,12 @@
 	if !cand.AdapterLoaded {
 		expected += c.AdapterPenalty
 	}
-	// The gain of a cached prefix never makes up for a queue: the caller's
-	// prediction may contain more than the prefill, and what is cached is
-	// only believed.
+	// The gain of a cached prefix counts as far as slots are free, so that it
+	// never makes up for a queue and requests do not gather where the cache is
+	// only believed to be.
 	if cand.Prefix > 0 && load < slots {
-		expected -= time.Duration(c.PrefixWeight * cand.Prefix * float64(req.Prefill))
+		free := float64(slots-load) / float64(slots)
+		expected -= time.Duration(c.PrefixWeight * cand.Prefix * free * float64(req.Prefill))
 	}
 	switch cand.Locality {
 	case SameRegion:
