claims, entry: a refusal says not run only with proof for the key

Cause: invariant I5 was checked for each sending by itself. A request that an owner gave up while the log was away was called not run although a second owner had claimed an earlier sending, which ran; and an entry that had just started, or had no such service any more, called each resend not run. A caller may then issue the work under another key. While the log is away, calls with a key are refused as may have run, first sendings too; the same key is safe to send again (design 4.3).

--- a/internal/decide/claims/apply.go
+++ b/internal/decide/claims/apply.go
@@ -256,7 +256,7 @@
 func (o *Owner) Tick(now time.Time) Commands {
 	var out Commands
 	for _, w := range o.sorted(maps.Values(o.waiting), func(w *waiter) bool { return !now.Before(w.until) }) {
-		o.giveUp(w, &out)
+		o.giveUp(w, now, &out)
 	}
 	for id, until := range o.unread {
 		if now.After(until) {
@@ -272,7 +272,7 @@
 	return out
 }
 
-func (o *Owner) giveUp(w *waiter, out *Commands) {
+func (o *Owner) giveUp(w *waiter, now time.Time, out *Commands) {
 	switch {
 	case o.tooOld(w.key):
 		// Retention has caught up with the key while the request waited, so
@@ -286,20 +286,17 @@
 		o.end(w, out, verdict.Unknown(verdict.ReasonNotReady, "the claim owner has not read the log yet"))
 		return
 	}
-	switch w.phase {
-	case waitClaim:
-		// The table has no live claim of the key, and the id of the one made
-		// here is never handed out: a queued record is dropped, and one that
-		// is read later is voided. So this sending is never dispatched.
-		o.unqueue(w.record)
-		o.end(w, out, verdict.Refuse(verdict.ReasonLogUnavailable, "the log did not confirm the claim in time"))
-	case waitVoid:
-		// The agent has refused the earlier claim for good, and this sending
-		// has no claim yet.
-		o.end(w, out, verdict.Refuse(verdict.ReasonLogUnavailable, "the log did not confirm the claim in time"))
-	default:
+	if w.phase == waitAgent {
 		o.end(w, out, verdict.Unknown(verdict.ReasonClaimUnknown, "the upstream that had the request did not answer"))
+		return
 	}
+	// The id of the claim made here is never handed out: a queued record is
+	// dropped, and one that is read later is voided. So this sending is never
+	// dispatched. Whether an earlier one was, only a fresh read shows.
+	o.unqueue(w.record)
+	o.remove(w)
+	refusal := verdict.Unknown(verdict.ReasonLogUnavailable, "the log did not confirm the claim in time")
+	o.look(lookup{ticket: w.ticket, key: w.key, until: now.Add(o.settings.LookupFor), refusal: refusal}, now, out)
 }
 
 // sorted returns the matching requests in order of ticket, so that the first
--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -170,8 +170,11 @@
 		return out
 	}
 	until := now.Add(o.settings.GiveUpAfter)
-	if within := now.Add(p.Within.Std()); p.Within > 0 && within.Before(until) {
-		until = within
+	if within := p.Within.Std(); within > 0 {
+		// The answer may need a lookup after the wait.
+		if latest := now.Add(max(within-o.settings.LookupFor, within/2)); latest.Before(until) {
+			until = latest
+		}
 	}
 	w := &waiter{ticket: t, params: p, key: o.keyOf(p.Claim.Caller, id), until: until}
 	o.waiting[t] = w
--- a/internal/entry/claimed_test.go
+++ b/internal/entry/claimed_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -122,3 +124,23 @@
 		g.Expect(agents.calls).To(BeEmpty())
 	})
 }
+
+// Guards against "not run" of a resend from an entry that has just started, or
+// whose configuration no longer has the service, while an earlier sending ran.
+func TestEarlyRefusalOfKeyedRequestProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := newGatewayBench(t, agentsOf(nil), "a")
+	key := testKey
+	call := func(attrs attributes) *verdict.Verdict {
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/services/tickets/issue", http.NoBody)
+		ctx := context.WithValue(t.Context(), exchangeKey{}, &exchange{request: r, answer: &answerWriter{ResponseWriter: httptest.NewRecorder()}})
+		return verdict.Of(b.serveCall(ctx, attrs, "tickets", "issue", http.NoBody))
+	}
+	for _, want := range []verdict.Reason{verdict.ReasonUnknownService, verdict.ReasonNotReady} {
+		b.view().ready = want == verdict.ReasonUnknownService
+		g.Expect(call(attributes{}).Execution).To(Equal(verdict.NotRun))
+		keyed := call(attributes{key: &key})
+		g.Expect(keyed.Reason).To(Equal(want))
+		g.Expect(keyed.Execution).To(Equal(verdict.MayHaveRun))
+	}
+}
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -115,46 +115,71 @@
 
 // serveGeneration answers a completion or chat request.
 func (g *gateway) serveGeneration(ctx context.Context, attrs attributes, body io.ReadCloser) error {
+	current, req, refusal := g.readGeneration(attrs, body)
+	if refusal != nil {
+		return unproved(refusal, attrs)
+	}
+	return g.serve(ctx, current, attrs, req)
+}
+
+func (g *gateway) readGeneration(attrs attributes, body io.ReadCloser) (*view, *request, *verdict.Verdict) {
 	limits := g.currentLimits()
 	current, req, refusal := g.begin(attrs, limits)
 	if refusal != nil {
-		return refusal
+		return nil, nil, refusal
 	}
 	data, refusal := readBody(body, limits.bodyLimit)
 	if refusal != nil {
-		return refusal
+		return nil, nil, refusal
 	}
 	name, refusal := req.readGeneration(data)
 	if refusal != nil {
-		return refusal
-	}
-	if req.target, refusal = current.resolve(name); refusal != nil {
-		return refusal
+		return nil, nil, refusal
 	}
-	return g.serve(ctx, current, attrs, req)
+	req.target, refusal = current.resolve(name)
+	return current, req, refusal
 }
 
 // serveCall answers a call of a plain service.
 func (g *gateway) serveCall(ctx context.Context, attrs attributes, name, path string, body io.ReadCloser) error {
+	current, req, refusal := g.readCall(exchangeOf(ctx).request.Method, attrs, name, path, body)
+	if refusal != nil {
+		return unproved(refusal, attrs)
+	}
+	return g.serve(ctx, current, attrs, req)
+}
+
+func (g *gateway) readCall(method string, attrs attributes, name, path string, body io.ReadCloser) (*view, *request, *verdict.Verdict) {
 	limits := g.currentLimits()
 	current, req, refusal := g.begin(attrs, limits)
 	if refusal != nil {
-		return refusal
+		return nil, nil, refusal
 	}
 	service, ok := current.service(state.ServiceName(name))
 	if !ok {
-		return verdict.Refuse(verdict.ReasonUnknownService, "no such service: "+name)
+		return nil, nil, verdict.Refuse(verdict.ReasonUnknownService, "no such service: "+name)
 	}
 	if req.body, refusal = readBody(body, limits.bodyLimit); refusal != nil {
-		return refusal
+		return nil, nil, refusal
 	}
 	req.target = target{service: service.Name}
-	method := exchangeOf(ctx).request.Method
 	req.idempotent = isIdempotentCall(service, method, path)
 	if !req.idempotent && req.key == "" {
-		return verdict.Refuse(verdict.ReasonKeyRequired, "this call may not be repeated; send an Idempotency-Key (UUIDv7)")
+		return nil, nil, verdict.Refuse(verdict.ReasonKeyRequired, "this call may not be repeated; send an Idempotency-Key (UUIDv7)")
 	}
-	return g.serve(ctx, current, attrs, req)
+	return current, req, nil
+}
+
+// unproved is a refusal of a request that was not read to its end, or that came
+// before this entry knows who owns the claims. An earlier sending with the same
+// key may have run.
+func unproved(refusal *verdict.Verdict, attrs attributes) *verdict.Verdict {
+	if attrs.key == nil || *attrs.key == "" || refusal.Execution != verdict.NotRun {
+		return refusal
+	}
+	known := *refusal
+	known.Execution = verdict.MayHaveRun
+	return &known
 }
 
 // serve takes a parsed request through admission, waiting and attempts.
@@ -175,7 +200,7 @@
 	// it crashes them.
 	req.fingerprint = quarantine.Fingerprint("", req.method, req.path, req.body)
 	if refusal := current.identify(req, attrs, g.cfg.defaultCaller); refusal != nil {
-		return refusal
+		return unproved(refusal, attrs)
 	}
 	ctx, release := g.inFlight.withEnd(ctx)
 	defer release()
