--- a/cmd/lagoonvalve/layout_test.go
+++ b/cmd/lagoonvalve/layout_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -27,7 +28,7 @@
 	service  bool
 	replicas int
 	// resume is how long engines keep streams whose readers have left.
-	resume string
+	resume time.Duration
 	// south adds a second region with one entry and that many runners.
 	south int
 }
@@ -76,7 +77,7 @@
 // (2 GiB, 1 s) are configured by ctl.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	f := ts.Value(fleetKey{}).(*fleet)
-	opts := layoutOptions{entries: 1, runners: 1, fencing: "enforced", memory: "16GiB", replicas: 1, resume: "0s"}
+	opts := layoutOptions{entries: 1, runners: 1, fencing: "enforced", memory: "16GiB", replicas: 1}
 	for key, value := range pairs(ts, args) {
 		number, _ := strconv.Atoi(value)
 		switch key {
@@ -97,7 +98,7 @@
 		case "south":
 			opts.south = number
 		case "resume":
-			opts.resume = value
+			opts.resume = duration(ts, value)
 		case "service":
 			opts.service = value == "yes"
 		default:
@@ -155,7 +156,7 @@
 	kinds := [][]string{{"log", "log", "--retain-records", strconv.Itoa(opts.retain)}, append([]string{"hosts", "hosts"}, hosts...), {"store", "store"}}
 	for _, runner := range opts.runnerNames() {
 		name := "engine-" + runner
-		kinds = append(kinds, []string{name, "engine", "--name", name, "--memory", opts.memory, "--fencing", opts.fencing, "--resume-for", opts.resume})
+		kinds = append(kinds, []string{name, "engine", "--name", name, "--memory", opts.memory, "--fencing", opts.fencing, "--resume-for", opts.resume.String()})
 	}
 	if opts.service {
 		kinds = append(kinds, []string{"service", "service"})
