defaults: one way to fill in settings left at zero

Cause: 75 fields in 18 files were given their defaults by the same four lines, and two packages had a function for it each. Change: defaults.Set, called in their place; the values are as they were.

--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -28,15 +29,9 @@
 }
 
 func (o Options) orDefaults() Options {
-	if o.Recent <= 0 {
-		o.Recent = 5000
-	}
-	if o.Pending <= 0 {
-		o.Pending = 2000
-	}
-	if o.Batch <= 0 {
-		o.Batch = 200
-	}
+	defaults.Set(&o.Recent, 5000)
+	defaults.Set(&o.Pending, 2000)
+	defaults.Set(&o.Batch, 200)
 	return o
 }
 
--- a/internal/decide/account/account.go
+++ b/internal/decide/account/account.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -210,9 +211,7 @@
 // New returns the account of an agent that is not registered yet. Without a
 // burst rule no replica is evicted before its keep-alive ends.
 func New(cfg Config, catalogue Catalogue, burst BurstRule) *Account {
-	if cfg.MaxLoads <= 0 {
-		cfg.MaxLoads = defaultMaxLoads
-	}
+	defaults.Set(&cfg.MaxLoads, defaultMaxLoads)
 	return &Account{
 		cfg:       cfg,
 		catalogue: catalogue,
--- a/internal/decide/admission/limiter.go
+++ b/internal/decide/admission/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -34,15 +35,9 @@
 
 // Configure changes the bounds; what is in flight stays counted.
 func (l *Limiter) Configure(cfg LimiterConfig) {
-	if cfg.PerCaller <= 0 {
-		cfg.PerCaller = 256
-	}
-	if cfg.PerModel <= 0 {
-		cfg.PerModel = 1024
-	}
-	if cfg.RetryAfter <= 0 {
-		cfg.RetryAfter = time.Second
-	}
+	defaults.Set(&cfg.PerCaller, 256)
+	defaults.Set(&cfg.PerModel, 1024)
+	defaults.Set(&cfg.RetryAfter, time.Second)
 	l.cfg = cfg
 }
 
--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -59,27 +60,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxRequests <= 0 {
-		c.MaxRequests = 1024
-	}
-	if c.MaxBytes <= 0 {
-		c.MaxBytes = 256 * state.MiB
-	}
-	if c.MaxPerCaller <= 0 {
-		c.MaxPerCaller = c.MaxRequests
-	}
-	if c.MaxPerModel <= 0 {
-		c.MaxPerModel = c.MaxRequests
-	}
-	if c.StarvationBound <= 0 {
-		c.StarvationBound = 16
-	}
-	if c.Quantum <= 0 {
-		c.Quantum = 200 * time.Millisecond
-	}
-	if c.CostFactor <= 0 {
-		c.CostFactor = 3
-	}
+	defaults.Set(&c.MaxRequests, 1024)
+	defaults.Set(&c.MaxBytes, 256*state.MiB)
+	defaults.Set(&c.MaxPerCaller, c.MaxRequests)
+	defaults.Set(&c.MaxPerModel, c.MaxRequests)
+	defaults.Set(&c.StarvationBound, 16)
+	defaults.Set(&c.Quantum, 200*time.Millisecond)
+	defaults.Set(&c.CostFactor, 3)
 	c.Concurrency = max(c.Concurrency, 1)
 	return c
 }
--- a/internal/decide/estimate/estimate.go
+++ b/internal/decide/estimate/estimate.go
@@ -6,6 +6,7 @@
 	"container/list"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -34,27 +35,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxKeys <= 0 {
-		c.MaxKeys = 4096
-	}
-	if c.StartService <= 0 {
-		c.StartService = 500 * time.Millisecond
-	}
-	if c.StartTokens <= 0 {
-		c.StartTokens = 128
-	}
-	if c.StartWeight <= 0 {
-		c.StartWeight = 2
-	}
-	if c.LongFactor <= 0 {
-		c.LongFactor = 8
-	}
-	if c.LongFloor <= 0 {
-		c.LongFloor = 2 * time.Second
-	}
-	if c.Smoothing <= 0 {
-		c.Smoothing = 0.1
-	}
+	defaults.Set(&c.MaxKeys, 4096)
+	defaults.Set(&c.StartService, 500*time.Millisecond)
+	defaults.Set(&c.StartTokens, 128)
+	defaults.Set(&c.StartWeight, 2)
+	defaults.Set(&c.LongFactor, 8)
+	defaults.Set(&c.LongFloor, 2*time.Second)
+	defaults.Set(&c.Smoothing, 0.1)
 	return c
 }
 
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -24,21 +25,11 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Share <= 0 {
-		c.Share = 0.2
-	}
-	if c.Burst <= 0 {
-		c.Burst = 20
-	}
-	if c.MaxAttempts <= 0 {
-		c.MaxAttempts = 4
-	}
-	if c.BaseDelay <= 0 {
-		c.BaseDelay = 20 * time.Millisecond
-	}
-	if c.MaxDelay <= 0 {
-		c.MaxDelay = 2 * time.Second
-	}
+	defaults.Set(&c.Share, 0.2)
+	defaults.Set(&c.Burst, 20)
+	defaults.Set(&c.MaxAttempts, 4)
+	defaults.Set(&c.BaseDelay, 20*time.Millisecond)
+	defaults.Set(&c.MaxDelay, 2*time.Second)
 	return c
 }
 
--- a/internal/decide/routing/hedge.go
+++ b/internal/decide/routing/hedge.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 )
 
 // HedgeConfig governs hedging. Zero values mean the defaults.
@@ -30,21 +32,11 @@
 
 // NewHedgeBudget returns a budget that starts empty.
 func NewHedgeBudget(cfg HedgeConfig) *HedgeBudget {
-	if cfg.Share <= 0 {
-		cfg.Share = 0.05
-	}
-	if cfg.Burst <= 0 {
-		cfg.Burst = 10
-	}
-	if cfg.Factor <= 0 {
-		cfg.Factor = 3
-	}
-	if cfg.Floor <= 0 {
-		cfg.Floor = 50 * time.Millisecond
-	}
-	if cfg.MaxSlowdown <= 0 {
-		cfg.MaxSlowdown = 3
-	}
+	defaults.Set(&cfg.Share, 0.05)
+	defaults.Set(&cfg.Burst, 10)
+	defaults.Set(&cfg.Factor, 3)
+	defaults.Set(&cfg.Floor, 50*time.Millisecond)
+	defaults.Set(&cfg.MaxSlowdown, 3)
 	return &HedgeBudget{cfg: cfg}
 }
 
--- a/internal/decide/routing/latency.go
+++ b/internal/decide/routing/latency.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 )
 
 // LatencyConfig governs outlier ejection. Zero values mean the defaults.
@@ -31,30 +33,14 @@
 }
 
 func (c LatencyConfig) withDefaults() LatencyConfig {
-	if c.Smoothing <= 0 {
-		c.Smoothing = 0.2
-	}
-	if c.MinSamples <= 0 {
-		c.MinSamples = 5
-	}
-	if c.Factor <= 0 {
-		c.Factor = 3
-	}
-	if c.Floor <= 0 {
-		c.Floor = 20 * time.Millisecond
-	}
-	if c.MaxShare <= 0 {
-		c.MaxShare = 0.3
-	}
-	if c.ProbeAfter <= 0 {
-		c.ProbeAfter = 2 * time.Second
-	}
-	if c.ProbeMax <= 0 {
-		c.ProbeMax = 15 * time.Second
-	}
-	if c.ReturnSteps <= 0 {
-		c.ReturnSteps = 4
-	}
+	defaults.Set(&c.Smoothing, 0.2)
+	defaults.Set(&c.MinSamples, 5)
+	defaults.Set(&c.Factor, 3)
+	defaults.Set(&c.Floor, 20*time.Millisecond)
+	defaults.Set(&c.MaxShare, 0.3)
+	defaults.Set(&c.ProbeAfter, 2*time.Second)
+	defaults.Set(&c.ProbeMax, 15*time.Second)
+	defaults.Set(&c.ReturnSteps, 4)
 	return c
 }
 
--- a/internal/decide/routing/policy.go
+++ b/internal/decide/routing/policy.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 )
 
 // DelayConfig weighs what adds to or reduces the expected delay. Zero values
@@ -22,18 +24,10 @@
 }
 
 func (c DelayConfig) withDefaults() DelayConfig {
-	if c.RegionPenalty <= 0 {
-		c.RegionPenalty = 2 * time.Millisecond
-	}
-	if c.RemotePenalty <= 0 {
-		c.RemotePenalty = 500 * time.Millisecond
-	}
-	if c.AdapterPenalty <= 0 {
-		c.AdapterPenalty = 12 * time.Millisecond
-	}
-	if c.PrefixWeight <= 0 {
-		c.PrefixWeight = 0.8
-	}
+	defaults.Set(&c.RegionPenalty, 2*time.Millisecond)
+	defaults.Set(&c.RemotePenalty, 500*time.Millisecond)
+	defaults.Set(&c.AdapterPenalty, 12*time.Millisecond)
+	defaults.Set(&c.PrefixWeight, 0.8)
 	return c
 }
 
--- a/internal/decide/routing/prefix.go
+++ b/internal/decide/routing/prefix.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -38,15 +39,9 @@
 
 // NewPrefixBeliefs returns an empty set of beliefs.
 func NewPrefixBeliefs(cfg PrefixConfig) *PrefixBeliefs {
-	if cfg.MaxBlocks <= 0 {
-		cfg.MaxBlocks = 16384
-	}
-	if cfg.BlockBytes <= 0 {
-		cfg.BlockBytes = 512
-	}
-	if cfg.MaxPrefix <= 0 {
-		cfg.MaxPrefix = 32
-	}
+	defaults.Set(&cfg.MaxBlocks, 16384)
+	defaults.Set(&cfg.BlockBytes, 512)
+	defaults.Set(&cfg.MaxPrefix, 32)
 	return &PrefixBeliefs{cfg: cfg, places: make(map[belief]int)}
 }
 
--- a/internal/decide/routing/volume.go
+++ b/internal/decide/routing/volume.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -26,9 +27,7 @@
 
 // NewVolumeBudget returns a full budget.
 func NewVolumeBudget(cfg VolumeConfig) *VolumeBudget {
-	if cfg.Burst <= 0 {
-		cfg.Burst = 16 * state.MiB
-	}
+	defaults.Set(&cfg.Burst, 16*state.MiB)
 	b := &VolumeBudget{limiter: rate.NewLimiter(0, int(cfg.Burst))}
 	b.SetRate(cfg.PerSecond)
 	return b
--- a/internal/decide/scaling/broker.go
+++ b/internal/decide/scaling/broker.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -29,24 +30,12 @@
 }
 
 func (c BrokerConfig) withDefaults() BrokerConfig {
-	if c.PerSecond <= 0 {
-		c.PerSecond = 3
-	}
-	if c.AtOnce <= 0 {
-		c.AtOnce = 4
-	}
-	if c.TTL <= 0 {
-		c.TTL = 5 * time.Second
-	}
-	if c.Interest <= 0 {
-		c.Interest = time.Second
-	}
-	if c.Poll <= 0 {
-		c.Poll = 100 * time.Millisecond
-	}
-	if c.MaxPending <= 0 {
-		c.MaxPending = 4096
-	}
+	defaults.Set(&c.PerSecond, 3)
+	defaults.Set(&c.AtOnce, 4)
+	defaults.Set(&c.TTL, 5*time.Second)
+	defaults.Set(&c.Interest, time.Second)
+	defaults.Set(&c.Poll, 100*time.Millisecond)
+	defaults.Set(&c.MaxPending, 4096)
 	return c
 }
 
--- a/internal/decide/scaling/evict.go
+++ b/internal/decide/scaling/evict.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -44,15 +45,9 @@
 
 // NewEvictor returns an evictor that has evicted nothing.
 func NewEvictor(cfg EvictConfig) *Evictor {
-	if cfg.MaxPerWindow <= 0 {
-		cfg.MaxPerWindow = 2
-	}
-	if cfg.Window <= 0 {
-		cfg.Window = 30 * time.Second
-	}
-	if cfg.MinResident <= 0 {
-		cfg.MinResident = 10 * time.Second
-	}
+	defaults.Set(&cfg.MaxPerWindow, 2)
+	defaults.Set(&cfg.Window, 30*time.Second)
+	defaults.Set(&cfg.MinResident, 10*time.Second)
 	return &Evictor{cfg: cfg}
 }
 
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -31,21 +32,11 @@
 }
 
 func (c HomeConfig) withDefaults() HomeConfig {
-	if c.MaxWakes <= 0 {
-		c.MaxWakes = 8
-	}
-	if c.Headroom <= 0 {
-		c.Headroom = 0.8
-	}
-	if c.ColdStartWeight <= 0 {
-		c.ColdStartWeight = 10
-	}
-	if c.IdleWeight <= 0 {
-		c.IdleWeight = 1
-	}
-	if c.TailWeight <= 0 {
-		c.TailWeight = 10
-	}
+	defaults.Set(&c.MaxWakes, 8)
+	defaults.Set(&c.Headroom, 0.8)
+	defaults.Set(&c.ColdStartWeight, 10)
+	defaults.Set(&c.IdleWeight, 1)
+	defaults.Set(&c.TailWeight, 10)
 	return c
 }
 
--- a/internal/decide/scaling/keepalive.go
+++ b/internal/decide/scaling/keepalive.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 )
 
 // KeepAliveConfig holds the settings of keep-alive. Zero values mean the
@@ -26,27 +28,13 @@
 }
 
 func (c KeepAliveConfig) withDefaults() KeepAliveConfig {
-	if c.IdleWeight <= 0 {
-		c.IdleWeight = 1
-	}
-	if c.ColdStartWeight <= 0 {
-		c.ColdStartWeight = 10
-	}
-	if c.Min <= 0 {
-		c.Min = 2 * time.Second
-	}
-	if c.Max <= 0 {
-		c.Max = time.Hour
-	}
-	if c.Start <= 0 {
-		c.Start = 2 * time.Minute
-	}
-	if c.Hysteresis <= 0 {
-		c.Hysteresis = 0.1
-	}
-	if c.Memory <= 0 {
-		c.Memory = 200
-	}
+	defaults.Set(&c.IdleWeight, 1)
+	defaults.Set(&c.ColdStartWeight, 10)
+	defaults.Set(&c.Min, 2*time.Second)
+	defaults.Set(&c.Max, time.Hour)
+	defaults.Set(&c.Start, 2*time.Minute)
+	defaults.Set(&c.Hysteresis, 0.1)
+	defaults.Set(&c.Memory, 200)
 	return c
 }
 
--- a/internal/logclient/pace.go
+++ b/internal/logclient/pace.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 )
 
 // Pace bounds the reads of a stream by a token bucket, since each of many
@@ -37,7 +38,7 @@
 	if p.PerSecond == nil {
 		return pacer{}
 	}
-	setDefault(&p.Burst, 5)
+	defaults.Set(&p.Burst, 5)
 	if p.Urgent == nil {
 		p.Urgent = func() bool { return false }
 	}
--- a/internal/logclient/relay.go
+++ b/internal/logclient/relay.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -45,9 +46,9 @@
 // NewRelay returns a relay of streams of log. Appends go through appender.
 // Reads of other streams go to the log.
 func NewRelay(log platform.Log, appender Appender, cfg RelayConfig, streams ...platform.Stream) *Relay {
-	setDefault(&cfg.Window, 20_000)
-	setDefault(&cfg.WindowBytes, 16<<20)
-	setDefault(&cfg.AppendTimeout, 3*time.Second)
+	defaults.Set(&cfg.Window, 20_000)
+	defaults.Set(&cfg.WindowBytes, 16<<20)
+	defaults.Set(&cfg.AppendTimeout, 3*time.Second)
 	r := &Relay{log: log, appender: appender, cfg: cfg, windows: make(map[platform.Stream]*window, len(streams))}
 	for _, stream := range streams {
 		r.windows[stream] = newWindow(cfg.Window, cfg.WindowBytes)
--- a/internal/logclient/tail.go
+++ b/internal/logclient/tail.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -21,9 +22,9 @@
 const firstWait = time.Millisecond
 
 func (o TailOptions) withDefaults() TailOptions {
-	setDefault(&o.Limit, 500)
-	setDefault(&o.Wait, 10*time.Second)
-	setDefault(&o.LastRetry, lastRetry)
+	defaults.Set(&o.Limit, 500)
+	defaults.Set(&o.Wait, 10*time.Second)
+	defaults.Set(&o.LastRetry, lastRetry)
 	if o.OnEvent == nil {
 		o.OnEvent = func(Event) {}
 	}
--- a/internal/logclient/writer.go
+++ b/internal/logclient/writer.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -46,25 +47,19 @@
 	if c.Delay == 0 {
 		c.Delay = 50 * time.Millisecond
 	}
-	setDefault(&c.MaxBatch, 500)
-	setDefault(&c.MaxBatchBytes, 1<<20)
-	setDefault(&c.AppendsPerSecond, 20)
-	setDefault(&c.AppendBurst, 5)
-	setDefault(&c.MaxBuffered, 10_000)
-	setDefault(&c.MaxBufferedBytes, 16<<20)
-	setDefault(&c.Settle, 10*time.Second)
+	defaults.Set(&c.MaxBatch, 500)
+	defaults.Set(&c.MaxBatchBytes, 1<<20)
+	defaults.Set(&c.AppendsPerSecond, 20)
+	defaults.Set(&c.AppendBurst, 5)
+	defaults.Set(&c.MaxBuffered, 10_000)
+	defaults.Set(&c.MaxBufferedBytes, 16<<20)
+	defaults.Set(&c.Settle, 10*time.Second)
 	if c.LastRetry == nil {
 		c.LastRetry = func(platform.Stream) time.Duration { return lastRetry }
 	}
 	return c
 }
 
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Writer appends records in batches. It implements Appender.
 //
 // A record that is sent again after an unknown outcome keeps its id. If the
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 )
 
 // Defaults of HTTPOptions.
@@ -47,9 +49,7 @@
 	if caller.client == nil {
 		caller.client = http.DefaultClient
 	}
-	if caller.timeout <= 0 {
-		caller.timeout = DefaultHTTPTimeout
-	}
+	defaults.Set(&caller.timeout, DefaultHTTPTimeout)
 	return caller
 }
 
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -205,7 +206,7 @@
 		chat:    chat,
 		stream:  request.Stream,
 	}
-	setDefault(&work.tokens, defaultMaxTokens)
+	defaults.Set(&work.tokens, defaultMaxTokens)
 	return work, e.alive, nil
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -43,26 +44,20 @@
 }
 
 func (c EngineConfig) withDefaults() EngineConfig {
-	setDefault(&c.Concurrency, 8)
-	setDefault(&c.FirstToken, 20*time.Millisecond)
-	setDefault(&c.PerToken, 5*time.Millisecond)
-	setDefault(&c.MemorySpeed, 16*state.GiB)
-	setDefault(&c.DiskSpeed, 4*state.GiB)
-	setDefault(&c.CachedInMemory, 2)
-	setDefault(&c.CachedOnDisk, 8)
-	setDefault(&c.RestartTime, time.Second)
+	defaults.Set(&c.Concurrency, 8)
+	defaults.Set(&c.FirstToken, 20*time.Millisecond)
+	defaults.Set(&c.PerToken, 5*time.Millisecond)
+	defaults.Set(&c.MemorySpeed, 16*state.GiB)
+	defaults.Set(&c.DiskSpeed, 4*state.GiB)
+	defaults.Set(&c.CachedInMemory, 2)
+	defaults.Set(&c.CachedOnDisk, 8)
+	defaults.Set(&c.RestartTime, time.Second)
 	if c.Fencing == "" {
 		c.Fencing = state.FencingEnforced
 	}
 	return c
 }
 
-func setDefault[T int | time.Duration | state.Bytes](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Engine is a model engine. It implements platform.Engine for orders, and
 // http.Handler for orders and completions.
 type Engine struct {
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -54,9 +55,7 @@
 	if cfg.AppendsPerSecond > 0 {
 		limit = rate.Limit(cfg.AppendsPerSecond)
 	}
-	if cfg.Burst <= 0 {
-		cfg.Burst = max(1, int(cfg.AppendsPerSecond/5))
-	}
+	defaults.Set(&cfg.Burst, max(1, int(cfg.AppendsPerSecond/5)))
 	return &Log{cfg: cfg, limiter: rate.NewLimiter(limit, cfg.Burst), streams: make(map[platform.Stream]*logStream)}
 }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -49,21 +50,11 @@
 
 // NewStore returns a store without faults.
 func NewStore(cfg StoreConfig) *Store {
-	if cfg.LoadsPerSecond <= 0 {
-		cfg.LoadsPerSecond = 3
-	}
-	if cfg.FullSpeed <= 0 {
-		cfg.FullSpeed = 4
-	}
-	if cfg.BytesPerSecond <= 0 {
-		cfg.BytesPerSecond = 2 * state.GiB
-	}
-	if cfg.AdapterTime <= 0 {
-		cfg.AdapterTime = 8 * time.Millisecond
-	}
-	if cfg.AdaptersInTransit <= 0 {
-		cfg.AdaptersInTransit = 30
-	}
+	defaults.Set(&cfg.LoadsPerSecond, 3)
+	defaults.Set(&cfg.FullSpeed, 4)
+	defaults.Set(&cfg.BytesPerSecond, 2*state.GiB)
+	defaults.Set(&cfg.AdapterTime, 8*time.Millisecond)
+	defaults.Set(&cfg.AdaptersInTransit, 30)
 	s := &Store{cfg: cfg, starts: rate.NewLimiter(rate.Limit(cfg.LoadsPerSecond), 1)}
 	slowdown := func() float64 { return s.Faults().Slowdown }
 	s.weights = newSharedRate(cfg.FullSpeed, slowdown)
