entry, verdict: one copy of a verdict, one question to the slot keeper, one relay step

Cause: three places copied a verdict to say that the work may have run; the two questions about the weight store had the same body; the relay of a stream and of its rest were written twice; the regions that share the store were sorted on each tick; and an answer for a share named its question twice. Change: Verdict.WithExecution, askSlotKeeper and one step of the relay serve them; the regions are computed once; the number of the question is gone. Measured: go test ./internal/entry passes. A first form that judged the rest of a stream by its own length failed TestCutStreamIsResumed, so the sum still counts.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -281,8 +281,14 @@
 	if sse.Is(a.response.Header) {
 		body = events
 	}
-	size, err := relayBody(w, io.TeeReader(body, watch), watch)
-	v := e.judge(ctx, a, watch, size, err)
+	var size int64
+	pass := func() *verdict.Verdict {
+		n, err := relayBody(w, io.TeeReader(body, watch), watch)
+		size += n
+		whole := size == a.response.ContentLength || sse.Is(a.response.Header) && watch.end.Seen()
+		return streamVerdict(ctx, a.response.Trailer, whole, err)
+	}
+	v := pass()
 	for ctx.Err() == nil && events.LastID() != "" && e.mayResume(v) {
 		rest := e.resume(ctx, a, events.LastID())
 		if rest == nil {
@@ -291,9 +297,7 @@
 		a.close()
 		a = rest
 		events.Resume(a.response.Body)
-		more, err := relayBody(w, io.TeeReader(events, watch), watch)
-		size += more
-		v = e.judge(ctx, a, watch, size, err)
+		v = pass()
 	}
 	if e.isPaid(a.replica) {
 		e.spendVolume(time.Now(), state.Bytes(size))
@@ -314,12 +318,6 @@
 	return v
 }
 
-// judge gives the verdict of an answer whose relay ended with err.
-func (e *execution) judge(ctx context.Context, a *answer, watch *tokenWatch, size int64, err error) *verdict.Verdict {
-	whole := size == a.response.ContentLength || sse.Is(a.response.Header) && watch.end.Seen()
-	return streamVerdict(ctx, a.response.Trailer, whole, err)
-}
-
 // setTrailers sends v after the body, where its outcome is known.
 func setTrailers(h http.Header, v *verdict.Verdict) {
 	h.Set(http.TrailerPrefix+verdict.HeaderVerdict, v.Execution.String())
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -44,9 +44,7 @@
 	if e.claims.unseen(e.request.caller.Name, e.request.key, by) {
 		return v
 	}
-	known := *v
-	known.Execution = verdict.MayHaveRun
-	return &known
+	return v.WithExecution(verdict.MayHaveRun)
 }
 
 // openClaim gets the right to send the request to replica once. A verdict
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -118,7 +118,7 @@
 		crashes: quarantine.NewTracker(quarantine.DefaultSettings()),
 	}
 	c.configRead.Store(now.UnixNano())
-	c.slotKeeper.limits = cfg.store
+	c.slotKeeper.limits, c.slotKeeper.regions = cfg.store, storeRegions(cfg)
 	c.slotKeeper.assign(c.peers.ring.Owner(roleStoreSlots, ""), cfg.name, cfg.self.Incarnation, now)
 	return c
 }
--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -73,9 +73,7 @@
 	e.follow(current)
 	v := e.attemptAll(ctx)
 	if v.Execution == verdict.NotRun && e.mayHaveRun {
-		later := *v
-		later.Execution = verdict.MayHaveRun
-		return &later
+		return v.WithExecution(verdict.MayHaveRun)
 	}
 	return v
 }
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -177,9 +177,7 @@
 	if attrs.key == nil || *attrs.key == "" || refusal.Execution != verdict.NotRun {
 		return refusal
 	}
-	known := *refusal
-	known.Execution = verdict.MayHaveRun
-	return &known
+	return refusal.WithExecution(verdict.MayHaveRun)
 }
 
 // serve takes a parsed request through admission, waiting and attempts.
--- a/internal/entry/methods.go
+++ b/internal/entry/methods.go
@@ -64,41 +64,40 @@
 	return struct{}{}, nil
 }
 
-// storeSlot answers an agent's question, or passes it on to the entry that
-// hands out the slots.
+// storeSlot answers an agent's question for a slot of the weight store.
 func (e *Entry) storeSlot(ctx context.Context, p rpc.StoreSlotParams) (rpc.StoreSlotResult, error) {
-	current := e.control.view()
-	if refusal := current.unready(); refusal != nil {
-		return rpc.StoreSlotResult{}, refusal
-	}
-	owner := current.ring.Owner(roleStoreSlots, "")
-	if owner == e.control.cfg.name || p.Forwarded {
-		return exchangeEvent(ctx, e.control, func(reply chan rpc.StoreSlotResult) event {
-			return slotAsked{params: p, reply: reply}
-		})
-	}
-	p.Forwarded = true
-	var result rpc.StoreSlotResult
-	err := e.caller.Call(ctx, current.addresses[owner], rpc.MethodStoreSlot, p, &result)
-	return result, err
+	passedOn := p
+	passedOn.Forwarded = true
+	return askSlotKeeper(ctx, e, rpc.MethodStoreSlot, p.Forwarded, passedOn, func(reply chan rpc.StoreSlotResult) event {
+		return slotAsked{params: p, reply: reply}
+	})
 }
 
-// storeShare answers the question of a region, or passes it on to the entry
-// that divides the store's limits.
+// storeShare answers a region's question for its share of the store's limits.
 func (e *Entry) storeShare(ctx context.Context, p rpc.StoreShareParams) (rpc.StoreShareResult, error) {
+	passedOn := p
+	passedOn.Forwarded = true
+	return askSlotKeeper(ctx, e, rpc.MethodStoreShare, p.Forwarded, passedOn, func(reply chan rpc.StoreShareResult) event {
+		return shareAsked{params: p, reply: reply}
+	})
+}
+
+// askSlotKeeper answers a question by an event if this entry hands out the
+// region's slots of the weight store, and passes it on to the entry that does
+// otherwise. One that was forwarded goes no further.
+func askSlotKeeper[P, R any](ctx context.Context, e *Entry, method string, forwarded bool, passedOn P,
+	makeEvent func(reply chan R) event,
+) (R, error) {
+	var result R
 	current := e.control.view()
 	if refusal := current.unready(); refusal != nil {
-		return rpc.StoreShareResult{}, refusal
+		return result, refusal
 	}
 	owner := current.ring.Owner(roleStoreSlots, "")
-	if owner == e.control.cfg.name || p.Forwarded {
-		return exchangeEvent(ctx, e.control, func(reply chan rpc.StoreShareResult) event {
-			return shareAsked{params: p, reply: reply}
-		})
+	if owner == e.control.cfg.name || forwarded {
+		return exchangeEvent(ctx, e.control, makeEvent)
 	}
-	p.Forwarded = true
-	var result rpc.StoreShareResult
-	err := e.caller.Call(ctx, current.addresses[owner], rpc.MethodStoreShare, p, &result)
+	err := e.caller.Call(ctx, current.addresses[owner], method, passedOn, &result)
 	return result, err
 }
 
--- a/internal/entry/shares.go
+++ b/internal/entry/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,7 +47,7 @@
 	if k.owner != c.cfg.name {
 		return
 	}
-	regions := c.storeRegions()
+	regions := k.regions
 	if len(regions) == 1 {
 		k.broker.SetLimits(now, k.limits.Floor(1))
 		return
@@ -59,11 +60,9 @@
 }
 
 // storeRegions lists the regions that share the store, in order.
-func (c *control) storeRegions() []state.Region {
-	regions := []state.Region{c.cfg.region}
-	for region := range c.cfg.regions {
-		regions = append(regions, region)
-	}
+func storeRegions(cfg controlConfig) []state.Region {
+	regions := slices.Collect(maps.Keys(cfg.regions))
+	regions = append(regions, cfg.region)
 	slices.Sort(regions)
 	return regions
 }
@@ -87,16 +86,15 @@
 		Number: r.number, Answered: r.answered,
 	}
 	if r.divided != nil {
-		shareAnswered{number: r.number, asked: now, result: r.answer(params, now)}.apply(c, now)
+		shareAnswered{asked: now, result: r.answer(params, now)}.apply(c, now)
 		return
 	}
 	names := ringOf(c.cfg.regions[first]).First(roleStoreSlots, "", len(c.cfg.regions[first]))
 	address := c.cfg.regions[first][names[r.tries%len(names)]]
-	number := r.number
 	r.waiting = c.start(ctx, func(ctx context.Context) event {
 		ctx, cancel := context.WithTimeout(ctx, scaling.ShareInterval)
 		defer cancel()
-		answered := shareAnswered{number: number, asked: now}
+		answered := shareAnswered{asked: now}
 		answered.err = c.deps.caller.Call(ctx, address, rpc.MethodStoreShare, params, &answered.result)
 		return answered
 	})
@@ -116,7 +114,6 @@
 
 // shareAnswered is the answer to a question for a share.
 type shareAnswered struct {
-	number uint64
 	asked  time.Time
 	result rpc.StoreShareResult
 	err    error
@@ -124,7 +121,7 @@
 
 func (e shareAnswered) apply(c *control, now time.Time) {
 	r := &c.slotKeeper.region
-	if e.number != r.number || e.asked != r.sent {
+	if e.asked != r.sent {
 		return // A former time as keeper of the slots asked.
 	}
 	r.waiting = false
@@ -136,7 +133,7 @@
 	if !e.result.Given || now.Sub(e.asked) > scaling.ShareInterval {
 		return
 	}
-	r.answered, r.asked = e.number, e.asked
+	r.answered, r.asked = r.number, e.asked
 	r.share = scaling.StoreShare{
 		StoreLimits: scaling.StoreLimits{PerSecond: e.result.PerSecond, AtOnce: e.result.AtOnce},
 		For:         e.result.For.Std(),
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -21,7 +21,9 @@
 	owner  state.EntryName
 	// limits are those of the store, for all regions together.
 	limits scaling.StoreLimits
-	region regionShare
+	// regions are those that share the store, in order.
+	regions []state.Region
+	region  regionShare
 }
 
 // assign follows the role; a new broker starts when this entry gets it.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -92,6 +92,12 @@
 	return &v
 }
 
+// WithExecution returns a copy of v with Execution set to e.
+func (v Verdict) WithExecution(e Execution) *Verdict {
+	v.Execution = e
+	return &v
+}
+
 // Of returns the verdict in err's chain. An error without a verdict is
 // reported as an internal failure whose work may have run.
 func Of(err error) *Verdict {
