claims, ctxtime, platform, scaling: one piece of code for logic that stood twice

Cause: the batches and the reads of a claim owner had the same pacing; entry and agent each kept the time of their planned stop; both read the cache tier and the load time from the same kinds of tables; the store's limits had their defaults in two types and the writer's retry bound in two packages; an endpoint of metrics was taken for https by two checks, of which one missed capitals; a benchmark had its own measure of the heap. Change: claims.pacing, ctxtime.Stop and Within, platform.TierOf, Bytes.TimeAt, StoreLimits in BrokerConfig, settings.IsHTTPS; zero is the writer's default. The only change of behaviour: an endpoint that begins with HTTPS uses the configured authorities, as the settings' check says.

--- a/internal/agent/leave.go
+++ b/internal/agent/leave.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -59,8 +58,8 @@
 		_ = c.ask(c.ctx, func() { c.account.Leave() })
 		a.awaitControl(c, drained, left)
 	}
-	stop := ctxtime.NewStop(time.Duration(a.settleTime.Load()))
-	a.stopping.Store(&stop)
+	stop := &a.stopping
+	stop.Begin(time.Duration(a.settleTime.Load()))
 	if !finished {
 		a.deps.Logger.Warn("ending work that still runs", "requests", a.dispatcher.running.Load())
 	}
@@ -81,17 +80,10 @@
 
 // RecordsBy returns until when the last records of a planned stop may be
 // written, or the zero time before the end of its drain.
-func (a *Agent) RecordsBy() time.Time { return a.shareOfStop(recordsShare) }
+func (a *Agent) RecordsBy() time.Time { return a.stopping.At(recordsShare) }
 
 // StopBy returns when a planned stop has to be over, or the zero time.
-func (a *Agent) StopBy() time.Time { return a.shareOfStop(100) }
-
-func (a *Agent) shareOfStop(percent time.Duration) time.Time {
-	if stop := a.stopping.Load(); stop != nil {
-		return stop.At(percent)
-	}
-	return time.Time{}
-}
+func (a *Agent) StopBy() time.Time { return a.stopping.At(100) }
 
 // await polls until done or until the given time.
 func (a *Agent) await(ctx context.Context, by time.Time, done func() bool) bool {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -97,7 +96,7 @@
 
 // cachedAt says where a checkpoint is, as of the last listing.
 func (c *control) cachedAt(key state.ReplicaKey) platform.CacheTier {
-	return cmp.Or(c.account.Cached()[key.Path()], platform.CacheRemote)
+	return platform.TierOf(c.account.Cached(), key.Path())
 }
 
 func (c *control) measureLoad(now time.Time, order platform.Order, err error) {
@@ -124,11 +123,10 @@
 // unknown.
 func (c *control) loadTime(key state.ReplicaKey, from platform.CacheTier) time.Duration {
 	version, ok := c.parts.Version(key)
-	rate := c.loadRates[from]
-	if !ok || rate <= 0 {
+	if !ok {
 		return 0
 	}
-	return time.Duration(float64(version.Weights) / rate * float64(time.Second))
+	return version.Weights.TimeAt(c.loadRates[from])
 }
 
 // rates returns the load rates for a status.
--- a/internal/agent/pace.go
+++ b/internal/agent/pace.go
@@ -33,10 +33,9 @@
 	over     bool
 }
 
-// firstToken watches for the first token of a request that starts now, with a
-// body of a size in bytes. The
-// token is noted when it arrives, and that it is overdue until then. The second
-// function ends the watch without a token.
+// firstToken watches for the first token of a request that starts now and has a
+// body of prompt bytes. The token is noted when it arrives, and that it is
+// overdue until then. The second function ends the watch without a token.
 func (p *pace) firstToken(prompt int) (arrived, abandoned func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -53,7 +53,7 @@
 	// drainTime and settleTime bound the shutdown, in nanoseconds.
 	drainTime, settleTime atomic.Int64
 	// stopping is set once the drain of a planned stop has ended.
-	stopping atomic.Pointer[ctxtime.Stop]
+	stopping ctxtime.Stop
 	// gaps carries the gaps between requests to the control goroutine.
 	gaps chan requestGap
 
@@ -172,10 +172,7 @@
 	group.Go(func() error {
 		why := a.awaitEnd(ctx, running)
 		a.shutDown(c, why)
-		closeBy := time.Now().Add(closeTimeout)
-		if planned := a.shareOfStop(connectionsShare); planned.Before(closeBy) {
-			closeBy = planned
-		}
+		closeBy := ctxtime.Within(closeTimeout, a.stopping.At(connectionsShare))
 		closeCtx, cancel := context.WithDeadline(context.Background(), closeBy)
 		defer cancel()
 		if server.Shutdown(closeCtx) != nil {
--- a/internal/decide/claims/load_test.go
+++ b/internal/decide/claims/load_test.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/claims"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
 // batching is a way to batch the claims of all regions.
@@ -221,14 +222,6 @@
 	return state.Positioned{Offset: offset, Time: at, Record: r}
 }
 
-func heap() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
-
 // BenchmarkOwnerMemory measures the heap of an owner by the claims read.
 func BenchmarkOwnerMemory(b *testing.B) {
 	for _, c := range []struct {
@@ -243,9 +236,9 @@
 	} {
 		b.Run(fmt.Sprintf("%s/claims=%d", c.name, c.count), func(b *testing.B) {
 			for b.Loop() {
-				was := heap()
+				was := testenv.HeapInUse()
 				o := claimsOwner(b, claims.DefaultSettings(), c.count, c.open, c.answer)
-				used := heap() - was
+				used := testenv.HeapInUse() - was
 				runtime.KeepAlive(o)
 				b.ReportMetric(float64(used)/float64(c.count), "B/claim")
 				b.ReportMetric(float64(used)/(1<<20), "MiB")
--- a/internal/decide/claims/lookup.go
+++ b/internal/decide/claims/lookup.go
@@ -34,9 +34,7 @@
 	// readFrom on.
 	underWay bool
 	readFrom state.Offset
-	// paidTo is the time up to which the reads have used their rate, one
-	// LookupInterval each.
-	paidTo time.Time
+	reads    pacing
 }
 
 func (l *lookups) waiting() int { return len(l.asked) + len(l.reading) + len(l.behind) }
@@ -92,25 +90,21 @@
 		out.Found = append(out.Found, Found{Ticket: l.ticket, Unseen: unseen})
 		return
 	}
-	refusal := *l.refusal
+	refusal := l.refusal
 	if unseen {
 		// Neither this sending nor an earlier one got a claim.
-		refusal.Execution = verdict.NotRun
+		refusal = refusal.WithExecution(verdict.NotRun)
 	}
-	out.refuse(l.ticket, &refusal)
+	out.refuse(l.ticket, refusal)
 }
 
 // readEnd begins a read for the lookups that wait for one.
 func (o *Owner) readEnd(now time.Time, out *Commands) {
 	l := &o.lookups
-	allowance := time.Duration(o.settings.Burst) * o.settings.LookupInterval
-	if len(l.asked) == 0 || l.underWay || now.Before(l.paidTo.Add(-allowance)) {
+	if len(l.asked) == 0 || l.underWay || now.Before(l.reads.earliest()) {
 		return
 	}
-	if l.paidTo.Before(now) {
-		l.paidTo = now
-	}
-	l.paidTo = l.paidTo.Add(o.settings.LookupInterval)
+	l.reads.spend(now)
 	l.reading, l.asked = l.asked, nil
 	l.underWay, l.readFrom = true, o.next
 	out.EndRead = &EndRead{From: o.next}
--- a/internal/decide/claims/owner.go
+++ b/internal/decide/claims/owner.go
@@ -66,12 +66,10 @@
 	// the time until which they are remembered.
 	unread map[string]time.Time
 	// behind lists the requests that wait for something about a claim.
-	behind map[string][]*waiter
-	queue  []state.Record
-	sendAt time.Time
-	// paidTo is the time up to which the batches sent have used the shard's
-	// append rate, one MinInterval each.
-	paidTo time.Time
+	behind  map[string][]*waiter
+	queue   []state.Record
+	sendAt  time.Time
+	batches pacing
 	// failed is set while the queue holds what a failed append left.
 	failed  bool
 	lookups lookups
@@ -84,6 +82,8 @@
 		waiting: map[Ticket]*waiter{}, inLine: map[keyID]*waiter{}, unread: map[string]time.Time{},
 		behind: map[string][]*waiter{},
 	}
+	o.batches = pacing{interval: settings.MinInterval, burst: settings.Burst}
+	o.lookups.reads = pacing{interval: settings.LookupInterval, burst: settings.Burst}
 	o.callers = map[state.CallerName]uint32{}
 	o.reset()
 	return o
@@ -273,7 +273,7 @@
 		panic(err) // The bodies hold only types that always encode.
 	}
 	due := now.Add(within)
-	if paced := o.paidTo.Add(-o.allowance()); due.Before(paced) {
+	if paced := o.batches.earliest(); due.Before(paced) {
 		due = paced
 	}
 	if len(o.queue) == 0 || (!o.failed && due.Before(o.sendAt)) {
@@ -282,11 +282,6 @@
 	o.queue = append(o.queue, record)
 }
 
-// allowance is how far the batches of a quiet shard may run ahead of its rate.
-func (o *Owner) allowance() time.Duration {
-	return time.Duration(o.settings.Burst) * o.settings.MinInterval
-}
-
 // flushFull sends a batch that is full, but not while the log fails.
 func (o *Owner) flushFull(out *Commands, now time.Time) {
 	if len(o.queue) >= o.settings.BatchSize && len(out.Append) == 0 && !o.failed {
@@ -308,14 +303,8 @@
 
 func (o *Owner) flush(out *Commands, now time.Time) {
 	o.failed = false
-	if o.paidTo.Before(now) {
-		o.paidTo = now
-	}
-	o.paidTo = o.paidTo.Add(o.settings.MinInterval)
-	// Full batches don't wait, and must not make later ones wait for long.
-	if most := now.Add(o.allowance() + o.settings.MinInterval); o.paidTo.After(most) {
-		o.paidTo = most
-	}
+	// Full batches don't wait.
+	o.batches.spend(now)
 	n := min(len(o.queue), o.settings.BatchSize)
 	out.Append = append(out.Append, o.queue[:n]...)
 	o.queue = append([]state.Record(nil), o.queue[n:]...)
--- a/internal/decide/scaling/broker.go
+++ b/internal/decide/scaling/broker.go
@@ -13,10 +13,7 @@
 // BrokerConfig holds the settings of the store slot broker. Zero values mean
 // the defaults.
 type BrokerConfig struct {
-	// PerSecond is how many loads may start per second; default 3.
-	PerSecond float64
-	// AtOnce is how many loads run at full speed together; default 4.
-	AtOnce int
+	StoreLimits
 	// TTL is how long a slot lasts without renewal; default 5 s.
 	TTL time.Duration
 	// Interest is how long a waiting request for a slot is remembered;
@@ -30,8 +27,7 @@
 }
 
 func (c BrokerConfig) withDefaults() BrokerConfig {
-	defaults.Set(&c.PerSecond, 3)
-	defaults.Set(&c.AtOnce, 4)
+	c.StoreLimits = c.StoreLimits.withDefaults()
 	defaults.Set(&c.TTL, 5*time.Second)
 	defaults.Set(&c.Interest, time.Second)
 	defaults.Set(&c.Poll, 100*time.Millisecond)
@@ -183,7 +179,7 @@
 
 // SetLimits changes the limits. Slots beyond them end as their loads do.
 func (b *Broker) SetLimits(now time.Time, limits StoreLimits) {
-	b.cfg.AtOnce = limits.AtOnce
+	b.cfg.StoreLimits = limits
 	if b.starts.Limit() != rate.Limit(limits.PerSecond) {
 		b.starts.SetLimitAt(now, rate.Limit(limits.PerSecond))
 	}
--- a/internal/decide/scaling/shares.go
+++ b/internal/decide/scaling/shares.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -18,7 +19,9 @@
 }
 
 func (l StoreLimits) withDefaults() StoreLimits {
-	return StoreLimits{PerSecond: cmp.Or(max(l.PerSecond, 0), 3), AtOnce: cmp.Or(max(l.AtOnce, 0), 4)}
+	defaults.Set(&l.PerSecond, 3)
+	defaults.Set(&l.AtOnce, 4)
+	return l
 }
 
 // Floor is the share of a region that has no other: an even part, but one load
--- a/internal/entry/claimshards.go
+++ b/internal/entry/claimshards.go
@@ -34,9 +34,6 @@
 	// requests would be refused for up to 3 s after the end of an outage of
 	// the log. At most 16 owners append so often.
 	claimRetry = 500 * time.Millisecond
-	// otherRetry bounds the delay between failed appends to other streams.
-	// It is longer, since all entries write to their regions' streams.
-	otherRetry = 2 * time.Second
 	// claimAppendBytes bounds the bodies of an append, well below what the
 	// appender takes in one call. Outcomes with kept answers can exceed it
 	// within one batch of the owner.
@@ -320,12 +317,13 @@
 	s.carryOut(ctx, shard, shard.owner.Outcome(given, s.self, time.Now()))
 }
 
-// appendRetry bounds the delay between failed appends to a stream.
+// appendRetry bounds the delay between failed appends to a stream. Zero is the
+// writer's default, which is longer: all entries write to their regions' streams.
 func appendRetry(stream platform.Stream) time.Duration {
 	if platform.IsClaimStream(stream) {
 		return claimRetry
 	}
-	return otherRetry
+	return 0
 }
 
 // appendBatches splits records so that no append exceeds claimAppendBytes.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,7 +89,7 @@
 	// auditReader reads the trail and the reports of other processes.
 	auditReader *auditReader
 	// stopping is set once the drain of a planned stop has ended.
-	stopping atomic.Pointer[ctxtime.Stop]
+	stopping ctxtime.Stop
 }
 
 // New returns an entry. It does nothing before Run.
@@ -297,8 +297,8 @@
 	defer cancel()
 	e.control.post(ctx, leavingSet{})
 	empty, drained := e.gateway.drain(ctx)
-	stop := ctxtime.NewStop(shutdown.StopTimeout.Std())
-	e.stopping.Store(&stop)
+	stop := &e.stopping
+	stop.Begin(shutdown.StopTimeout.Std())
 	if !drained {
 		e.deps.Logger.Warn("requests were still in flight at the end of the drain")
 		e.endRequests(empty, stop.At(requestsShare))
@@ -321,17 +321,10 @@
 
 // StopBy returns when a planned stop has to be over, or the zero time before
 // the end of its drain.
-func (e *Entry) StopBy() time.Time { return e.shareOfStop(100) }
+func (e *Entry) StopBy() time.Time { return e.stopping.At(100) }
 
 // closeBy returns until when connections may become idle.
-func (e *Entry) closeBy() time.Time { return e.shareOfStop(connectionsShare) }
-
-func (e *Entry) shareOfStop(percent time.Duration) time.Time {
-	if stop := e.stopping.Load(); stop != nil {
-		return stop.At(percent)
-	}
-	return time.Time{}
-}
+func (e *Entry) closeBy() time.Time { return e.stopping.At(connectionsShare) }
 
 // leavingSet makes the entry give up its roles.
 type leavingSet struct{}
--- a/internal/entry/home_agents.go
+++ b/internal/entry/home_agents.go
@@ -70,16 +70,12 @@
 // cachedAt says where the agent has a checkpoint. What is not known counts as
 // remote, so that no prediction is too short and known copies come first.
 func (f *agentFacts) cachedAt(key state.ReplicaKey) platform.CacheTier {
-	return cmp.Or(f.cached[key.Path()], platform.CacheRemote)
+	return platform.TierOf(f.cached, key.Path())
 }
 
 // loadTime predicts a load by the agent's rates; zero if it has told none.
 func (f *agentFacts) loadTime(from platform.CacheTier, weights state.Bytes) time.Duration {
-	rate := f.rates[from]
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(weights) / float64(rate) * float64(time.Second))
+	return weights.TimeAt(float64(f.rates[from]))
 }
 
 // loadTimeOn predicts a load of the model on an upstream.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	healthserver "github.com/lagoonvalve/lagoonvalve/gen/http/health/server"
 	operatorsserver "github.com/lagoonvalve/lagoonvalve/gen/http/operators/server"
 	"github.com/lagoonvalve/lagoonvalve/gen/operators"
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/oplang"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -150,11 +151,7 @@
 	closed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(closed)
-		by := time.Now().Add(closeTimeout)
-		if planned := closeBy(); !planned.IsZero() && planned.Before(by) {
-			by = planned
-		}
-		limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), by)
+		limited, cancel := context.WithDeadline(context.WithoutCancel(ctx), ctxtime.Within(closeTimeout, closeBy()))
 		defer cancel()
 		if server.Shutdown(limited) != nil {
 			_ = server.Close()
--- a/internal/logclient/relay.go
+++ b/internal/logclient/relay.go
@@ -83,7 +83,7 @@
 
 // findStart returns the first offset for the window; ok is false if ctx ended.
 func (r *Relay) findStart(ctx context.Context, stream platform.Stream) (from state.Offset, ok bool) {
-	delays := newBackoff(lastRetry)
+	delays := newBackoff(0)
 	for {
 		page, err := r.log.Read(ctx, stream, 0, 1, 0)
 		if err == nil || errors.Is(err, platform.ErrTruncated) {
--- a/internal/logclient/send.go
+++ b/internal/logclient/send.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/defaults"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -19,8 +20,9 @@
 )
 
 // newBackoff returns jittered exponential delays between attempts, which grow
-// up to last.
+// up to last; zero means lastRetry.
 func newBackoff(last time.Duration) *backoff.ExponentialBackOff {
+	defaults.Set(&last, lastRetry)
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = min(firstRetry, last)
 	delays.MaxInterval = last
--- a/internal/logclient/tail.go
+++ b/internal/logclient/tail.go
@@ -24,7 +24,6 @@
 func (o TailOptions) withDefaults() TailOptions {
 	defaults.Set(&o.Limit, 500)
 	defaults.Set(&o.Wait, 10*time.Second)
-	defaults.Set(&o.LastRetry, lastRetry)
 	if o.OnEvent == nil {
 		o.OnEvent = func(Event) {}
 	}
--- a/internal/logclient/writer.go
+++ b/internal/logclient/writer.go
@@ -38,8 +38,8 @@
 	// again. It must exceed the time for which the log, or a relay in
 	// between, may hold an append back. Default 10 s.
 	Settle time.Duration
-	// LastRetry bounds the growing delay after failed calls for a stream;
-	// default 2 s for all streams. The delay is jittered by half.
+	// LastRetry bounds the growing delay after failed calls for a stream; zero,
+	// and no function, mean 2 s. The delay is jittered by half.
 	LastRetry func(platform.Stream) time.Duration
 }
 
@@ -55,7 +55,7 @@
 	defaults.Set(&c.MaxBufferedBytes, 16<<20)
 	defaults.Set(&c.Settle, 10*time.Second)
 	if c.LastRetry == nil {
-		c.LastRetry = func(platform.Stream) time.Duration { return lastRetry }
+		c.LastRetry = func(platform.Stream) time.Duration { return 0 }
 	}
 	return c
 }
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/go-faster/errors"
@@ -52,6 +53,11 @@
 	CacheRemote CacheTier = "remote"
 )
 
+// TierOf returns where a checkpoint is; what is not listed is remote.
+func TierOf(cached map[string]CacheTier, checkpoint string) CacheTier {
+	return cmp.Or(cached[checkpoint], CacheRemote)
+}
+
 // EngineStatus is what an engine says of itself.
 type EngineStatus struct {
 	// Incarnation changes when the engine restarts.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -90,12 +90,14 @@
 // checkAuthorities checks that authorities have something to check: otherwise
 // connections are in clear text where the settings look as if they were not.
 func checkAuthorities(level validator.StructLevel, common Common, urls ...string) {
-	secured := func(url string) bool { return strings.HasPrefix(strings.ToLower(url), "https:") }
-	if common.TLS.Platform.CAFile != "" && !slices.ContainsFunc(append(urls, common.Telemetry.OTLPEndpoint), secured) {
+	if common.TLS.Platform.CAFile != "" && !slices.ContainsFunc(append(urls, common.Telemetry.OTLPEndpoint), IsHTTPS) {
 		level.ReportError("", "tls.platform.ca_file", "CAFile", "https", "")
 	}
 }
 
+// IsHTTPS reports whether an address is called over TLS.
+func IsHTTPS(url string) bool { return strings.HasPrefix(strings.ToLower(url), "https:") }
+
 func checkEntryLimits(level validator.StructLevel) {
 	limits, ok := level.Current().Interface().(EntryLimits)
 	if ok && limits.MaxDeadline < limits.DefaultDeadline {
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -162,7 +162,7 @@
 	case platform.CacheMemory:
 		speed = e.cfg.MemorySpeed
 	}
-	ctxtime.Sleep(alive, time.Duration(float64(weights)/float64(speed)*float64(time.Second)))
+	ctxtime.Sleep(alive, weights.TimeAt(float64(speed)))
 	return nil
 }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -73,7 +73,7 @@
 	if err := s.starts.Wait(ctx); err != nil {
 		return errors.Wrap(platform.ErrUnavailable, "store rate")
 	}
-	work := time.Duration(float64(size) / float64(s.cfg.BytesPerSecond) * float64(time.Second))
+	work := size.TimeAt(float64(s.cfg.BytesPerSecond))
 	return s.weights.run(ctx, work)
 }
 
--- a/internal/state/names.go
+++ b/internal/state/names.go
@@ -125,6 +125,15 @@
 	return "0B"
 }
 
+// TimeAt returns how long b takes at a rate in bytes per second; zero if there
+// is no rate.
+func (b Bytes) TimeAt(perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(b) / perSecond * float64(time.Second))
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (b Bytes) MarshalText() ([]byte, error) { return []byte(b.String()), nil }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -83,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if authorities != nil && strings.HasPrefix(t.OTLPEndpoint, "https:") {
+	if authorities != nil && settings.IsHTTPS(t.OTLPEndpoint) {
 		options = append(options, otlpmetrichttp.WithTLSClientConfig(authorities))
 	}
 	exporter, err := otlpmetrichttp.New(ctx, options...)
