--- a/cmd/lagoonvalve/main.go
+++ b/cmd/lagoonvalve/main.go
@@ -33,6 +33,7 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			agentCommand(),
+			gatewayCommand(),
 			standinCommand(),
 			demoCommand(),
 			experimentsCommand(),
--- /dev/null
+++ b/internal/controller/board.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// board shows askers what the upstreams hold.
+type board struct {
+	now atomic.Pointer[shown]
+	// changed is closed when now is replaced.
+	changed atomic.Pointer[chan struct{}]
+	// revision numbers the changes; it belongs to the goroutine of Run.
+	revision uint64
+}
+
+// shown is what the controller last published. It is immutable.
+type shown struct {
+	term     state.FencingToken
+	revision uint64
+	lease    state.Offset
+	gateways int
+	entries  []shownEntry
+}
+
+type shownEntry struct {
+	revision uint64
+	rpc.UpstreamResidency
+}
+
+func (b *board) init() {
+	changed := make(chan struct{})
+	b.changed.Store(&changed)
+}
+
+func (b *board) load() *shown { return b.now.Load() }
+
+// publish replaces what is shown; nil shows that this is not the controller.
+func (b *board) publish(s *shown) {
+	b.now.Store(s)
+	next := make(chan struct{})
+	close(*b.changed.Swap(&next))
+}
+
+// show publishes what the engines serve, and wakes those who wait if that
+// has changed.
+func (c *Controller) show(token state.FencingToken) {
+	next := &shown{term: token, revision: c.shown.revision, lease: c.machine.Offset(), gateways: len(c.demand.gateways)}
+	for _, e := range c.engines {
+		if e.known {
+			next.entries = append(next.entries, shownEntry{e.revision, residencyOf(e)})
+		}
+	}
+	if before := c.shown.load(); before != nil && before.term == next.term && before.revision == next.revision {
+		c.shown.now.Store(next)
+		return
+	}
+	c.shown.publish(next)
+}
+
+func residencyOf(e *engine) rpc.UpstreamResidency {
+	entry := rpc.UpstreamResidency{Upstream: e.upstream.Name, Started: e.upstream.Started.UnixMilli()}
+	for _, r := range e.serving() {
+		entry.Replicas = append(entry.Replicas, rpc.HeldReplica{Model: r.Model, Adapters: r.Adapters})
+	}
+	return entry
+}
+
+func (b *board) close() { b.publish(nil) }
+
+// await answers once what is shown is newer than what the asker knows.
+func (b *board) await(ctx context.Context, params rpc.ResidencyParams) (rpc.ResidencyResult, error) {
+	timer := time.NewTimer(params.Wait.Std())
+	defer timer.Stop()
+	for {
+		changed := *b.changed.Load()
+		now := b.load()
+		if now == nil {
+			return rpc.ResidencyResult{}, errNotController()
+		}
+		if now.term != params.Term || now.revision != params.Revision {
+			return now.since(params), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return now.since(params), nil
+		case <-ctx.Done():
+			return rpc.ResidencyResult{}, ctx.Err()
+		}
+	}
+}
+
+// since returns the entries that have changed since the asker's revision.
+func (s *shown) since(params rpc.ResidencyParams) rpc.ResidencyResult {
+	result := rpc.ResidencyResult{Term: s.term, Revision: s.revision, Lease: s.lease, Gateways: s.gateways}
+	for _, e := range s.entries {
+		if s.term != params.Term || e.revision > params.Revision {
+			result.Upstreams = append(result.Upstreams, e.UpstreamResidency)
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,178 @@
+// Package controller is the part of a gateway that, while it holds the lease of
+// the deployment, gives the model engines their orders. All gateways run it;
+// the others only watch the lease. One goroutine owns its state.
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+// Options are what a controller needs.
+type Options struct {
+	// Name is the holder's name, different for each start of the process.
+	Name string
+	// Holder is the name that orders bear: that of the host.
+	Holder string
+	// Control is the address for other processes.
+	Control string
+	Lease   fleet.LeaseStore
+	Engines fleet.Engines
+	Logger  *slog.Logger
+	// Now is a clock that counts while the host is suspended.
+	Now      func() time.Time
+	Election election.Settings
+	// StoreLoadsAtOnce bounds the loads from the weight store under way.
+	StoreLoadsAtOnce int
+}
+
+// Fleet is what the controller acts on. It is immutable.
+type Fleet struct {
+	Manifest  *fleet.Manifest
+	Upstreams []*fleet.Upstream
+}
+
+const (
+	// tick is the time between plans while nothing happens.
+	tick = 100 * time.Millisecond
+	// standbyTick is the time between looks at the lease of another holder.
+	standbyTick = 250 * time.Millisecond
+	// readPace is the least time between reads of the lease.
+	readPace = 300 * time.Millisecond
+)
+
+// Controller watches the lease and, while it holds it, gives orders.
+type Controller struct {
+	opts   Options
+	events chan event
+	fleet  atomic.Pointer[Fleet]
+	leader atomic.Pointer[string]
+	shown  board
+
+	// The rest belongs to the goroutine of Run.
+	machine   *election.Machine
+	leaseBusy bool
+	lastRead  time.Time
+	acting    bool
+	engines   map[state.UpstreamName]*engine
+	demand    *demandTable
+	loads     loadBudget
+	leaving   bool
+}
+
+// event changes the state of a controller in its goroutine.
+type event func(c *Controller, now time.Time)
+
+// eventRoom is how many events may wait for the goroutine.
+const eventRoom = 256
+
+// New returns a controller that holds nothing.
+func New(opts Options) *Controller {
+	c := &Controller{
+		opts:    opts,
+		events:  make(chan event, eventRoom),
+		machine: election.NewMachine(opts.Name, opts.Control, opts.Election),
+		engines: make(map[state.UpstreamName]*engine),
+		demand:  newDemandTable(),
+	}
+	c.shown.init()
+	return c
+}
+
+// Update gives the controller the present fleet.
+func (c *Controller) Update(f *Fleet) { c.fleet.Store(f) }
+
+// Leader returns the control address of the lease's holder as far as known.
+func (c *Controller) Leader() string {
+	if addr := c.leader.Load(); addr != nil {
+		return *addr
+	}
+	return ""
+}
+
+// Heard notes that another process has answered as the controller with its
+// newest lease record at an offset.
+func (c *Controller) Heard(at state.Offset) {
+	c.post(func(c *Controller, now time.Time) { c.machine.Heard(at, now) })
+}
+
+// Lost notes that the holder does not answer, so that its lease is read again.
+func (c *Controller) Lost() {
+	c.post(func(c *Controller, _ time.Time) { c.machine.Refresh() })
+}
+
+// post hands an event over unless the goroutine is far behind.
+func (c *Controller) post(e event) {
+	select {
+	case c.events <- e:
+	default:
+		c.opts.Logger.Warn("controller event dropped")
+	}
+}
+
+// Run watches the lease and acts until ctx ends. Then it gives the lease up
+// within the time of one write.
+func (c *Controller) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.release()
+			return
+		case e := <-c.events:
+			e(c, c.opts.Now())
+			c.drainEvents()
+		case <-timer.C:
+		}
+		now := c.opts.Now()
+		c.stepLease(ctx, now)
+		c.act(ctx, now)
+		wait := standbyTick
+		if c.acting {
+			wait = tick
+		}
+		timer.Reset(wait)
+	}
+}
+
+// drainEvents takes what has come meanwhile, so that one plan serves it all.
+func (c *Controller) drainEvents() {
+	for {
+		select {
+		case e := <-c.events:
+			e(c, c.opts.Now())
+		default:
+			return
+		}
+	}
+}
+
+// errNotController is the answer of a process that does not hold the lease.
+func errNotController() error {
+	return verdict.Refuse(verdict.ReasonNotReady, "not the controller")
+}
+
+// Wanted takes a gateway's demand.
+func (c *Controller) Wanted(_ context.Context, params rpc.WantedParams) (rpc.WantedResult, error) {
+	if c.shown.load() == nil {
+		return rpc.WantedResult{}, errNotController()
+	}
+	c.post(func(c *Controller, now time.Time) { c.demand.report(params, now) })
+	return rpc.WantedResult{}, nil
+}
+
+// Residency answers with what the upstreams hold once that differs from what
+// the asker knows, or at the end of its wait.
+func (c *Controller) Residency(ctx context.Context, params rpc.ResidencyParams) (rpc.ResidencyResult, error) {
+	c.post(func(c *Controller, now time.Time) { c.demand.heard(params.Gateway, now) })
+	return c.shown.await(ctx, params)
+}
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -66,7 +66,7 @@
 // Decide returns how long to wait before a further attempt. It reports false,
 // and takes nothing from the budget, if there must be none.
 func (b *Budget) Decide(now time.Time, rng *rand.Rand, a Attempt) (time.Duration, bool) {
-	if !permits(a) || a.Number >= b.cfg.MaxAttempts || b.tokens < 1 {
+	if !b.Allows(now, a) {
 		return 0, false
 	}
 	wait := b.backoff(rng, a)
@@ -77,6 +77,12 @@
 	return wait, true
 }
 
+// Allows reports whether a further attempt could be made now, apart from its
+// delay. It takes nothing from the budget.
+func (b *Budget) Allows(now time.Time, a Attempt) bool {
+	return permits(a) && a.Number < b.cfg.MaxAttempts && b.tokens >= 1 && now.Add(a.Cost).Before(a.Deadline)
+}
+
 // permits reports whether the verdict allows a further attempt.
 func permits(a Attempt) bool {
 	if a.Streamed || a.Verdict == nil || !transient[a.Verdict.Reason] {
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
+
+const (
+	// holdShare is the part of a caller's patience that a request may wait for
+	// a load of its model or adapter.
+	holdShare = 0.7
+	// loadRetry is when callers may come back for a model that no upstream
+	// can load in time.
+	loadRetry = 500 * time.Millisecond
+	// unmeasured is the time to the first byte that is expected of an
+	// upstream before it was measured.
+	unmeasured = 100 * time.Millisecond
+)
+
+// delays weighs the way to an upstream against the load there.
+var delays = routing.DelayConfig{RegionPenalty: 2 * time.Millisecond, RemotePenalty: 60 * time.Millisecond}
+
+// place returns an upstream for the next sending. It waits for one while the
+// model or adapter is being loaded.
+func (x *exchange) place(ctx context.Context) (*member, *verdict.Verdict) {
+	began := time.Time{}
+	defer func() {
+		if !began.IsZero() {
+			x.gateway.wanted.wait(x.call.Target, -1)
+			x.waited += time.Since(began)
+		}
+	}()
+	for {
+		v := x.gateway.view.Load()
+		if m := x.choose(v); m != nil {
+			return m, nil
+		}
+		now := time.Now()
+		limit := x.holdUntil(v)
+		if !now.Before(limit) {
+			return nil, verdict.Refuse(verdict.ReasonNoReplica, "no upstream holds the model").WithRetryAfter(loadRetry)
+		}
+		if began.IsZero() {
+			began = now
+			x.gateway.wanted.wait(x.call.Target, 1)
+		}
+		timer := time.NewTimer(limit.Sub(now))
+		select {
+		case <-v.changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return nil, x.ended(ctx)
+		}
+	}
+}
+
+// holdUntil returns until when the request may wait. There is no use in waiting
+// for a model that no upstream can load before the deadline.
+func (x *exchange) holdUntil(v *view) time.Time {
+	limit := x.began.Add(time.Duration(holdShare * float64(x.deadline.Sub(x.began))))
+	service := v.manifest.Services[x.service]
+	if service == nil || service.Engine == nil || x.call.Model == "" {
+		return limit
+	}
+	spec, known := service.Engine.Models[x.call.Model]
+	if !known {
+		return x.began
+	}
+	if x.waited > 0 || held(v.service(x.service), fleet.Target{Model: spec.Name}) {
+		return limit
+	}
+	soonest := spec.FromStore
+	for _, m := range v.service(x.service) {
+		soonest = min(soonest, m.upstream.LoadTime(spec))
+	}
+	if x.began.Add(soonest).After(limit) {
+		return x.began
+	}
+	return limit
+}
+
+func held(members []*member, t fleet.Target) bool {
+	return slices.ContainsFunc(members, func(m *member) bool { return fleet.Holds(m.replicas, t) })
+}
+
+// choose returns the upstream with the smallest expected delay, or nil if none
+// can take the request. Upstreams that failed lately are used only if no other
+// holds the target.
+func (x *exchange) choose(v *view) *member {
+	now := time.Now()
+	members := v.service(x.service)
+	candidates := make([]routing.Candidate, 0, len(members))
+	ejected := 0
+	for i, m := range members {
+		if !fleet.Holds(m.replicas, x.call.Target) || slices.Contains(x.excluded, m.upstream.Name) {
+			continue
+		}
+		c := routing.Candidate{
+			Replica:       i,
+			Sent:          int(m.load.running.Load()),
+			Slots:         m.upstream.Slots,
+			Latency:       unmeasured,
+			Locality:      m.locality,
+			AdapterLoaded: true,
+			Ejected:       m.load.ejected(now),
+		}
+		if c.Ejected {
+			ejected++
+		}
+		candidates = append(candidates, c)
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	if ejected == len(candidates) {
+		for i := range candidates {
+			candidates[i].Ejected = false
+		}
+	}
+	i, ok := routing.LeastDelay{Config: delays}.Select(nil, candidates, routing.Request{Remote: true, Exclude: -1})
+	if !ok {
+		return nil
+	}
+	return members[candidates[i].Replica]
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	// followWait is how long a read waits for a change.
+	followWait = 10 * time.Second
+	// firstRetry and lastRetry bound the time between reads that fail.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+	// outageAfter is how long reads fail before entries that are missing
+	// afterwards are taken for lapsed.
+	outageAfter = 500 * time.Millisecond
+)
+
+// follower reads a feed and hands over its pages.
+type follower[T any] struct {
+	name   string
+	feed   fleet.Feed[T]
+	logger *slog.Logger
+	// pace is the least time between reads.
+	pace time.Duration
+	// apply takes a page; whole says that it has all keys, and outage that
+	// reads failed for a while before it.
+	apply func(page fleet.Page[T], whole, outage bool)
+
+	failedSince time.Time
+	retry       time.Duration
+}
+
+// run follows the feed until ctx ends.
+func (f *follower[T]) run(ctx context.Context) {
+	next := state.NoOffset
+	for ctx.Err() == nil {
+		began := time.Now()
+		page, err := f.read(ctx, next)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if errors.Is(err, platform.ErrTruncated) {
+				f.logger.Info("feed truncated", "feed", f.name, "from", next)
+				next = state.NoOffset
+			}
+			f.failed(ctx, err)
+			continue
+		}
+		outage := f.recovered()
+		f.apply(page, next == state.NoOffset, outage)
+		next = page.Next
+		ctxtime.Sleep(ctx, f.pace-time.Since(began))
+	}
+}
+
+func (f *follower[T]) read(ctx context.Context, next state.Offset) (fleet.Page[T], error) {
+	if next == state.NoOffset {
+		return f.feed.Newest(ctx)
+	}
+	return f.feed.Follow(ctx, next, followWait)
+}
+
+func (f *follower[T]) failed(ctx context.Context, err error) {
+	if f.failedSince.IsZero() {
+		f.failedSince, f.retry = time.Now(), firstRetry
+		f.logger.Warn("feed lost", "feed", f.name, "error", err)
+	}
+	ctxtime.Sleep(ctx, f.retry)
+	f.retry = min(2*f.retry, lastRetry)
+}
+
+// recovered notes a read that succeeded and reports whether reads had failed
+// for long.
+func (f *follower[T]) recovered() bool {
+	if f.failedSince.IsZero() {
+		return false
+	}
+	away := time.Since(f.failedSince)
+	f.failedSince = time.Time{}
+	f.logger.Info("feed regained", "feed", f.name, "away", away)
+	return away > outageAfter
+}
--- /dev/null
+++ b/internal/gateway/link.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	// residencyWait is how long the controller may hold a question.
+	residencyWait = 900 * time.Millisecond
+	// callTimeout bounds a call to the controller beyond that.
+	callTimeout = 700 * time.Millisecond
+	// linkRetry is the time between calls that fail.
+	linkRetry = 150 * time.Millisecond
+	// wantedEvery is the time between reports of demand.
+	wantedEvery = 500 * time.Millisecond
+	// wantedPace is the least time between two.
+	wantedPace = 10 * time.Millisecond
+)
+
+// followResidency keeps asking the controller what the upstreams hold.
+func (g *Gateway) followResidency(ctx context.Context) {
+	params := rpc.ResidencyParams{Gateway: g.opts.Name, Wait: state.Duration(residencyWait)}
+	lost := true
+	for ctx.Err() == nil {
+		result, err := g.askResidency(ctx, params)
+		if err != nil {
+			if !lost && ctx.Err() == nil {
+				g.opts.Logger.Warn("controller lost", "address", g.opts.Controller.Leader(), "error", err)
+			}
+			lost = true
+			g.opts.Controller.Lost()
+			ctxtime.Sleep(ctx, linkRetry)
+			continue
+		}
+		if lost {
+			g.opts.Logger.Info("controller answers", "address", g.opts.Controller.Leader(), "term", result.Term)
+		}
+		lost = false
+		params.Term, params.Revision = result.Term, result.Revision
+		g.gateways.Store(int32(result.Gateways))
+		g.opts.Controller.Heard(result.Lease)
+		g.post(ctx, func(t *tables, now time.Time) bool { return t.applyResidency(result, now) })
+	}
+}
+
+func (g *Gateway) askResidency(ctx context.Context, params rpc.ResidencyParams) (result rpc.ResidencyResult, err error) {
+	ctx, cancel := context.WithTimeout(ctx, residencyWait+callTimeout)
+	defer cancel()
+	addr := g.opts.Controller.Leader()
+	switch addr {
+	case "", g.opts.Control:
+		return g.opts.Controller.Residency(ctx, params)
+	default:
+		err = g.opts.Caller.Call(ctx, addr, rpc.MethodResidency, params, &result)
+		return result, err
+	}
+}
+
+// reportWanted tells the controller what callers want.
+func (g *Gateway) reportWanted(ctx context.Context) {
+	ticker := time.NewTicker(wantedEvery)
+	defer ticker.Stop()
+	empty := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wanted.kick:
+		case <-ticker.C:
+		}
+		list := g.wanted.take()
+		if len(list) == 0 && empty {
+			continue
+		}
+		err := g.sendWanted(ctx, rpc.WantedParams{Gateway: g.opts.Name, Targets: list})
+		if err != nil {
+			g.wanted.giveBack(list)
+		}
+		empty = len(list) == 0 && err == nil
+		ctxtime.Sleep(ctx, wantedPace)
+	}
+}
+
+func (g *Gateway) sendWanted(ctx context.Context, params rpc.WantedParams) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	addr := g.opts.Controller.Leader()
+	switch addr {
+	case "", g.opts.Control:
+		_, err := g.opts.Controller.Wanted(ctx, params)
+		return err
+	default:
+		var result rpc.WantedResult
+		return g.opts.Caller.Call(ctx, addr, rpc.MethodWanted, params, &result)
+	}
+}
--- /dev/null
+++ b/internal/gateway/tables.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	// returnGrace is how long an upstream whose entry lapsed while the store
+	// was away may take to come back after the store's return.
+	returnGrace = 2200 * time.Millisecond
+	// residencyLife is how long the controller's word counts without a sign
+	// of it.
+	residencyLife = 3 * time.Second
+)
+
+// tables hold what the gateway believes. They belong to its control goroutine.
+type tables struct {
+	dataCentre state.DataCentre
+	regionOf   map[state.DataCentre]state.Region
+
+	manifest  *fleet.Manifest
+	upstreams map[state.UpstreamName]*upstreamRow
+	// nextIndex numbers the upstreams seen.
+	nextIndex int
+
+	residency map[state.UpstreamName]rpc.UpstreamResidency
+	term      state.FencingToken
+	revision  uint64
+	// residencyAt is when the controller answered last.
+	residencyAt time.Time
+}
+
+// upstreamRow is an upstream of the registry.
+type upstreamRow struct {
+	upstream *fleet.Upstream
+	load     *load
+	// goneAt is when an upstream whose entry is missing is dropped; zero for
+	// one that is there.
+	goneAt time.Time
+}
+
+func newTables(dc state.DataCentre, regionOf map[state.DataCentre]state.Region) *tables {
+	return &tables{
+		dataCentre: dc,
+		regionOf:   regionOf,
+		upstreams:  make(map[state.UpstreamName]*upstreamRow),
+		residency:  make(map[state.UpstreamName]rpc.UpstreamResidency),
+	}
+}
+
+// applyManifest takes a manifest unless it is older than the one in force.
+func (t *tables) applyManifest(m *fleet.Manifest) bool {
+	if t.manifest != nil && m.Version <= t.manifest.Version {
+		return false
+	}
+	t.manifest = m
+	return true
+}
+
+// applyUpstream takes an entry of the registry unless a later one is known. It
+// returns the row if the upstream is new or has changed its state.
+func (t *tables) applyUpstream(u *fleet.Upstream) (changed bool) {
+	row, ok := t.upstreams[u.Name]
+	if !ok {
+		t.upstreams[u.Name] = &upstreamRow{upstream: u, load: t.newLoad()}
+		return true
+	}
+	if !u.Supersedes(row.upstream) {
+		return false
+	}
+	row.goneAt = time.Time{}
+	changed = u.Draining != row.upstream.Draining || !u.Started.Equal(row.upstream.Started)
+	if !u.Started.Equal(row.upstream.Started) {
+		row.load = t.newLoad()
+	}
+	row.upstream = u
+	return changed
+}
+
+func (t *tables) newLoad() *load {
+	t.nextIndex++
+	return &load{index: t.nextIndex}
+}
+
+// removeUpstream drops an upstream whose entry is missing, after a grace if
+// the store was away.
+func (t *tables) removeUpstream(name state.UpstreamName, now time.Time, grace bool) {
+	row, ok := t.upstreams[name]
+	if !ok || !row.goneAt.IsZero() {
+		return
+	}
+	if grace {
+		row.goneAt = now.Add(returnGrace)
+		return
+	}
+	delete(t.upstreams, name)
+}
+
+// expire drops the upstreams whose grace is over.
+func (t *tables) expire(now time.Time) (dropped []state.UpstreamName) {
+	for name, row := range t.upstreams {
+		if !row.goneAt.IsZero() && !now.Before(row.goneAt) {
+			delete(t.upstreams, name)
+			dropped = append(dropped, name)
+		}
+	}
+	return dropped
+}
+
+// applyResidency takes an answer of the controller.
+func (t *tables) applyResidency(r rpc.ResidencyResult, now time.Time) (changed bool) {
+	changed = t.term != r.Term || t.revision != r.Revision || now.Sub(t.residencyAt) > residencyLife
+	if t.term != r.Term {
+		clear(t.residency)
+	}
+	t.term, t.revision, t.residencyAt = r.Term, r.Revision, now
+	for _, u := range r.Upstreams {
+		t.residency[u.Upstream] = u
+	}
+	return changed
+}
+
+// replicas returns what an upstream holds: by the controller's word while that
+// is fresh and about this start of the upstream.
+func (t *tables) replicas(u *fleet.Upstream, now time.Time) []fleet.Replica {
+	entry, ok := t.residency[u.Name]
+	if !ok || now.Sub(t.residencyAt) > residencyLife || entry.Started != u.Started.UnixMilli() {
+		return u.Replicas
+	}
+	replicas := make([]fleet.Replica, len(entry.Replicas))
+	for i, r := range entry.Replicas {
+		replicas[i] = fleet.Replica{Model: r.Model, Adapters: r.Adapters}
+	}
+	return replicas
+}
+
+func (t *tables) locality(dc state.DataCentre) routing.Locality {
+	switch {
+	case dc == t.dataCentre:
+		return routing.SameDataCentre
+	case t.regionOf[dc] == t.regionOf[t.dataCentre]:
+		return routing.SameRegion
+	default:
+		return routing.OtherRegion
+	}
+}
+
+// view makes a view of the present tables.
+func (t *tables) view(now time.Time) *view {
+	v := &view{
+		manifest:  t.manifest,
+		byService: make(map[state.ServiceName][]*member),
+		changed:   make(chan struct{}),
+	}
+	for _, row := range t.sorted() {
+		u := row.upstream
+		if u.Draining {
+			continue
+		}
+		v.byService[u.Service] = append(v.byService[u.Service], &member{
+			upstream: u,
+			replicas: t.replicas(u, now),
+			locality: t.locality(u.DataCentre),
+			load:     row.load,
+		})
+	}
+	return v
+}
+
+// fleet returns what the controller acts on.
+func (t *tables) fleet() *controller.Fleet {
+	f := &controller.Fleet{Manifest: t.manifest}
+	for _, row := range t.sorted() {
+		f.Upstreams = append(f.Upstreams, row.upstream)
+	}
+	return f
+}
+
+func (t *tables) sorted() []*upstreamRow {
+	rows := make([]*upstreamRow, 0, len(t.upstreams))
+	for _, row := range t.upstreams {
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b *upstreamRow) int {
+		return strings.Compare(string(a.upstream.Name), string(b.upstream.Name))
+	})
+	return rows
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/health"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// view is what requests are routed by. It is immutable but for the load of the
+// upstreams, which all views share.
+type view struct {
+	manifest  *fleet.Manifest
+	byService map[state.ServiceName][]*member
+	// changed is closed when a newer view is published.
+	changed chan struct{}
+}
+
+// member is an upstream that takes requests.
+type member struct {
+	upstream *fleet.Upstream
+	// replicas is what it holds by the latest word, from the controller or
+	// from the upstream itself.
+	replicas []fleet.Replica
+	locality routing.Locality
+	load     *load
+}
+
+// load is a gateway's own experience of an upstream. It lasts as long as the
+// upstream's process.
+type load struct {
+	// index names the upstream in tables of the routing decisions.
+	index   int
+	running atomic.Int32
+
+	mu     sync.Mutex
+	health health.Record
+}
+
+func (l *load) ejected(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.health.Ejected(now)
+}
+
+// ended notes how a request to the upstream ended.
+func (l *load) ended(ok bool, now time.Time, cfg health.Config) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok {
+		l.health.Succeeded()
+	} else {
+		l.health.Failed(now, cfg)
+	}
+}
+
+// service returns the upstreams of a service.
+func (v *view) service(name state.ServiceName) []*member { return v.byService[name] }
--- /dev/null
+++ b/internal/roles/gateway.go
@@ -0,0 +1,110 @@
+package roles
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/boottime"
+	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/gateway"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/settings"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// GatewayPlatform is what a platform gives to a gateway.
+type GatewayPlatform struct {
+	Manifests fleet.Feed[fleet.Manifest]
+	Upstreams fleet.Feed[fleet.Upstream]
+	Lease     fleet.LeaseStore
+	Engines   fleet.Engines
+	Dialect   fleet.Dialect
+	// ReadyPath is where the load balancer asks for readiness.
+	ReadyPath string
+}
+
+// leaseMargin is how much earlier than the lease's end its holder stops. It
+// covers the time from the last check to an order's arrival.
+const leaseMargin = 500 * time.Millisecond
+
+// StartGateway runs a gateway until ctx ends.
+func StartGateway(ctx context.Context, cfg settings.Gateway, on GatewayPlatform, process Process[settings.Gateway]) error {
+	listeners, err := bindGateway(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	go reload(ctx, cfg, process, func(settings.Gateway) {})
+	client := rpc.NewClient()
+	defer client.Close()
+	name := fmt.Sprintf("%s/%d", cfg.Name, time.Now().UnixNano())
+	process.Logger.Info("gateway starts", "holder", name, "data_centre", cfg.DataCentre, "store", cfg.Store, "pid", os.Getpid())
+	leader := controller.New(controller.Options{
+		Name:    name,
+		Holder:  string(cfg.Host),
+		Control: cfg.Listen.Control,
+		Lease:   on.Lease,
+		Engines: on.Engines,
+		Logger:  process.Logger,
+		Now:     boottime.Now,
+		Election: election.Settings{
+			TTL: cfg.Lease.TTL.Std(), Renew: cfg.Lease.Renew.Std(), Margin: leaseMargin, Settle: cfg.Lease.Settle.Std(),
+		},
+		StoreLoadsAtOnce: cfg.StoreLoadsAtOnce,
+	})
+	g := gateway.New(gateway.Options{
+		Name:        name,
+		Control:     cfg.Listen.Control,
+		DataCentre:  cfg.DataCentre,
+		RegionOf:    regions(cfg.DataCentres),
+		Manifests:   on.Manifests,
+		Upstreams:   on.Upstreams,
+		Dialect:     on.Dialect,
+		Controller:  leader,
+		Caller:      client,
+		Logger:      process.Logger,
+		RetryShare:  cfg.Retries.Share,
+		RetrySlack:  cfg.Retries.Slack,
+		DrainFor:    (cfg.Shutdown.DrainTimeout - cfg.Shutdown.StopTimeout).Std(),
+		RefuseAfter: cfg.RefuseAfter.Std(),
+	})
+	err = g.Run(ctx, listeners, readiness(on.ReadyPath, g.Ready))
+	process.Logger.Info("gateway ends", "error", err)
+	return err
+}
+
+func regions(list []settings.DataCentre) map[state.DataCentre]state.Region {
+	regionOf := make(map[state.DataCentre]state.Region, len(list))
+	for _, dc := range list {
+		regionOf[dc.Name] = dc.Region
+	}
+	return regionOf
+}
+
+// readiness answers the load balancer.
+func readiness(path string, ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func bindGateway(ctx context.Context, cfg settings.Gateway) (listeners gateway.Listeners, err error) {
+	for _, one := range []struct {
+		addr string
+		into *net.Listener
+	}{{cfg.Listen.Callers, &listeners.Callers}, {cfg.ReadyListen, &listeners.Ready}, {cfg.Listen.Control, &listeners.Control}} {
+		if *one.into, err = bind(ctx, one.addr, nil); err != nil {
+			return listeners, err
+		}
+	}
+	return listeners, nil
+}
--- /dev/null
+++ b/internal/rpc/controller.go
@@ -0,0 +1,66 @@
+package rpc
+
+import "github.com/lagoonvalve/lagoonvalve/internal/state"
+
+// Methods that gateways serve. Only the elected controller answers them.
+const (
+	MethodResidency = "controller.residency"
+	MethodWanted    = "controller.wanted"
+)
+
+// TargetDemand is what a gateway's callers want of a model or an adapter.
+type TargetDemand struct {
+	Model   state.ModelName   `json:"m"`
+	Adapter state.AdapterName `json:"a,omitempty"`
+	// Waiting requests have no upstream that holds the target.
+	Waiting int `json:"w,omitempty"`
+	// Running requests have been sent to an upstream.
+	Running int `json:"r,omitempty"`
+	// Arrived counts requests since the report before.
+	Arrived int `json:"n,omitempty"`
+}
+
+// WantedParams tells the controller what a gateway's callers want. It replaces
+// the gateway's report before.
+type WantedParams struct {
+	Gateway string         `json:"gateway"`
+	Targets []TargetDemand `json:"targets"`
+}
+
+// WantedResult answers WantedParams.
+type WantedResult struct{}
+
+// ResidencyParams asks what the upstreams hold.
+type ResidencyParams struct {
+	Gateway string `json:"gateway"`
+	// Term and Revision are those of the answer before; zero for all.
+	Term     state.FencingToken `json:"term,omitempty"`
+	Revision uint64             `json:"revision,omitempty"`
+	// Wait is how long to wait for a change.
+	Wait state.Duration `json:"wait,omitempty"`
+}
+
+// HeldReplica is a model that an upstream holds.
+type HeldReplica struct {
+	Model    state.ModelName     `json:"m"`
+	Adapters []state.AdapterName `json:"a,omitempty"`
+}
+
+// UpstreamResidency is what an upstream holds and serves now.
+type UpstreamResidency struct {
+	Upstream state.UpstreamName `json:"u"`
+	// Started is the Unix millisecond of the upstream's start.
+	Started  int64         `json:"s"`
+	Replicas []HeldReplica `json:"r,omitempty"`
+}
+
+// ResidencyResult answers ResidencyParams with the upstreams that have changed
+// since Revision.
+type ResidencyResult struct {
+	Term     state.FencingToken `json:"term"`
+	Revision uint64             `json:"revision"`
+	// Lease is the offset of the controller's newest lease record.
+	Lease     state.Offset        `json:"lease"`
+	Gateways  int                 `json:"gateways"`
+	Upstreams []UpstreamResidency `json:"upstreams,omitempty"`
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -15,7 +15,7 @@
 const maxFileBytes = 4 << 20
 
 // Settings are the settings of one role.
-type Settings interface{ Entry | Agent }
+type Settings interface{ Entry | Agent | Gateway }
 
 // Mistake is one mistake in a settings file.
 type Mistake struct {
@@ -97,6 +97,8 @@
 		*s = DefaultEntry()
 	case *Agent:
 		*s = DefaultAgent()
+	case *Gateway:
+		*s = DefaultGateway()
 	}
 	return settings
 }
