gateway: end the open requests of a planned stop with a verdict

Change: requests end 300 ms before the stop's end, with a verdict that counts all sendings. Refusals are logged with the request's id.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -55,8 +55,11 @@
 // left.
 func (x *exchange) ended(ctx context.Context) *verdict.Verdict {
 	reason := verdict.ReasonDeadlineExceeded
-	if x.r.Context().Err() != nil {
+	switch {
+	case x.r.Context().Err() != nil:
 		reason = verdict.ReasonCallerGone
+	case x.gateway.stopped.Err() != nil:
+		reason = verdict.ReasonDraining
 	}
 	if x.runs > 0 {
 		return verdict.Unknown(reason, ctx.Err().Error())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,9 @@
 	// open counts the requests being served.
 	open     atomic.Int64
 	stopping atomic.Pointer[time.Time]
+	// stopped ends shortly before the end of a planned stop.
+	stopped context.Context
+	endStop context.CancelFunc
 	gateways atomic.Int32
 
 	budgets budgets
@@ -95,6 +98,7 @@
 		wanted:  newWanted(),
 		budgets: budgets{byService: make(map[state.ServiceName]*retry.Budget)},
 	}
+	g.stopped, g.endStop = context.WithCancel(context.Background())
 	g.view.Store(newTables(opts.DataCentre, opts.RegionOf).view(time.Now()))
 	return g
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -68,6 +68,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline.Add(endSlack))
 	defer cancel()
+	// The end of a planned stop leaves each request the time for a verdict.
+	defer context.AfterFunc(g.stopped, cancel)()
 	g.wanted.arrived(x.call.Target)
 	g.countFirst(x.service)
 	v := x.run(ctx)
@@ -85,6 +87,10 @@
 // prepare reads the request and finds its route.
 func (x *exchange) prepare() *verdict.Verdict {
 	g := x.gateway
+	var err error
+	if x.call, err = g.opts.Dialect.Call(x.r.Header); err != nil {
+		g.opts.Logger.Warn("request headers unread", "request", x.call.ID, "error", err)
+	}
 	manifest := g.view.Load().manifest
 	if manifest == nil {
 		return verdict.Refuse(verdict.ReasonNotReady, "no manifest known").WithRetryAfter(startRetry)
@@ -92,10 +98,6 @@
 	if g.refusesNew(x.began) {
 		return verdict.Refuse(verdict.ReasonDraining, "planned stop").WithRetryAfter(time.Millisecond)
 	}
-	var err error
-	if x.call, err = g.opts.Dialect.Call(x.r.Header); err != nil {
-		g.opts.Logger.Warn("request headers unread", "request", x.call.ID, "error", err)
-	}
 	x.route = manifest.Match(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
 		return verdict.Refuse(verdict.ReasonNotFound, "no route")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,6 +19,9 @@
 	// idleTimeout is longer than callers keep idle connections, so that no
 	// request meets the closing of one.
 	idleTimeout = time.Minute
+	// verdictTime is the last part of a planned stop, in which requests that
+	// are still open end with a verdict.
+	verdictTime = 300 * time.Millisecond
 	// openPoll is the time between looks at the open requests of a stop.
 	openPoll = 20 * time.Millisecond
 )
@@ -76,6 +79,8 @@
 	g.stopping.Store(&began)
 	g.opts.Logger.Info("stop begins", "open", g.open.Load())
 	end := began.Add(g.opts.DrainFor)
+	verdicts := time.AfterFunc(g.opts.DrainFor-verdictTime, g.endStop)
+	defer verdicts.Stop()
 	for time.Now().Before(end) {
 		if time.Since(began) > g.opts.RefuseAfter && g.open.Load() == 0 {
 			break
