gateway: notice silent connections to the store in time for a manifest

Change: reads wait 1.5 s, the first after a failure not at all, and calls to the store time out after 1 s.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// followWait is how long a read waits for a change.
-	followWait = 10 * time.Second
+	// followWait is how long a read waits for a change. A read whose connection
+	// falls silent is noticed only after it, and a change must be in force
+	// within about 3 s.
+	followWait = 1500 * time.Millisecond
 	// firstRetry and lastRetry bound the time between reads that fail.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
@@ -67,7 +69,12 @@
 	if next == state.NoOffset {
 		return f.feed.Newest(ctx)
 	}
-	return f.feed.Follow(ctx, next, followWait)
+	wait := followWait
+	if !f.failedSince.IsZero() {
+		// The first answer after an outage is wanted at once.
+		wait = 0
+	}
+	return f.feed.Follow(ctx, next, wait)
 }
 
 func (f *follower[T]) failed(ctx context.Context, err error) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -15,7 +15,7 @@
 	// Store is the address of the platform's store, "host:port". Required.
 	Store string `toml:"store" validate:"required,dial_address"`
 	// StoreTimeout bounds a call to the store beyond the time that the call
-	// itself asks the store to wait. Default 2s.
+	// itself asks the store to wait. Default 1s.
 	StoreTimeout state.Duration `toml:"store_timeout" validate:"min_duration=10ms,max_duration=1m"`
 	// EngineTimeout bounds a call to the control side of an engine.
 	// Default 1s.
@@ -68,7 +68,7 @@
 func DefaultGateway() Gateway {
 	g := Gateway{
 		Common:           defaultCommon(),
-		StoreTimeout:     state.Duration(2 * time.Second),
+		StoreTimeout:     state.Duration(time.Second),
 		EngineTimeout:    state.Duration(time.Second),
 		RefuseAfter:      state.Duration(2500 * time.Millisecond),
 		StoreLoadsAtOnce: 4,
