controller, residency: reserve room made for a model, replicas by need, rates from gateways

Change: an unload reserves its room; replicas by rate and running requests; gateways report rates, and a new holder waits 0.6 s for them; conflicting orders are sent again after 40 ms, doubling; a stream is held 0.7 of the time for which its caller waits.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -42,7 +42,7 @@
 
 const (
 	// tick is the time between plans while nothing happens.
-	tick = 100 * time.Millisecond
+	tick = 50 * time.Millisecond
 	// standbyTick is the time between looks at the lease of another holder.
 	standbyTick = 250 * time.Millisecond
 	// readPace is the least time between reads of the lease.
@@ -62,10 +62,12 @@
 	leaseBusy bool
 	lastRead  time.Time
 	acting    bool
-	engines   map[state.UpstreamName]*engine
-	demand    *demandTable
-	loads     loadBudget
-	leaving   bool
+	// actingSince is when acting began or ended.
+	actingSince time.Time
+	engines     map[state.UpstreamName]*engine
+	demand      *demandTable
+	loads       loadBudget
+	leaving     bool
 }
 
 // event changes the state of a controller in its goroutine.
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"math"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/residency"
@@ -9,19 +8,12 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 )
 
-const (
-	// reportLife is how long a gateway's report counts.
-	reportLife = 3 * time.Second
-	// rateWindow is the time constant of the rates of requests.
-	rateWindow = 8 * time.Second
-	// forgetRate is the rate below which a target is forgotten.
-	forgetRate = 1e-3
-)
+// reportLife is how long a gateway's report counts.
+const reportLife = 3 * time.Second
 
 // demandTable holds what the callers of all gateways want.
 type demandTable struct {
 	gateways map[string]*gatewayReport
-	rates    map[fleet.Target]*rate
 }
 
 type gatewayReport struct {
@@ -29,26 +21,8 @@
 	targets []rpc.TargetDemand
 }
 
-// rate is an exponentially weighted rate of events per second.
-type rate struct {
-	perSecond float64
-	at        time.Time
-}
-
-func (r *rate) add(n int, now time.Time) {
-	r.decay(now)
-	r.perSecond += float64(n) / rateWindow.Seconds()
-}
-
-func (r *rate) decay(now time.Time) {
-	if d := now.Sub(r.at); d > 0 {
-		r.perSecond *= math.Exp(-d.Seconds() / rateWindow.Seconds())
-		r.at = now
-	}
-}
-
 func newDemandTable() *demandTable {
-	return &demandTable{gateways: make(map[string]*gatewayReport), rates: make(map[fleet.Target]*rate)}
+	return &demandTable{gateways: make(map[string]*gatewayReport)}
 }
 
 func (t *demandTable) heard(gateway string, now time.Time) *gatewayReport {
@@ -63,52 +37,30 @@
 
 func (t *demandTable) report(params rpc.WantedParams, now time.Time) {
 	t.heard(params.Gateway, now).targets = params.Targets
-	for _, d := range params.Targets {
-		t.arrived(fleet.Target{Model: d.Model}, d.Arrived, now)
-		if d.Adapter != "" {
-			t.arrived(fleet.Target{Model: d.Model, Adapter: d.Adapter}, d.Arrived, now)
-		}
-	}
-}
-
-func (t *demandTable) arrived(target fleet.Target, n int, now time.Time) {
-	r, ok := t.rates[target]
-	if !ok {
-		r = &rate{at: now}
-		t.rates[target] = r
-	}
-	r.add(n, now)
 }
 
-// current returns the demand of all targets and drops what is old.
+// current returns the demand of all targets and drops gateways that are silent.
 func (t *demandTable) current(now time.Time) map[fleet.Target]residency.Demand {
-	all := make(map[fleet.Target]residency.Demand, len(t.rates))
-	for target, r := range t.rates {
-		r.decay(now)
-		if r.perSecond < forgetRate {
-			delete(t.rates, target)
-			continue
-		}
-		all[target] = residency.Demand{Rate: r.perSecond}
-	}
+	all := make(map[fleet.Target]residency.Demand)
 	for name, g := range t.gateways {
 		if now.Sub(g.heard) > reportLife {
 			delete(t.gateways, name)
 			continue
 		}
 		for _, d := range g.targets {
-			addGauges(all, fleet.Target{Model: d.Model}, d)
+			add(all, fleet.Target{Model: d.Model}, d)
 			if d.Adapter != "" {
-				addGauges(all, fleet.Target{Model: d.Model, Adapter: d.Adapter}, d)
+				add(all, fleet.Target{Model: d.Model, Adapter: d.Adapter}, d)
 			}
 		}
 	}
 	return all
 }
 
-func addGauges(all map[fleet.Target]residency.Demand, target fleet.Target, d rpc.TargetDemand) {
+func add(all map[fleet.Target]residency.Demand, target fleet.Target, d rpc.TargetDemand) {
 	sum := all[target]
 	sum.Waiting += d.Waiting
 	sum.Running += d.Running
+	sum.Rate += d.Rate
 	all[target] = sum
 }
--- a/internal/controller/engine.go
+++ b/internal/controller/engine.go
@@ -19,6 +19,12 @@
 	// The engine accepts at most one of the two, since both expect the same
 	// number of orders before.
 	resendAfter = 700 * time.Millisecond
+	// conflictPause is the first pause before an order that met another one is
+	// sent again; it doubles.
+	conflictPause = 40 * time.Millisecond
+	maxConflicts  = 4
+	// reservedFor is how long room is kept for a model after an unload.
+	reservedFor = 3 * time.Second
 	// disagreeFor is how long the registry may show something else than what
 	// the controller believes before it asks the engine.
 	disagreeFor = 4 * time.Second
@@ -31,6 +37,7 @@
 	orderSending orderState = iota + 1
 	orderAccepted
 	orderUnknown
+	orderConflicted
 )
 
 // pendingOrder is an order that may still change what an engine holds.
@@ -39,8 +46,12 @@
 	state     orderState
 	fromStore bool
 	sent      time.Time
-	// due is when it should be carried out.
-	due time.Time
+	// takes is how long the load of a model takes.
+	takes time.Duration
+	// due is when it should be carried out, or when a conflicting order is
+	// sent again.
+	due       time.Time
+	conflicts int
 }
 
 // engine is what the controller believes of a model engine. Its life begins
@@ -53,6 +64,9 @@
 	replicas         []fleet.Replica
 	inMemory, onDisk []state.ModelName
 	pending          *pendingOrder
+	// reserved is the model that the last unload made room for.
+	reserved   state.ModelName
+	reservedAt time.Time
 	polling          bool
 	nextPoll         time.Time
 	// changed is when replicas changed last, and revision numbers that change
@@ -70,6 +84,16 @@
 	return e.replicas
 }
 
+// reservation returns the model that room is kept for. Whoever waited for it may
+// be gone, so it lapses.
+func (e *engine) reservation(now time.Time) state.ModelName {
+	lapsed := e.pending == nil && now.Sub(e.reservedAt) > reservedFor
+	if e.reserved == "" || lapsed || fleet.Holds(e.replicas, fleet.Target{Model: e.reserved}) {
+		e.reserved = ""
+	}
+	return e.reserved
+}
+
 // update takes an entry of the registry.
 func (e *engine) update(u *fleet.Upstream, now time.Time) {
 	if !u.Started.Equal(e.upstream.Started) {
@@ -172,6 +196,15 @@
 	return p.state == orderUnknown || p.state == orderAccepted && longOrder(p.Order) && !now.Before(p.due)
 }
 
+// needsResend reports whether to send the pending order once more.
+func (e *engine) needsResend(now time.Time) bool {
+	p := e.pending
+	if p == nil || !e.known {
+		return false
+	}
+	return p.state == orderUnknown && now.Sub(p.sent) > resendAfter || p.state == orderConflicted && !now.Before(p.due)
+}
+
 // poll asks an engine for its report.
 func (c *Controller) poll(ctx context.Context, e *engine, now time.Time) {
 	e.polling, e.nextPoll = true, now.Add(pollEvery)
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -16,6 +16,10 @@
 	storeBurst = 2.0
 )
 
+// demandGrace is how long a new holder waits for the gateways' reports before
+// it makes a plan.
+const demandGrace = 600 * time.Millisecond
+
 // unloadNotice is how long before an unload the gateways are told, so that
 // their requests go elsewhere.
 const unloadNotice = 50 * time.Millisecond
@@ -52,10 +56,14 @@
 		if e.needsReport(now) {
 			c.poll(ctx, e, now)
 		}
-		if p := e.pending; p != nil && p.state == orderUnknown && now.Sub(p.sent) > resendAfter && e.known {
+		if e.needsResend(now) {
 			c.send(ctx, e, now)
 		}
 	}
+	if now.Sub(c.actingSince) < demandGrace {
+		c.show(token)
+		return
+	}
 	demand := c.demand.current(now)
 	for _, service := range f.Manifest.Services {
 		if service.Engine != nil {
@@ -68,7 +76,7 @@
 // switchOver begins or ends the work of a holder. A new holder knows nothing:
 // it asks each engine, and starts no load from the store at once.
 func (c *Controller) switchOver(token state.FencingToken, holds bool, now time.Time) {
-	c.acting = holds
+	c.acting, c.actingSince = holds, now
 	c.engines = make(map[state.UpstreamName]*engine)
 	c.loads = loadBudget{at: now}
 	c.opts.Logger.Info("controller acts", "acting", holds, "term", token)
@@ -111,6 +119,7 @@
 		view := residency.Upstream{
 			Name: e.upstream.Name, DataCentre: e.upstream.DataCentre,
 			Replicas: e.replicas, InMemory: e.inMemory, OnDisk: e.onDisk,
+			Reserved: e.reservation(now),
 		}
 		if e.pending != nil {
 			view.Pending = &e.pending.Order
@@ -140,11 +149,14 @@
 		c.loads.tokens--
 	}
 	e.pending = p
+	if step.Reserve != "" {
+		e.reserved, e.reservedAt = step.Reserve, now
+	}
 	c.opts.Logger.Info("order", "kind", p.Kind.String(), "model", p.Model, "adapter", p.Adapter, "upstream", step.Upstream,
 		"expect", p.Expect, "term", token, "from_store", p.fromStore, "waiting", demand.Waiting, "rate", demand.Rate)
 	p.due = now.Add(shortOrder)
 	if longOrder(p.Order) {
-		p.due = now.Add(fleet.LoadTime(service.Engine.Models[p.Model], e.inMemory, e.onDisk))
+		p.takes = fleet.LoadTime(service.Engine.Models[p.Model], e.inMemory, e.onDisk)
 	}
 	if p.Kind == fleet.Unload {
 		c.changed(e, now)
@@ -158,6 +170,9 @@
 	p, u, until := e.pending, e.upstream, c.machine.ValidUntil()
 	first := p.state == 0
 	p.state, p.sent = orderSending, now
+	if p.Kind == fleet.Load && longOrder(p.Order) {
+		p.due = now.Add(p.takes)
+	}
 	go func() {
 		if first && p.Kind == fleet.Unload {
 			time.Sleep(unloadNotice)
@@ -191,6 +206,8 @@
 		c.changed(e, now)
 	case fleet.OrderUnknown:
 		p.state = orderUnknown
+	case fleet.OrderConflict:
+		c.conflicted(e, p, now)
 	default:
 		e.pending = nil
 		e.known = false
@@ -199,6 +216,21 @@
 	}
 }
 
+// conflicted takes the refusal of an order because another is in progress or
+// because the number of accepted orders differs. The former is likely after an
+// unload, which waits for running requests, so the order is sent some times
+// more before a report is asked for.
+func (c *Controller) conflicted(e *engine, p *pendingOrder, now time.Time) {
+	p.conflicts++
+	if p.conflicts <= maxConflicts {
+		p.state, p.due = orderConflicted, now.Add(conflictPause<<(p.conflicts-1))
+		return
+	}
+	e.pending, e.known = nil, false
+	e.nextPoll = now
+	c.changed(e, now)
+}
+
 // changed notes that an engine serves something else.
 func (c *Controller) changed(e *engine, now time.Time) {
 	c.shown.revision++
--- a/internal/decide/residency/residency.go
+++ b/internal/decide/residency/residency.go
@@ -9,7 +9,6 @@
 	"maps"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -24,6 +23,9 @@
 	// Pending is the order under way, or one whose outcome is not known; nil
 	// if the upstream can take an order.
 	Pending *fleet.Order
+	// Reserved is the model that an unload made or makes room for; empty for
+	// none.
+	Reserved state.ModelName
 }
 
 // Demand is what callers want of a target. That of a model includes that of its
@@ -52,24 +54,36 @@
 	fleet.Target
 	// FromStore says that the load needs the weight store.
 	FromStore bool
+	// Reserve is the model that an unload makes room for.
+	Reserve state.ModelName
 }
 
 const (
-	// spareRate is the rate of requests per second and replica from which a
-	// model gets a further replica where there is free memory.
+	// spareRate is the rate of requests per second from which a model gets a
+	// second replica, so that the loss of one leaves it served.
 	spareRate = 0.5
-	// idleRate is the rate below which a replica may give way to a spare one
-	// of another model.
-	idleRate = 0.02
+	// replicaRate is the rate that one replica is to serve.
+	replicaRate = 2.5
+	// replicaLoad is the share of a replica's slots that are to be taken.
+	replicaLoad = 0.3
+	// spareWeight is what a replica that a model lacks is worth, as a share of
+	// the rate that each of its replicas has to serve.
+	spareWeight = 0.3
+	// surplusWeight is the same of a replica that a model has over its need.
+	surplusWeight = 0.01
 	// soleWeight is how much more the only replica of a model is worth than
 	// one of several.
 	soleWeight = 5.0
 	// soleWorth is what the only replica of a model is worth that nobody has
-	// asked for yet; more than idleRate, so that spare replicas leave it alone.
+	// asked for yet.
 	soleWorth = 0.05
 	// runningWeight is what each running request adds to a replica's rate:
 	// an unload waits for its end.
 	runningWeight = 1.0
+	// blockWeight is what a load costs for each request per second that needs
+	// adapters of the same upstream, which takes one order at a time, as a
+	// share of the time of the load.
+	blockWeight = 0.2
 )
 
 // Plan returns at most one order for each upstream. Models that requests wait
@@ -79,6 +93,7 @@
 	for i := range in.Upstreams {
 		p.count(&in.Upstreams[i])
 	}
+	p.loadReserved()
 	p.wakeModels()
 	p.wakeAdapters()
 	p.addSpares()
@@ -99,12 +114,39 @@
 			p.replicas[u.Replicas[i].Model]++
 		}
 	}
+	coming := u.Reserved
 	if o := u.Pending; o != nil {
 		p.taken[u.Name] = true
-		if o.Kind == fleet.Load && o.Adapter == "" && !holds(u, o.Model) {
-			p.replicas[o.Model]++
+		if o.Kind == fleet.Load && o.Adapter == "" {
+			coming = o.Model
 		}
 	}
+	if coming != "" && !holds(u, coming) {
+		p.replicas[coming]++
+	}
+}
+
+// loadReserved plans the loads that room was made for.
+func (p *planner) loadReserved() {
+	for i := range p.Upstreams {
+		u := &p.Upstreams[i]
+		spec, known := p.Engine.Models[u.Reserved]
+		if !known || p.taken[u.Name] || holds(u, u.Reserved) {
+			continue
+		}
+		if o, ok := p.option(u, spec, math.Inf(1)); ok && o.victim == "" {
+			p.load(o, spec)
+		}
+	}
+}
+
+// load plans a load where there is room.
+func (p *planner) load(o option, spec fleet.ModelSpec) {
+	p.taken[o.upstream.Name] = true
+	if o.store {
+		p.StoreLoads--
+	}
+	p.steps = append(p.steps, Step{Upstream: o.upstream.Name, Kind: fleet.Load, Target: fleet.Target{Model: spec.Name}, FromStore: o.store})
 }
 
 func unloading(u *Upstream, model state.ModelName) bool {
@@ -156,7 +198,7 @@
 	best, found := option{}, false
 	for i := range p.Upstreams {
 		u := &p.Upstreams[i]
-		if p.taken[u.Name] || holds(u, spec.Name) {
+		if p.taken[u.Name] || u.Reserved != "" || holds(u, spec.Name) {
 			continue
 		}
 		o, ok := p.option(u, spec, limit)
@@ -167,17 +209,16 @@
 	if !found {
 		return
 	}
-	p.taken[best.upstream.Name] = true
-	if best.victim != "" {
-		p.replicas[best.victim]--
-		p.steps = append(p.steps, Step{Upstream: best.upstream.Name, Kind: fleet.Unload, Target: fleet.Target{Model: best.victim}})
-		return
-	}
 	p.replicas[spec.Name]++
-	if best.store {
-		p.StoreLoads--
+	if best.victim == "" {
+		p.load(best, spec)
+		return
 	}
-	p.steps = append(p.steps, Step{Upstream: best.upstream.Name, Kind: fleet.Load, Target: fleet.Target{Model: spec.Name}, FromStore: best.store})
+	p.taken[best.upstream.Name] = true
+	p.replicas[best.victim]--
+	p.steps = append(p.steps, Step{
+		Upstream: best.upstream.Name, Kind: fleet.Unload, Target: fleet.Target{Model: best.victim}, Reserve: spec.Name,
+	})
 }
 
 // option returns the cheapest way to load a model at an upstream. The cost is
@@ -188,6 +229,7 @@
 	if spec.Size > p.Engine.Memory || o.store && p.StoreLoads < 1 {
 		return o, false
 	}
+	o.cost += blockWeight * p.adapterRate(u) * load.Seconds()
 	if p.free(u) >= spec.Size {
 		// A data centre that has few replicas of the model comes first.
 		o.cost += spareCost * float64(p.nearby(u.DataCentre, spec.Name))
@@ -220,19 +262,49 @@
 	return n
 }
 
+// needed returns how many replicas a model is to have.
+func (p *planner) needed(model state.ModelName) int {
+	d := p.Demand[fleet.Target{Model: model}]
+	n := 1
+	if d.Rate >= spareRate {
+		n = 2
+	}
+	n = max(n, int(math.Ceil(d.Rate/replicaRate)))
+	if slots := float64(p.Engine.Slots); slots > 0 {
+		n = max(n, int(math.Ceil(float64(d.Running)/(replicaLoad*slots))))
+	}
+	return n
+}
+
 // worth estimates what the loss of a replica costs, in seconds of waiting for
 // each second. A model that requests wait for does not give way.
 func (p *planner) worth(model state.ModelName) float64 {
 	d := p.Demand[fleet.Target{Model: model}]
 	n := max(p.replicas[model], 1)
-	if d.Waiting > 0 && n == 1 {
+	rate := d.Rate / float64(n)
+	running := runningWeight * float64(d.Running) / float64(n)
+	switch {
+	case n == 1 && d.Waiting > 0:
 		return math.Inf(1)
+	case n == 1:
+		return soleWeight*rate + running + soleWorth
+	case n > p.needed(model):
+		return surplusWeight * (rate + running)
+	default:
+		return rate + running
 	}
-	rate := (d.Rate + runningWeight*float64(d.Running)) / float64(n)
-	if n > 1 {
-		return rate
+}
+
+// adapterRate returns the rate of requests for adapters of the models that an
+// upstream holds.
+func (p *planner) adapterRate(u *Upstream) float64 {
+	sum := 0.0
+	for t, d := range p.Demand {
+		if t.Adapter != "" && holds(u, t.Model) {
+			sum += d.Rate / float64(max(p.replicas[t.Model], 1))
+		}
 	}
-	return soleWeight*rate + soleWorth
+	return sum
 }
 
 // used returns the memory that an upstream's replicas and its pending order
@@ -255,6 +327,7 @@
 
 func (p *planner) free(u *Upstream) fleet.Megabytes { return p.Engine.Memory - p.used(u) }
 
+// addSpares plans replicas for models that have fewer than they need.
 func (p *planner) addSpares() {
 	type want struct {
 		spec fleet.ModelSpec
@@ -262,18 +335,12 @@
 	}
 	var wants []want
 	for _, name := range slices.Sorted(maps.Keys(p.Engine.Models)) {
-		n := p.replicas[name]
-		d := p.Demand[fleet.Target{Model: name}]
-		if rate := d.Rate / float64(max(n, 1)); n > 0 && rate >= spareRate {
-			wants = append(wants, want{p.Engine.Models[name], rate})
+		if n := p.replicas[name]; n > 0 && n < p.needed(name) {
+			wants = append(wants, want{p.Engine.Models[name], p.Demand[fleet.Target{Model: name}].Rate / float64(n)})
 		}
 	}
 	slices.SortStableFunc(wants, func(a, b want) int { return cmp.Compare(b.rate, a.rate) })
 	for _, w := range wants {
-		p.wake(w.spec, idleRate)
+		p.wake(w.spec, spareWeight*w.rate)
 	}
 }
-
-// Deadline bounds how long a load may take that began now before it is taken
-// for lost.
-func Deadline(spec fleet.ModelSpec) time.Duration { return 3*spec.FromStore + time.Second }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -14,6 +14,12 @@
 	// holdShare is the part of a caller's patience that a request may wait for
 	// a load of its model or adapter.
 	holdShare = 0.7
+	// minSilence, silentObjectives and silentGaps give the silence after which
+	// callers leave a stream: the longest of a time, a number of the route's
+	// objectives and a number of its pauses.
+	minSilence       = 2 * time.Second
+	silentObjectives = 4
+	silentGaps       = 8
 	// loadRetry is when callers may come back for a model that no upstream
 	// can load in time.
 	loadRetry = 500 * time.Millisecond
@@ -65,7 +71,7 @@
 // holdUntil returns until when the request may wait. There is no use in waiting
 // for a model that no upstream can load before the deadline.
 func (x *exchange) holdUntil(v *view) time.Time {
-	limit := x.began.Add(time.Duration(holdShare * float64(x.deadline.Sub(x.began))))
+	limit := x.began.Add(time.Duration(holdShare * float64(x.patience())))
 	service := v.manifest.Services[x.service]
 	if service == nil || service.Engine == nil || x.call.Model == "" {
 		return limit
@@ -87,6 +93,17 @@
 	return limit
 }
 
+// patience returns how long the caller is likely to wait for the first byte.
+// Callers of streams leave after a long silence.
+func (x *exchange) patience() time.Duration {
+	patience := x.deadline.Sub(x.began)
+	if x.route.Kind != fleet.Stream {
+		return patience
+	}
+	silence := max(minSilence, silentObjectives*x.route.Objective, silentGaps*x.route.MaxGap)
+	return min(patience, silence)
+}
+
 func held(members []*member, t fleet.Target) bool {
 	return slices.ContainsFunc(members, func(m *member) bool { return fleet.Holds(m.replicas, t) })
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,8 +61,8 @@
 	open     atomic.Int64
 	stopping atomic.Pointer[time.Time]
 	// stopped ends shortly before the end of a planned stop.
-	stopped context.Context
-	endStop context.CancelFunc
+	stopped  context.Context
+	endStop  context.CancelFunc
 	gateways atomic.Int32
 
 	budgets budgets
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -73,14 +73,11 @@
 		case <-g.wanted.kick:
 		case <-ticker.C:
 		}
-		list := g.wanted.take()
+		list := g.wanted.report(time.Now())
 		if len(list) == 0 && empty {
 			continue
 		}
 		err := g.sendWanted(ctx, rpc.WantedParams{Gateway: g.opts.Name, Targets: list})
-		if err != nil {
-			g.wanted.giveBack(list)
-		}
 		empty = len(list) == 0 && err == nil
 		ctxtime.Sleep(ctx, wantedPace)
 	}
--- a/internal/gateway/wanted.go
+++ b/internal/gateway/wanted.go
@@ -1,49 +1,74 @@
 package gateway
 
 import (
+	"math"
 	"sync"
+	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 )
 
+const (
+	// rateWindow is the time constant of the rates of requests.
+	rateWindow = 10 * time.Second
+	// forgetRate is the rate below which a target is forgotten.
+	forgetRate = 5e-3
+)
+
 // wanted counts what callers want of models and adapters. Its methods may be
 // called from any goroutine.
 type wanted struct {
 	mu      sync.Mutex
-	targets map[fleet.Target]*rpc.TargetDemand
+	targets map[fleet.Target]*targetCount
 	// kick asks for a report at once.
 	kick chan struct{}
 }
 
+// targetCount counts the requests for a target.
+type targetCount struct {
+	waiting, running int
+	// rate is an exponentially weighted rate of requests per second.
+	rate float64
+	at   time.Time
+}
+
+func (c *targetCount) decay(now time.Time) {
+	c.rate *= math.Exp(-now.Sub(c.at).Seconds() / rateWindow.Seconds())
+	c.at = now
+}
+
 func newWanted() *wanted {
-	return &wanted{targets: make(map[fleet.Target]*rpc.TargetDemand), kick: make(chan struct{}, 1)}
+	return &wanted{targets: make(map[fleet.Target]*targetCount), kick: make(chan struct{}, 1)}
 }
 
-func (w *wanted) update(t fleet.Target, change func(d *rpc.TargetDemand)) {
+func (w *wanted) update(t fleet.Target, change func(c *targetCount)) {
 	if t.Model == "" {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	d, ok := w.targets[t]
+	c, ok := w.targets[t]
 	if !ok {
-		d = &rpc.TargetDemand{Model: t.Model, Adapter: t.Adapter}
-		w.targets[t] = d
+		c = &targetCount{at: time.Now()}
+		w.targets[t] = c
 	}
-	change(d)
+	change(c)
 }
 
-func (w *wanted) arrived(t fleet.Target) { w.update(t, func(d *rpc.TargetDemand) { d.Arrived++ }) }
-
-func (w *wanted) run(t fleet.Target, n int) {
-	w.update(t, func(d *rpc.TargetDemand) { d.Running += n })
+func (w *wanted) arrived(t fleet.Target) {
+	w.update(t, func(c *targetCount) {
+		c.decay(time.Now())
+		c.rate += 1 / rateWindow.Seconds()
+	})
 }
 
+func (w *wanted) run(t fleet.Target, n int) { w.update(t, func(c *targetCount) { c.running += n }) }
+
 // wait counts a request that has to wait for its target, and has the controller
 // told at once.
 func (w *wanted) wait(t fleet.Target, n int) {
-	w.update(t, func(d *rpc.TargetDemand) { d.Waiting += n })
+	w.update(t, func(c *targetCount) { c.waiting += n })
 	if n > 0 {
 		select {
 		case w.kick <- struct{}{}:
@@ -52,27 +77,20 @@
 	}
 }
 
-// take returns the demand and begins to count arrivals anew.
-func (w *wanted) take() []rpc.TargetDemand {
+// report returns the demand of all targets and forgets those without any.
+func (w *wanted) report(now time.Time) []rpc.TargetDemand {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list := make([]rpc.TargetDemand, 0, len(w.targets))
-	for t, d := range w.targets {
-		if d.Waiting == 0 && d.Running == 0 && d.Arrived == 0 {
+	for t, c := range w.targets {
+		c.decay(now)
+		if c.waiting == 0 && c.running == 0 && c.rate < forgetRate {
 			delete(w.targets, t)
 			continue
 		}
-		list = append(list, *d)
-		d.Arrived = 0
+		list = append(list, rpc.TargetDemand{
+			Model: t.Model, Adapter: t.Adapter, Waiting: c.waiting, Running: c.running, Rate: math.Round(c.rate*1e3) / 1e3,
+		})
 	}
 	return list
 }
-
-// giveBack adds the arrivals of a report that was not delivered.
-func (w *wanted) giveBack(list []rpc.TargetDemand) {
-	for _, lost := range list {
-		if lost.Arrived > 0 {
-			w.update(fleet.Target{Model: lost.Model, Adapter: lost.Adapter}, func(d *rpc.TargetDemand) { d.Arrived += lost.Arrived })
-		}
-	}
-}
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -16,8 +16,8 @@
 	Waiting int `json:"w,omitempty"`
 	// Running requests have been sent to an upstream.
 	Running int `json:"r,omitempty"`
-	// Arrived counts requests since the report before.
-	Arrived int `json:"n,omitempty"`
+	// Rate is the recent rate of requests per second.
+	Rate float64 `json:"n,omitempty"`
 }
 
 // WantedParams tells the controller what a gateway's callers want. It replaces
