--- a/internal/controller/engine.go
+++ b/internal/controller/engine.go
@@ -12,17 +12,17 @@
 const (
 	// pollEvery is the time between reports asked of an engine whose order is
 	// under way. A report is some hundred milliseconds old.
-	pollEvery = 250 * time.Millisecond
+	pollEvery = 150 * time.Millisecond
 	// shortOrder is how long an unload, or the load of an adapter, takes.
 	shortOrder = 25 * time.Millisecond
 	// resendAfter is when an order whose outcome is not known is sent again.
 	// The engine accepts at most one of the two, since both expect the same
 	// number of orders before.
 	resendAfter = 700 * time.Millisecond
-	// conflictPause is the first pause before an order that met another one is
-	// sent again; it doubles.
-	conflictPause = 40 * time.Millisecond
-	maxConflicts  = 4
+	// conflictPause is the pause before an order that met another one is sent
+	// again, and maxConflicts how often that is done.
+	conflictPause = 60 * time.Millisecond
+	maxConflicts  = 1
 	// reservedFor is how long room is kept for a model after an unload.
 	reservedFor = 3 * time.Second
 	// disagreeFor is how long the registry may show something else than what
@@ -67,8 +67,8 @@
 	// reserved is the model that the last unload made room for.
 	reserved   state.ModelName
 	reservedAt time.Time
-	polling          bool
-	nextPoll         time.Time
+	polling    bool
+	nextPoll   time.Time
 	// changed is when replicas changed last, and revision numbers that change
 	// among those of all engines.
 	changed  time.Time
@@ -84,6 +84,14 @@
 	return e.replicas
 }
 
+// believed returns what the engine holds as far as known.
+func (e *engine) believed() []fleet.Replica {
+	if e.replicas == nil {
+		return e.upstream.Replicas
+	}
+	return e.replicas
+}
+
 // reservation returns the model that room is kept for. Whoever waited for it may
 // be gone, so it lapses.
 func (e *engine) reservation(now time.Time) state.ModelName {
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		c.opts.Logger.Warn("lease not written", "error", err, "at", step.End, "unknown", unknown)
 	} else if !held {
-		c.opts.Logger.Info("lease taken", "at", step.End, "first", step.Record.Token != 0)
+		c.opts.Logger.Info("lease taken", "at", step.End)
 	}
 	c.publishLeader()
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -113,13 +113,13 @@
 	in := residency.Input{Engine: service.Engine, Demand: demand}
 	under := 0
 	for _, e := range c.engines {
-		if e.upstream.Service != service.Name || !e.known {
+		if e.upstream.Service != service.Name {
 			continue
 		}
 		view := residency.Upstream{
 			Name: e.upstream.Name, DataCentre: e.upstream.DataCentre,
-			Replicas: e.replicas, InMemory: e.inMemory, OnDisk: e.onDisk,
-			Reserved: e.reservation(now),
+			Replicas: e.believed(), InMemory: e.inMemory, OnDisk: e.onDisk,
+			Reserved: e.reservation(now), Blocked: !e.known,
 		}
 		if e.pending != nil {
 			view.Pending = &e.pending.Order
@@ -202,6 +202,10 @@
 		}
 	case fleet.OrderHolds:
 		e.pending = nil
+		if p.Kind == fleet.Unload && p.Adapter != "" {
+			// An adapter that no request uses is unloaded at once.
+			e.accepted = p.Expect + 1
+		}
 		e.replicas = residency.Resident(e.replicas, p.Order)
 		c.changed(e, now)
 	case fleet.OrderUnknown:
@@ -218,12 +222,12 @@
 
 // conflicted takes the refusal of an order because another is in progress or
 // because the number of accepted orders differs. The former is likely after an
-// unload, which waits for running requests, so the order is sent some times
-// more before a report is asked for.
+// unload, which waits for running requests, so the order is sent once more
+// before a report is asked for.
 func (c *Controller) conflicted(e *engine, p *pendingOrder, now time.Time) {
 	p.conflicts++
 	if p.conflicts <= maxConflicts {
-		p.state, p.due = orderConflicted, now.Add(conflictPause<<(p.conflicts-1))
+		p.state, p.due = orderConflicted, now.Add(conflictPause)
 		return
 	}
 	e.pending, e.known = nil, false
--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -21,8 +21,10 @@
 	Renew time.Duration
 	// Margin is how much earlier than TTL the holder stops.
 	Margin time.Duration
-	// Settle is how long a new holder waits before it acts, so that upstreams
-	// that compare holders by time never see two take turns.
+	// Settle is how long a new holder waits before it acts after its
+	// predecessor has given the lease up, so that two processes that hand the
+	// lease to each other never take turns within that time. After a lease
+	// that lapsed no wait is needed if TTL is as long.
 	Settle time.Duration
 }
 
@@ -67,6 +69,8 @@
 	written time.Time
 	// settled is when a new holder may act.
 	settled time.Time
+	// handedOver says that the lease was given up by its last holder.
+	handedOver bool
 	// pending is the write whose outcome is not known.
 	pending *pendingWrite
 	// stale says that the newest record must be read now.
@@ -170,17 +174,14 @@
 	if !m.holds {
 		// Zero is no token.
 		m.token = p.end + 1
-		m.settled = now.Add(m.settings.Settle)
-		if p.record.Token == firstTerm {
-			m.settled = now
+		m.settled = now
+		if m.handedOver {
+			m.settled = now.Add(m.settings.Settle)
 		}
 	}
 	m.holds, m.written = true, p.began
 }
 
-// firstTerm in a record that takes a lease says that nobody has held it before.
-const firstTerm state.FencingToken = -1
-
 // Next returns what to do now. A process that leaves gives its lease up and
 // takes none.
 func (m *Machine) Next(now time.Time, leaving bool) Step {
@@ -196,13 +197,12 @@
 		return m.write(fleet.LeaseRecord{Token: m.token})
 	case m.holds || leaving:
 		return Step{}
-	case m.known == nil:
-		return m.write(fleet.LeaseRecord{Token: firstTerm})
-	case !m.known.Released && !m.Expired(now):
+	case m.known != nil && !m.known.Released && !m.Expired(now):
 		return Step{}
 	case m.outdated:
 		return Step{Action: Read}
 	default:
+		m.handedOver = m.known != nil && m.known.Released
 		return m.write(fleet.LeaseRecord{})
 	}
 }
--- a/internal/decide/residency/adapters.go
+++ b/internal/decide/residency/adapters.go
@@ -5,7 +5,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-// wakeAdapters plans loads of adapters that requests wait for. An adapter that
+// wakeAdapters plans loads of adapters that are asked for. An adapter that
 // is held or on its way anywhere is not loaded a second time.
 func (p *planner) wakeAdapters() {
 	for _, t := range p.demanded(true) {
--- a/internal/decide/residency/residency.go
+++ b/internal/decide/residency/residency.go
@@ -23,6 +23,8 @@
 	// Pending is the order under way, or one whose outcome is not known; nil
 	// if the upstream can take an order.
 	Pending *fleet.Order
+	// Blocked says that the upstream takes no order now for another reason.
+	Blocked bool
 	// Reserved is the model that an unload made or makes room for; empty for
 	// none.
 	Reserved state.ModelName
@@ -31,7 +33,8 @@
 // Demand is what callers want of a target. That of a model includes that of its
 // adapters.
 type Demand struct {
-	// Waiting requests have no upstream that holds the target.
+	// Waiting requests have no upstream that holds the target, or were lately
+	// refused for that.
 	Waiting int
 	Running int
 	// Rate is the recent rate of requests per second.
@@ -114,6 +117,9 @@
 			p.replicas[u.Replicas[i].Model]++
 		}
 	}
+	if u.Blocked {
+		p.taken[u.Name] = true
+	}
 	coming := u.Reserved
 	if o := u.Pending; o != nil {
 		p.taken[u.Name] = true
@@ -169,6 +175,7 @@
 	}
 	slices.SortFunc(targets, func(a, b fleet.Target) int {
 		return cmp.Or(cmp.Compare(p.Demand[b].Waiting, p.Demand[a].Waiting),
+			cmp.Compare(p.Demand[b].Rate, p.Demand[a].Rate),
 			cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	return targets
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -49,6 +49,7 @@
 		now := time.Now()
 		limit := x.holdUntil(v)
 		if !now.Before(limit) {
+			x.gateway.wanted.refuse(x.call.Target)
 			return nil, verdict.Refuse(verdict.ReasonNoReplica, "no upstream holds the model").WithRetryAfter(loadRetry)
 		}
 		if began.IsZero() {
--- a/internal/gateway/wanted.go
+++ b/internal/gateway/wanted.go
@@ -14,6 +14,9 @@
 	rateWindow = 10 * time.Second
 	// forgetRate is the rate below which a target is forgotten.
 	forgetRate = 5e-3
+	// refusedFor is how long a refused request counts as waiting: its caller is
+	// likely to come back.
+	refusedFor = 2 * time.Second
 )
 
 // wanted counts what callers want of models and adapters. Its methods may be
@@ -31,6 +34,9 @@
 	// rate is an exponentially weighted rate of requests per second.
 	rate float64
 	at   time.Time
+	// refused is when a request was last refused because no upstream held the
+	// target.
+	refused time.Time
 }
 
 func (c *targetCount) decay(now time.Time) {
@@ -77,6 +83,9 @@
 	}
 }
 
+// refuse counts a request that was refused because no upstream held its target.
+func (w *wanted) refuse(t fleet.Target) { w.update(t, func(c *targetCount) { c.refused = time.Now() }) }
+
 // report returns the demand of all targets and forgets those without any.
 func (w *wanted) report(now time.Time) []rpc.TargetDemand {
 	w.mu.Lock()
@@ -88,8 +97,12 @@
 			delete(w.targets, t)
 			continue
 		}
+		waiting := c.waiting
+		if waiting == 0 && now.Sub(c.refused) < refusedFor {
+			waiting = 1
+		}
 		list = append(list, rpc.TargetDemand{
-			Model: t.Model, Adapter: t.Adapter, Waiting: c.waiting, Running: c.running, Rate: math.Round(c.rate*1e3) / 1e3,
+			Model: t.Model, Adapter: t.Adapter, Waiting: waiting, Running: c.running, Rate: math.Round(c.rate*1e3) / 1e3,
 		})
 	}
 	return list
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -47,7 +47,7 @@
 type Lease struct {
 	// TTL is how long the lease outlives its last renewal. Default 5s.
 	TTL state.Duration `toml:"ttl" validate:"min_duration=500ms,max_duration=5m"`
-	// Renew is the time between renewals. Default 1200ms.
+	// Renew is the time between renewals. Default 800ms.
 	Renew state.Duration `toml:"renew" validate:"min_duration=100ms,max_duration=1m"`
 	// Settle is how long a new holder waits before its first order. It must
 	// exceed the time within which engines take orders of two holders for a
@@ -74,7 +74,7 @@
 		StoreLoadsAtOnce: 4,
 		Lease: Lease{
 			TTL:    state.Duration(5 * time.Second),
-			Renew:  state.Duration(1200 * time.Millisecond),
+			Renew:  state.Duration(800 * time.Millisecond),
 			Settle: state.Duration(3300 * time.Millisecond),
 		},
 		Retries: Retries{Share: 0.2, Slack: 16},
