selection: keep one replica of a model for short prompts

Change: decide/selection, size-based assignment with an agreed replica for short prompts, and long prompts where their shared parts were sent before.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
@@ -23,14 +23,8 @@
 	// loadRetry is when callers may come back for a model that no upstream
 	// can load in time.
 	loadRetry = 500 * time.Millisecond
-	// unmeasured is the time to the first byte that is expected of an
-	// upstream before it was measured.
-	unmeasured = 100 * time.Millisecond
 )
 
-// delays weighs the way to an upstream against the load there.
-var delays = routing.DelayConfig{RegionPenalty: 2 * time.Millisecond, RemotePenalty: 60 * time.Millisecond}
-
 // place returns an upstream for the next sending. It waits for one while the
 // model or adapter is being loaded.
 func (x *exchange) place(ctx context.Context) (*member, *verdict.Verdict) {
@@ -109,43 +103,32 @@
 	return slices.ContainsFunc(members, func(m *member) bool { return fleet.Holds(m.replicas, t) })
 }
 
-// choose returns the upstream with the smallest expected delay, or nil if none
-// can take the request. Upstreams that failed lately are used only if no other
+// choose returns the upstream with the least expected cost, or nil if none can
+// take the request. Upstreams that failed lately are used only if no other
 // holds the target.
 func (x *exchange) choose(v *view) *member {
 	now := time.Now()
 	members := v.service(x.service)
-	candidates := make([]routing.Candidate, 0, len(members))
-	ejected := 0
-	for i, m := range members {
+	candidates := make([]selection.Candidate, 0, len(members))
+	chosen := make([]*member, 0, len(members))
+	for _, m := range members {
 		if !fleet.Holds(m.replicas, x.call.Target) || slices.Contains(x.excluded, m.upstream.Name) {
 			continue
 		}
-		c := routing.Candidate{
-			Replica:       i,
-			Sent:          int(m.load.running.Load()),
-			Slots:         m.upstream.Slots,
-			Latency:       unmeasured,
-			Locality:      m.locality,
-			AdapterLoaded: true,
-			Ejected:       m.load.ejected(now),
-		}
-		if c.Ejected {
-			ejected++
-		}
-		candidates = append(candidates, c)
-	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	if ejected == len(candidates) {
-		for i := range candidates {
-			candidates[i].Ejected = false
-		}
+		candidates = append(candidates, selection.Candidate{
+			Hash:     m.hash,
+			Locality: m.locality,
+			Running:  int(m.load.running.Load()),
+			Reading:  time.Duration(m.load.reading.Load()),
+			Cached:   x.gateway.prompts.cached(m.load.index, x.prompt, x.call.Parts),
+			Ejected:  m.load.ejected(now),
+		})
+		chosen = append(chosen, m)
 	}
-	i, ok := routing.LeastDelay{Config: delays}.Select(nil, candidates, routing.Request{Remote: true, Exclude: -1})
-	if !ok {
+	i := x.gateway.selection.Select(candidates, x.prompt.request(&x.call))
+	if i < 0 {
 		return nil
 	}
-	return members[candidates[i].Replica]
+	x.unread = max(x.call.Prompt-candidates[i].Cached, 0)
+	return chosen[i]
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
@@ -72,7 +73,10 @@
 	g := x.gateway
 	x.sends++
 	x.last = m.upstream.Name
-	m.load.running.Add(1)
+	x.beside = int(m.load.running.Add(1)) - 1
+	g.prompts.sent(m.load.index, x.prompt)
+	read := x.startReading(m)
+	defer read()
 	g.wanted.run(x.call.Target, 1)
 	defer func() {
 		m.load.running.Add(-1)
@@ -102,6 +106,15 @@
 	return v
 }
 
+// startReading counts the reading of the prompt at an upstream until the
+// returned function is called.
+func (x *exchange) startReading(m *member) func() {
+	reading := int64(time.Duration(x.unread) * x.gateway.selection.PrefillPerToken)
+	m.load.reading.Add(reading)
+	x.readDone = sync.OnceFunc(func() { m.load.reading.Add(-reading) })
+	return x.readDone
+}
+
 // request returns the request as an upstream gets it.
 func (x *exchange) request(m *member, lastEvent string) *forward.Request {
 	header := x.header.Clone()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/controller"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/health"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -54,9 +55,12 @@
 	opts    Options
 	forward *forward.Client
 	health  health.Config
-	view    atomic.Pointer[view]
-	events  chan tableEvent
-	wanted  *wanted
+	// selection weighs replicas, and prompts remembers what was sent to them.
+	selection selection.Config
+	prompts   *prompts
+	view      atomic.Pointer[view]
+	events    chan tableEvent
+	wanted    *wanted
 	// open counts the requests being served.
 	open     atomic.Int64
 	stopping atomic.Pointer[time.Time]
@@ -94,9 +98,12 @@
 		opts:    opts,
 		forward: forward.NewClient(opts.Dialect),
 		health:  health.DefaultConfig(),
-		events:  make(chan tableEvent, eventRoom),
-		wanted:  newWanted(),
-		budgets: budgets{byService: make(map[state.ServiceName]*retry.Budget)},
+
+		selection: selection.DefaultConfig(),
+		prompts:   newPrompts(),
+		events:    make(chan tableEvent, eventRoom),
+		wanted:    newWanted(),
+		budgets:   budgets{byService: make(map[state.ServiceName]*retry.Budget)},
 	}
 	g.stopped, g.endStop = context.WithCancel(context.Background())
 	g.view.Store(newTables(opts.DataCentre, opts.RegionOf).view(time.Now()))
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -40,6 +40,12 @@
 	// deadline is when the caller has to have its answer.
 	deadline time.Time
 
+	prompt prompt
+	// unread is how many tokens of the prompt the chosen upstream has to read.
+	unread fleet.Tokens
+	// readDone is called when the prompt has been read.
+	readDone func()
+
 	// sends counts the upstreams that were sent the request, and runs those of
 	// them that may have run it.
 	sends, runs int
@@ -49,6 +55,11 @@
 	last state.UpstreamName
 	// waited is the time spent waiting for an upstream that holds the target.
 	waited time.Duration
+	// first is the time to the first part of the answer, gap the longest pause
+	// between two parts, and beside the requests that ran at the upstream from
+	// this gateway when it was chosen.
+	first, gap time.Duration
+	beside     int
 	// delivered says that the caller has got a part of the answer.
 	delivered bool
 	status    int
@@ -120,6 +131,7 @@
 		patience = min(patience, x.route.Timeout)
 	}
 	x.deadline = x.began.Add(patience)
+	x.prompt = newPrompt(&x.call)
 	x.header = x.r.Header
 	headers.RemoveHop(x.header)
 	g.opts.Dialect.Prepare(x.header)
@@ -165,7 +177,8 @@
 func (x *exchange) log(v *verdict.Verdict) {
 	attrs := []any{
 		"request", x.call.ID, "route", x.route.Name, "service", x.service, "upstream", x.last, "sends", x.sends,
-		"may_have_run", x.runs, "waited", x.waited, "took", time.Since(x.began), "status", x.status,
+		"may_have_run", x.runs, "waited", x.waited, "took", time.Since(x.began), "first", x.first, "gap", x.gap,
+		"beside", x.beside, "status", x.status,
 	}
 	if x.call.Model != "" {
 		attrs = append(attrs, "model", x.call.Model, "adapter", x.call.Adapter)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -181,6 +181,20 @@
 	answer   *forward.Answer
 	flusher  *http.ResponseController
 	buffer   [relayBuffer]byte
+	// last is when the caller got the last part.
+	last time.Time
+}
+
+// passed notes that a part was passed on.
+func (w *eventWriter) passed() {
+	now := time.Now()
+	if w.last.IsZero() {
+		w.exchange.first = now.Sub(w.exchange.began)
+		w.exchange.readDone()
+	} else {
+		w.exchange.gap = max(w.exchange.gap, now.Sub(w.last))
+	}
+	w.last = now
 }
 
 // copy passes on all of src. The head goes out with the first part, so that a
@@ -199,6 +213,7 @@
 			if err := w.flusher.Flush(); err != nil {
 				return verdict.Unknown(verdict.ReasonCallerGone, err.Error())
 			}
+			w.passed()
 		}
 		switch {
 		case err == nil:
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -169,6 +169,7 @@
 			upstream: u,
 			replicas: t.replicas(u, now),
 			locality: t.locality(u.DataCentre),
+			hash:     routing.UpstreamHash(u.Name),
 			load:     row.load,
 		})
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -27,7 +27,9 @@
 	// from the upstream itself.
 	replicas []fleet.Replica
 	locality routing.Locality
-	load     *load
+	// hash identifies the upstream in rankings.
+	hash uint64
+	load *load
 }
 
 // load is a gateway's own experience of an upstream. It lasts as long as the
@@ -36,6 +38,9 @@
 	// index names the upstream in tables of the routing decisions.
 	index   int
 	running atomic.Int32
+	// reading is the expected time, in nanoseconds, to read the prompts of
+	// requests that have no first part of an answer yet.
+	reading atomic.Int64
 
 	mu     sync.Mutex
 	health health.Record
