--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -106,9 +106,6 @@
 	if manifest == nil {
 		return verdict.Refuse(verdict.ReasonNotReady, "no manifest known").WithRetryAfter(startRetry)
 	}
-	if g.refusesNew(x.began) {
-		return verdict.Refuse(verdict.ReasonDraining, "planned stop").WithRetryAfter(time.Millisecond)
-	}
 	x.route = manifest.Match(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
 		return verdict.Refuse(verdict.ReasonNotFound, "no route")
@@ -131,6 +128,9 @@
 		patience = min(patience, x.route.Timeout)
 	}
 	x.deadline = x.began.Add(patience)
+	if g.refusesNew(x.began, x.deadline) {
+		return verdict.Refuse(verdict.ReasonDraining, "planned stop").WithRetryAfter(time.Millisecond)
+	}
 	x.prompt = newPrompt(&x.call)
 	x.header = x.r.Header
 	headers.RemoveHop(x.header)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -73,7 +73,8 @@
 }
 
 // drain finishes the open requests of a planned stop. New ones are taken for a
-// while, as callers learn of the stop late, and then refused.
+// while, as callers learn of the stop late, and then only those that surely end
+// before it.
 func (g *Gateway) drain() {
 	began := time.Now()
 	g.stopping.Store(&began)
@@ -92,7 +93,10 @@
 
 // refusesNew reports whether a planned stop has gone so far that a new request
 // might not end before it.
-func (g *Gateway) refusesNew(now time.Time) bool {
+func (g *Gateway) refusesNew(now, deadline time.Time) bool {
 	began := g.stopping.Load()
-	return began != nil && now.Sub(*began) > g.opts.RefuseAfter
+	if began == nil || now.Sub(*began) <= g.opts.RefuseAfter {
+		return false
+	}
+	return deadline.After(began.Add(g.opts.DrainFor - verdictTime))
 }
