--- /dev/null
+++ b/internal/decide/election/election_test.go
@@ -0,0 +1,241 @@
+package election_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+var settings = election.Settings{
+	TTL: 3 * time.Second, Renew: 800 * time.Millisecond, Margin: 500 * time.Millisecond, Settle: 3 * time.Second,
+}
+
+// write is a record on its way to the log.
+type write struct {
+	step  election.Step
+	began time.Time
+}
+
+// process is one of the competing processes of a schedule.
+type process struct {
+	machine *election.Machine
+	busy    bool
+	frozen  time.Time
+	leaving bool
+}
+
+// world is a log with conditional writes and the processes that compete for it.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	records []fleet.LeaseRecord
+	// delay is how long the store takes to answer a write.
+	delay time.Duration
+	// readers read right after a write.
+	readers   []*process
+	processes []*process
+	// late holds writes whose answer was lost and that land later if their
+	// condition still holds.
+	late []write
+	// acted lists who could act, in order.
+	acted []acted
+}
+
+type acted struct {
+	process int
+	token   state.FencingToken
+	at      time.Time
+}
+
+func (w *world) land(step election.Step) bool {
+	if step.End != state.Offset(len(w.records)) {
+		return false
+	}
+	w.records = append(w.records, step.Record)
+	return true
+}
+
+func (w *world) read(p *process) {
+	if n := len(w.records); n > 0 {
+		record := w.records[n-1]
+		p.machine.Observed(&record, state.Offset(n-1), state.Offset(n), w.now)
+		return
+	}
+	p.machine.Observed(nil, state.NoOffset, 0, w.now)
+}
+
+func (w *world) run(p *process, store string) {
+	began := w.now
+	step := p.machine.Next(w.now, p.leaving)
+	switch {
+	case step.Action == election.Wait:
+	case step.Action == election.Read:
+		if store != "down" {
+			w.read(p)
+		}
+	case store == "down":
+		p.machine.Written(step.Record, step.End, began, false, false, w.now)
+	case store == "lost":
+		w.land(step)
+		p.machine.Written(step.Record, step.End, began, false, true, w.now)
+	case store == "late":
+		w.late = append(w.late, write{step, began})
+		p.machine.Written(step.Record, step.End, began, false, true, w.now)
+	default:
+		ok := w.land(step)
+		// Others may read while the answer is on its way.
+		for _, reader := range w.readers {
+			if reader != p {
+				w.read(reader)
+			}
+		}
+		w.now = w.now.Add(w.delay)
+		p.machine.Written(step.Record, step.End, began, ok, false, w.now)
+	}
+}
+
+func (w *world) check() {
+	holders := 0
+	for i, p := range w.processes {
+		token, ok := p.machine.Holds(w.now)
+		if !ok || w.now.Before(p.frozen) {
+			continue
+		}
+		holders++
+		if n := len(w.acted); n > 0 && w.acted[n-1].process != i && token <= w.acted[n-1].token {
+			w.t.Fatalf("process %d acts with token %d after %+v", i, token, w.acted[n-1])
+		}
+		w.acted = append(w.acted, acted{i, token, w.now})
+	}
+	if holders > 1 {
+		w.t.Fatalf("%d holders at %v", holders, w.now)
+	}
+}
+
+// checkTurns fails if two processes acted in turns within the time in which
+// engines would take them for rivals.
+func (w *world) checkTurns() {
+	for i, a := range w.acted {
+		other := false
+		for _, b := range w.acted[i+1:] {
+			if b.at.Sub(a.at) >= settings.Settle {
+				break
+			}
+			if b.process != a.process {
+				other = true
+			} else if other {
+				w.t.Fatalf("process %d acted at %v and, after another, at %v", a.process, a.at, b.at)
+			}
+		}
+	}
+}
+
+// Guards against two processes that give orders at once, a token that goes back,
+// and holders that take turns, with freezes, lost and late writes, outages and
+// hand-overs.
+func TestOneHolderInAnySchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, now: time.Unix(1000, 0)}
+		for i := range rapid.IntRange(2, 4).Draw(t, "processes") {
+			w.processes = append(w.processes, &process{
+				machine: election.NewMachine(fmt.Sprint("p", i), fmt.Sprint("addr", i), settings),
+			})
+		}
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			p := w.processes[rapid.IntRange(0, len(w.processes)-1).Draw(t, "process")]
+			switch rapid.SampledFrom([]string{"run", "run", "run", "run", "lost", "late", "down", "freeze", "land", "leave", "heard"}).Draw(t, "what") {
+			case "run":
+				w.delay = time.Duration(rapid.SampledFrom([]int{4, 20, 900}).Draw(t, "delay")) * time.Millisecond
+				w.readers = nil
+				if rapid.Bool().Draw(t, "read") {
+					w.readers = w.processes
+				}
+				if !w.now.Before(p.frozen) {
+					w.run(p, "ok")
+				}
+			case "lost":
+				w.run(p, "lost")
+			case "late":
+				w.run(p, "late")
+			case "down":
+				w.run(p, "down")
+			case "freeze":
+				p.frozen = w.now.Add(time.Duration(rapid.IntRange(100, 6000).Draw(t, "frozen")) * time.Millisecond)
+			case "land":
+				if len(w.late) > 0 {
+					w.land(w.late[0].step)
+					w.late = w.late[1:]
+				}
+			case "leave":
+				p.leaving = !p.leaving
+			case "heard":
+				for _, holder := range w.processes {
+					if _, ok := holder.machine.Holds(w.now); ok && holder != p {
+						p.machine.Heard(holder.machine.Offset(), w.now)
+					}
+				}
+			}
+			w.check()
+		}
+		w.checkTurns()
+	})
+}
+
+// Guards against a lease that nobody takes after its holder is gone.
+func TestStandbyTakesOver(t *testing.T) {
+	g := NewWithT(t)
+	w := &world{now: time.Unix(1000, 0)}
+	a, b := &process{machine: election.NewMachine("a", "addr-a", settings)}, &process{machine: election.NewMachine("b", "addr-b", settings)}
+	for range 3 {
+		w.run(a, "ok")
+	}
+	first, holds := a.machine.Holds(w.now)
+	g.Expect(holds).To(BeTrue(), "the first holder acts at once")
+	for range 100 {
+		w.now = w.now.Add(50 * time.Millisecond)
+		w.run(b, "ok")
+		if token, ok := b.machine.Holds(w.now); ok {
+			g.Expect(token).To(BeNumerically(">", first))
+			g.Expect(b.machine.Leader()).To(Equal("addr-b"))
+			return
+		}
+	}
+	t.Fatal("nobody took the lease within 5 s")
+}
+
+// Guards against a hand-over after which the new holder acts within the time in
+// which engines compare holders.
+func TestHandOverSettles(t *testing.T) {
+	g := NewWithT(t)
+	w := &world{now: time.Unix(1000, 0)}
+	a, b := &process{machine: election.NewMachine("a", "addr-a", settings)}, &process{machine: election.NewMachine("b", "addr-b", settings)}
+	for range 3 {
+		w.run(a, "ok")
+	}
+	a.leaving = true
+	w.run(a, "ok")
+	_, holds := a.machine.Holds(w.now)
+	g.Expect(holds).To(BeFalse())
+	released := w.now
+	for range 3 {
+		w.run(b, "ok")
+	}
+	g.Expect(b.machine.Elected(w.now)).To(BeTrue())
+	for w.now.Sub(released) < settings.Settle-100*time.Millisecond {
+		_, holds = b.machine.Holds(w.now)
+		g.Expect(holds).To(BeFalse())
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.run(b, "ok")
+	}
+	w.now = w.now.Add(200 * time.Millisecond)
+	_, holds = b.machine.Holds(w.now)
+	g.Expect(holds).To(BeTrue())
+}
