--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,265 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/boottime"
+	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/gateway"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// feed is a feed in memory.
+type feed[T any] struct {
+	mu      sync.Mutex
+	changes []fleet.Change[T]
+	more    chan struct{}
+}
+
+func newFeed[T any]() *feed[T] { return &feed[T]{more: make(chan struct{})} }
+
+func (f *feed[T]) add(key string, value *T) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changes = append(f.changes, fleet.Change[T]{Key: key, Value: value})
+	close(f.more)
+	f.more = make(chan struct{})
+}
+
+func (f *feed[T]) Newest(context.Context) (fleet.Page[T], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fleet.Page[T]{Changes: append([]fleet.Change[T](nil), f.changes...), Next: state.Offset(len(f.changes))}, nil
+}
+
+func (f *feed[T]) Follow(ctx context.Context, from state.Offset, wait time.Duration) (fleet.Page[T], error) {
+	f.mu.Lock()
+	more, n := f.more, len(f.changes)
+	f.mu.Unlock()
+	if state.Offset(n) == from {
+		select {
+		case <-more:
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fleet.Page[T]{Changes: append([]fleet.Change[T](nil), f.changes[from:]...), Next: state.Offset(len(f.changes))}, nil
+}
+
+// leaseStore is a lease in memory.
+type leaseStore struct {
+	mu      sync.Mutex
+	records []fleet.LeaseRecord
+}
+
+func (l *leaseStore) Read(context.Context) (*fleet.LeaseRecord, state.Offset, state.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.records)
+	if n == 0 {
+		return nil, state.NoOffset, 0, nil
+	}
+	record := l.records[n-1]
+	return &record, state.Offset(n - 1), state.Offset(n), nil
+}
+
+func (l *leaseStore) Write(_ context.Context, record fleet.LeaseRecord, end state.Offset) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if state.Offset(len(l.records)) != end {
+		return fleet.ErrConflict
+	}
+	l.records = append(l.records, record)
+	return nil
+}
+
+// engines carries orders out at once.
+type engines struct {
+	mu     sync.Mutex
+	held   map[state.UpstreamName][]fleet.Replica
+	orders []fleet.Order
+}
+
+func (e *engines) Report(_ context.Context, u *fleet.Upstream) (fleet.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fleet.EngineReport{Replicas: e.held[u.Name], Accepted: len(e.orders)}, nil
+}
+
+func (e *engines) Order(_ context.Context, u *fleet.Upstream, order fleet.Order) (fleet.OrderResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, order)
+	e.held[u.Name] = append(e.held[u.Name], fleet.Replica{Model: order.Model})
+	return fleet.OrderAccepted, nil
+}
+
+// dialect has short headers of its own.
+type dialect struct{}
+
+func (dialect) Call(h http.Header) (fleet.Call, error) {
+	patience, err := time.ParseDuration(h.Get("Patience"))
+	if err != nil {
+		patience = 5 * time.Second
+	}
+	return fleet.Call{ID: h.Get("Id"), Patience: patience, Target: fleet.Target{Model: state.ModelName(h.Get("Model"))}}, nil
+}
+
+func (dialect) Prepare(http.Header) {}
+
+func (dialect) Send(h http.Header, s fleet.Sending) {
+	h.Set("To", string(s.Upstream))
+	if s.LastEvent != "" {
+		h.Set("After", s.LastEvent)
+	}
+}
+
+func (dialect) Answer(_ int, h http.Header) fleet.AnswerInfo {
+	return fleet.AnswerInfo{ID: h.Get("Id"), Sealed: h.Get("Mark") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// system is a gateway with its surroundings.
+type system struct {
+	t         *testing.T
+	g         *WithT
+	manifests *feed[fleet.Manifest]
+	upstreams *feed[fleet.Upstream]
+	engines   *engines
+	gateway   *gateway.Gateway
+	url       string
+	stop      context.CancelFunc
+	done      chan error
+}
+
+const (
+	drainFor    = 1500 * time.Millisecond
+	refuseAfter = 200 * time.Millisecond
+)
+
+func start(t *testing.T) *system {
+	t.Helper()
+	t.Parallel()
+	s := &system{
+		t: t, g: NewWithT(t), manifests: newFeed[fleet.Manifest](), upstreams: newFeed[fleet.Upstream](),
+		engines: &engines{held: map[state.UpstreamName][]fleet.Replica{}}, done: make(chan error, 1),
+	}
+	listeners := gateway.Listeners{Callers: s.listen(), Ready: s.listen(), Control: s.listen()}
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	leader := controller.New(controller.Options{
+		Name: "gateway/1", Holder: "host", Control: listeners.Control.Addr().String(),
+		Lease: &leaseStore{}, Engines: s.engines, Logger: logger, Now: boottime.Now,
+		Election:         election.Settings{TTL: 3 * time.Second, Renew: time.Second, Margin: 500 * time.Millisecond},
+		StoreLoadsAtOnce: 4,
+	})
+	client := rpc.NewClient()
+	t.Cleanup(client.Close)
+	s.gateway = gateway.New(gateway.Options{
+		Name: "gateway", Control: listeners.Control.Addr().String(), DataCentre: "dc",
+		Manifests: s.manifests, Upstreams: s.upstreams, Dialect: dialect{}, Controller: leader, Caller: client, Logger: logger,
+		RetryShare: 0.2, RetrySlack: 100, DrainFor: drainFor, RefuseAfter: refuseAfter,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop, s.url = cancel, "http://"+listeners.Callers.Addr().String()
+	go func() { s.done <- s.gateway.Run(ctx, listeners, http.NotFoundHandler()) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-s.done:
+		case <-time.After(5 * time.Second):
+			t.Error("the gateway did not stop")
+		}
+	})
+	return s
+}
+
+func (s *system) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s.g.Expect(err).NotTo(HaveOccurred())
+	return l
+}
+
+// routes puts a manifest in force: a path for each kind of request, all of the
+// plain service "plain" but for /model/, whose engines hold models.
+func (s *system) routes(version fleet.Version) {
+	plain := []fleet.WeightedService{{Service: "plain", Weight: 1}}
+	route := func(path string, kind fleet.Kind, resumable bool) *fleet.Route {
+		return &fleet.Route{
+			Name: path, Host: "h", PathPrefix: path, Kind: kind, Resumable: resumable, Services: plain,
+			Timeout: 5 * time.Second, Attempts: 2,
+		}
+	}
+	model := route("/model/", fleet.Idempotent, false)
+	model.Services = []fleet.WeightedService{{Service: "engines", Weight: 1}}
+	spec := fleet.ModelSpec{Name: "m", Size: 10, FromStore: 50 * time.Millisecond, FromDisk: 10 * time.Millisecond}
+	s.manifests.add("manifest", fleet.NewManifest(version, []*fleet.Route{
+		route("/once/", fleet.AtMostOnce, false), route("/any/", fleet.Idempotent, false),
+		route("/stream/", fleet.Stream, false), route("/resume/", fleet.Stream, true), model,
+	}, []*fleet.Service{{Name: "plain"}, {Name: "engines", Engine: &fleet.Engine{
+		Slots: 4, Memory: 20, LoadsPerSecond: 10, Models: map[state.ModelName]fleet.ModelSpec{"m": spec},
+	}}}, 1000))
+	s.g.Eventually(s.gateway.Ready).WithTimeout(3 * time.Second).Should(BeTrue())
+}
+
+// upstream registers an upstream that handles requests with h.
+func (s *system) upstream(name string, service state.ServiceName, h http.HandlerFunc) *httptest.Server {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Mark", name)
+		h(w, r)
+	}))
+	s.t.Cleanup(server.Close)
+	s.upstreams.add(name, &fleet.Upstream{
+		Name: state.UpstreamName(name), Service: service, Address: server.Listener.Addr().String(), DataCentre: "dc", Slots: 4,
+	})
+	return server
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (s *system) request(ctx context.Context, path string, header http.Header) answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+path, http.NoBody)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	req.Host = "h"
+	if header != nil {
+		req.Header = header
+	}
+	req.Header.Set("Id", "request-1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err}
+}
+
+// await repeats a request until it is answered with a status, as the registry
+// is read at intervals.
+func (s *system) await(path string, status int) answer {
+	var last answer
+	s.g.Eventually(func() int {
+		last = s.request(context.Background(), path, nil)
+		return last.status
+	}).WithTimeout(5 * time.Second).WithPolling(20 * time.Millisecond).Should(Equal(status))
+	return last
+}
