--- a/internal/decide/election/election_test.go
+++ b/internal/decide/election/election_test.go
@@ -26,7 +26,6 @@
 // process is one of the competing processes of a schedule.
 type process struct {
 	machine *election.Machine
-	busy    bool
 	frozen  time.Time
 	leaving bool
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -179,7 +179,8 @@
 	t.Cleanup(func() {
 		cancel()
 		select {
-		case <-s.done:
+		case err := <-s.done:
+			s.g.Expect(err).NotTo(HaveOccurred())
 		case <-time.After(5 * time.Second):
 			t.Error("the gateway did not stop")
 		}
