--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -164,6 +164,9 @@
 	})
 	x.gateway.opts.Logger.Info("attempt failed", "request", x.call.ID, "upstream", x.last, "reason", v.Reason,
 		"execution", v.Execution.String(), "detail", v.Detail, "again", ok, "wait", wait)
+	if ok {
+		x.gateway.opts.Meter.Retry(v.Reason)
+	}
 	return ok && ctxtime.Sleep(ctx, wait)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,8 @@
 	Controller *controller.Controller
 	Caller     rpc.Caller
 	Logger     *slog.Logger
+	// Meter counts what happens to requests; nil counts nothing.
+	Meter Meter
 	// RetryShare and RetrySlack bound the further attempts of all gateways
 	// together: a share of the requests, and a number on top.
 	RetryShare, RetrySlack float64
@@ -94,6 +96,9 @@
 
 // New returns a gateway that knows nothing yet.
 func New(opts Options) *Gateway {
+	if opts.Meter == nil {
+		opts.Meter = noMeter{}
+	}
 	g := &Gateway{
 		opts:    opts,
 		forward: forward.NewClient(opts.Dialect),
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -85,6 +85,7 @@
 	g.countFirst(x.service)
 	v := x.run(ctx)
 	x.log(v)
+	x.measure(v)
 	switch {
 	case v == nil:
 	case x.delivered:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
 	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/sse"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -130,8 +131,10 @@
 		x.failed(ctx, m, v)
 		next, at, again := x.resume(ctx, events.LastID(), v)
 		if next == nil {
+			x.gateway.opts.Meter.Resume(telemetry.ResumeFailed)
 			return again
 		}
+		x.gateway.opts.Meter.Resume(telemetry.ResumeDone)
 		defer next.Close()
 		events.Resume(next)
 		m = at
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -3,19 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/lagoonvalve/lagoonvalve/internal/boottime"
 	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/gateway"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 )
 
 // GatewayPlatform is what a platform gives to a gateway.
@@ -42,6 +47,10 @@
 	go reload(ctx, cfg, process, func(settings.Gateway) {})
 	client := rpc.NewClient()
 	defer client.Close()
+	meter, err := serveMetrics(ctx, cfg, process.Logger)
+	if err != nil {
+		return err
+	}
 	name := fmt.Sprintf("%s/%d", cfg.Name, time.Now().UnixNano())
 	process.Logger.Info("gateway starts", "holder", name, "data_centre", cfg.DataCentre, "store", cfg.Store, "pid", os.Getpid())
 	leader := controller.New(controller.Options{
@@ -68,6 +77,7 @@
 		Controller:  leader,
 		Caller:      client,
 		Logger:      process.Logger,
+		Meter:       meter,
 		RetryShare:  cfg.Retries.Share,
 		RetrySlack:  cfg.Retries.Slack,
 		DrainFor:    (cfg.Shutdown.DrainTimeout - cfg.Shutdown.StopTimeout).Std(),
@@ -78,6 +88,40 @@
 	return err
 }
 
+// namesRotation is the time between changes of the names that metrics show.
+const namesRotation = time.Minute
+
+// serveMetrics serves counters and histograms on the operators' address. It
+// returns nil if the settings name none.
+func serveMetrics(ctx context.Context, cfg settings.Gateway, logger *slog.Logger) (gateway.Meter, error) {
+	if cfg.Listen.Operators == "" {
+		return nil, nil
+	}
+	meter, err := telemetry.Start(ctx, cfg.Common)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := bind(ctx, cfg.Listen.Operators, nil)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", meter.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logger.Error("metrics not served", "error", err)
+		}
+	}()
+	go func() {
+		for ctxtime.Sleep(ctx, namesRotation) {
+			meter.RotateNames()
+		}
+	}()
+	return meter, nil
+}
+
 func regions(list []settings.DataCentre) map[state.DataCentre]state.Region {
 	regionOf := make(map[state.DataCentre]state.Region, len(list))
 	for _, dc := range list {
