--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,9 +42,9 @@
 	// RetryShare and RetrySlack bound the further attempts of all gateways
 	// together: a share of the requests, and a number on top.
 	RetryShare, RetrySlack float64
-	// DrainFor is how long a planned stop waits for open requests, and
-	// RefuseAfter from when on it refuses new ones.
-	DrainFor, RefuseAfter time.Duration
+	// Grace is how long a planned stop may take, and RefuseAfter for how long
+	// at most it takes all new requests.
+	Grace, RefuseAfter time.Duration
 }
 
 // Listeners are where a gateway serves.
@@ -66,6 +66,7 @@
 	// open counts the requests being served.
 	open     atomic.Int64
 	stopping atomic.Pointer[time.Time]
+	stop     stopTimes
 	// stopped ends shortly before the end of a planned stop.
 	stopped  context.Context
 	endStop  context.CancelFunc
@@ -101,6 +102,7 @@
 	}
 	g := &Gateway{
 		opts:    opts,
+		stop:    newStopTimes(opts.Grace, opts.RefuseAfter),
 		forward: forward.NewClient(opts.Dialect),
 		health:  health.DefaultConfig(),
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -209,7 +209,7 @@
 	time.Sleep(100 * time.Millisecond)
 	s.stop()
 	var got answer
-	s.g.Eventually(waiting).WithTimeout(drainFor + time.Second).Should(Receive(&got))
+	s.g.Eventually(waiting).WithTimeout(grace + time.Second).Should(Receive(&got))
 	s.g.Expect(got.err).NotTo(HaveOccurred())
 	s.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -147,7 +147,7 @@
 }
 
 const (
-	drainFor    = 1500 * time.Millisecond
+	grace       = 1600 * time.Millisecond
 	refuseAfter = 200 * time.Millisecond
 )
 
@@ -171,7 +171,7 @@
 	s.gateway = gateway.New(gateway.Options{
 		Name: "gateway", Control: listeners.Control.Addr().String(), DataCentre: "dc",
 		Manifests: s.manifests, Upstreams: s.upstreams, Dialect: dialect{}, Controller: leader, Caller: client, Logger: logger,
-		RetryShare: 0.2, RetrySlack: 100, DrainFor: drainFor, RefuseAfter: refuseAfter,
+		RetryShare: 0.2, RetrySlack: 100, Grace: grace, RefuseAfter: refuseAfter,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop, s.url = cancel, "http://"+listeners.Callers.Addr().String()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,9 +19,6 @@
 	// idleTimeout is longer than callers keep idle connections, so that no
 	// request meets the closing of one.
 	idleTimeout = time.Minute
-	// verdictTime is the last part of a planned stop, in which requests that
-	// are still open end with a verdict.
-	verdictTime = 300 * time.Millisecond
 	// openPoll is the time between looks at the open requests of a stop.
 	openPoll = 20 * time.Millisecond
 )
@@ -79,11 +76,10 @@
 	began := time.Now()
 	g.stopping.Store(&began)
 	g.opts.Logger.Info("stop begins", "open", g.open.Load())
-	end := began.Add(g.opts.DrainFor)
-	verdicts := time.AfterFunc(g.opts.DrainFor-verdictTime, g.endStop)
+	verdicts := time.AfterFunc(g.stop.verdicts, g.endStop)
 	defer verdicts.Stop()
-	for time.Now().Before(end) {
-		if time.Since(began) > g.opts.RefuseAfter && g.open.Load() == 0 {
+	for time.Since(began) < g.stop.end {
+		if time.Since(began) > g.stop.refuse && g.open.Load() == 0 {
 			break
 		}
 		ctxtime.Sleep(context.Background(), openPoll)
@@ -95,8 +91,8 @@
 // might not end before it.
 func (g *Gateway) refusesNew(now, deadline time.Time) bool {
 	began := g.stopping.Load()
-	if began == nil || now.Sub(*began) <= g.opts.RefuseAfter {
+	if began == nil || now.Sub(*began) <= g.stop.refuse {
 		return false
 	}
-	return deadline.After(began.Add(g.opts.DrainFor - verdictTime))
+	return deadline.After(began.Add(g.stop.verdicts))
 }
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -134,3 +134,16 @@
 	g.Expect(<-feed.waits).To(BeZero(), "after a failure")
 	g.Expect(<-feed.waits).To(BeNumerically(">", 0), "after it")
 }
+
+// Guards against streams that are cut before the last sixth of a planned stop
+// (seen on played days with a grace of 5 s), and against a process that is still
+// there at its end.
+func TestStopTimesFitAnyGrace(t *testing.T) {
+	g := NewWithT(t)
+	for _, grace := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second, 30 * time.Second} {
+		times := newStopTimes(grace, 2500*time.Millisecond)
+		g.Expect(times.verdicts).To(BeNumerically(">", grace*5/6))
+		g.Expect(times.end).To(BeNumerically("<", grace))
+		g.Expect(times.refuse).To(BeNumerically("<", times.verdicts))
+	}
+}
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -80,7 +80,7 @@
 		Meter:       meter,
 		RetryShare:  cfg.Retries.Share,
 		RetrySlack:  cfg.Retries.Slack,
-		DrainFor:    (cfg.Shutdown.DrainTimeout - cfg.Shutdown.StopTimeout).Std(),
+		Grace:       cfg.Shutdown.DrainTimeout.Std(),
 		RefuseAfter: cfg.RefuseAfter.Std(),
 	})
 	err = g.Run(ctx, listeners, readiness(on.ReadyPath, g.Ready))
