--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -197,7 +197,7 @@
 		return m.write(fleet.LeaseRecord{Token: m.token})
 	case m.holds || leaving:
 		return Step{}
-	case m.known != nil && !m.known.Released && !m.Expired(now):
+	case m.known != nil && !m.known.Released && !m.lapsed(now):
 		return Step{}
 	case m.outdated:
 		return Step{Action: Read}
@@ -207,9 +207,8 @@
 	}
 }
 
-// Expired reports whether the record known is old enough that a read would be
-// worth its price: the holder may be gone.
-func (m *Machine) Expired(now time.Time) bool { return !now.Before(m.seen.Add(m.settings.TTL)) }
+// lapsed reports whether the record known has stood for TTL.
+func (m *Machine) lapsed(now time.Time) bool { return !now.Before(m.seen.Add(m.settings.TTL)) }
 
 // Refresh asks for a read at the next step.
 func (m *Machine) Refresh() { m.stale = true }
