controller: ask a bounded number of engines at a time

Measured: go test -race ./internal/controller with 3,000 engines: at most 48 at once, all known within 10 s; without the bound the test fails.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -65,9 +65,11 @@
 	// actingSince is when acting began or ended.
 	actingSince time.Time
 	engines     map[state.UpstreamName]*engine
-	demand      *demandTable
-	loads       loadBudget
-	leaving     bool
+	// polls counts the reports that engines were asked for and have not given.
+	polls   int
+	demand  *demandTable
+	loads   loadBudget
+	leaving bool
 }
 
 // event changes the state of a controller in its goroutine.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -88,6 +88,8 @@
 	// lose drops the answer of the next orders, which are accepted, and drop
 	// the orders themselves.
 	lose, drop int
+	// reports are asked for now, mostReports were at once.
+	reports, mostReports int
 }
 
 func (e *engines) settle(u state.UpstreamName) *engine {
@@ -99,8 +101,14 @@
 }
 
 func (e *engines) Report(_ context.Context, u *fleet.Upstream) (fleet.EngineReport, error) {
+	e.mu.Lock()
+	e.reports++
+	e.mostReports = max(e.mostReports, e.reports)
+	e.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.reports--
 	one := e.settle(u.Name)
 	return fleet.EngineReport{Replicas: slices.Clone(one.replicas), Busy: one.after != nil, Accepted: one.accepted}, nil
 }
@@ -348,3 +356,21 @@
 		w.g.Expect(err).To(HaveOccurred())
 	})
 }
+
+// The pattern is a new holder at 3,000 engines. Guards against more connections
+// at once than a host has descriptors (4,100), most of which are for callers,
+// and against engines that are never asked.
+func TestNewHolderAsksAFewEnginesAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, 3000, 2)
+		c := w.start(ctx, "a")
+		time.Sleep(10 * time.Second)
+		all, err := c.Residency(ctx, rpc.ResidencyParams{Gateway: "g", Wait: state.Duration(time.Second)})
+		w.g.Expect(err).NotTo(HaveOccurred())
+		w.g.Expect(all.Upstreams).To(HaveLen(3000))
+		w.g.Expect(w.engines.mostReports).To(BeNumerically("<=", 100))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/controller/engine.go
+++ b/internal/controller/engine.go
@@ -13,6 +13,9 @@
 	// pollEvery is the time between reports asked of an engine whose order is
 	// under way. A report is some hundred milliseconds old.
 	pollEvery = 150 * time.Millisecond
+	// maxPolls bounds the reports asked for at once, each of which takes a
+	// connection: a new holder asks all engines.
+	maxPolls = 48
 	// shortOrder is how long an unload, or the load of an adapter, takes.
 	shortOrder = 25 * time.Millisecond
 	// resendAfter is when an order whose outcome is not known is sent again.
@@ -216,11 +219,13 @@
 // poll asks an engine for its report.
 func (c *Controller) poll(ctx context.Context, e *engine, now time.Time) {
 	e.polling, e.nextPoll = true, now.Add(pollEvery)
+	c.polls++
 	u := e.upstream
 	go func() {
 		report, err := c.opts.Engines.Report(ctx, u)
 		c.events <- func(c *Controller, now time.Time) {
 			e.polling = false
+			c.polls--
 			if c.engines[u.Name] != e || !e.upstream.Started.Equal(u.Started) {
 				return
 			}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -53,7 +53,7 @@
 		if e.finished(now) {
 			c.changed(e, now)
 		}
-		if e.needsReport(now) {
+		if c.polls < maxPolls && e.needsReport(now) {
 			c.poll(ctx, e, now)
 		}
 		if e.needsResend(now) {
