gateway: refusals do not use up attempts, and each refused request has a line

Cause: read in the code: a sending that failed after another upstream had refused counted twice, so an idempotent request was given up one attempt early; requests refused during a planned stop had no line in the log. Change: runs are counted where they are learned of; the line is written for all that are refused before a sending. Measured: TestRefusalsDoNotUseUpAttempts fails before (502) and passes after; go test -race ./internal/gateway passes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -84,9 +84,7 @@
 	}()
 	answer, err := g.forward.Send(ctx, m.upstream, x.request(m, x.call.LastEvent))
 	if err != nil {
-		v := verdict.Of(err)
-		x.failed(ctx, m, v)
-		return v
+		return x.unanswered(ctx, m, err)
 	}
 	defer answer.Close()
 	if answer.Info.NotRun {
@@ -99,7 +97,7 @@
 		// An application that fails a request says nothing about its upstream.
 		x.excluded = append(x.excluded, m.upstream.Name)
 	case v != nil:
-		x.failed(ctx, m, v)
+		x.failed(ctx, m)
 	default:
 		m.load.ended(true, time.Now(), g.health)
 	}
@@ -129,11 +127,18 @@
 	}
 }
 
-// failed notes an upstream that gave no proper answer.
-func (x *exchange) failed(ctx context.Context, m *member, v *verdict.Verdict) {
-	if v.Execution != verdict.NotRun && x.runs < x.sends {
+// unanswered notes an upstream that gave no answer to a sending.
+func (x *exchange) unanswered(ctx context.Context, m *member, err error) *verdict.Verdict {
+	v := verdict.Of(err)
+	if v.Execution != verdict.NotRun {
 		x.runs++
 	}
+	x.failed(ctx, m)
+	return v
+}
+
+// failed notes an upstream that gave no proper answer.
+func (x *exchange) failed(ctx context.Context, m *member) {
 	x.excluded = append(x.excluded, m.upstream.Name)
 	if ctx.Err() == nil {
 		m.load.ended(false, time.Now(), x.gateway.health)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -105,6 +105,34 @@
 	}
 }
 
+// Guards against attempts that are used up by upstreams that refuse to run a
+// request: a refusal, a failure, and the third upstream serves.
+func TestRefusalsDoNotUseUpAttempts(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	var tries atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/any/0" {
+			return
+		}
+		switch tries.Add(1) {
+		case 1:
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 2:
+			hangUp(w)
+		default:
+			_, _ = io.WriteString(w, "served")
+		}
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		s.upstream(name, "plain", serve)
+	}
+	s.await("/any/0", http.StatusOK)
+	time.Sleep(time.Second) // The registry has all three.
+	s.g.Expect(s.request(context.Background(), "/any/1", nil).body).To(Equal("served"))
+}
+
 // events writes the events of a stream from one on, and hangs up before the end
 // if cut is set, in the middle of an event.
 func events(w http.ResponseWriter, from, to int, cut bool) {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -74,6 +74,8 @@
 	}
 	x := &exchange{gateway: g, w: w, r: r, began: time.Now()}
 	if v := x.prepare(); v != nil {
+		g.opts.Logger.Info("request refused", "request", x.call.ID, "host", r.Host, "path", r.URL.Path,
+			"status", statusOf(v), "reason", v.Reason, "detail", v.Detail)
 		x.refuse(v)
 		return
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -42,10 +42,6 @@
 	x.w.WriteHeader(status)
 	// A failure means that the caller is gone.
 	_, _ = x.w.Write([]byte(string(v.Reason) + "\n"))
-	if x.route == nil {
-		x.gateway.opts.Logger.Info("request refused", "request", x.call.ID, "host", x.r.Host, "path", x.r.URL.Path,
-			"status", status, "reason", v.Reason, "detail", v.Detail)
-	}
 }
 
 // retryAfter writes a time in seconds with three decimals, as callers take
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -128,7 +128,7 @@
 		if v == nil || !x.delivered || v.Reason != verdict.ReasonStreamCut || ctx.Err() != nil {
 			return v
 		}
-		x.failed(ctx, m, v)
+		x.failed(ctx, m)
 		next, at, again := x.resume(ctx, events.LastID(), v)
 		if next == nil {
 			x.gateway.opts.Meter.Resume(telemetry.ResumeFailed)
@@ -158,8 +158,7 @@
 		x.last = m.upstream.Name
 		answer, err := g.forward.Send(ctx, m.upstream, x.request(m, lastEvent))
 		if err != nil {
-			v = verdict.Of(err)
-			x.failed(ctx, m, v)
+			v = x.unanswered(ctx, m, err)
 			continue
 		}
 		if answer.Info.NotRun {
