--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -120,6 +120,10 @@
 			w.Header().Set("Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case 2:
+			// The head of an answer comes, and half of its body.
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
 			hangUp(w)
 		default:
 			_, _ = io.WriteString(w, "served")
