controller, gateway: one weight store for all services; unframed streams that end early

Cause: read in the code. Each service with engines refilled the store's budget and counted only its own loads under way, so two services loaded at twice the rate. A stream without length or chunks whose connection ended within an event was passed on as complete. Change: one budget by the lowest rate, loads counted over all engines; such a stream counts as cut.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -234,6 +234,39 @@
 	})
 }
 
+// Guards against two services with engines that each use the store's whole rate:
+// the store is one for all.
+func TestServicesShareTheStoresLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, 20, 20)
+		first := w.fleet.Manifest.Services["s"]
+		second := &fleet.Service{Name: "s2", Engine: first.Engine}
+		w.fleet.Manifest = fleet.NewManifest(1, nil, []*fleet.Service{first, second}, 0)
+		for _, u := range w.fleet.Upstreams[10:] {
+			u.Service = "s2"
+		}
+		c := w.start(ctx, "a")
+		time.Sleep(time.Second)
+		for range 10 {
+			w.want(c, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9)
+			time.Sleep(time.Second)
+		}
+		cancel()
+		synctest.Wait()
+		w.g.Expect(len(w.engines.taken)).To(BeNumerically(">", 10))
+		for i, o := range w.engines.taken {
+			atOnce := 0
+			for _, other := range w.engines.taken[i:] {
+				if other.at.Sub(o.at) < 2*time.Second {
+					atOnce++
+				}
+			}
+			w.g.Expect(atOnce).To(BeNumerically("<=", 4))
+		}
+	})
+}
+
 // Guards against an order that is carried out twice, or another one given
 // meanwhile, when its answer is lost or it is lost itself.
 func TestOrderWithoutAnAnswer(t *testing.T) {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/residency"
@@ -64,6 +65,7 @@
 		c.show(token)
 		return
 	}
+	c.loads.refill(storeRate(f.Manifest), now)
 	demand := c.demand.current(now)
 	for _, service := range f.Manifest.Services {
 		if service.Engine != nil {
@@ -73,6 +75,29 @@
 	c.show(token)
 }
 
+// storeRate returns the loads a second that the weight store allows. The
+// engines of all services share it.
+func storeRate(m *fleet.Manifest) float64 {
+	rate := math.Inf(1)
+	for _, service := range m.Services {
+		if service.Engine != nil {
+			rate = min(rate, service.Engine.LoadsPerSecond)
+		}
+	}
+	return rate
+}
+
+// storeLoads returns how many loads from the weight store may begin now.
+func (c *Controller) storeLoads() int {
+	under := 0
+	for _, e := range c.engines {
+		if e.pending != nil && e.pending.fromStore {
+			under++
+		}
+	}
+	return max(min(int(c.loads.tokens), c.opts.StoreLoadsAtOnce-under), 0)
+}
+
 // switchOver begins or ends the work of a holder. A new holder knows nothing:
 // it asks each engine, and starts no load from the store at once.
 func (c *Controller) switchOver(token state.FencingToken, holds bool, now time.Time) {
@@ -109,9 +134,7 @@
 
 // plan makes and carries out the plan for the engines of a service.
 func (c *Controller) plan(ctx context.Context, service *fleet.Service, demand map[fleet.Target]residency.Demand, now time.Time) {
-	c.loads.refill(service.Engine.LoadsPerSecond, now)
-	in := residency.Input{Engine: service.Engine, Demand: demand}
-	under := 0
+	in := residency.Input{Engine: service.Engine, Demand: demand, StoreLoads: c.storeLoads()}
 	for _, e := range c.engines {
 		if e.upstream.Service != service.Name {
 			continue
@@ -123,13 +146,9 @@
 		}
 		if e.pending != nil {
 			view.Pending = &e.pending.Order
-			if e.pending.fromStore {
-				under++
-			}
 		}
 		in.Upstreams = append(in.Upstreams, view)
 	}
-	in.StoreLoads = max(min(int(c.loads.tokens), c.opts.StoreLoadsAtOnce-under), 0)
 	for _, step := range residency.Plan(in) {
 		c.begin(ctx, service, step, demand[step.Target], now)
 	}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -26,6 +26,12 @@
 // Length returns the length of the body, or -1 if it is not known.
 func (a *Answer) Length() int64 { return a.resp.ContentLength }
 
+// Framed reports whether the end of the body is marked, by a length or by a last
+// chunk. Otherwise it ends with the connection, which may have ended early.
+func (a *Answer) Framed() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+}
+
 // Read implements io.Reader. It returns io.EOF only after the whole body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.resp.Body.Read(p)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -189,6 +189,38 @@
 	s.g.Expect(s.request(context.Background(), "/stream/1", nil).err).To(MatchError(io.ErrUnexpectedEOF))
 }
 
+// Guards against a stream without a marked end whose connection ends within an
+// event and that looks whole, and one that ends properly and looks cut.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for name, ending := range map[string]string{"whole": "", "within an event": "id: 3\nda"} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/any/0" {
+					return
+				}
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: request-1\r\nMark: a\r\nContent-Type: text/event-stream\r\n\r\n"+
+					"id: 1\ndata: 1\n\n"+ending)
+				_ = conn.Close()
+			})
+			s.await("/any/0", http.StatusOK)
+			for _, path := range []string{"/stream/1", "/resume/1"} {
+				got := s.request(context.Background(), path, nil)
+				if ending == "" {
+					s.g.Expect([]any{got.body, got.err}).To(Equal([]any{"id: 1\ndata: 1\n\n", nil}))
+				} else {
+					s.g.Expect(got.err).To(MatchError(io.ErrUnexpectedEOF), path)
+				}
+			}
+		})
+	}
+}
+
 // Guards against work that goes on after its caller has left.
 func TestCallerGoneEndsTheWork(t *testing.T) {
 	s := start(t)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -120,9 +121,9 @@
 func (x *exchange) deliverStream(ctx context.Context, m *member, answer *forward.Answer) *verdict.Verdict {
 	out := &eventWriter{exchange: x, answer: answer, flusher: http.NewResponseController(x.w)}
 	if !x.route.Resumable {
-		return out.copy(answer)
+		return out.copy(wholeEvents(answer))
 	}
-	events := sse.NewEvents(answer)
+	events := sse.NewEvents(wholeEvents(answer))
 	for {
 		v := out.copy(events)
 		if v == nil || !x.delivered || v.Reason != verdict.ReasonStreamCut || ctx.Err() != nil {
@@ -136,7 +137,7 @@
 		}
 		x.gateway.opts.Meter.Resume(telemetry.ResumeDone)
 		defer next.Close()
-		events.Resume(next)
+		events.Resume(wholeEvents(next))
 		m = at
 	}
 }
@@ -177,6 +178,36 @@
 	return nil, nil, v
 }
 
+// wholeEvents returns a reader of a stream of events. A stream without a marked
+// end that ends within an event was cut.
+func wholeEvents(answer *forward.Answer) io.Reader {
+	if answer.Framed() {
+		return answer
+	}
+	return &unframedEvents{src: answer}
+}
+
+// unframedEvents reads events from a connection that ends with them.
+type unframedEvents struct {
+	src io.Reader
+	// tail is the end of what was read.
+	tail []byte
+}
+
+var eventEnd = []byte("\n\n")
+
+// Read implements io.Reader. It returns io.ErrUnexpectedEOF if the source ends
+// within an event.
+func (u *unframedEvents) Read(p []byte) (int, error) {
+	n, err := u.src.Read(p)
+	u.tail = append(u.tail, p[:n]...)
+	u.tail = u.tail[max(len(u.tail)-len(eventEnd), 0):]
+	if errors.Is(err, io.EOF) && !bytes.Equal(u.tail, eventEnd) {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // eventWriter passes a stream on to the caller.
 type eventWriter struct {
 	exchange *exchange
