forward: tests of second answers that do not race

The second answer came after the next request had been sent; it was passed over by its id, and the caller got the right answer. Change: both answers come in one write, or the test waits for the second; the case met by chance is a test of its own. No code of the product changed.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -132,22 +133,28 @@
 }
 
 // Guards against a connection that is used again although a second answer waits
-// on it, at once or by the time of the next request.
+// on it, with the first or by the time of the next request.
 func TestConnectionsWithBytesLeftAreClosed(t *testing.T) {
-	for name, delay := range map[string]time.Duration{"at once": 0, "later": 20 * time.Millisecond} {
+	for name, parts := range map[string][]string{
+		"with the first": {answer("1", "one") + answer("1", "extra")},
+		"later":          {answer("1", "one"), answer("1", "extra")},
+	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
+			written := make(chan struct{})
 			extra := func(conn net.Conn, _ *http.Request) {
-				_, _ = io.WriteString(conn, answer("1", "one"))
-				time.Sleep(delay)
-				_, _ = io.WriteString(conn, answer("1", "extra"))
+				for _, part := range parts {
+					_, _ = io.WriteString(conn, part)
+				}
+				close(written)
 			}
 			u := serve(t, extra, say(answer("2", "two")))
 			client := forward.NewClient(dialect{})
 			a, err := client.Send(context.Background(), u.Upstream, request("1"))
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(read(t, a)).To(Equal("one"))
-			time.Sleep(2 * delay)
+			<-written
+			time.Sleep(20 * time.Millisecond) // Loopback delivers what was written.
 			a, err = client.Send(context.Background(), u.Upstream, request("2"))
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(read(t, a)).To(Equal("two"))
@@ -156,6 +163,23 @@
 	}
 }
 
+// Guards against the second answer of a request that comes while the next one is
+// under way on its connection, after all checks of it.
+func TestSecondAnswerMeetsTheNextRequest(t *testing.T) {
+	g := NewWithT(t)
+	late := func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, answer("1", "extra")+answer("2", "two"))
+	}
+	u := serve(t, say(answer("1", "one")), late)
+	client := forward.NewClient(dialect{})
+	for id, want := range []string{"one", "two"} {
+		a, err := client.Send(context.Background(), u.Upstream, request(strconv.Itoa(id+1)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(read(t, a)).To(Equal(want))
+	}
+	g.Expect(u.conns.Load()).To(Equal(int32(1)))
+}
+
 // Guards against a verdict of "not run" for a request that an upstream has read,
 // and against bytes that are no answer taken for one.
 func TestBrokenAnswersMayHaveRun(t *testing.T) {
