controller, forward: remove what the change left without use

Cause: read in the diff: a wait group that nobody waited on, a field that was only set where it was not read, a condition that its own function contains, and a doc comment of another result. Change: the four; behaviour is the same. Measured: go vet and go test of controller, forward and gateway pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -66,10 +66,9 @@
 	actingSince time.Time
 	engines     map[state.UpstreamName]*engine
 	// polls counts the reports that engines were asked for and have not given.
-	polls   int
-	demand  *demandTable
-	loads   loadBudget
-	leaving bool
+	polls  int
+	demand *demandTable
+	loads  loadBudget
 }
 
 // event changes the state of a controller in its goroutine.
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -20,7 +20,7 @@
 	if c.leaseBusy {
 		return
 	}
-	step := c.machine.Next(now, c.leaving)
+	step := c.machine.Next(now, false)
 	switch step.Action {
 	case election.Read:
 		if now.Sub(c.lastRead) < readPace {
@@ -78,7 +78,6 @@
 // release gives the lease up so that another process need not wait for its end.
 func (c *Controller) release() {
 	c.shown.close()
-	c.leaving = true
 	now := c.opts.Now()
 	step := c.machine.Next(now, true)
 	if step.Action != election.Write || c.leaseBusy {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -189,7 +189,7 @@
 	p, u, until := e.pending, e.upstream, c.machine.ValidUntil()
 	first := p.state == 0
 	p.state, p.sent = orderSending, now
-	if p.Kind == fleet.Load && longOrder(p.Order) {
+	if longOrder(p.Order) {
 		p.due = now.Add(p.takes)
 	}
 	go func() {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -38,8 +37,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// writing is held while the body of a request is written.
-	writing  sync.WaitGroup
+	// unsent says that a request was not written whole, or not yet.
 	unsent   atomic.Bool
 	lastUsed time.Time
 	// idleLimit is how long the upstream keeps the connection when idle.
@@ -66,11 +64,11 @@
 		return
 	}
 	c.unsent.Store(true)
-	c.writing.Go(func() {
+	go func() {
 		parts := net.Buffers{head, req.Body}
 		_, err := parts.WriteTo(c.Conn)
 		c.unsent.Store(err != nil)
-	})
+	}()
 }
 
 // appendHead appends the request line and the headers.
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -66,7 +66,7 @@
 }
 
 // applyUpstream takes an entry of the registry unless a later one is known. It
-// returns the row if the upstream is new or has changed its state.
+// reports whether the upstream is new, has started again or changed its state.
 func (t *tables) applyUpstream(u *fleet.Upstream) (changed bool) {
 	row, ok := t.upstreams[u.Name]
 	if !ok {
