gateway: one way to call the controller

Cause: questions and reports of demand chose between this process and the holder by the same switch, written twice. Change: callLeader serves both; behaviour is the same.

--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -48,17 +48,21 @@
 	}
 }
 
-func (g *Gateway) askResidency(ctx context.Context, params rpc.ResidencyParams) (result rpc.ResidencyResult, err error) {
-	ctx, cancel := context.WithTimeout(ctx, residencyWait+callTimeout)
-	defer cancel()
+// callLeader calls a method of the controller: in this process if it holds the
+// lease or the holder is not known, and at the holder otherwise.
+func callLeader[P, R any](ctx context.Context, g *Gateway, method string, params P, local func(context.Context, P) (R, error)) (result R, err error) {
 	addr := g.opts.Controller.Leader()
-	switch addr {
-	case "", g.opts.Control:
-		return g.opts.Controller.Residency(ctx, params)
-	default:
-		err = g.opts.Caller.Call(ctx, addr, rpc.MethodResidency, params, &result)
-		return result, err
+	if addr == "" || addr == g.opts.Control {
+		return local(ctx, params)
 	}
+	err = g.opts.Caller.Call(ctx, addr, method, params, &result)
+	return result, err
+}
+
+func (g *Gateway) askResidency(ctx context.Context, params rpc.ResidencyParams) (rpc.ResidencyResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, residencyWait+callTimeout)
+	defer cancel()
+	return callLeader(ctx, g, rpc.MethodResidency, params, g.opts.Controller.Residency)
 }
 
 // reportWanted tells the controller what callers want.
@@ -86,13 +90,6 @@
 func (g *Gateway) sendWanted(ctx context.Context, params rpc.WantedParams) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	addr := g.opts.Controller.Leader()
-	switch addr {
-	case "", g.opts.Control:
-		_, err := g.opts.Controller.Wanted(ctx, params)
-		return err
-	default:
-		var result rpc.WantedResult
-		return g.opts.Caller.Call(ctx, addr, rpc.MethodWanted, params, &result)
-	}
+	_, err := callLeader(ctx, g, rpc.MethodWanted, params, g.opts.Controller.Wanted)
+	return err
 }
