residency: make enough room for a model that is larger than what gives way

The upstream stayed reserved and the model counted as coming. Change: replicas give way until there is room for the model, no more than needed; a reserved upstream unloads the next one. Measured: the test fails without the change.

--- a/internal/decide/residency/residency.go
+++ b/internal/decide/residency/residency.go
@@ -132,7 +132,8 @@
 	}
 }
 
-// loadReserved plans the loads that room was made for.
+// loadReserved plans the loads that room was made for, or the next unload if
+// there is not enough room yet.
 func (p *planner) loadReserved() {
 	for i := range p.Upstreams {
 		u := &p.Upstreams[i]
@@ -140,8 +141,8 @@
 		if !known || p.taken[u.Name] || holds(u, u.Reserved) {
 			continue
 		}
-		if o, ok := p.option(u, spec, math.Inf(1)); ok && o.victim == "" {
-			p.load(o, spec)
+		if o, ok := p.option(u, spec, math.Inf(1)); ok {
+			p.carryOut(o, spec)
 		}
 	}
 }
@@ -217,14 +218,19 @@
 		return
 	}
 	p.replicas[spec.Name]++
-	if best.victim == "" {
-		p.load(best, spec)
+	p.carryOut(best, spec)
+}
+
+// carryOut plans the next order of an option.
+func (p *planner) carryOut(o option, spec fleet.ModelSpec) {
+	if o.victim == "" {
+		p.load(o, spec)
 		return
 	}
-	p.taken[best.upstream.Name] = true
-	p.replicas[best.victim]--
+	p.taken[o.upstream.Name] = true
+	p.replicas[o.victim]--
 	p.steps = append(p.steps, Step{
-		Upstream: best.upstream.Name, Kind: fleet.Unload, Target: fleet.Target{Model: best.victim}, Reserve: spec.Name,
+		Upstream: o.upstream.Name, Kind: fleet.Unload, Target: fleet.Target{Model: o.victim}, Reserve: spec.Name,
 	})
 }
 
@@ -242,20 +248,41 @@
 		o.cost += spareCost * float64(p.nearby(u.DataCentre, spec.Name))
 		return o, true
 	}
-	worth := math.Inf(1)
-	for i := range u.Replicas {
-		model := u.Replicas[i].Model
-		if w := p.worth(model); w < worth {
-			o.victim, worth = model, w
-		}
-	}
-	if o.victim == "" || worth >= limit || math.IsInf(worth, 1) {
+	victims, worth := p.victims(u, spec.Size-p.free(u))
+	if len(victims) == 0 || worth >= limit || math.IsInf(worth, 1) {
 		return o, false
 	}
+	o.victim = victims[0]
 	o.cost += worth
 	return o, true
 }
 
+// victims returns the replicas of an upstream that give way for room of a size,
+// those worth least, and what they are worth together. There are none if all of
+// them don't make enough room.
+func (p *planner) victims(u *Upstream, room fleet.Megabytes) (names []state.ModelName, worth float64) {
+	replicas := slices.Clone(u.Replicas)
+	slices.SortStableFunc(replicas, func(a, b fleet.Replica) int { return cmp.Compare(p.worth(a.Model), p.worth(b.Model)) })
+	freed, chosen := fleet.Megabytes(0), 0
+	for freed < room && chosen < len(replicas) {
+		freed += p.size(&replicas[chosen])
+		chosen++
+	}
+	if freed < room {
+		return nil, 0
+	}
+	for i := range replicas[:chosen] {
+		if size := p.size(&replicas[i]); freed-size >= room {
+			// Enough room is made without it.
+			freed -= size
+			continue
+		}
+		names = append(names, replicas[i].Model)
+		worth += p.worth(replicas[i].Model)
+	}
+	return names, worth
+}
+
 // spareCost is the cost of a second replica in a data centre, in seconds.
 const spareCost = 0.1
 
--- a/internal/decide/residency/residency_test.go
+++ b/internal/decide/residency/residency_test.go
@@ -197,3 +197,54 @@
 		Rate:    rapid.Float64Range(0, 10).Draw(t, "rate"),
 	}
 }
+
+// carryOut applies a step to the upstream that it is for.
+func carryOut(in *residency.Input, step residency.Step) {
+	for i := range in.Upstreams {
+		u := &in.Upstreams[i]
+		if u.Name != step.Upstream {
+			continue
+		}
+		u.Replicas = residency.Resident(u.Replicas, fleet.Order{Kind: step.Kind, Target: step.Target})
+		u.Reserved = step.Reserve
+	}
+}
+
+// The pattern is a rare model that is larger than the idle ones. Guards against
+// an unload that makes too little room: the upstream then stayed reserved for a
+// model that it could not load, while requests for it waited.
+func TestUnloadsMakeRoomForALargerModel(t *testing.T) {
+	for name, held := range map[string][]state.ModelName{
+		"one large among small": {"small0", "small1", "large0"},
+		"small alone":           {"small0", "small1", "small2", "small3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := &fleet.Engine{Slots: 64, Memory: 160, LoadsPerSecond: 3, Models: map[state.ModelName]fleet.ModelSpec{}}
+			for _, m := range []state.ModelName{"small0", "small1", "small2", "small3"} {
+				e.Models[m] = fleet.ModelSpec{Name: m, Size: 40, FromStore: 6 * time.Second, FromDisk: time.Second}
+			}
+			for _, m := range []state.ModelName{"large0", "wanted"} {
+				e.Models[m] = fleet.ModelSpec{Name: m, Size: 73, FromStore: 6 * time.Second, FromDisk: time.Second}
+			}
+			in := residency.Input{
+				Engine: e, StoreLoads: 2, Upstreams: upstreams(held),
+				Demand: map[fleet.Target]residency.Demand{model("wanted"): {Waiting: 1, Rate: 0.1}, model("large0"): {Rate: 0.05}},
+			}
+			for range held {
+				steps := residency.Plan(in)
+				g.Expect(steps).To(HaveLen(1))
+				if steps[0].Kind == fleet.Load {
+					break
+				}
+				g.Expect(steps[0].Reserve).To(Equal(state.ModelName("wanted")))
+				carryOut(&in, steps[0])
+			}
+			steps := residency.Plan(in)
+			g.Expect(steps).To(HaveLen(1))
+			g.Expect(steps[0].Kind).To(Equal(fleet.Load))
+			g.Expect(steps[0].Model).To(Equal(state.ModelName("wanted")))
+			g.Expect(len(in.Upstreams[0].Replicas)).To(BeNumerically(">=", len(held)-2), "no more unloads than needed")
+		})
+	}
+}
