residency: put replicas where there is less traffic

The place of a new replica was chosen by the time of its load alone. Change: a load costs more on an upstream whose models are asked for more.

--- a/internal/decide/residency/residency.go
+++ b/internal/decide/residency/residency.go
@@ -243,6 +243,7 @@
 		return o, false
 	}
 	o.cost += blockWeight * p.adapterRate(u) * load.Seconds()
+	o.cost += busyWeight * p.rate(u)
 	if p.free(u) >= spec.Size {
 		// A data centre that has few replicas of the model comes first.
 		o.cost += spareCost * float64(p.nearby(u.DataCentre, spec.Name))
@@ -283,6 +284,20 @@
 	return names, worth
 }
 
+// busyWeight is what a load costs for each request per second that the upstream
+// serves already: its models share the time of the engine.
+const busyWeight = 0.3
+
+// rate returns the rate of requests for the models that an upstream holds.
+func (p *planner) rate(u *Upstream) float64 {
+	sum := 0.0
+	for i := range u.Replicas {
+		model := u.Replicas[i].Model
+		sum += p.Demand[fleet.Target{Model: model}].Rate / float64(max(p.replicas[model], 1))
+	}
+	return sum
+}
+
 // spareCost is the cost of a second replica in a data centre, in seconds.
 const spareCost = 0.1
 
