--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -24,6 +24,9 @@
 	revision uint64
 	lease    state.Offset
 	gateways int
+	// peers are the gateways that take notices.
+	peers         []rpc.GatewayPeer
+	peersRevision uint64
 	entries  []shownEntry
 }
 
@@ -50,6 +53,7 @@
 // has changed.
 func (c *Controller) show(token state.FencingToken) {
 	next := &shown{term: token, revision: c.shown.revision, lease: c.machine.Offset(), gateways: len(c.demand.gateways)}
+	next.peers, next.peersRevision = c.demand.peers(), c.demand.peersRevision
 	for _, e := range c.engines {
 		if e.known {
 			next.entries = append(next.entries, shownEntry{e.revision, residencyOf(e)})
@@ -97,7 +101,10 @@
 
 // since returns the entries that have changed since the asker's revision.
 func (s *shown) since(params rpc.ResidencyParams) rpc.ResidencyResult {
-	result := rpc.ResidencyResult{Term: s.term, Revision: s.revision, Lease: s.lease, Gateways: s.gateways}
+	result := rpc.ResidencyResult{Term: s.term, Revision: s.revision, Lease: s.lease, Gateways: s.gateways, PeersRevision: s.peersRevision}
+	if s.term != params.Term || s.peersRevision != params.Peers {
+		result.Peers = s.peers
+	}
 	for _, e := range s.entries {
 		if s.term != params.Term || e.revision > params.Revision {
 			result.Upstreams = append(result.Upstreams, e.UpstreamResidency)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -176,6 +176,6 @@
 // Residency answers with what the upstreams hold once that differs from what
 // the asker knows, or at the end of its wait.
 func (c *Controller) Residency(ctx context.Context, params rpc.ResidencyParams) (rpc.ResidencyResult, error) {
-	c.post(func(c *Controller, now time.Time) { c.demand.heard(params.Gateway, now) })
+	c.post(func(c *Controller, now time.Time) { c.demand.asked(params.Gateway, params.Peer, now) })
 	return c.shown.await(ctx, params)
 }
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -14,10 +14,13 @@
 // demandTable holds what the callers of all gateways want.
 type demandTable struct {
 	gateways map[string]*gatewayReport
+	// peersRevision counts the changes of the gateways or their addresses.
+	peersRevision uint64
 }
 
 type gatewayReport struct {
 	heard   time.Time
+	peer    rpc.GatewayPeer
 	targets []rpc.TargetDemand
 }
 
@@ -30,11 +33,32 @@
 	if !ok {
 		g = &gatewayReport{}
 		t.gateways[gateway] = g
+		t.peersRevision++
 	}
 	g.heard = now
 	return g
 }
 
+// asked notes a question of a gateway, which names its address.
+func (t *demandTable) asked(gateway string, peer rpc.GatewayPeer, now time.Time) {
+	g := t.heard(gateway, now)
+	if g.peer != peer {
+		g.peer = peer
+		t.peersRevision++
+	}
+}
+
+// peers returns the addresses of the gateways that take notices.
+func (t *demandTable) peers() []rpc.GatewayPeer {
+	var list []rpc.GatewayPeer
+	for _, g := range t.gateways {
+		if g.peer.Notices != "" {
+			list = append(list, g.peer)
+		}
+	}
+	return list
+}
+
 func (t *demandTable) report(params rpc.WantedParams, now time.Time) {
 	t.heard(params.Gateway, now).targets = params.Targets
 }
@@ -45,6 +69,7 @@
 	for name, g := range t.gateways {
 		if now.Sub(g.heard) > reportLife {
 			delete(t.gateways, name)
+			t.peersRevision++
 			continue
 		}
 		for _, d := range g.targets {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -119,7 +119,7 @@
 			Hash:     m.hash,
 			Locality: m.locality,
 			Running:  int(m.load.running.Load()),
-			Reading:  time.Duration(m.load.reading.Load()),
+			Reading:  m.load.toRead(now),
 			Cached:   x.gateway.prompts.cached(m.load.index, x.prompt, x.call.Parts),
 			Ejected:  m.load.ejected(now),
 		})
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -74,7 +74,7 @@
 	x.sends++
 	x.last = m.upstream.Name
 	x.beside = int(m.load.running.Add(1)) - 1
-	g.prompts.sent(m.load.index, x.prompt)
+	g.prompts.sent(m.load.index, x.prompt.parts)
 	read := x.startReading(m)
 	defer read()
 	g.wanted.run(x.call.Target, 1)
@@ -109,6 +109,7 @@
 func (x *exchange) startReading(m *member) func() {
 	reading := int64(time.Duration(x.unread) * x.gateway.selection.PrefillPerToken)
 	m.load.reading.Add(reading)
+	x.gateway.tell(m, x.prompt, time.Duration(reading))
 	x.readDone = sync.OnceFunc(func() { m.load.reading.Add(-reading) })
 	return x.readDone
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
+	"github.com/lagoonvalve/lagoonvalve/internal/loadshare"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -37,6 +38,10 @@
 	Controller *controller.Controller
 	Caller     rpc.Caller
 	Logger     *slog.Logger
+	// Notices exchanges notices with the other gateways, which reach this one
+	// at NoticeAddress; nil for none.
+	Notices       *loadshare.Exchange
+	NoticeAddress string
 	// Meter counts what happens to requests; nil counts nothing.
 	Meter Meter
 	// RetryShare and RetrySlack bound the further attempts of all gateways
@@ -130,6 +135,9 @@
 	running.Go(func() { g.followUpstreams(parts) })
 	running.Go(func() { g.followResidency(parts) })
 	running.Go(func() { g.reportWanted(parts) })
+	if g.opts.Notices != nil {
+		running.Go(func() { g.opts.Notices.Run(parts, g.noticed) })
+	}
 	// The lease is given up at the beginning of a stop.
 	running.Go(func() { g.opts.Controller.Run(ctx) })
 	return g.serve(ctx, parts, listeners, ready)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -24,7 +24,10 @@
 
 // followResidency keeps asking the controller what the upstreams hold.
 func (g *Gateway) followResidency(ctx context.Context) {
-	params := rpc.ResidencyParams{Gateway: g.opts.Name, Wait: state.Duration(residencyWait)}
+	params := rpc.ResidencyParams{
+		Gateway: g.opts.Name, Wait: state.Duration(residencyWait),
+		Peer: rpc.GatewayPeer{Notices: g.opts.NoticeAddress, DataCentre: g.opts.DataCentre},
+	}
 	lost := true
 	for ctx.Err() == nil {
 		result, err := g.askResidency(ctx, params)
@@ -41,7 +44,10 @@
 			g.opts.Logger.Info("controller answers", "address", g.opts.Controller.Leader(), "term", result.Term)
 		}
 		lost = false
-		params.Term, params.Revision = result.Term, result.Revision
+		if result.Term != params.Term || result.PeersRevision != params.Peers {
+			g.setPeers(result.Peers)
+		}
+		params.Term, params.Revision, params.Peers = result.Term, result.Revision, result.PeersRevision
 		g.gateways.Store(int32(result.Gateways))
 		g.opts.Controller.Heard(result.Lease)
 		g.post(ctx, func(t *tables, now time.Time) bool { return t.applyResidency(result, now) })
--- /dev/null
+++ b/internal/gateway/notices.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/loadshare"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// minNotice is the least work that other gateways are told of. Less hardly
+// delays another request.
+const minNotice = 20 * time.Millisecond
+
+// tell tells the other gateways of a prompt that is sent to an upstream.
+func (g *Gateway) tell(m *member, p prompt, work time.Duration) {
+	if g.opts.Notices == nil || work < minNotice {
+		return
+	}
+	g.opts.Notices.Tell(loadshare.Notice{
+		Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli(), Work: state.Duration(work), Parts: p.shared(),
+	})
+}
+
+// noticed takes the word of another gateway.
+func (g *Gateway) noticed(n loadshare.Notice) {
+	m, ok := g.view.Load().byName[n.Upstream]
+	if !ok || m.upstream.Started.UnixMilli() != n.Started {
+		return
+	}
+	m.load.sentByOther(n.Work.Std(), time.Now())
+	g.prompts.sent(m.load.index, n.Parts)
+}
+
+// setPeers sets the gateways that are told, the nearest first: they use the
+// same upstreams.
+func (g *Gateway) setPeers(peers []rpc.GatewayPeer) {
+	if g.opts.Notices == nil {
+		return
+	}
+	t := newTables(g.opts.DataCentre, g.opts.RegionOf)
+	slices.SortFunc(peers, func(a, b rpc.GatewayPeer) int {
+		return cmp.Or(cmp.Compare(t.locality(a.DataCentre), t.locality(b.DataCentre)), cmp.Compare(a.Notices, b.Notices))
+	})
+	addresses := make([]string, 0, len(peers))
+	for _, p := range peers {
+		if p.Notices != g.opts.NoticeAddress {
+			addresses = append(addresses, p.Notices)
+		}
+	}
+	g.opts.Notices.SetPeers(addresses)
+}
--- a/internal/gateway/prompts.go
+++ b/internal/gateway/prompts.go
@@ -69,8 +69,13 @@
 	return tokens
 }
 
-func (b *prompts) sent(upstream int, p prompt) {
+// shared returns the names of the parts that other requests share: all but the
+// last, which is the request's own.
+func (p prompt) shared() []uint64 { return p.parts[:max(len(p.parts)-1, 0)] }
+
+// sent notes that parts of a prompt were sent to an upstream.
+func (b *prompts) sent(upstream int, parts []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.beliefs.Record(upstream, p.parts)
+	b.beliefs.Record(upstream, parts)
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -158,6 +158,7 @@
 	v := &view{
 		manifest:  t.manifest,
 		byService: make(map[state.ServiceName][]*member),
+		byName:    make(map[state.UpstreamName]*member),
 		changed:   make(chan struct{}),
 	}
 	for _, row := range t.sorted() {
@@ -165,13 +166,15 @@
 		if u.Draining {
 			continue
 		}
-		v.byService[u.Service] = append(v.byService[u.Service], &member{
+		m := &member{
 			upstream: u,
 			replicas: t.replicas(u, now),
 			locality: t.locality(u.DataCentre),
 			hash:     routing.UpstreamHash(u.Name),
 			load:     row.load,
-		})
+		}
+		v.byService[u.Service] = append(v.byService[u.Service], m)
+		v.byName[u.Name] = m
 	}
 	return v
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/health"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -16,6 +17,7 @@
 type view struct {
 	manifest  *fleet.Manifest
 	byService map[state.ServiceName][]*member
+	byName    map[state.UpstreamName]*member
 	// changed is closed when a newer view is published.
 	changed chan struct{}
 }
@@ -44,6 +46,23 @@
 
 	mu     sync.Mutex
 	health health.Record
+	// others is the work that other gateways have sent.
+	others selection.Backlog
+}
+
+// toRead returns the expected time until the upstream has read the prompts that
+// were sent to it.
+func (l *load) toRead(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.reading.Load()) + l.others.Left(now)
+}
+
+// sentByOther notes work that another gateway has sent.
+func (l *load) sentByOther(work time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others.Add(work, now)
 }
 
 func (l *load) ejected(now time.Time) bool {
--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,66 @@
+package loadshare
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+func newExchange(t *testing.T) (*Exchange, string) {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return New(conn, slog.New(slog.NewTextHandler(io.Discard, nil))), conn.LocalAddr().String()
+}
+
+// Guards against a notice that does not arrive, or arrives changed, and against
+// an address that can't be read keeping the others from being told.
+func TestNoticesReachThePeers(t *testing.T) {
+	g := NewWithT(t)
+	from, _ := newExchange(t)
+	to, address := newExchange(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	got := make(chan Notice, 1)
+	go from.Run(ctx, func(Notice) {})
+	go to.Run(ctx, func(n Notice) { got <- n })
+	from.SetPeers([]string{"nonsense", address})
+	sent := Notice{Upstream: "u", Started: 5, Work: state.Duration(200 * time.Millisecond), Parts: []uint64{1, 1<<64 - 1}}
+	from.Tell(sent)
+	g.Eventually(got).WithTimeout(3 * time.Second).Should(Receive(Equal(sent)))
+}
+
+// Guards against a request that waits for notices to be sent.
+func TestTellNeverWaits(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := newExchange(t)
+	for range 10 * queueRoom {
+		e.Tell(Notice{Upstream: "u"})
+	}
+	g.Expect(e.dropped.Load()).To(Equal(int64(9 * queueRoom)))
+}
+
+// Guards against datagrams of another sender that end the process or count as
+// work.
+func FuzzDecode(f *testing.F) {
+	good, err := encode(Notice{Upstream: "u", Work: 1})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, seed := range [][]byte{good, nil, []byte("{}"), []byte(`{"method":"upstream.sent"}`), []byte(`{"method":"upstream.sent","params":{"u":"u","w":"-1s"}}`)} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		n, err := decode(datagram)
+		if err == nil && (n.Upstream == "" || n.Work < 0) {
+			t.Fatalf("decoded %+v", n)
+		}
+	})
+}
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/gateway"
+	"github.com/lagoonvalve/lagoonvalve/internal/loadshare"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -44,6 +45,10 @@
 	if err != nil {
 		return err
 	}
+	notices, err := bindNotices(ctx, cfg, process.Logger)
+	if err != nil {
+		return err
+	}
 	go reload(ctx, cfg, process, func(settings.Gateway) {})
 	client := rpc.NewClient()
 	defer client.Close()
@@ -67,16 +72,17 @@
 		StoreLoadsAtOnce: cfg.StoreLoadsAtOnce,
 	})
 	g := gateway.New(gateway.Options{
-		Name:        name,
-		Control:     cfg.Listen.Control,
-		DataCentre:  cfg.DataCentre,
-		RegionOf:    regions(cfg.DataCentres),
-		Manifests:   on.Manifests,
-		Upstreams:   on.Upstreams,
-		Dialect:     on.Dialect,
-		Controller:  leader,
-		Caller:      client,
-		Logger:      process.Logger,
+		Name:       name,
+		Control:    cfg.Listen.Control,
+		DataCentre: cfg.DataCentre,
+		RegionOf:   regions(cfg.DataCentres),
+		Manifests:  on.Manifests,
+		Upstreams:  on.Upstreams,
+		Dialect:    on.Dialect,
+		Controller: leader,
+		Caller:     client,
+		Logger:     process.Logger,
+		Notices:    notices, NoticeAddress: cfg.NoticeListen,
 		Meter:       meter,
 		RetryShare:  cfg.Retries.Share,
 		RetrySlack:  cfg.Retries.Slack,
@@ -141,6 +147,19 @@
 	return mux
 }
 
+// bindNotices binds the address for notices; it returns nil if there is none.
+func bindNotices(ctx context.Context, cfg settings.Gateway, logger *slog.Logger) (*loadshare.Exchange, error) {
+	if cfg.NoticeListen == "" {
+		return nil, nil
+	}
+	var config net.ListenConfig
+	conn, err := config.ListenPacket(ctx, "udp", cfg.NoticeListen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for notices")
+	}
+	return loadshare.New(conn, logger), nil
+}
+
 func bindGateway(ctx context.Context, cfg settings.Gateway) (listeners gateway.Listeners, err error) {
 	for _, one := range []struct {
 		addr string
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -30,9 +30,20 @@
 // WantedResult answers WantedParams.
 type WantedResult struct{}
 
+// GatewayPeer is a gateway that takes notices from others.
+type GatewayPeer struct {
+	// Notices is the address for datagrams; empty if it takes none.
+	Notices    string           `json:"notices,omitempty"`
+	DataCentre state.DataCentre `json:"dataCentre,omitempty"`
+}
+
 // ResidencyParams asks what the upstreams hold.
 type ResidencyParams struct {
 	Gateway string `json:"gateway"`
+	// Peer is how other gateways reach the asker.
+	Peer GatewayPeer `json:"peer"`
+	// Peers is the revision of the list of peers that the asker has.
+	Peers uint64 `json:"peers,omitempty"`
 	// Term and Revision are those of the answer before; zero for all.
 	Term     state.FencingToken `json:"term,omitempty"`
 	Revision uint64             `json:"revision,omitempty"`
@@ -60,7 +71,11 @@
 	Term     state.FencingToken `json:"term"`
 	Revision uint64             `json:"revision"`
 	// Lease is the offset of the controller's newest lease record.
-	Lease     state.Offset        `json:"lease"`
-	Gateways  int                 `json:"gateways"`
-	Upstreams []UpstreamResidency `json:"upstreams,omitempty"`
+	Lease    state.Offset `json:"lease"`
+	Gateways int          `json:"gateways"`
+	// PeersRevision numbers the list of gateways, and Peers is that list if the
+	// asker has another one.
+	PeersRevision uint64              `json:"peersRevision"`
+	Peers         []GatewayPeer       `json:"peers,omitempty"`
+	Upstreams     []UpstreamResidency `json:"upstreams,omitempty"`
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -12,6 +12,9 @@
 	// ReadyListen is the HTTP address where the load balancer asks whether
 	// the process takes new connections. Required.
 	ReadyListen string `toml:"ready_listen" validate:"required,listen_address"`
+	// NoticeListen is the UDP address where other gateways tell of what they
+	// send to upstreams. Default: none, and nothing is told.
+	NoticeListen string `toml:"notice_listen" validate:"omitempty,listen_address"`
 	// Store is the address of the platform's store, "host:port". Required.
 	Store string `toml:"store" validate:"required,dial_address"`
 	// StoreTimeout bounds a call to the store beyond the time that the call
