election, controller: no gap where a lease need not lapse

Change: (1) a new holder pauses only if its host has held the lease within the settle time; records list those hosts. (2) A process that finds nothing listening at the holder's address, or a process of another name there, takes the lease after 0.3 s. (3) A holder that can't renew although another gateway has read from the store since resigns: it goes on under another name. (4) A stopping gateway holds the lease to the end of its stop. (5) Writes of the lease wait 0.4 s for an answer. A release ends the right to act when it is sent, not when it is answered: a schedule showed an order in between.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -12,6 +12,8 @@
 // board shows askers what the upstreams hold.
 type board struct {
 	now atomic.Pointer[shown]
+	// holder is the name of this process as a holder.
+	holder atomic.Pointer[string]
 	// changed is closed when now is replaced.
 	changed atomic.Pointer[chan struct{}]
 	// revision numbers the changes; it belongs to the goroutine of Run.
@@ -27,7 +29,7 @@
 	// peers are the gateways that take notices.
 	peers         []rpc.GatewayPeer
 	peersRevision uint64
-	entries  []shownEntry
+	entries       []shownEntry
 }
 
 type shownEntry struct {
@@ -35,9 +37,10 @@
 	rpc.UpstreamResidency
 }
 
-func (b *board) init() {
+func (b *board) init(holder string) {
 	changed := make(chan struct{})
 	b.changed.Store(&changed)
+	b.holder.Store(&holder)
 }
 
 func (b *board) load() *shown { return b.now.Load() }
@@ -84,15 +87,15 @@
 		changed := *b.changed.Load()
 		now := b.load()
 		if now == nil {
-			return rpc.ResidencyResult{}, errNotController()
+			return rpc.ResidencyResult{Holder: *b.holder.Load()}, nil
 		}
 		if now.term != params.Term || now.revision != params.Revision {
-			return now.since(params), nil
+			return b.since(now, params), nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return now.since(params), nil
+			return b.since(now, params), nil
 		case <-ctx.Done():
 			return rpc.ResidencyResult{}, ctx.Err()
 		}
@@ -100,8 +103,8 @@
 }
 
 // since returns the entries that have changed since the asker's revision.
-func (s *shown) since(params rpc.ResidencyParams) rpc.ResidencyResult {
-	result := rpc.ResidencyResult{Term: s.term, Revision: s.revision, Lease: s.lease, Gateways: s.gateways, PeersRevision: s.peersRevision}
+func (b *board) since(s *shown, params rpc.ResidencyParams) rpc.ResidencyResult {
+	result := rpc.ResidencyResult{Holder: *b.holder.Load(), Term: s.term, Revision: s.revision, Lease: s.lease, Gateways: s.gateways, PeersRevision: s.peersRevision}
 	if s.term != params.Term || s.peersRevision != params.Peers {
 		result.Peers = s.peers
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -54,7 +54,7 @@
 	opts   Options
 	events chan event
 	fleet  atomic.Pointer[Fleet]
-	leader atomic.Pointer[string]
+	leader atomic.Pointer[Leader]
 	shown  board
 
 	// The rest belongs to the goroutine of Run.
@@ -62,6 +62,8 @@
 	leaseBusy bool
 	lastRead  time.Time
 	acting    bool
+	// resigned counts the leases given up without a write.
+	resigned int
 	// actingSince is when acting began or ended.
 	actingSince time.Time
 	engines     map[state.UpstreamName]*engine
@@ -71,6 +73,15 @@
 	loads  loadBudget
 }
 
+// Leader is the holder of the lease as far as known. Both are empty if there is
+// none.
+type Leader struct {
+	// Holder is its name, different for each start of a process.
+	Holder string
+	// Control is its address for other processes.
+	Control string
+}
+
 // event changes the state of a controller in its goroutine.
 type event func(c *Controller, now time.Time)
 
@@ -82,23 +93,23 @@
 	c := &Controller{
 		opts:    opts,
 		events:  make(chan event, eventRoom),
-		machine: election.NewMachine(opts.Name, opts.Control, opts.Election),
+		machine: election.NewMachine(opts.Name, opts.Holder, opts.Control, opts.Election),
 		engines: make(map[state.UpstreamName]*engine),
 		demand:  newDemandTable(),
 	}
-	c.shown.init()
+	c.shown.init(opts.Name)
 	return c
 }
 
 // Update gives the controller the present fleet.
 func (c *Controller) Update(f *Fleet) { c.fleet.Store(f) }
 
-// Leader returns the control address of the lease's holder as far as known.
-func (c *Controller) Leader() string {
-	if addr := c.leader.Load(); addr != nil {
-		return *addr
+// Leader returns the lease's holder as far as known.
+func (c *Controller) Leader() Leader {
+	if leader := c.leader.Load(); leader != nil {
+		return *leader
 	}
-	return ""
+	return Leader{}
 }
 
 // Heard notes that another process has answered as the controller with its
@@ -112,6 +123,15 @@
 	c.post(func(c *Controller, _ time.Time) { c.machine.Refresh() })
 }
 
+// Ended notes proof that a holder acts no more: nothing listens at its address,
+// or a process of another name does.
+func (c *Controller) Ended(holder string) {
+	c.post(func(c *Controller, now time.Time) {
+		c.opts.Logger.Info("holder ended", "holder", holder)
+		c.machine.Ended(holder, now)
+	})
+}
+
 // post hands an event over unless the goroutine is far behind.
 func (c *Controller) post(e event) {
 	select {
@@ -176,6 +196,9 @@
 // Residency answers with what the upstreams hold once that differs from what
 // the asker knows, or at the end of its wait.
 func (c *Controller) Residency(ctx context.Context, params rpc.ResidencyParams) (rpc.ResidencyResult, error) {
-	c.post(func(c *Controller, now time.Time) { c.demand.asked(params.Gateway, params.Peer, now) })
+	c.post(func(c *Controller, now time.Time) {
+		c.demand.asked(params.Gateway, params.Peer, now)
+		c.resignIfCut(params.StoreAge.Std(), now)
+	})
 	return c.shown.await(ctx, params)
 }
--- /dev/null
+++ b/internal/controller/handover_test.go
@@ -0,0 +1,118 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// Guards against two holders: one that is cut off from the log goes on giving
+// orders after another has begun, or with an older token.
+func TestCutOffHolderStopsBeforeTheNextBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, 8, 40)
+		a := w.start(ctx, "a")
+		time.Sleep(500 * time.Millisecond)
+		b := w.start(ctx, "b")
+		time.Sleep(500 * time.Millisecond)
+		for second := range 20 {
+			if second == 5 {
+				w.log.mu.Lock()
+				w.log.cut["a"] = true
+				w.log.mu.Unlock()
+			}
+			// Demand moves on, so that there is always an order to give.
+			for _, c := range []*controller.Controller{a, b} {
+				_, err := c.Wanted(context.Background(), rpc.WantedParams{Gateway: "g", Targets: []rpc.TargetDemand{
+					{Model: state.ModelName(fmt.Sprint("m", 2*second)), Waiting: 1, Rate: 1},
+					{Model: state.ModelName(fmt.Sprint("m", 2*second+1)), Waiting: 1, Rate: 1},
+				}})
+				_ = err // Only the holder takes it.
+			}
+			time.Sleep(time.Second)
+		}
+		cancel()
+		synctest.Wait()
+		holders := []string{}
+		token := state.FencingToken(0)
+		for _, o := range w.engines.sent {
+			w.g.Expect(o.Token).To(BeNumerically(">=", token))
+			token = o.Token
+			if n := len(holders); n == 0 || holders[n-1] != o.Holder {
+				holders = append(holders, o.Holder)
+			}
+		}
+		w.g.Expect(holders).To(Equal([]string{"a", "b"}))
+	})
+}
+
+// linked is a controller that asks another one as a gateway does, and tells it
+// that it has just read from the store.
+func linked(ctx context.Context, asker, holder *controller.Controller) {
+	for ctx.Err() == nil {
+		leader := asker.Leader()
+		result, err := holder.Residency(ctx, rpc.ResidencyParams{Gateway: "g", StoreAge: state.Duration(50 * time.Millisecond)})
+		if err == nil && result.Term == 0 && leader.Holder != "" && result.Holder != leader.Holder {
+			asker.Ended(leader.Holder)
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// The pattern is demand that moves while the holder of the lease is cut off from
+// the store (placas-cr and yotalo-liput, quiet-1: no orders for 2.1 s). Guards
+// against orders that stop until the lease lapses though another process could
+// give them, and against orders of two holders at once.
+func TestCutOffHolderGivesWayToOneThatReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, 8, 200)
+		a := w.start(ctx, "a")
+		time.Sleep(500 * time.Millisecond)
+		b := w.start(ctx, "b")
+		go linked(ctx, b, a)
+		time.Sleep(500 * time.Millisecond)
+		cut := time.Time{}
+		for step := range 100 {
+			if step == 50 {
+				w.log.mu.Lock()
+				w.log.cut["a"] = true
+				w.log.mu.Unlock()
+				cut = time.Now()
+			}
+			for _, c := range []*controller.Controller{a, b} {
+				_, err := c.Wanted(context.Background(), rpc.WantedParams{Gateway: "g", Targets: []rpc.TargetDemand{
+					{Model: state.ModelName(fmt.Sprint("m", step)), Waiting: 1, Rate: 1},
+				}})
+				_ = err // Only the holder takes it.
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		cancel()
+		synctest.Wait()
+		last, first := time.Time{}, time.Time{}
+		for _, o := range w.engines.sent {
+			switch {
+			case o.Holder == "a":
+				last = o.at
+				w.g.Expect(first.IsZero()).To(BeTrue(), "a gives no order after b")
+			case first.IsZero():
+				first = o.at
+			}
+		}
+		w.g.Expect(first.Sub(last)).To(BeNumerically(">=", 300*time.Millisecond), "a's last orders have arrived")
+		w.g.Expect(first.Sub(cut)).To(BeNumerically("<", times.TTL-400*time.Millisecond), "well before the lease lapses and b has heard all gateways")
+	})
+}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,6 +15,11 @@
 // releaseTimeout bounds the write that gives the lease up at the end.
 const releaseTimeout = 500 * time.Millisecond
 
+// writeTimeout bounds the wait for the answer to a write of the lease. Whether a
+// write without an answer was stored is then read, which takes less time than
+// to wait for an answer that was lost.
+const writeTimeout = 400 * time.Millisecond
+
 // stepLease starts the next call to the lease store. One is under way at a
 // time.
 func (c *Controller) stepLease(ctx context.Context, now time.Time) {
@@ -43,16 +49,18 @@
 			c.opts.Logger.Warn("lease not read", "error", err)
 			return
 		}
-		before := c.machine.Leader()
+		before := c.Leader()
 		c.machine.Observed(record, at, end, now)
-		if leader := c.machine.Leader(); leader != before {
-			c.opts.Logger.Info("controller known", "address", leader, "offset", at)
-		}
 		c.publishLeader()
+		if leader := c.Leader(); leader != before {
+			c.opts.Logger.Info("controller known", "holder", leader.Holder, "address", leader.Control, "offset", at)
+		}
 	}
 }
 
 func (c *Controller) writeLease(ctx context.Context, step election.Step, began time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
 	err := c.opts.Lease.Write(ctx, step.Record, step.End)
 	c.events <- func(c *Controller, now time.Time) { c.wroteLease(step, began, err, now) }
 }
@@ -71,8 +79,27 @@
 }
 
 func (c *Controller) publishLeader() {
-	leader := c.machine.Leader()
-	c.leader.Store(&leader)
+	holder, control := c.machine.Leader()
+	c.leader.Store(&Leader{Holder: holder, Control: control})
+}
+
+// cutAfter is how long a holder must have failed to renew its lease beyond the
+// usual time before another's word of the store counts.
+const cutAfter = writeTimeout + 100*time.Millisecond
+
+// resignIfCut gives the lease up if it can't be renewed although another gateway,
+// which read from the store some time ago, has reached it since: then that one
+// can take the lease at once instead of after its end.
+func (c *Controller) resignIfCut(othersAge time.Duration, now time.Time) {
+	overdue := c.machine.Unrenewed(now) - c.opts.Election.Renew
+	if !c.acting || overdue < cutAfter || othersAge > overdue-cutAfter/2 {
+		return
+	}
+	c.resigned++
+	name := fmt.Sprintf("%s+%d", c.opts.Name, c.resigned)
+	c.opts.Logger.Warn("lease given up without a write", "unrenewed", c.machine.Unrenewed(now), "others_read", othersAge, "holder", name)
+	c.machine.Resign(name, now)
+	c.shown.holder.Store(&name)
 }
 
 // release gives the lease up so that another process need not wait for its end.
--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -7,6 +7,7 @@
 package election
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
@@ -21,13 +22,25 @@
 	Renew time.Duration
 	// Margin is how much earlier than TTL the holder stops.
 	Margin time.Duration
-	// Settle is how long a new holder waits before it acts after its
-	// predecessor has given the lease up, so that two processes that hand the
-	// lease to each other never take turns within that time. After a lease
-	// that lapsed no wait is needed if TTL is as long.
+	// Settle is the time within which hosts must not take turns: one that has
+	// held the lease waits that long before it acts again after another. It
+	// must not exceed TTL.
 	Settle time.Duration
 }
 
+const (
+	// endedPause is the time between the end of a holder, of which another
+	// process has proof, and the next holder's first write: its last orders
+	// may still be on their way.
+	endedPause = 300 * time.Millisecond
+	// yieldFor is how long a process that would have to pause leaves a free
+	// lease to others.
+	yieldFor = 500 * time.Millisecond
+	// maxRecent bounds the list of recent hosts. Who isn't on a full list
+	// pauses as well.
+	maxRecent = 16
+)
+
 // Action is what to do next.
 type Action uint8
 
@@ -51,6 +64,7 @@
 type Machine struct {
 	settings Settings
 	holder   string
+	host     string
 	control  string
 
 	// known is the newest record seen, nil if there is none.
@@ -69,8 +83,15 @@
 	written time.Time
 	// settled is when a new holder may act.
 	settled time.Time
-	// handedOver says that the lease was given up by its last holder.
-	handedOver bool
+	// recent lists the hosts that have held the lease lately.
+	recent []string
+	// pauses says that this host is one of them, if this process takes the
+	// lease by the write under way.
+	pauses bool
+	// endedHolder is a process that is known to hold nothing any more, since
+	// endedAt.
+	endedHolder string
+	endedAt     time.Time
 	// pending is the write whose outcome is not known.
 	pending *pendingWrite
 	// stale says that the newest record must be read now.
@@ -86,10 +107,10 @@
 	began  time.Time
 }
 
-// NewMachine returns the machine of a process that other processes reach at
-// control. The holder's name must differ for each start.
-func NewMachine(holder, control string, settings Settings) *Machine {
-	return &Machine{settings: settings, holder: holder, control: control, at: state.NoOffset, stale: true}
+// NewMachine returns the machine of a process on a host that other processes
+// reach at control. The holder's name must differ for each start.
+func NewMachine(holder, host, control string, settings Settings) *Machine {
+	return &Machine{settings: settings, holder: holder, host: host, control: control, at: state.NoOffset, stale: true}
 }
 
 // Holds reports whether this process holds the lease and may act, with the
@@ -102,19 +123,28 @@
 // ValidUntil returns when the right to act ends unless the lease is renewed.
 func (m *Machine) ValidUntil() time.Time { return m.written.Add(m.settings.TTL - m.settings.Margin) }
 
+// Unrenewed returns for how long the holder has not renewed its lease; zero if
+// this process does not hold it.
+func (m *Machine) Unrenewed(now time.Time) time.Duration {
+	if !m.holds {
+		return 0
+	}
+	return now.Sub(m.written)
+}
+
 // Elected reports whether this process holds the lease, though it may still
 // have to wait before it acts.
 func (m *Machine) Elected(now time.Time) bool {
 	return m.holds && now.Before(m.ValidUntil())
 }
 
-// Leader returns the control address of the holder as far as known; empty if
-// there is none.
-func (m *Machine) Leader() string {
+// Leader returns the name and the control address of the holder as far as known;
+// empty if there is none.
+func (m *Machine) Leader() (holder, control string) {
 	if m.known == nil || m.known.Released {
-		return ""
+		return "", ""
 	}
-	return m.known.Control
+	return m.known.Holder, m.known.Control
 }
 
 // Offset returns the place of the newest record known.
@@ -175,7 +205,7 @@
 		// Zero is no token.
 		m.token = p.end + 1
 		m.settled = now
-		if m.handedOver {
+		if m.pauses {
 			m.settled = now.Add(m.settings.Settle)
 		}
 	}
@@ -192,21 +222,73 @@
 	case m.stale:
 		return Step{Action: Read}
 	case m.holds && leaving:
+		// Another may act as soon as the record is stored, which may be long
+		// before the answer to the write.
+		m.holds = false
 		return m.write(fleet.LeaseRecord{Token: m.token, Released: true})
 	case m.holds && !now.Before(m.written.Add(m.settings.Renew)):
+		if !now.Before(m.settled.Add(m.settings.Settle)) {
+			// Whoever held the lease before has paused long enough.
+			m.recent = nil
+		}
 		return m.write(fleet.LeaseRecord{Token: m.token})
 	case m.holds || leaving:
 		return Step{}
-	case m.known != nil && !m.known.Released && !m.lapsed(now):
+	case m.known != nil && !m.known.Released && !m.lapsed(now) && !m.ended(now):
 		return Step{}
 	case m.outdated:
 		return Step{Action: Read}
 	default:
-		m.handedOver = m.known != nil && m.known.Released
+		m.follow(now)
+		if m.pauses && now.Before(m.seen.Add(yieldFor)) {
+			return Step{}
+		}
 		return m.write(fleet.LeaseRecord{})
 	}
 }
 
+// follow notes which hosts this process would follow as the holder.
+func (m *Machine) follow(now time.Time) {
+	m.recent, m.pauses = nil, false
+	if m.known == nil {
+		return
+	}
+	if !m.lapsed(now) {
+		// Those before the last holder may have acted lately as well.
+		m.recent = m.known.Recent
+	}
+	m.pauses = slices.Contains(m.recent, m.host) || len(m.recent) >= maxRecent
+	switch {
+	case m.pauses:
+		m.recent = nil
+	case m.known.Host != m.host:
+		m.recent = append(slices.Clone(m.recent), m.known.Host)
+	}
+}
+
+// Ended notes proof that a process, by its name as a holder, acts no more and
+// never will by the lease that is known.
+func (m *Machine) Ended(holder string, now time.Time) {
+	if m.endedHolder != holder {
+		m.endedHolder, m.endedAt = holder, now
+	}
+}
+
+// Resign gives the lease up without a write, for a holder that can't reach the
+// store while others can. The process goes on under another name: its old one
+// acts no more, whatever is still written under it.
+func (m *Machine) Resign(name string, now time.Time) {
+	if m.holds {
+		m.Ended(m.holder, now)
+	}
+	m.holder, m.holds, m.pending, m.stale = name, false, nil, true
+}
+
+// ended reports whether the holder of the newest record is known to have ended.
+func (m *Machine) ended(now time.Time) bool {
+	return m.known.Holder == m.endedHolder && m.endedHolder != m.holder && !now.Before(m.endedAt.Add(endedPause))
+}
+
 // lapsed reports whether the record known has stood for TTL.
 func (m *Machine) lapsed(now time.Time) bool { return !now.Before(m.seen.Add(m.settings.TTL)) }
 
@@ -215,6 +297,7 @@
 
 func (m *Machine) write(record fleet.LeaseRecord) Step {
 	m.sequence++
-	record.Holder, record.Control, record.Sequence = m.holder, m.control, m.sequence
+	record.Holder, record.Host, record.Control, record.Sequence = m.holder, m.host, m.control, m.sequence
+	record.Recent = m.recent
 	return Step{Action: Write, Record: record, End: m.end}
 }
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -47,8 +47,12 @@
 
 // LeaseRecord is what the holder of a lease writes to take or to keep it.
 type LeaseRecord struct {
-	// Holder names the process and its start.
+	// Holder names the process and its start, and Host its host.
 	Holder string `json:"holder"`
+	Host   string `json:"host"`
+	// Recent lists the hosts that have held the lease so lately that they have
+	// to pause before they act again.
+	Recent []string `json:"recent,omitempty"`
 	// Control is the holder's address for other processes.
 	Control string `json:"control"`
 	// Token orders the holders: the offset of the record by which the lease
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -37,6 +37,9 @@
 	// reads failed for a while before it.
 	apply func(page fleet.Page[T], whole, outage bool)
 
+	// wasRead is told of each read that succeeded.
+	wasRead func(now time.Time)
+
 	failedSince time.Time
 	retry       time.Duration
 }
@@ -58,6 +61,7 @@
 			f.failed(ctx, err)
 			continue
 		}
+		f.wasRead(time.Now())
 		outage := f.recovered()
 		f.apply(page, next == state.NoOffset, outage)
 		next = page.Next
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 	stopped  context.Context
 	endStop  context.CancelFunc
 	gateways atomic.Int32
+	// storeRead is when a feed was last read from the platform's store.
+	storeRead atomic.Pointer[time.Time]
 
 	budgets budgets
 }
@@ -118,6 +120,7 @@
 		budgets:   budgets{byService: make(map[state.ServiceName]*retry.Budget)},
 	}
 	g.stopped, g.endStop = context.WithCancel(context.Background())
+	g.storeRead.Store(new(time.Time))
 	g.view.Store(newTables(opts.DataCentre, opts.RegionOf).view(time.Now()))
 	return g
 }
@@ -138,8 +141,7 @@
 	if g.opts.Notices != nil {
 		running.Go(func() { g.opts.Notices.Run(parts, g.noticed) })
 	}
-	// The lease is given up at the beginning of a stop.
-	running.Go(func() { g.opts.Controller.Run(ctx) })
+	running.Go(func() { g.opts.Controller.Run(parts) })
 	return g.serve(ctx, parts, listeners, ready)
 }
 
@@ -185,9 +187,12 @@
 	}
 }
 
+// wasRead notes that the platform's store has answered.
+func (g *Gateway) wasRead(now time.Time) { g.storeRead.Store(&now) }
+
 func (g *Gateway) followManifests(ctx context.Context) {
 	f := follower[fleet.Manifest]{
-		name: "manifest", feed: g.opts.Manifests, logger: g.opts.Logger, pace: manifestPace,
+		name: "manifest", feed: g.opts.Manifests, logger: g.opts.Logger, pace: manifestPace, wasRead: g.wasRead,
 		apply: func(page fleet.Page[fleet.Manifest], _, _ bool) {
 			g.post(ctx, func(t *tables, _ time.Time) bool { return g.applyManifests(t, page) })
 		},
@@ -211,7 +216,7 @@
 
 func (g *Gateway) followUpstreams(ctx context.Context) {
 	f := follower[fleet.Upstream]{
-		name: "upstreams", feed: g.opts.Upstreams, logger: g.opts.Logger, pace: upstreamPace,
+		name: "upstreams", feed: g.opts.Upstreams, logger: g.opts.Logger, pace: upstreamPace, wasRead: g.wasRead,
 		apply: func(page fleet.Page[fleet.Upstream], whole, outage bool) {
 			g.post(ctx, func(t *tables, now time.Time) bool {
 				g.applyUpstreams(t, page, whole, outage, now)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/controller"
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -30,18 +33,23 @@
 	}
 	lost := true
 	for ctx.Err() == nil {
-		result, err := g.askResidency(ctx, params)
-		if err != nil {
+		leader := g.opts.Controller.Leader()
+		params.StoreAge = state.Duration(time.Since(*g.storeRead.Load()))
+		result, err := g.askResidency(ctx, leader, params)
+		if err != nil || result.Term == 0 {
 			if !lost && ctx.Err() == nil {
-				g.opts.Logger.Warn("controller lost", "address", g.opts.Controller.Leader(), "error", err)
+				g.opts.Logger.Warn("controller lost", "address", leader.Control, "holder", leader.Holder, "answers", result.Holder, "error", err)
 			}
 			lost = true
+			if hasEnded(leader, result, err) {
+				g.opts.Controller.Ended(leader.Holder)
+			}
 			g.opts.Controller.Lost()
 			ctxtime.Sleep(ctx, linkRetry)
 			continue
 		}
 		if lost {
-			g.opts.Logger.Info("controller answers", "address", g.opts.Controller.Leader(), "term", result.Term)
+			g.opts.Logger.Info("controller answers", "address", leader.Control, "term", result.Term)
 		}
 		lost = false
 		if result.Term != params.Term || result.PeersRevision != params.Peers {
@@ -54,21 +62,33 @@
 	}
 }
 
+// hasEnded reports whether what came of a question to the holder of the lease
+// proves that it acts no more: nothing listens at its address, or the process
+// there has another name.
+func hasEnded(leader controller.Leader, result rpc.ResidencyResult, err error) bool {
+	if leader.Holder == "" {
+		return false
+	}
+	if err != nil {
+		return errors.Is(err, rpc.ErrRefused)
+	}
+	return result.Holder != leader.Holder
+}
+
 // callLeader calls a method of the controller: in this process if it holds the
 // lease or the holder is not known, and at the holder otherwise.
-func callLeader[P, R any](ctx context.Context, g *Gateway, method string, params P, local func(context.Context, P) (R, error)) (result R, err error) {
-	addr := g.opts.Controller.Leader()
-	if addr == "" || addr == g.opts.Control {
+func callLeader[P, R any](ctx context.Context, g *Gateway, leader controller.Leader, method string, params P, local func(context.Context, P) (R, error)) (result R, err error) {
+	if leader.Control == "" || leader.Control == g.opts.Control {
 		return local(ctx, params)
 	}
-	err = g.opts.Caller.Call(ctx, addr, method, params, &result)
+	err = g.opts.Caller.Call(ctx, leader.Control, method, params, &result)
 	return result, err
 }
 
-func (g *Gateway) askResidency(ctx context.Context, params rpc.ResidencyParams) (rpc.ResidencyResult, error) {
+func (g *Gateway) askResidency(ctx context.Context, leader controller.Leader, params rpc.ResidencyParams) (rpc.ResidencyResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, residencyWait+callTimeout)
 	defer cancel()
-	return callLeader(ctx, g, rpc.MethodResidency, params, g.opts.Controller.Residency)
+	return callLeader(ctx, g, leader, rpc.MethodResidency, params, g.opts.Controller.Residency)
 }
 
 // reportWanted tells the controller what callers want.
@@ -96,6 +116,6 @@
 func (g *Gateway) sendWanted(ctx context.Context, params rpc.WantedParams) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := callLeader(ctx, g, rpc.MethodWanted, params, g.opts.Controller.Wanted)
+	_, err := callLeader(ctx, g, g.opts.Controller.Leader(), rpc.MethodWanted, params, g.opts.Controller.Wanted)
 	return err
 }
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -125,7 +125,8 @@
 	feed := &silentFeed{waits: make(chan time.Duration, 8)}
 	f := follower[fleet.Manifest]{
 		name: "manifest", feed: feed, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		apply: func(fleet.Page[fleet.Manifest], bool, bool) {},
+		apply:   func(fleet.Page[fleet.Manifest], bool, bool) {},
+		wasRead: func(time.Time) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,6 +32,10 @@
 // ErrUnreachable means that the call was never sent.
 var ErrUnreachable = errors.New("process unreachable")
 
+// ErrRefused means, besides ErrUnreachable, that nothing listens at the address:
+// the process that did has ended.
+var ErrRefused = errors.New("connection refused")
+
 // ErrConnectionLost means that the connection ended before the answer: the
 // other side may have carried the call out.
 var ErrConnectionLost = errors.New("connection lost")
@@ -102,7 +107,7 @@
 func (c *Client) Call(ctx context.Context, addr, method string, params, result any) error {
 	conn, err := c.conn(ctx, addr)
 	if err != nil {
-		return errors.Wrapf(ErrUnreachable, "%s at %s: %v", method, addr, err)
+		return unreachable(err, method, addr)
 	}
 	began, reads := time.Now(), conn.heard.reads.Load()
 	err = conn.Call(ctx, method, params, result)
@@ -123,6 +128,15 @@
 	return nil
 }
 
+// unreachable returns the error of a call that found no connection.
+func unreachable(err error, method, addr string) error {
+	cause := ErrUnreachable
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		cause = errors.Join(ErrUnreachable, ErrRefused)
+	}
+	return errors.Wrapf(cause, "%s at %s: %v", method, addr, err)
+}
+
 // Close closes all connections; later calls fail.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -47,6 +47,8 @@
 	// Term and Revision are those of the answer before; zero for all.
 	Term     state.FencingToken `json:"term,omitempty"`
 	Revision uint64             `json:"revision,omitempty"`
+	// StoreAge is the time since the asker last read from the platform's store.
+	StoreAge state.Duration `json:"storeAge,omitempty"`
 	// Wait is how long to wait for a change.
 	Wait state.Duration `json:"wait,omitempty"`
 }
@@ -68,6 +70,11 @@
 // ResidencyResult answers ResidencyParams with the upstreams that have changed
 // since Revision.
 type ResidencyResult struct {
+	// Holder is the name under which the process holds the lease or would. It
+	// changes with each start and whenever the process gives up a lease that
+	// its record does not show as given up.
+	Holder string `json:"holder"`
+	// Term is zero, and the rest empty, if the process is not the controller.
 	Term     state.FencingToken `json:"term"`
 	Revision uint64             `json:"revision"`
 	// Lease is the offset of the controller's newest lease record.
