controller, gateway: gateways learn the registry from the controller

At 300 hosts the same reads bind the return after the loss of everything. Change: the controller tells gateways which upstreams came, changed or left, with what they hold, and how old its own reading is.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -14,6 +14,8 @@
 	now atomic.Pointer[shown]
 	// holder is the name of this process as a holder.
 	holder atomic.Pointer[string]
+	// registryRead is when this process last read the registry.
+	registryRead atomic.Pointer[time.Time]
 	// changed is closed when now is replaced.
 	changed atomic.Pointer[chan struct{}]
 	// revision numbers the changes; it belongs to the goroutine of Run.
@@ -41,6 +43,7 @@
 	changed := make(chan struct{})
 	b.changed.Store(&changed)
 	b.holder.Store(&holder)
+	b.registryRead.Store(new(time.Time))
 }
 
 func (b *board) load() *shown { return b.now.Load() }
@@ -52,29 +55,42 @@
 	close(*b.changed.Swap(&next))
 }
 
-// show publishes what the engines serve, and wakes those who wait if that
-// has changed.
+// show publishes the upstreams as the controller knows them, and wakes those who
+// wait if anything has changed.
 func (c *Controller) show(token state.FencingToken) {
 	next := &shown{term: token, revision: c.shown.revision, lease: c.machine.Offset(), gateways: len(c.demand.gateways)}
 	next.peers, next.peersRevision = c.demand.peers(), c.demand.peersRevision
-	for _, e := range c.engines {
-		if e.known {
-			next.entries = append(next.entries, shownEntry{e.revision, residencyOf(e)})
-		}
-	}
 	if before := c.shown.load(); before != nil && before.term == next.term && before.revision == next.revision {
+		next.entries = before.entries
 		c.shown.now.Store(next)
 		return
 	}
+	for name, e := range c.registry {
+		next.entries = append(next.entries, c.entry(name, e))
+	}
 	c.shown.publish(next)
 }
 
-func residencyOf(e *engine) rpc.UpstreamResidency {
-	entry := rpc.UpstreamResidency{Upstream: e.upstream.Name, Started: e.upstream.Started.UnixMilli()}
-	for _, r := range e.serving() {
-		entry.Replicas = append(entry.Replicas, rpc.HeldReplica{Model: r.Model, Adapters: r.Adapters})
+// entry returns what is shown of an upstream.
+func (c *Controller) entry(name state.UpstreamName, listed *registryEntry) shownEntry {
+	shown := shownEntry{revision: listed.revision, UpstreamResidency: rpc.UpstreamResidency{Upstream: name, Gone: listed.gone}}
+	if listed.gone {
+		return shown
+	}
+	u := listed.upstream
+	shown.Started, shown.Report, shown.Service, shown.Address = u.Started.UnixMilli(), u.Report, u.Service, u.Address
+	shown.DataCentre, shown.Slots, shown.Draining = u.DataCentre, u.Slots, u.Draining
+	replicas := u.Replicas
+	shown.InMemory, shown.OnDisk = u.InMemory, u.OnDisk
+	if e, ok := c.engines[name]; ok && e.known {
+		shown.Known, replicas = true, e.serving()
+		shown.revision = max(shown.revision, e.revision)
+		shown.InMemory, shown.OnDisk = e.inMemory, e.onDisk
+	}
+	for _, r := range replicas {
+		shown.Replicas = append(shown.Replicas, rpc.HeldReplica{Model: r.Model, Adapters: r.Adapters})
 	}
-	return entry
+	return shown
 }
 
 func (b *board) close() { b.publish(nil) }
@@ -105,6 +121,7 @@
 // since returns the entries that have changed since the asker's revision.
 func (b *board) since(s *shown, params rpc.ResidencyParams) rpc.ResidencyResult {
 	result := rpc.ResidencyResult{Holder: *b.holder.Load(), Term: s.term, Revision: s.revision, Lease: s.lease, Gateways: s.gateways, PeersRevision: s.peersRevision}
+	result.RegistryAge = state.Duration(time.Since(*b.registryRead.Load()))
 	if s.term != params.Term || s.peersRevision != params.Peers {
 		result.Peers = s.peers
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -67,6 +67,10 @@
 	// actingSince is when acting began or ended.
 	actingSince time.Time
 	engines     map[state.UpstreamName]*engine
+	// registry holds the upstreams as the registry lists them, by the fleet
+	// synced.
+	registry map[state.UpstreamName]*registryEntry
+	synced   *Fleet
 	// polls counts the reports that engines were asked for and have not given.
 	polls  int
 	demand *demandTable
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -49,6 +49,7 @@
 	if !holds || f == nil || f.Manifest == nil {
 		return
 	}
+	c.syncRegistry(f, now)
 	c.syncEngines(f, now)
 	for _, e := range c.engines {
 		if e.finished(now) {
@@ -103,6 +104,7 @@
 func (c *Controller) switchOver(token state.FencingToken, holds bool, now time.Time) {
 	c.acting, c.actingSince = holds, now
 	c.engines = make(map[state.UpstreamName]*engine)
+	c.registry, c.synced = make(map[state.UpstreamName]*registryEntry), nil
 	c.loads = loadBudget{at: now}
 	c.opts.Logger.Info("controller acts", "acting", holds, "term", token)
 	if !holds {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -21,6 +21,8 @@
 	// firstRetry and lastRetry bound the time between reads that fail.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
+	// relayedPoll is the time between looks whether a feed is still relayed.
+	relayedPoll = 100 * time.Millisecond
 	// outageAfter is how long reads fail before entries that are missing
 	// afterwards are taken for lapsed.
 	outageAfter = 500 * time.Millisecond
@@ -37,6 +39,9 @@
 	// reads failed for a while before it.
 	apply func(page fleet.Page[T], whole, outage bool)
 
+	// relayed reports whether the values come from elsewhere at the moment, so
+	// that they need not be read; nil if they never do.
+	relayed func(now time.Time) bool
 	// wasRead is told of each read that succeeded.
 	wasRead func(now time.Time)
 
@@ -49,6 +54,11 @@
 	next := state.NoOffset
 	for ctx.Err() == nil {
 		began := time.Now()
+		if f.relayed != nil && next != state.NoOffset && f.relayed(began) {
+			f.pause(ctx)
+			next = state.NoOffset
+			continue
+		}
 		page, err := f.read(ctx, next)
 		if ctx.Err() != nil {
 			return
@@ -69,6 +79,15 @@
 	}
 }
 
+// pause waits until the values have to be read again.
+func (f *follower[T]) pause(ctx context.Context) {
+	f.logger.Info("feed relayed", "feed", f.name)
+	began := time.Now()
+	for f.relayed(time.Now()) && ctxtime.Sleep(ctx, relayedPoll) {
+	}
+	f.logger.Info("feed read again", "feed", f.name, "relayed_for", time.Since(began))
+}
+
 func (f *follower[T]) read(ctx context.Context, next state.Offset) (fleet.Page[T], error) {
 	if next == state.NoOffset {
 		return f.feed.Newest(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,9 @@
 	gateways atomic.Int32
 	// storeRead is when a feed was last read from the platform's store.
 	storeRead atomic.Pointer[time.Time]
+	// registryAsOf is when the controller of another process had read the
+	// registry whose changes it tells.
+	registryAsOf atomic.Pointer[time.Time]
 
 	budgets budgets
 }
@@ -121,6 +124,7 @@
 	}
 	g.stopped, g.endStop = context.WithCancel(context.Background())
 	g.storeRead.Store(new(time.Time))
+	g.registryAsOf.Store(new(time.Time))
 	g.view.Store(newTables(opts.DataCentre, opts.RegionOf).view(time.Now()))
 	return g
 }
@@ -217,7 +221,9 @@
 func (g *Gateway) followUpstreams(ctx context.Context) {
 	f := follower[fleet.Upstream]{
 		name: "upstreams", feed: g.opts.Upstreams, logger: g.opts.Logger, pace: upstreamPace, wasRead: g.wasRead,
+		relayed: g.registryRelayed,
 		apply: func(page fleet.Page[fleet.Upstream], whole, outage bool) {
+			g.opts.Controller.RegistryRead(time.Now())
 			g.post(ctx, func(t *tables, now time.Time) bool {
 				g.applyUpstreams(t, page, whole, outage, now)
 				return true
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -132,16 +132,36 @@
 // is fresh and about this start of the upstream.
 func (t *tables) replicas(u *fleet.Upstream, now time.Time) []fleet.Replica {
 	entry, ok := t.residency[u.Name]
-	if !ok || now.Sub(t.residencyAt) > residencyLife || entry.Started != u.Started.UnixMilli() {
+	if !ok || !entry.Known || now.Sub(t.residencyAt) > residencyLife || entry.Started != u.Started.UnixMilli() {
 		return u.Replicas
 	}
-	replicas := make([]fleet.Replica, len(entry.Replicas))
-	for i, r := range entry.Replicas {
+	return replicasOf(entry)
+}
+
+func replicasOf(u rpc.UpstreamResidency) []fleet.Replica {
+	replicas := make([]fleet.Replica, len(u.Replicas))
+	for i, r := range u.Replicas {
 		replicas[i] = fleet.Replica{Model: r.Model, Adapters: r.Adapters}
 	}
 	return replicas
 }
 
+// registryPage returns the entries of the registry as the controller tells them.
+func registryPage(upstreams []rpc.UpstreamResidency) fleet.Page[fleet.Upstream] {
+	page := fleet.Page[fleet.Upstream]{Changes: make([]fleet.Change[fleet.Upstream], len(upstreams))}
+	for i, u := range upstreams {
+		page.Changes[i].Key = string(u.Upstream)
+		if u.Gone {
+			continue
+		}
+		page.Changes[i].Value = &fleet.Upstream{
+			Name: u.Upstream, Started: time.UnixMilli(u.Started), Report: u.Report, Service: u.Service, Address: u.Address,
+			DataCentre: u.DataCentre, Slots: u.Slots, Draining: u.Draining, Replicas: replicasOf(u), InMemory: u.InMemory, OnDisk: u.OnDisk,
+		}
+	}
+	return page
+}
+
 func (t *tables) locality(dc state.DataCentre) routing.Locality {
 	switch {
 	case dc == t.dataCentre:
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -73,10 +73,14 @@
 	tables.applyUpstream(entry(1, "old"))
 	held := func(at time.Time) state.ModelName { return tables.view(at).service("s")[0].replicas[0].Model }
 	g.Expect(held(now)).To(Equal(state.ModelName("old")))
-	word := rpc.UpstreamResidency{Upstream: "u", Started: testStart.UnixMilli(), Replicas: []rpc.HeldReplica{{Model: "new"}}}
+	word := rpc.UpstreamResidency{Upstream: "u", Started: testStart.UnixMilli(), Known: true, Replicas: []rpc.HeldReplica{{Model: "new"}}}
 	g.Expect(tables.applyResidency(rpc.ResidencyResult{Term: 1, Revision: 1, Upstreams: []rpc.UpstreamResidency{word}}, now)).To(BeTrue())
 	g.Expect(held(now)).To(Equal(state.ModelName("new")))
 	g.Expect(held(now.Add(residencyLife + 1))).To(Equal(state.ModelName("old")))
+	word.Known = false
+	tables.applyResidency(rpc.ResidencyResult{Term: 1, Revision: 2, Upstreams: []rpc.UpstreamResidency{word}}, now)
+	g.Expect(held(now)).To(Equal(state.ModelName("old")), "the controller has not asked the upstream yet")
+	word.Known = true
 	word.Started++
 	tables.applyResidency(rpc.ResidencyResult{Term: 1, Revision: 2, Upstreams: []rpc.UpstreamResidency{word}}, now)
 	g.Expect(held(now)).To(Equal(state.ModelName("old")))
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -59,12 +59,28 @@
 	Adapters []state.AdapterName `json:"a,omitempty"`
 }
 
-// UpstreamResidency is what an upstream holds and serves now.
+// UpstreamResidency is an upstream as the controller knows it: what the registry
+// says of it, and what it holds and serves now.
 type UpstreamResidency struct {
 	Upstream state.UpstreamName `json:"u"`
-	// Started is the Unix millisecond of the upstream's start.
-	Started  int64         `json:"s"`
+	// Gone says that the registry lists it no more. The rest is empty then.
+	Gone bool `json:"gone,omitempty"`
+	// Started is the Unix millisecond of the upstream's start, and Report
+	// numbers what it has said since.
+	Started    int64             `json:"s"`
+	Report     uint64            `json:"n,omitempty"`
+	Service    state.ServiceName `json:"service,omitempty"`
+	Address    string            `json:"addr,omitempty"`
+	DataCentre state.DataCentre  `json:"dc,omitempty"`
+	Slots      int               `json:"slots,omitempty"`
+	Draining   bool              `json:"draining,omitempty"`
+	// Known says that Replicas is the controller's word; otherwise it is the
+	// upstream's own in the registry.
+	Known    bool          `json:"k,omitempty"`
 	Replicas []HeldReplica `json:"r,omitempty"`
+	// InMemory and OnDisk list models whose weights the upstream's host keeps.
+	InMemory []state.ModelName `json:"m,omitempty"`
+	OnDisk   []state.ModelName `json:"d,omitempty"`
 }
 
 // ResidencyResult answers ResidencyParams with the upstreams that have changed
@@ -80,6 +96,8 @@
 	// Lease is the offset of the controller's newest lease record.
 	Lease    state.Offset `json:"lease"`
 	Gateways int          `json:"gateways"`
+	// RegistryAge is the time since the controller last read the registry.
+	RegistryAge state.Duration `json:"registryAge"`
 	// PeersRevision numbers the list of gateways, and Peers is that list if the
 	// asker has another one.
 	PeersRevision uint64              `json:"peersRevision"`
