controller, notices: a new holder announces itself

Change: the holder tells the other gateways of itself each second, by the notices that they exchange anyway. The package is now called notices. A gateway that writes a lease still reads the store first.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -30,6 +30,9 @@
 	// Now is a clock that counts while the host is suspended.
 	Now      func() time.Time
 	Election election.Settings
+	// Announce tells the other gateways that this process is the controller by
+	// its lease record at an offset; nil tells nobody.
+	Announce func(leader Leader, at state.Offset)
 	// StoreLoadsAtOnce bounds the loads from the weight store under way.
 	StoreLoadsAtOnce int
 }
@@ -62,6 +65,8 @@
 	leaseBusy bool
 	lastRead  time.Time
 	acting    bool
+	// announced is when the other gateways were told of this holder.
+	announced time.Time
 	// resigned counts the leases given up without a write.
 	resigned int
 	// actingSince is when acting began or ended.
@@ -131,8 +136,22 @@
 // or a process of another name does.
 func (c *Controller) Ended(holder string) {
 	c.post(func(c *Controller, now time.Time) {
-		c.opts.Logger.Info("holder ended", "holder", holder)
-		c.machine.Ended(holder, now)
+		if c.machine.Ended(holder, now) {
+			c.opts.Logger.Info("holder ended", "holder", holder)
+		}
+	})
+}
+
+// Announced takes the word of another process that it is the controller by a
+// record at an offset. A process that can't reach the store learns of the new
+// holder by this alone.
+func (c *Controller) Announced(leader Leader, at state.Offset) {
+	c.post(func(c *Controller, now time.Time) {
+		if !c.machine.Announced(leader.Holder, leader.Control, at, now) {
+			return
+		}
+		c.opts.Logger.Info("controller known", "holder", leader.Holder, "address", leader.Control, "offset", at, "announced", true)
+		c.publishLeader()
 	})
 }
 
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -116,3 +116,32 @@
 		w.g.Expect(first.Sub(cut)).To(BeNumerically("<", times.TTL-400*time.Millisecond), "well before the lease lapses and b has heard all gateways")
 	})
 }
+
+// The pattern is a store that turns some gateways away while the lease changes
+// hands (placas-cr trouble-1: a gateway asked the old holder for 8 s). Guards
+// against a gateway that can't learn of the new holder, and against an old
+// announcement that arrives late.
+func TestAnnouncedHolderIsKnownWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, 1, 1)
+		a := w.start(ctx, "a")
+		time.Sleep(time.Second)
+		b := w.start(ctx, "b")
+		time.Sleep(time.Second)
+		w.g.Expect(b.Leader().Control).To(Equal("a"))
+		w.log.mu.Lock()
+		w.log.cut["b"] = true
+		w.log.mu.Unlock()
+		next := controller.Leader{Holder: "c", Control: "c"}
+		b.Announced(next, 40)
+		b.Announced(controller.Leader{Holder: "d", Control: "d"}, 39)
+		synctest.Wait()
+		w.g.Expect(b.Leader()).To(Equal(next))
+		a.Announced(next, 40)
+		synctest.Wait()
+		w.g.Expect(a.Leader().Holder).To(Equal("a"), "a holder goes by the store alone")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -83,6 +83,17 @@
 	c.leader.Store(&Leader{Holder: holder, Control: control})
 }
 
+// announceEvery is the time between announcements, which may be lost.
+const announceEvery = time.Second
+
+func (c *Controller) announce(now time.Time) {
+	if c.opts.Announce == nil || now.Sub(c.announced) < announceEvery {
+		return
+	}
+	c.announced = now
+	c.opts.Announce(Leader{Holder: *c.shown.holder.Load(), Control: c.opts.Control}, c.machine.Offset())
+}
+
 // cutAfter is how long a holder must have failed to renew its lease beyond the
 // usual time before another's word of the store counts.
 const cutAfter = writeTimeout + 100*time.Millisecond
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -45,6 +45,9 @@
 	if holds != c.acting {
 		c.switchOver(token, holds, now)
 	}
+	if holds {
+		c.announce(now)
+	}
 	f := c.fleet.Load()
 	if !holds || f == nil || f.Manifest == nil {
 		return
--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -267,11 +267,26 @@
 }
 
 // Ended notes proof that a process, by its name as a holder, acts no more and
-// never will by the lease that is known.
-func (m *Machine) Ended(holder string, now time.Time) {
-	if m.endedHolder != holder {
-		m.endedHolder, m.endedAt = holder, now
+// never will by the lease that is known. It reports whether that is news.
+func (m *Machine) Ended(holder string, now time.Time) bool {
+	if m.endedHolder == holder {
+		return false
 	}
+	m.endedHolder, m.endedAt = holder, now
+	return true
+}
+
+// Announced notes that a holder has said that its record at an offset is the
+// newest. It reports whether the holder is news. The record itself is read
+// before this process writes one.
+func (m *Machine) Announced(holder, control string, at state.Offset, now time.Time) bool {
+	if m.holds || at <= m.at {
+		return false
+	}
+	news := m.known == nil || m.known.Holder != holder
+	m.known = &fleet.LeaseRecord{Holder: holder, Control: control}
+	m.at, m.seen, m.outdated = at, now, true
+	return news
 }
 
 // Resign gives the lease up without a write, for a holder that can't reach the
--- a/internal/decide/election/election_test.go
+++ b/internal/decide/election/election_test.go
@@ -204,6 +204,10 @@
 				for _, holder := range w.processes {
 					if _, ok := holder.machine.Holds(w.now); ok && holder != p {
 						p.machine.Heard(holder.machine.Offset(), w.now)
+						if rapid.Bool().Draw(t, "announced") {
+							name, control := holder.machine.Leader()
+							p.machine.Announced(name, control, holder.machine.Offset(), w.now)
+						}
 					}
 				}
 			}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
-	"github.com/lagoonvalve/lagoonvalve/internal/loadshare"
+	"github.com/lagoonvalve/lagoonvalve/internal/notices"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -40,7 +40,7 @@
 	Logger     *slog.Logger
 	// Notices exchanges notices with the other gateways, which reach this one
 	// at NoticeAddress; nil for none.
-	Notices       *loadshare.Exchange
+	Notices       *notices.Exchange
 	NoticeAddress string
 	// Meter counts what happens to requests; nil counts nothing.
 	Meter Meter
@@ -143,7 +143,7 @@
 	running.Go(func() { g.followResidency(parts) })
 	running.Go(func() { g.reportWanted(parts) })
 	if g.opts.Notices != nil {
-		running.Go(func() { g.opts.Notices.Run(parts, g.noticed) })
+		running.Go(func() { g.opts.Notices.Run(parts, notices.Handler{Sent: g.noticed, Acts: g.announced}) })
 	}
 	running.Go(func() { g.opts.Controller.Run(parts) })
 	return g.serve(ctx, parts, listeners, ready)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -5,7 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/loadshare"
+	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/notices"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -19,13 +20,13 @@
 	if g.opts.Notices == nil || work < minNotice {
 		return
 	}
-	g.opts.Notices.Tell(loadshare.Notice{
+	g.opts.Notices.Tell(notices.Sent{
 		Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli(), Work: state.Duration(work), Parts: p.shared(),
 	})
 }
 
 // noticed takes the word of another gateway.
-func (g *Gateway) noticed(n loadshare.Notice) {
+func (g *Gateway) noticed(n notices.Sent) {
 	m, ok := g.view.Load().byName[n.Upstream]
 	if !ok || m.upstream.Started.UnixMilli() != n.Started {
 		return
@@ -34,6 +35,11 @@
 	g.prompts.sent(m.load.index, n.Parts)
 }
 
+// announced takes the word of another process that it is the controller.
+func (g *Gateway) announced(n notices.Acts) {
+	g.opts.Controller.Announced(controller.Leader{Holder: n.Holder, Control: n.Control}, n.At)
+}
+
 // setPeers sets the gateways that are told, the nearest first: they use the
 // same upstreams.
 func (g *Gateway) setPeers(peers []rpc.GatewayPeer) {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/notices/notices_test.go
@@ -1,4 +1,4 @@
-package loadshare
+package notices
 
 import (
 	"context"
@@ -28,13 +28,15 @@
 	to, address := newExchange(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	got := make(chan Notice, 1)
-	go from.Run(ctx, func(Notice) {})
-	go to.Run(ctx, func(n Notice) { got <- n })
+	got, acts := make(chan Sent, 1), make(chan Acts, 1)
+	go from.Run(ctx, Handler{})
+	go to.Run(ctx, Handler{Sent: func(n Sent) { got <- n }, Acts: func(n Acts) { acts <- n }})
 	from.SetPeers([]string{"nonsense", address})
-	sent := Notice{Upstream: "u", Started: 5, Work: state.Duration(200 * time.Millisecond), Parts: []uint64{1, 1<<64 - 1}}
+	sent := Sent{Upstream: "u", Started: 5, Work: state.Duration(200 * time.Millisecond), Parts: []uint64{1, 1<<64 - 1}}
 	from.Tell(sent)
 	g.Eventually(got).WithTimeout(3 * time.Second).Should(Receive(Equal(sent)))
+	from.Announce(Acts{Holder: "a/1", Control: "10.0.0.1:1", At: 7})
+	g.Eventually(acts).WithTimeout(3 * time.Second).Should(Receive(Equal(Acts{Holder: "a/1", Control: "10.0.0.1:1", At: 7})))
 }
 
 // Guards against a request that waits for notices to be sent.
@@ -42,25 +44,37 @@
 	g := NewWithT(t)
 	e, _ := newExchange(t)
 	for range 10 * queueRoom {
-		e.Tell(Notice{Upstream: "u"})
+		e.Tell(Sent{Upstream: "u"})
 	}
 	g.Expect(e.dropped.Load()).To(Equal(int64(9 * queueRoom)))
 }
 
 // Guards against datagrams of another sender that end the process or count as
 // work.
-func FuzzDecode(f *testing.F) {
-	good, err := encode(Notice{Upstream: "u", Work: 1})
+func FuzzTake(f *testing.F) {
+	good, err := encode(methodSent, Sent{Upstream: "u", Work: 1})
 	if err != nil {
 		f.Fatal(err)
 	}
-	for _, seed := range [][]byte{good, nil, []byte("{}"), []byte(`{"method":"upstream.sent"}`), []byte(`{"method":"upstream.sent","params":{"u":"u","w":"-1s"}}`)} {
+	for _, seed := range [][]byte{
+		good, nil, []byte("{}"), []byte(`{"method":"upstream.sent"}`), []byte(`{"method":"upstream.sent","params":{"u":"u","w":"-1s"}}`),
+		[]byte(`{"method":"controller.acts","params":{"holder":"a","control":"b","at":-1}}`),
+	} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, datagram []byte) {
-		n, err := decode(datagram)
-		if err == nil && (n.Upstream == "" || n.Work < 0) {
-			t.Fatalf("decoded %+v", n)
-		}
+		err := Handler{
+			Sent: func(n Sent) {
+				if n.Upstream == "" || n.Work < 0 {
+					t.Fatalf("taken: %+v", n)
+				}
+			},
+			Acts: func(n Acts) {
+				if n.Holder == "" || n.Control == "" || n.At < 0 {
+					t.Fatalf("taken: %+v", n)
+				}
+			},
+		}.take(datagram)
+		_ = err // Most datagrams are no notices.
 	})
 }
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -17,7 +17,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/gateway"
-	"github.com/lagoonvalve/lagoonvalve/internal/loadshare"
+	"github.com/lagoonvalve/lagoonvalve/internal/notices"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	notices, err := bindNotices(ctx, cfg, process.Logger)
+	exchange, err := bindNotices(ctx, cfg, process.Logger)
 	if err != nil {
 		return err
 	}
@@ -69,25 +69,27 @@
 		Election: election.Settings{
 			TTL: cfg.Lease.TTL.Std(), Renew: cfg.Lease.Renew.Std(), Margin: leaseMargin, Settle: cfg.Lease.Settle.Std(),
 		},
+		Announce:         announce(exchange),
 		StoreLoadsAtOnce: cfg.StoreLoadsAtOnce,
 	})
 	g := gateway.New(gateway.Options{
-		Name:       name,
-		Control:    cfg.Listen.Control,
-		DataCentre: cfg.DataCentre,
-		RegionOf:   regions(cfg.DataCentres),
-		Manifests:  on.Manifests,
-		Upstreams:  on.Upstreams,
-		Dialect:    on.Dialect,
-		Controller: leader,
-		Caller:     client,
-		Logger:     process.Logger,
-		Notices:    notices, NoticeAddress: cfg.NoticeListen,
-		Meter:       meter,
-		RetryShare:  cfg.Retries.Share,
-		RetrySlack:  cfg.Retries.Slack,
-		Grace:       cfg.Shutdown.DrainTimeout.Std(),
-		RefuseAfter: cfg.RefuseAfter.Std(),
+		Name:          name,
+		Control:       cfg.Listen.Control,
+		DataCentre:    cfg.DataCentre,
+		RegionOf:      regions(cfg.DataCentres),
+		Manifests:     on.Manifests,
+		Upstreams:     on.Upstreams,
+		Dialect:       on.Dialect,
+		Controller:    leader,
+		Caller:        client,
+		Logger:        process.Logger,
+		Notices:       exchange,
+		NoticeAddress: cfg.NoticeListen,
+		Meter:         meter,
+		RetryShare:    cfg.Retries.Share,
+		RetrySlack:    cfg.Retries.Slack,
+		Grace:         cfg.Shutdown.DrainTimeout.Std(),
+		RefuseAfter:   cfg.RefuseAfter.Std(),
 	})
 	err = g.Run(ctx, listeners, readiness(on.ReadyPath, g.Ready))
 	process.Logger.Info("gateway ends", "error", err)
@@ -147,8 +149,18 @@
 	return mux
 }
 
+// announce returns how the controller tells other gateways of itself.
+func announce(exchange *notices.Exchange) func(controller.Leader, state.Offset) {
+	if exchange == nil {
+		return nil
+	}
+	return func(leader controller.Leader, at state.Offset) {
+		exchange.Announce(notices.Acts{Holder: leader.Holder, Control: leader.Control, At: at})
+	}
+}
+
 // bindNotices binds the address for notices; it returns nil if there is none.
-func bindNotices(ctx context.Context, cfg settings.Gateway, logger *slog.Logger) (*loadshare.Exchange, error) {
+func bindNotices(ctx context.Context, cfg settings.Gateway, logger *slog.Logger) (*notices.Exchange, error) {
 	if cfg.NoticeListen == "" {
 		return nil, nil
 	}
@@ -157,7 +169,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for notices")
 	}
-	return loadshare.New(conn, logger), nil
+	return notices.New(conn, logger), nil
 }
 
 func bindGateway(ctx context.Context, cfg settings.Gateway) (listeners gateway.Listeners, err error) {
