controller, gateway: gateways learn of new manifests from the controller

Change: the controller tells the version that it knows and how old its reading is; a gateway reads the manifest itself when that version is newer or that reading older than 1.5 s. The controller's own reads wait 0.5 s at most, since others go by them.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -16,6 +17,8 @@
 	holder atomic.Pointer[string]
 	// registryRead is when this process last read the registry.
 	registryRead atomic.Pointer[time.Time]
+	// manifestRead is when this process last read for a manifest.
+	manifestRead atomic.Pointer[time.Time]
 	// changed is closed when now is replaced.
 	changed atomic.Pointer[chan struct{}]
 	// revision numbers the changes; it belongs to the goroutine of Run.
@@ -28,6 +31,7 @@
 	revision uint64
 	lease    state.Offset
 	gateways int
+	manifest fleet.Version
 	// peers are the gateways that take notices.
 	peers         []rpc.GatewayPeer
 	peersRevision uint64
@@ -44,6 +48,7 @@
 	b.changed.Store(&changed)
 	b.holder.Store(&holder)
 	b.registryRead.Store(new(time.Time))
+	b.manifestRead.Store(new(time.Time))
 }
 
 func (b *board) load() *shown { return b.now.Load() }
@@ -59,6 +64,7 @@
 // wait if anything has changed.
 func (c *Controller) show(token state.FencingToken) {
 	next := &shown{term: token, revision: c.shown.revision, lease: c.machine.Offset(), gateways: len(c.demand.gateways)}
+	next.manifest = c.told
 	next.peers, next.peersRevision = c.demand.peers(), c.demand.peersRevision
 	if before := c.shown.load(); before != nil && before.term == next.term && before.revision == next.revision {
 		next.entries = before.entries
@@ -122,6 +128,7 @@
 func (b *board) since(s *shown, params rpc.ResidencyParams) rpc.ResidencyResult {
 	result := rpc.ResidencyResult{Holder: *b.holder.Load(), Term: s.term, Revision: s.revision, Lease: s.lease, Gateways: s.gateways, PeersRevision: s.peersRevision}
 	result.RegistryAge = state.Duration(time.Since(*b.registryRead.Load()))
+	result.Manifest, result.ManifestAge = uint64(s.manifest), state.Duration(time.Since(*b.manifestRead.Load()))
 	if s.term != params.Term || s.peersRevision != params.Peers {
 		result.Peers = s.peers
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,8 @@
 	// synced.
 	registry map[state.UpstreamName]*registryEntry
 	synced   *Fleet
+	// told is the version of the manifest that gateways are told of.
+	told fleet.Version
 	// polls counts the reports that engines were asked for and have not given.
 	polls  int
 	demand *demandTable
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -24,12 +24,23 @@
 // RegistryRead notes that this process has read the registry.
 func (c *Controller) RegistryRead(now time.Time) { c.shown.registryRead.Store(&now) }
 
+// ManifestRead notes that this process has read for a manifest.
+func (c *Controller) ManifestRead(now time.Time) { c.shown.manifestRead.Store(&now) }
+
+// Acts reports whether this process is the controller, by whose reading others
+// go.
+func (c *Controller) Acts() bool { return c.shown.load() != nil }
+
 // syncRegistry follows the registry for other gateways.
 func (c *Controller) syncRegistry(f *Fleet, now time.Time) {
 	if f == c.synced {
 		return
 	}
 	c.synced = f
+	if f.Manifest.Version != c.told {
+		c.told = f.Manifest.Version
+		c.shown.revision++
+	}
 	listed := make(map[state.UpstreamName]bool, len(f.Upstreams))
 	for _, u := range f.Upstreams {
 		listed[u.Name] = true
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -21,6 +21,9 @@
 	// firstRetry and lastRetry bound the time between reads that fail.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
+	// reliedOnWait is the same for a reader by which others go: they have to
+	// notice as well when it falls silent.
+	reliedOnWait = 500 * time.Millisecond
 	// relayedPoll is the time between looks whether a feed is still relayed.
 	relayedPoll = 100 * time.Millisecond
 	// outageAfter is how long reads fail before entries that are missing
@@ -42,6 +45,9 @@
 	// relayed reports whether the values come from elsewhere at the moment, so
 	// that they need not be read; nil if they never do.
 	relayed func(now time.Time) bool
+	// reliedOn reports whether other processes go by this one's reading; nil if
+	// they never do.
+	reliedOn func() bool
 	// wasRead is told of each read that succeeded.
 	wasRead func(now time.Time)
 
@@ -93,6 +99,9 @@
 		return f.feed.Newest(ctx)
 	}
 	wait := followWait
+	if f.reliedOn != nil && f.reliedOn() {
+		wait = reliedOnWait
+	}
 	if !f.failedSince.IsZero() {
 		// The first answer after an outage is wanted at once.
 		wait = 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,9 +78,7 @@
 	gateways atomic.Int32
 	// storeRead is when a feed was last read from the platform's store.
 	storeRead atomic.Pointer[time.Time]
-	// registryAsOf is when the controller of another process had read the
-	// registry whose changes it tells.
-	registryAsOf atomic.Pointer[time.Time]
+	relay     relay
 
 	budgets budgets
 }
@@ -124,7 +122,7 @@
 	}
 	g.stopped, g.endStop = context.WithCancel(context.Background())
 	g.storeRead.Store(new(time.Time))
-	g.registryAsOf.Store(new(time.Time))
+	g.relay.forget()
 	g.view.Store(newTables(opts.DataCentre, opts.RegionOf).view(time.Now()))
 	return g
 }
@@ -191,12 +189,23 @@
 	}
 }
 
-// wasRead notes that the platform's store has answered.
-func (g *Gateway) wasRead(now time.Time) { g.storeRead.Store(&now) }
+// manifestRead notes that the platform's store has answered a read for a manifest.
+func (g *Gateway) manifestRead(now time.Time) {
+	g.storeRead.Store(&now)
+	g.opts.Controller.ManifestRead(now)
+}
+
+// registryRead notes that the platform's store has answered a read of the
+// registry.
+func (g *Gateway) registryRead(now time.Time) {
+	g.storeRead.Store(&now)
+	g.opts.Controller.RegistryRead(now)
+}
 
 func (g *Gateway) followManifests(ctx context.Context) {
 	f := follower[fleet.Manifest]{
-		name: "manifest", feed: g.opts.Manifests, logger: g.opts.Logger, pace: manifestPace, wasRead: g.wasRead,
+		name: "manifest", feed: g.opts.Manifests, logger: g.opts.Logger, pace: manifestPace, wasRead: g.manifestRead,
+		relayed: g.manifestRelayed, reliedOn: g.opts.Controller.Acts,
 		apply: func(page fleet.Page[fleet.Manifest], _, _ bool) {
 			g.post(ctx, func(t *tables, _ time.Time) bool { return g.applyManifests(t, page) })
 		},
@@ -220,10 +229,9 @@
 
 func (g *Gateway) followUpstreams(ctx context.Context) {
 	f := follower[fleet.Upstream]{
-		name: "upstreams", feed: g.opts.Upstreams, logger: g.opts.Logger, pace: upstreamPace, wasRead: g.wasRead,
-		relayed: g.registryRelayed,
+		name: "upstreams", feed: g.opts.Upstreams, logger: g.opts.Logger, pace: upstreamPace, wasRead: g.registryRead,
+		relayed: g.registryRelayed, reliedOn: g.opts.Controller.Acts,
 		apply: func(page fleet.Page[fleet.Upstream], whole, outage bool) {
-			g.opts.Controller.RegistryRead(time.Now())
 			g.post(ctx, func(t *tables, now time.Time) bool {
 				g.applyUpstreams(t, page, whole, outage, now)
 				return true
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -15,10 +15,6 @@
 const (
 	// residencyWait is how long the controller may hold a question.
 	residencyWait = 500 * time.Millisecond
-	// relayedAge is how old the controller's reading of the registry may be
-	// before a gateway reads it itself. It is well below the time within which
-	// gateways must know that an upstream leaves.
-	relayedAge = 1500 * time.Millisecond
 	// callTimeout bounds a call to the controller beyond that.
 	callTimeout = 700 * time.Millisecond
 	// linkRetry is the time between calls that fail.
@@ -56,7 +52,9 @@
 			g.opts.Logger.Info("controller answers", "address", leader.Control, "term", result.Term)
 		}
 		lost = false
-		g.relayRegistry(ctx, leader, result, result.Term != params.Term)
+		if leader.Control != "" && leader.Control != g.opts.Control {
+			g.takeRelayed(ctx, result, result.Term != params.Term)
+		}
 		if result.Term != params.Term || result.PeersRevision != params.Peers {
 			g.setPeers(result.Peers)
 		}
@@ -67,33 +65,6 @@
 	}
 }
 
-// registryRelayed reports whether the controller of another process tells the
-// changes of the registry soon enough.
-func (g *Gateway) registryRelayed(now time.Time) bool {
-	return now.Sub(*g.registryAsOf.Load()) < relayedAge
-}
-
-// relayRegistry takes the changes of the registry that the controller of another
-// process tells. With a new controller the registry is read once more, since
-// that one does not tell what its predecessor had told.
-func (g *Gateway) relayRegistry(ctx context.Context, leader controller.Leader, result rpc.ResidencyResult, newTerm bool) {
-	if leader.Control == "" || leader.Control == g.opts.Control {
-		return
-	}
-	asOf := time.Now().Add(-result.RegistryAge.Std())
-	if newTerm {
-		asOf = time.Time{}
-	}
-	g.registryAsOf.Store(&asOf)
-	if len(result.Upstreams) == 0 {
-		return
-	}
-	g.post(ctx, func(t *tables, now time.Time) bool {
-		g.applyUpstreams(t, registryPage(result.Upstreams), false, false, now)
-		return true
-	})
-}
-
 // hasEnded reports whether what came of a question to the holder of the lease
 // proves that it acts no more: nothing listens at its address, or the process
 // there has another name.
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -98,6 +98,10 @@
 	Gateways int          `json:"gateways"`
 	// RegistryAge is the time since the controller last read the registry.
 	RegistryAge state.Duration `json:"registryAge"`
+	// Manifest is the version of the manifest that the controller knows, and
+	// ManifestAge the time since it last read for one.
+	Manifest    uint64         `json:"manifest"`
+	ManifestAge state.Duration `json:"manifestAge"`
 	// PeersRevision numbers the list of gateways, and Peers is that list if the
 	// asker has another one.
 	PeersRevision uint64              `json:"peersRevision"`
