--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -46,6 +46,9 @@
 const (
 	// tick is the time between plans while nothing happens.
 	tick = 50 * time.Millisecond
+	// actPace is the least time between plans. Each of many gateways reports
+	// its demand several times a second, and a plan looks at all engines.
+	actPace = 10 * time.Millisecond
 	// standbyTick is the time between looks at the lease of another holder.
 	standbyTick = 250 * time.Millisecond
 	// readPace is the least time between reads of the lease.
@@ -65,6 +68,8 @@
 	leaseBusy bool
 	lastRead  time.Time
 	acting    bool
+	// nextAct is when the next plan is due at the soonest.
+	nextAct time.Time
 	// announced is when the other gateways were told of this holder.
 	announced time.Time
 	// resigned counts the leases given up without a write.
@@ -181,15 +186,22 @@
 			c.drainEvents()
 		case <-timer.C:
 		}
-		now := c.opts.Now()
-		c.stepLease(ctx, now)
-		c.act(ctx, now)
-		wait := standbyTick
-		if c.acting {
-			wait = tick
-		}
-		timer.Reset(wait)
+		timer.Reset(c.step(ctx, c.opts.Now()))
+	}
+}
+
+// step does what is due and returns when to come back.
+func (c *Controller) step(ctx context.Context, now time.Time) time.Duration {
+	c.stepLease(ctx, now)
+	if early := c.nextAct.Sub(now); early > 0 {
+		return early
+	}
+	c.act(ctx, now)
+	if !c.acting {
+		return standbyTick
 	}
+	c.nextAct = now.Add(actPace)
+	return tick
 }
 
 // drainEvents takes what has come meanwhile, so that one plan serves it all.
