gateway, fleet: one failure a request, no unused fields of reports

Cause: a stream that could not be resumed counted twice against its upstream's health, which two failures take out of rotation; a caller that left counted against it too. Reports had three fields that nothing read.

--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -128,11 +128,7 @@
 	// Busy says that an order is in progress.
 	Busy bool
 	// Accepted counts the orders accepted since the start.
-	Accepted int
-	Waiting  int
-	Running  int
-	// CacheUsed is the cache memory that can't be evicted.
-	CacheUsed        Tokens
+	Accepted         int
 	InMemory, OnDisk []state.ModelName
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,6 +97,8 @@
 	case answer.Status >= http.StatusInternalServerError:
 		// An application that fails a request says nothing about its upstream.
 		x.excluded = append(x.excluded, m.upstream.Name)
+	case v != nil && v.Reason == verdict.ReasonCallerGone:
+		// The upstream is not to blame.
 	case v != nil:
 		x.failed(ctx, m)
 	default:
@@ -138,8 +141,11 @@
 	return v
 }
 
-// failed notes an upstream that gave no proper answer.
+// failed notes an upstream that gave no proper answer. It counts once a request.
 func (x *exchange) failed(ctx context.Context, m *member) {
+	if slices.Contains(x.excluded, m.upstream.Name) {
+		return
+	}
 	x.excluded = append(x.excluded, m.upstream.Name)
 	if ctx.Err() == nil {
 		m.load.ended(false, time.Now(), x.gateway.health)
