--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -106,7 +106,9 @@
 	select {
 	case e.queue <- datagram:
 	default:
-		e.dropped.Add(1)
+		if n := e.dropped.Add(1); n%queueRoom == 1 {
+			e.logger.Warn("notices dropped", "total", n)
+		}
 	}
 }
 
