controller, election: the lease is held by promises while nobody reaches the store

Change: a holder that can't renew asks the gateways that poll it to leave the lease alone for a lease's time; while all of them do, and none has reached the store, it goes on.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -66,10 +66,17 @@
 	// The rest belongs to the goroutine of Run.
 	machine   *election.Machine
 	leaseBusy bool
-	lastRead  time.Time
-	acting    bool
+	// writing says that a write of the lease is under way.
+	writing  bool
+	lastRead time.Time
+	acting   bool
 	// nextAct is when the next plan is due at the soonest.
 	nextAct time.Time
+	// promises are those of the other gateways; extended says that the lease is
+	// held by them, and asks that they are asked for.
+	promises promiseTable
+	extended bool
+	asks     atomic.Bool
 	// announced is when the other gateways were told of this holder.
 	announced time.Time
 	// resigned counts the leases given up without a write.
@@ -112,6 +119,8 @@
 		machine: election.NewMachine(opts.Name, opts.Holder, opts.Control, opts.Election),
 		engines: make(map[state.UpstreamName]*engine),
 		demand:  newDemandTable(),
+
+		promises: make(promiseTable),
 	}
 	c.shown.init(opts.Name)
 	return c
@@ -193,6 +202,7 @@
 // step does what is due and returns when to come back.
 func (c *Controller) step(ctx context.Context, now time.Time) time.Duration {
 	c.stepLease(ctx, now)
+	c.stepPromises(now)
 	if early := c.nextAct.Sub(now); early > 0 {
 		return early
 	}
@@ -235,7 +245,11 @@
 func (c *Controller) Residency(ctx context.Context, params rpc.ResidencyParams) (rpc.ResidencyResult, error) {
 	c.post(func(c *Controller, now time.Time) {
 		c.demand.asked(params.Gateway, params.Peer, now)
-		c.resignIfCut(params.StoreAge.Std(), now)
+		c.heardPromise(params, now)
 	})
-	return c.shown.await(ctx, params)
+	result, err := c.shown.await(ctx, params)
+	if err == nil && c.asks.Load() {
+		result.Unrenewed = c.opts.Now().UnixNano()
+	}
+	return result, err
 }
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,14 +56,24 @@
 	})
 }
 
-// linked is a controller that asks another one as a gateway does, and tells it
-// that it has just read from the store.
-func linked(ctx context.Context, asker, holder *controller.Controller) {
+// linked is a controller that asks another one as its gateway does, and tells it
+// how long ago it has read from the store.
+func linked(ctx context.Context, name string, asker, holder *controller.Controller, storeAge func() time.Duration) {
+	params := rpc.ResidencyParams{Gateway: name}
 	for ctx.Err() == nil {
 		leader := asker.Leader()
-		result, err := holder.Residency(ctx, rpc.ResidencyParams{Gateway: "g", StoreAge: state.Duration(50 * time.Millisecond)})
-		if err == nil && result.Term == 0 && leader.Holder != "" && result.Holder != leader.Holder {
+		params.StoreAge = state.Duration(storeAge())
+		result, err := holder.Residency(ctx, params)
+		params.Promised, params.Term = 0, result.Term
+		switch {
+		case err != nil:
+		case result.Term == 0 && leader.Holder != "" && result.Holder != leader.Holder:
 			asker.Ended(leader.Holder)
+		case result.Term != 0:
+			asker.Heard(result.Lease)
+			if result.Unrenewed != 0 && asker.Promise(ctx, result.Lease) {
+				params.Promised = result.Unrenewed
+			}
 		}
 		select {
 		case <-time.After(100 * time.Millisecond):
@@ -82,22 +93,15 @@
 		a := w.start(ctx, "a")
 		time.Sleep(500 * time.Millisecond)
 		b := w.start(ctx, "b")
-		go linked(ctx, b, a)
+		go linked(ctx, "b", b, a, func() time.Duration { return 50 * time.Millisecond })
 		time.Sleep(500 * time.Millisecond)
 		cut := time.Time{}
 		for step := range 100 {
 			if step == 50 {
-				w.log.mu.Lock()
-				w.log.cut["a"] = true
-				w.log.mu.Unlock()
+				w.cut(true, "a")
 				cut = time.Now()
 			}
-			for _, c := range []*controller.Controller{a, b} {
-				_, err := c.Wanted(context.Background(), rpc.WantedParams{Gateway: "g", Targets: []rpc.TargetDemand{
-					{Model: state.ModelName(fmt.Sprint("m", step)), Waiting: 1, Rate: 1},
-				}})
-				_ = err // Only the holder takes it.
-			}
+			w.wantNext([]*controller.Controller{a, b}, step)
 			time.Sleep(100 * time.Millisecond)
 		}
 		cancel()
@@ -145,3 +149,82 @@
 		synctest.Wait()
 	})
 }
+
+// cut cuts processes off from the log, or heals them.
+func (w *world) cut(cut bool, names ...string) {
+	w.log.mu.Lock()
+	defer w.log.mu.Unlock()
+	for _, name := range names {
+		w.log.cut[name] = cut
+	}
+}
+
+// wantNext asks for a model that was not asked for before.
+func (w *world) wantNext(controllers []*controller.Controller, model int) {
+	for _, c := range controllers {
+		_, err := c.Wanted(context.Background(), rpc.WantedParams{Gateway: "g", Targets: []rpc.TargetDemand{
+			{Model: state.ModelName(fmt.Sprint("m", model)), Waiting: 1, Rate: 1},
+		}})
+		_ = err // Only the holder takes it.
+	}
+}
+
+// The pattern is demand that moves while the store is away for longer than a
+// lease (incident inc-ce8e: no orders for eight seconds). Guards against orders
+// that stop although no other process can take the lease, against an extension
+// that one process has not agreed to, and against orders of two holders.
+func TestOrdersGoOnWhileTheStoreIsAwayForAll(t *testing.T) {
+	for name, silent := range map[string]bool{"all promise": false, "one is silent": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				w := newWorld(t, 8, 300)
+				a := w.start(ctx, "a")
+				time.Sleep(500 * time.Millisecond)
+				b, c := w.start(ctx, "b"), w.start(ctx, "c")
+				all := []*controller.Controller{a, b, c}
+				var gone atomic.Pointer[time.Time]
+				age := func() time.Duration {
+					if since := gone.Load(); since != nil {
+						return time.Since(*since)
+					}
+					return 50 * time.Millisecond
+				}
+				silence, hush := context.WithCancel(ctx)
+				go linked(ctx, "b", b, a, age)
+				go linked(silence, "c", c, a, age)
+				for step := range 200 {
+					switch step {
+					case 80:
+						w.cut(true, "a", "b", "c")
+						now := time.Now()
+						gone.Store(&now)
+						if silent {
+							hush()
+						}
+					case 160:
+						w.cut(false, "a", "b", "c")
+					}
+					w.wantNext(all, step)
+					time.Sleep(100 * time.Millisecond)
+				}
+				hush()
+				cancel()
+				synctest.Wait()
+				late := 0
+				for _, o := range w.engines.sent {
+					since := o.at.Sub(*gone.Load())
+					if since > times.TTL+time.Second && since < 8*time.Second {
+						late++
+						w.g.Expect(o.Holder).To(Equal("a"))
+					}
+				}
+				if silent {
+					w.g.Expect(late).To(BeZero(), "c might have taken the lease")
+				} else {
+					w.g.Expect(late).To(BeNumerically(">", 10))
+				}
+			})
+		})
+	}
+}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -35,7 +35,7 @@
 		c.lastRead, c.leaseBusy = now, true
 		go c.readLease(ctx)
 	case election.Write:
-		c.leaseBusy = true
+		c.leaseBusy, c.writing = true, true
 		go c.writeLease(ctx, step, now)
 	case election.Wait:
 	}
@@ -66,7 +66,7 @@
 }
 
 func (c *Controller) wroteLease(step election.Step, began time.Time, err error, now time.Time) {
-	c.leaseBusy = false
+	c.leaseBusy, c.writing = false, false
 	unknown := err != nil && !errors.Is(err, fleet.ErrConflict) && !errors.Is(err, platform.ErrUnavailable)
 	held := c.machine.Elected(now)
 	c.machine.Written(step.Record, step.End, began, err == nil, unknown, now)
@@ -94,21 +94,12 @@
 	c.opts.Announce(Leader{Holder: *c.shown.holder.Load(), Control: c.opts.Control}, c.machine.Offset())
 }
 
-// cutAfter is how long a holder must have failed to renew its lease beyond the
-// usual time before another's word of the store counts.
-const cutAfter = writeTimeout + 100*time.Millisecond
-
-// resignIfCut gives the lease up if it can't be renewed although another gateway,
-// which read from the store some time ago, has reached it since: then that one
-// can take the lease at once instead of after its end.
-func (c *Controller) resignIfCut(othersAge time.Duration, now time.Time) {
-	overdue := c.machine.Unrenewed(now) - c.opts.Election.Renew
-	if !c.acting || overdue < cutAfter || othersAge > overdue-cutAfter/2 {
-		return
-	}
+// resign gives the lease up without a write, so that another process can take it
+// at once instead of after its end.
+func (c *Controller) resign(now time.Time) {
 	c.resigned++
 	name := fmt.Sprintf("%s+%d", c.opts.Name, c.resigned)
-	c.opts.Logger.Warn("lease given up without a write", "unrenewed", c.machine.Unrenewed(now), "others_read", othersAge, "holder", name)
+	c.opts.Logger.Warn("lease given up without a write", "unrenewed", c.machine.Unrenewed(now), "holder", name)
 	c.machine.Resign(name, now)
 	c.shown.holder.Store(&name)
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/residency"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -109,6 +110,7 @@
 	c.engines = make(map[state.UpstreamName]*engine)
 	c.registry, c.synced = make(map[state.UpstreamName]*registryEntry), nil
 	c.loads = loadBudget{at: now}
+	c.promises, c.extended = make(promiseTable), false
 	c.opts.Logger.Info("controller acts", "acting", holds, "term", token)
 	if !holds {
 		c.shown.publish(nil)
@@ -199,7 +201,7 @@
 	}
 	go func() {
 		if first && p.Kind == fleet.Unload {
-			time.Sleep(unloadNotice)
+			ctxtime.Sleep(ctx, unloadNotice)
 		}
 		result, err := fleet.OrderRefused, error(nil)
 		if c.opts.Now().Before(until) {
--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -81,6 +81,9 @@
 	holds bool
 	// written is when the last successful write of the holder began.
 	written time.Time
+	// promised is a time from which on all other processes have promised to
+	// leave the lease alone for TTL; zero for none.
+	promised time.Time
 	// settled is when a new holder may act.
 	settled time.Time
 	// recent lists the hosts that have held the lease lately.
@@ -120,8 +123,19 @@
 	return m.token, valid
 }
 
-// ValidUntil returns when the right to act ends unless the lease is renewed.
-func (m *Machine) ValidUntil() time.Time { return m.written.Add(m.settings.TTL - m.settings.Margin) }
+// ValidUntil returns when the right to act ends unless the lease is renewed, or
+// the other processes renew their promises.
+func (m *Machine) ValidUntil() time.Time {
+	last := m.written
+	if m.promised.After(last) {
+		last = m.promised
+	}
+	return last.Add(m.settings.TTL - m.settings.Margin)
+}
+
+// Promised notes that all other processes have promised at or after a time not
+// to take the lease for TTL; zero if they have not.
+func (m *Machine) Promised(at time.Time) { m.promised = at }
 
 // Unrenewed returns for how long the holder has not renewed its lease; zero if
 // this process does not hold it.
@@ -161,6 +175,24 @@
 	}
 }
 
+// Promise is asked for by a holder that acts by the record at an offset and
+// can't renew it. It reports whether this process will not take the lease for
+// TTL from now on.
+func (m *Machine) Promise(at state.Offset, now time.Time) bool {
+	if m.holds || m.pending != nil {
+		return false
+	}
+	if !m.read {
+		// What it reads first counts from then on.
+		return true
+	}
+	if at != m.at || m.known == nil || m.known.Released {
+		return false
+	}
+	m.seen = now
+	return true
+}
+
 // Observed takes the result of a read.
 func (m *Machine) Observed(record *fleet.LeaseRecord, at, end state.Offset, now time.Time) {
 	if at != m.at || !m.read {
@@ -209,7 +241,7 @@
 			m.settled = now.Add(m.settings.Settle)
 		}
 	}
-	m.holds, m.written = true, p.began
+	m.holds, m.written, m.promised = true, p.began, time.Time{}
 }
 
 // Next returns what to do now. A process that leaves gives its lease up and
@@ -296,7 +328,7 @@
 	if m.holds {
 		m.Ended(m.holder, now)
 	}
-	m.holder, m.holds, m.pending, m.stale = name, false, nil, true
+	m.holder, m.holds, m.pending, m.stale, m.promised = name, false, nil, true, time.Time{}
 }
 
 // ended reports whether the holder of the newest record is known to have ended.
--- a/internal/decide/election/election_test.go
+++ b/internal/decide/election/election_test.go
@@ -49,6 +49,9 @@
 	// late holds writes whose answer was lost and that land later if their
 	// condition still holds.
 	late []write
+	// promised is when each process promised each other, by their names, to
+	// leave the lease alone.
+	promised map[[2]string]time.Time
 	// dead lists the processes that were killed.
 	dead []string
 	// acted lists who could act, in order.
@@ -108,6 +111,27 @@
 	}
 }
 
+// promises has the process that acts ask all others for a promise, and go by
+// those that it has. A process that has begun since has promised nothing.
+func (w *world) promises() {
+	for _, holder := range w.processes {
+		if _, ok := holder.machine.Holds(w.now); !ok || w.now.Before(holder.frozen) {
+			continue
+		}
+		soonest := w.now
+		for _, p := range w.processes {
+			key := [2]string{holder.name(), p.name()}
+			if p != holder && !w.now.Before(p.frozen) && p.machine.Promise(holder.machine.Offset(), w.now) {
+				w.promised[key] = w.now
+			}
+			if at := w.promised[key]; p != holder && at.Before(soonest) {
+				soonest = at
+			}
+		}
+		holder.machine.Promised(soonest)
+	}
+}
+
 func (w *world) check() {
 	holders := 0
 	for i, p := range w.processes {
@@ -149,7 +173,7 @@
 // hand-overs.
 func TestOneHolderInAnySchedule(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{t: t, now: time.Unix(1000, 0)}
+		w := &world{t: t, now: time.Unix(1000, 0), promised: map[[2]string]time.Time{}}
 		for i := range rapid.IntRange(2, 4).Draw(t, "processes") {
 			p := &process{host: fmt.Sprint("host", i)}
 			p.machine = election.NewMachine(p.name(), p.host, p.host, settings)
@@ -158,7 +182,7 @@
 		for range rapid.IntRange(50, 300).Draw(t, "steps") {
 			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			p := w.processes[rapid.IntRange(0, len(w.processes)-1).Draw(t, "process")]
-			switch rapid.SampledFrom([]string{"run", "run", "run", "run", "lost", "late", "down", "freeze", "land", "leave", "heard", "kill", "resign", "proof", "proof"}).Draw(t, "what") {
+			switch rapid.SampledFrom([]string{"run", "run", "run", "run", "lost", "late", "down", "freeze", "land", "leave", "heard", "kill", "resign", "proof", "proof", "promise", "promise", "promise"}).Draw(t, "what") {
 			case "run":
 				w.delay = time.Duration(rapid.SampledFrom([]int{4, 20, 900}).Draw(t, "delay")) * time.Millisecond
 				w.readers = nil
@@ -190,6 +214,8 @@
 				p.starts++
 				p.machine, p.leaving, p.frozen = election.NewMachine(p.name(), p.host, p.host, settings), false, time.Time{}
 				w.dead = append(w.dead, ended)
+			case "promise":
+				w.promises()
 			case "resign":
 				// A holder that acts no more goes on under another name.
 				ended := p.name()
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -52,6 +52,11 @@
 			g.opts.Logger.Info("controller answers", "address", leader.Control, "term", result.Term)
 		}
 		lost = false
+		g.opts.Controller.Heard(result.Lease)
+		params.Promised = 0
+		if result.Unrenewed != 0 && leader.Control != g.opts.Control && g.opts.Controller.Promise(ctx, result.Lease) {
+			params.Promised = result.Unrenewed
+		}
 		if leader.Control != "" && leader.Control != g.opts.Control {
 			g.takeRelayed(ctx, result, result.Term != params.Term)
 		}
@@ -60,7 +65,6 @@
 		}
 		params.Term, params.Revision, params.Peers = result.Term, result.Revision, result.PeersRevision
 		g.gateways.Store(int32(result.Gateways))
-		g.opts.Controller.Heard(result.Lease)
 		g.post(ctx, func(t *tables, now time.Time) bool { return t.applyResidency(result, now) })
 	}
 }
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -30,9 +30,10 @@
 
 // takeRelayed takes what the controller of another process says of the feeds.
 // With a new controller both are read once more, since that one does not tell
-// what its predecessor had told.
+// what its predecessor had told; and so they are for one that can't reach the
+// store, to tell it whether this gateway can.
 func (g *Gateway) takeRelayed(ctx context.Context, result rpc.ResidencyResult, newTerm bool) {
-	if newTerm {
+	if newTerm || result.Unrenewed != 0 {
 		g.relay.forget()
 	} else {
 		registry := time.Now().Add(-result.RegistryAge.Std())
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -34,6 +34,9 @@
 	g.Expect(gw.registryRelayed(time.Now())).To(BeFalse())
 	g.Expect(say(4, 0, false)).To(BeTrue(), "this gateway has read a newer one itself")
 	g.Expect(gw.registryRelayed(time.Now())).To(BeTrue())
+	gw.takeRelayed(t.Context(), rpc.ResidencyResult{Manifest: 5, Unrenewed: 1}, false)
+	g.Expect(gw.manifestRelayed(time.Now())).To(BeFalse(), "a controller that can't reach the store")
+	g.Expect(say(5, 0, false)).To(BeTrue())
 	g.Expect(say(5, 0, true)).To(BeFalse(), "a new controller")
 	g.Expect(gw.registryRelayed(time.Now())).To(BeFalse())
 }
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -49,6 +49,9 @@
 	Revision uint64             `json:"revision,omitempty"`
 	// StoreAge is the time since the asker last read from the platform's store.
 	StoreAge state.Duration `json:"storeAge,omitempty"`
+	// Promised is the time of the answer by which the asker was asked to leave
+	// the lease alone, if it does; zero otherwise.
+	Promised int64 `json:"promised,omitempty"`
 	// Wait is how long to wait for a change.
 	Wait state.Duration `json:"wait,omitempty"`
 }
@@ -93,6 +96,9 @@
 	// Term is zero, and the rest empty, if the process is not the controller.
 	Term     state.FencingToken `json:"term"`
 	Revision uint64             `json:"revision"`
+	// Unrenewed is the time of this answer, by a clock of the controller's own,
+	// if it can't renew its lease and asks to leave it alone; zero otherwise.
+	Unrenewed int64 `json:"unrenewed,omitempty"`
 	// Lease is the offset of the controller's newest lease record.
 	Lease    state.Offset `json:"lease"`
 	Gateways int          `json:"gateways"`
