controller: tell the registry in parts

A new controller is asked by 300 gateways at once, and each answer had all 3,000 upstreams with their addresses. Change: an answer has 128 entries at most, the oldest changes first, and the asker comes back for the rest at once; what is told of an upstream is made anew only when it has changed.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +12,10 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
+// maxEntries bounds the entries of one answer: a new controller is asked for all
+// of them by all gateways at once.
+const maxEntries = 128
+
 // board shows askers what the upstreams hold.
 type board struct {
 	now atomic.Pointer[shown]
@@ -35,7 +41,7 @@
 	// peers are the gateways that take notices.
 	peers         []rpc.GatewayPeer
 	peersRevision uint64
-	entries       []shownEntry
+	entries       []*shownEntry
 }
 
 type shownEntry struct {
@@ -77,9 +83,22 @@
 	c.shown.publish(next)
 }
 
-// entry returns what is shown of an upstream.
-func (c *Controller) entry(name state.UpstreamName, listed *registryEntry) shownEntry {
-	shown := shownEntry{revision: listed.revision, UpstreamResidency: rpc.UpstreamResidency{Upstream: name, Gone: listed.gone}}
+// entry returns what is shown of an upstream. It is made anew only if it has
+// changed.
+func (c *Controller) entry(name state.UpstreamName, listed *registryEntry) *shownEntry {
+	revision := listed.revision
+	e, ok := c.engines[name]
+	if known := ok && e.known && !listed.gone; known {
+		revision = max(revision, e.revision)
+	}
+	if listed.shown == nil || listed.shown.revision != revision {
+		listed.shown = newShownEntry(name, listed, e, revision)
+	}
+	return listed.shown
+}
+
+func newShownEntry(name state.UpstreamName, listed *registryEntry, e *engine, revision uint64) *shownEntry {
+	shown := &shownEntry{revision: revision, UpstreamResidency: rpc.UpstreamResidency{Upstream: name, Gone: listed.gone}}
 	if listed.gone {
 		return shown
 	}
@@ -88,9 +107,8 @@
 	shown.DataCentre, shown.Slots, shown.Draining = u.DataCentre, u.Slots, u.Draining
 	replicas := u.Replicas
 	shown.InMemory, shown.OnDisk = u.InMemory, u.OnDisk
-	if e, ok := c.engines[name]; ok && e.known {
+	if e != nil && e.known {
 		shown.Known, replicas = true, e.serving()
-		shown.revision = max(shown.revision, e.revision)
 		shown.InMemory, shown.OnDisk = e.inMemory, e.onDisk
 	}
 	for _, r := range replicas {
@@ -99,6 +117,19 @@
 	return shown
 }
 
+// changedAfter returns the entries that have changed after a revision, in the
+// order of their changes.
+func (s *shown) changedAfter(revision uint64) []*shownEntry {
+	var changed []*shownEntry
+	for _, e := range s.entries {
+		if e.revision > revision {
+			changed = append(changed, e)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *shownEntry) int { return cmp.Compare(a.revision, b.revision) })
+	return changed
+}
+
 func (b *board) close() { b.publish(nil) }
 
 // await answers once what is shown is newer than what the asker knows.
@@ -132,10 +163,18 @@
 	if s.term != params.Term || s.peersRevision != params.Peers {
 		result.Peers = s.peers
 	}
-	for _, e := range s.entries {
-		if s.term != params.Term || e.revision > params.Revision {
-			result.Upstreams = append(result.Upstreams, e.UpstreamResidency)
-		}
+	after := params.Revision
+	if s.term != params.Term {
+		after = 0
+	}
+	changed := s.changedAfter(after)
+	if len(changed) > maxEntries {
+		// The asker comes back for the rest at once.
+		changed = changed[:maxEntries]
+		result.Revision = changed[maxEntries-1].revision
+	}
+	for _, e := range changed {
+		result.Upstreams = append(result.Upstreams, e.UpstreamResidency)
 	}
 	return result
 }
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -17,8 +17,10 @@
 	upstream *fleet.Upstream
 	// revision numbers the last change that matters to a gateway.
 	revision uint64
-	gone     bool
-	goneAt   time.Time
+	// shown is what gateways are told, by the revision in it.
+	shown  *shownEntry
+	gone   bool
+	goneAt time.Time
 }
 
 // RegistryRead notes that this process has read the registry.
