--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -83,7 +83,7 @@
 }
 
 // The pattern is demand that moves while the holder of the lease is cut off from
-// the store (placas-cr and yotalo-liput, quiet-1: no orders for 2.1 s). Guards
+// the store (seen on played days: no orders for 2.1 s). Guards
 // against orders that stop until the lease lapses though another process could
 // give them, and against orders of two holders at once.
 func TestCutOffHolderGivesWayToOneThatReads(t *testing.T) {
@@ -122,7 +122,7 @@
 }
 
 // The pattern is a store that turns some gateways away while the lease changes
-// hands (placas-cr trouble-1: a gateway asked the old holder for 8 s). Guards
+// hands (seen on a played day: a gateway asked the old holder for 8 s). Guards
 // against a gateway that can't learn of the new holder, and against an old
 // announcement that arrives late.
 func TestAnnouncedHolderIsKnownWithoutTheStore(t *testing.T) {
--- a/internal/decide/selection/backlog_test.go
+++ b/internal/decide/selection/backlog_test.go
@@ -27,7 +27,7 @@
 }
 
 // The pattern is long prompts from several gateways at the same moment
-// (placas-cr quiet-1: up to seven at one engine while its twins were idle).
+// (seen on a played day: up to seven at one engine while its twins were idle).
 // Guards against gateways that all choose the same replica, and shows what they
 // gain by telling each other: the longest queue of prompts at a replica.
 func TestGatewaysThatTellEachOtherSpreadLongPrompts(t *testing.T) {
