gateway, controller: one view for one answer; peers are not sorted in place

(1) The list of peers that the controller of the same process publishes was put in order in place while other askers read it. (2) Each answer of the controller made two views and two updates of the fleet. (3) Tables were made to compare two data centres; the table of promises was searched for an earlier process at each question of a gateway, not at its first; the setting settle was described as before.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -88,7 +88,7 @@
 func (c *Controller) entry(name state.UpstreamName, listed *registryEntry) *shownEntry {
 	revision := listed.revision
 	e, ok := c.engines[name]
-	if known := ok && e.known && !listed.gone; known {
+	if ok && e.known && !listed.gone {
 		revision = max(revision, e.revision)
 	}
 	if listed.shown == nil || listed.shown.revision != revision {
--- a/internal/controller/promises.go
+++ b/internal/controller/promises.go
@@ -49,11 +49,11 @@
 func (c *Controller) heardPromise(params rpc.ResidencyParams, now time.Time) {
 	p, ok := c.promises[params.Gateway]
 	if !ok {
-		p = &gatewayPromise{}
+		p = &gatewayPromise{address: params.Peer.Notices}
 		c.promises[params.Gateway] = p
+		c.promises.replaced(params.Gateway, p.address)
 	}
-	p.heard, p.address = now, params.Peer.Notices
-	c.promises.replaced(params.Gateway, p.address)
+	p.heard = now
 	if token, holds := c.machine.Holds(now); !holds || token != params.Term {
 		return
 	}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -52,21 +52,34 @@
 			g.opts.Logger.Info("controller answers", "address", leader.Control, "term", result.Term)
 		}
 		lost = false
-		g.opts.Controller.Heard(result.Lease)
-		params.Promised = 0
-		if result.Unrenewed != 0 && leader.Control != g.opts.Control && g.opts.Controller.Promise(ctx, result.Lease) {
+		g.takeResidency(ctx, leader, &params, result)
+	}
+}
+
+// takeResidency takes an answer of the controller, and prepares the next
+// question.
+func (g *Gateway) takeResidency(ctx context.Context, leader controller.Leader, params *rpc.ResidencyParams, result rpc.ResidencyResult) {
+	newTerm := result.Term != params.Term
+	other := leader.Control != "" && leader.Control != g.opts.Control
+	g.opts.Controller.Heard(result.Lease)
+	params.Promised = 0
+	if other {
+		if result.Unrenewed != 0 && g.opts.Controller.Promise(ctx, result.Lease) {
 			params.Promised = result.Unrenewed
 		}
-		if leader.Control != "" && leader.Control != g.opts.Control {
-			g.takeRelayed(ctx, result, result.Term != params.Term)
-		}
-		if result.Term != params.Term || result.PeersRevision != params.Peers {
-			g.setPeers(result.Peers)
-		}
-		params.Term, params.Revision, params.Peers = result.Term, result.Revision, result.PeersRevision
-		g.gateways.Store(int32(result.Gateways))
-		g.post(ctx, func(t *tables, now time.Time) bool { return t.applyResidency(result, now) })
+		g.takeRelayed(result, newTerm)
+	}
+	if newTerm || result.PeersRevision != params.Peers {
+		g.setPeers(result.Peers)
 	}
+	params.Term, params.Revision, params.Peers = result.Term, result.Revision, result.PeersRevision
+	g.gateways.Store(int32(result.Gateways))
+	g.post(ctx, func(t *tables, now time.Time) bool {
+		if other && len(result.Upstreams) > 0 {
+			g.applyUpstreams(t, registryPage(result.Upstreams), false, false, now)
+		}
+		return t.applyResidency(result, now)
+	})
 }
 
 // hasEnded reports whether what came of a question to the holder of the lease
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/notices"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -46,9 +47,11 @@
 	if g.opts.Notices == nil {
 		return
 	}
-	t := newTables(g.opts.DataCentre, g.opts.RegionOf)
-	slices.SortFunc(peers, func(a, b rpc.GatewayPeer) int {
-		return cmp.Or(cmp.Compare(t.locality(a.DataCentre), t.locality(b.DataCentre)), cmp.Compare(a.Notices, b.Notices))
+	distance := func(p rpc.GatewayPeer) routing.Locality {
+		return localityOf(p.DataCentre, g.opts.DataCentre, g.opts.RegionOf)
+	}
+	peers = slices.SortedFunc(slices.Values(peers), func(a, b rpc.GatewayPeer) int {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(a.Notices, b.Notices))
 	})
 	addresses := make([]string, 0, len(peers))
 	for _, p := range peers {
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -32,23 +31,16 @@
 // With a new controller both are read once more, since that one does not tell
 // what its predecessor had told; and so they are for one that can't reach the
 // store, to tell it whether this gateway can.
-func (g *Gateway) takeRelayed(ctx context.Context, result rpc.ResidencyResult, newTerm bool) {
+func (g *Gateway) takeRelayed(result rpc.ResidencyResult, newTerm bool) {
 	if newTerm || result.Unrenewed != 0 {
 		g.relay.forget()
-	} else {
-		registry := time.Now().Add(-result.RegistryAge.Std())
-		manifest := time.Now().Add(-result.ManifestAge.Std())
-		g.relay.manifest.Store(result.Manifest)
-		g.relay.registryAsOf.Store(&registry)
-		g.relay.manifestAsOf.Store(&manifest)
-	}
-	if len(result.Upstreams) == 0 {
 		return
 	}
-	g.post(ctx, func(t *tables, now time.Time) bool {
-		g.applyUpstreams(t, registryPage(result.Upstreams), false, false, now)
-		return true
-	})
+	registry := time.Now().Add(-result.RegistryAge.Std())
+	manifest := time.Now().Add(-result.ManifestAge.Std())
+	g.relay.manifest.Store(result.Manifest)
+	g.relay.registryAsOf.Store(&registry)
+	g.relay.manifestAsOf.Store(&manifest)
 }
 
 // registryRelayed reports whether the controller of another process tells the
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -21,7 +21,7 @@
 	tables := newTables("dc", nil)
 	tables.applyManifest(fleet.NewManifest(5, nil, nil, 0))
 	say := func(version uint64, age time.Duration, newTerm bool) bool {
-		gw.takeRelayed(t.Context(), rpc.ResidencyResult{
+		gw.takeRelayed(rpc.ResidencyResult{
 			Manifest: version, ManifestAge: state.Duration(age), RegistryAge: state.Duration(age),
 		}, newTerm)
 		return gw.manifestRelayed(time.Now())
@@ -34,7 +34,7 @@
 	g.Expect(gw.registryRelayed(time.Now())).To(BeFalse())
 	g.Expect(say(4, 0, false)).To(BeTrue(), "this gateway has read a newer one itself")
 	g.Expect(gw.registryRelayed(time.Now())).To(BeTrue())
-	gw.takeRelayed(t.Context(), rpc.ResidencyResult{Manifest: 5, Unrenewed: 1}, false)
+	gw.takeRelayed(rpc.ResidencyResult{Manifest: 5, Unrenewed: 1}, false)
 	g.Expect(gw.manifestRelayed(time.Now())).To(BeFalse(), "a controller that can't reach the store")
 	g.Expect(say(5, 0, false)).To(BeTrue())
 	g.Expect(say(5, 0, true)).To(BeFalse(), "a new controller")
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -163,10 +163,15 @@
 }
 
 func (t *tables) locality(dc state.DataCentre) routing.Locality {
+	return localityOf(dc, t.dataCentre, t.regionOf)
+}
+
+// localityOf returns how far a data centre is from another one.
+func localityOf(dc, from state.DataCentre, regionOf map[state.DataCentre]state.Region) routing.Locality {
 	switch {
-	case dc == t.dataCentre:
+	case dc == from:
 		return routing.SameDataCentre
-	case t.regionOf[dc] == t.regionOf[t.dataCentre]:
+	case regionOf[dc] == regionOf[from]:
 		return routing.SameRegion
 	default:
 		return routing.OtherRegion
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -52,9 +52,10 @@
 	TTL state.Duration `toml:"ttl" validate:"min_duration=500ms,max_duration=5m"`
 	// Renew is the time between renewals. Default 800ms.
 	Renew state.Duration `toml:"renew" validate:"min_duration=100ms,max_duration=1m"`
-	// Settle is how long a new holder waits before its first order. It must
-	// exceed the time within which engines take orders of two holders for a
-	// conflict. Default 3300ms.
+	// Settle is how long a host that has held the lease waits before it gives
+	// orders again after another host. It must not be shorter than the time
+	// within which engines take holders in turns for a conflict, nor longer
+	// than TTL. Default 3300ms.
 	Settle state.Duration `toml:"settle" validate:"min_duration=0s,max_duration=5m"`
 }
 
