controller: pipeline of orders, without orders that must conflict

A load was sent 25 ms after the acceptance of an unload that still waited for running requests; after the second conflict the engine counted as unknown until a report, its registry entry was published instead, and nothing was planned. Change: one pending order for a model and up to four for adapters per engine. An unload of a model with running requests is complete once a report shows it. A conflict stops orders until a report but keeps the known replicas. TestLoadWaitsForUnloadOfModelInUse and TestAdaptersAreLoadedConcurrently failed on the code before.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/controller"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/residency"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -69,6 +70,11 @@
 	accepted     int
 	busyUntil    time.Time
 	nextReplicas []fleet.Replica
+	// unloadTime is how long requests in use delay the unload of a model.
+	unloadTime time.Duration
+	// adapterTime is how long the load of an adapter takes. It does not make the
+	// engine busy.
+	adapterTime time.Duration
 }
 
 // recordedOrder is an order that was sent to an engine, and when.
@@ -128,7 +134,18 @@
 	}
 	one.accepted++
 	e.accepted = append(e.accepted, recordedOrder{u.Name, order, time.Now()})
+	if order.Adapter != "" {
+		time.AfterFunc(one.adapterTime, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			one.replicas = residency.ApplyOrder(one.replicas, order)
+		})
+		return fleet.OrderAccepted, nil
+	}
 	one.nextReplicas, one.busyUntil = apply(one.replicas, order), time.Now()
+	if order.Kind == fleet.Unload {
+		one.busyUntil = time.Now().Add(one.unloadTime)
+	}
 	if order.Kind == fleet.Load && order.Adapter == "" {
 		one.busyUntil = time.Now().Add(e.spec.Models[order.Model].FromStore)
 	}
@@ -380,3 +397,56 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against orders that engines must refuse: an unload waits for the requests
+// that use the model, and a load sent meanwhile conflicts with it. After each such
+// conflict the controller had to request the engine's state again, and planned
+// nothing for the engine until then.
+func TestLoadWaitsForUnloadOfModelInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 1, 2)
+		h.engines.all["u0"].replicas = []fleet.Replica{{Model: "m0"}}
+		h.engines.all["u0"].unloadTime = 2 * time.Second
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		for range 8 {
+			_, err := c.ReportDemand(ctx, rpc.WantedParams{Gateway: "g", Targets: []rpc.TargetDemand{
+				{Model: "m0", Running: 1}, {Model: "m1", Waiting: 1, Rate: 1},
+			}})
+			h.g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(time.Second)
+		}
+		cancel()
+		synctest.Wait()
+		h.g.Expect(h.engines.sent).To(HaveLen(2))
+		h.g.Expect(h.engines.accepted).To(HaveLen(2), "no order conflicts")
+		h.g.Expect(h.engines.all["u0"].replicas).To(Equal([]fleet.Replica{{Model: "m1"}}))
+	})
+}
+
+// Guards against adapters that are loaded one after the other when requests for many
+// adapters of a model arrive at the same time: engines load several concurrently.
+func TestAdaptersAreLoadedConcurrently(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 1, 1)
+		spec := h.engines.spec.Models["m0"]
+		spec.Adapters, spec.AdapterSize = 3, 1
+		h.engines.spec.Models["m0"], h.engines.spec.AdapterSlots = spec, 3
+		h.engines.all["u0"].replicas = []fleet.Replica{{Model: "m0"}}
+		h.engines.all["u0"].adapterTime = 15 * time.Millisecond
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		_, err := c.ReportDemand(ctx, rpc.WantedParams{Gateway: "g", Targets: []rpc.TargetDemand{
+			{Model: "m0", Adapter: "a1", Waiting: 1}, {Model: "m0", Adapter: "a2", Waiting: 1}, {Model: "m0", Adapter: "a3", Waiting: 1},
+		}})
+		h.g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		h.g.Expect(h.engines.accepted).To(HaveLen(3))
+		took := h.engines.accepted[2].at.Sub(h.engines.accepted[0].at)
+		h.g.Expect(took).To(BeNumerically("<", 2*25*time.Millisecond), "less than two adapters one after the other")
+	})
+}
--- a/internal/controller/engine.go
+++ b/internal/controller/engine.go
@@ -16,18 +16,16 @@
 	// maxPendingPolls bounds the concurrent report requests, each of which
 	// takes a connection: a new holder polls all engines.
 	maxPendingPolls = 48
-	// shortOrderDuration is how long an unload, or the load of an adapter,
-	// takes.
+	// shortOrderDuration is how long the load of an adapter takes, or the unload
+	// of a model that no request uses.
 	shortOrderDuration = 25 * time.Millisecond
 	// resendAfter is the delay before an order with an unknown outcome is sent
 	// again. The engine accepts at most one of the two, since both expect the
 	// same number of accepted orders.
 	resendAfter = 700 * time.Millisecond
-	// conflictRetryDelay is the delay before an order that was refused as a
-	// conflict is sent again, and maxConflictRetries how often it is sent
-	// again.
-	conflictRetryDelay = 60 * time.Millisecond
-	maxConflictRetries = 1
+	// conflictReportAge is how old a report may be: after a conflict, a later one
+	// is valid even if it counts fewer accepted orders than the controller.
+	conflictReportAge = time.Second
 	// reservationTTL is how long memory stays reserved for a model after an
 	// unload.
 	reservationTTL = 3 * time.Second
@@ -36,40 +34,21 @@
 	registryMismatchGrace = 4 * time.Second
 )
 
-// orderState is the progress of a pending order.
-type orderState uint8
-
-const (
-	orderSending orderState = iota + 1
-	orderAccepted
-	orderUnknown
-	orderConflicted
-)
-
-// pendingOrder is an order that may still change what an engine holds.
-type pendingOrder struct {
-	fleet.Order
-	state     orderState
-	fromStore bool
-	sentAt    time.Time
-	// loadTime is the expected duration if the order loads a model.
-	loadTime time.Duration
-	// due is when the order should be complete, or when an order that was
-	// refused as a conflict is sent again.
-	due       time.Time
-	conflicts int
-}
-
 // engine is the controller's view of a model engine. It starts out unknown,
 // until the engine's first report, and is reset when the engine restarts.
 type engine struct {
 	upstream *fleet.Upstream
 	// known says that the state is known, from a report and the orders since.
-	known            bool
-	acceptedOrders   int
+	known          bool
+	acceptedOrders int
+	// conflictAt is when the engine last refused an order as a conflict; zero
+	// once a report has shown its state. It takes no order meanwhile.
+	conflictAt       time.Time
 	replicas         []fleet.Replica
 	inMemory, onDisk []state.ModelName
-	pending          *pendingOrder
+	// loadedAt is when a load of a model was completed.
+	loadedAt map[state.ModelName]time.Time
+	orders   pipeline
 	// reservedModel is the model that the last unload made room for.
 	reservedModel state.ModelName
 	reservedAt    time.Time
@@ -81,13 +60,22 @@
 	revision  uint64
 }
 
-// serving returns the replicas that requests may be sent to: those that a
-// pending unload doesn't remove.
+// serving returns the replicas that requests may be sent to: those that no
+// pending unload removes.
 func (e *engine) serving() []fleet.Replica {
-	if e.pending != nil && e.pending.Kind == fleet.Unload {
-		return residency.ApplyOrder(e.replicas, e.pending.Order)
+	replicas := e.replicas
+	for _, p := range e.orders.all() {
+		if p.Kind == fleet.Unload {
+			replicas = residency.ApplyOrder(replicas, p.Order)
+		}
 	}
-	return e.replicas
+	return replicas
+}
+
+// takesOrders reports whether an order may be sent now: the number of accepted
+// orders is certain only while no other order's outcome is open.
+func (e *engine) takesOrders() bool {
+	return e.known && e.conflictAt.IsZero() && e.orders.unresolved() == nil
 }
 
 // knownReplicas returns the replicas on the engine as last known, from the
@@ -102,7 +90,7 @@
 // reservation returns the model that memory is reserved for. It expires, since
 // the requests that waited for the model may be gone.
 func (e *engine) reservation(now time.Time) state.ModelName {
-	expired := e.pending == nil && now.Sub(e.reservedAt) > reservationTTL
+	expired := e.orders.model == nil && now.Sub(e.reservedAt) > reservationTTL
 	if e.reservedModel == "" || expired || fleet.Holds(e.replicas, fleet.Target{Model: e.reservedModel}) {
 		e.reservedModel = ""
 	}
@@ -117,7 +105,7 @@
 	}
 	newReport := u.Report != e.upstream.Report
 	e.upstream = u
-	if !newReport || !e.known || e.pending != nil || now.Sub(e.changedAt) < registryMismatchGrace {
+	if !newReport || !e.known || !e.orders.empty() || now.Sub(e.changedAt) < registryMismatchGrace {
 		return
 	}
 	e.inMemory, e.onDisk = u.InMemory, u.OnDisk
@@ -147,79 +135,105 @@
 	return true
 }
 
-// applyReport applies an engine's report. It reports whether the replicas that
-// the engine serves may have changed.
+// applyReport applies an engine's report, which may be older than the last
+// orders. It reports whether the replicas that the engine serves may have changed.
 func (e *engine) applyReport(r fleet.EngineReport, now time.Time) bool {
-	p := e.pending
-	if p == nil {
-		if r.Busy || r.Accepted < e.acceptedOrders {
-			// An order of an earlier holder is in progress, or the report is
-			// older than the last order.
-			e.nextPoll = now.Add(pollInterval)
-			return false
-		}
-		e.setReport(r)
-		return true
-	}
-	switch {
-	case r.Accepted <= p.Expect && p.state == orderUnknown:
-		e.acceptedOrders = r.Accepted
-		e.nextPoll = now.Add(pollInterval)
-		return false
-	case r.Accepted <= p.Expect || r.Busy:
-		e.nextPoll = now.Add(pollInterval)
-		return false
+	e.nextPoll = now.Add(pollInterval)
+	e.resolve(r, now)
+	changed := e.completeReported(r, now)
+	outdated := r.Accepted < e.acceptedOrders && now.Sub(e.conflictAt) < conflictReportAge
+	if r.Busy || outdated || e.known && e.conflictAt.IsZero() && r.Accepted < e.acceptedOrders || !e.orders.empty() {
+		return changed
 	}
-	e.pending = nil
 	e.setReport(r)
 	return true
 }
 
-func (e *engine) setReport(r fleet.EngineReport) {
-	e.known, e.acceptedOrders = true, r.Accepted
-	e.replicas, e.inMemory, e.onDisk = r.Replicas, r.InMemory, r.OnDisk
+// resolve determines from a report whether an order without an answer was accepted.
+// If it was not, the order stays unresolved and is sent again.
+func (e *engine) resolve(r fleet.EngineReport, now time.Time) {
+	p := e.orders.unresolved()
+	if p == nil || p.state != orderUnknown {
+		return
+	}
+	if r.Accepted <= p.Expect {
+		e.acceptedOrders = r.Accepted
+		return
+	}
+	p.state, p.due = orderAccepted, now
+	e.acceptedOrders = r.Accepted
 }
 
-// completeShortOrder treats a short order as complete shortOrderDuration after
-// it was accepted, without polling the engine. If the order is still in
-// progress, the engine refuses the next one as a conflict and is polled then.
-func (e *engine) completeShortOrder(now time.Time) bool {
-	p := e.pending
-	if p == nil || p.state != orderAccepted || now.Before(p.due) || isModelLoad(p.Order) {
-		return false
+// completeReported removes the accepted orders that a report shows to be complete,
+// and applies them. It reports whether there were any.
+func (e *engine) completeReported(r fleet.EngineReport, now time.Time) bool {
+	changed := false
+	for _, p := range e.orders.all() {
+		if p.state != orderAccepted || r.Accepted <= p.Expect || r.Busy && p.forModel() {
+			continue
+		}
+		if fleet.Holds(r.Replicas, p.Target) != (p.Kind == fleet.Load) {
+			if p.forModel() {
+				// Something other than an order has changed the replicas.
+				e.orders.remove(p)
+				e.known, changed = false, true
+			}
+			continue
+		}
+		e.complete(p, now)
+		changed = true
+	}
+	if changed {
+		e.inMemory, e.onDisk = r.InMemory, r.OnDisk
 	}
-	e.pending = nil
-	e.acceptedOrders = p.Expect + 1
+	return changed
+}
+
+// complete applies an order that the engine has carried out.
+func (e *engine) complete(p *pendingOrder, now time.Time) {
+	e.orders.remove(p)
 	e.replicas = residency.ApplyOrder(e.replicas, p.Order)
-	return true
+	if p.forModel() && p.Kind == fleet.Load {
+		if e.loadedAt == nil {
+			e.loadedAt = make(map[state.ModelName]time.Time)
+		}
+		e.loadedAt[p.Model] = now
+	}
 }
 
-// isModelLoad reports whether the order loads a model. Only a report shows when
-// such an order is complete; all others are short.
-func isModelLoad(o fleet.Order) bool { return o.Kind == fleet.Load && o.Adapter == "" }
+func (e *engine) setReport(r fleet.EngineReport) {
+	e.known, e.acceptedOrders, e.conflictAt = true, r.Accepted, time.Time{}
+	e.replicas, e.inMemory, e.onDisk = r.Replicas, r.InMemory, r.OnDisk
+}
+
+// completeShortOrders treats short orders as complete shortOrderDuration after they
+// were accepted, without polling the engine. If an unload is still in progress, the
+// engine refuses the next order as a conflict and is polled then.
+func (e *engine) completeShortOrders(now time.Time) bool {
+	changed := false
+	for _, p := range e.orders.all() {
+		if p.state == orderAccepted && p.short && !now.Before(p.due) {
+			e.complete(p, now)
+			changed = true
+		}
+	}
+	return changed
+}
 
 // needsReport reports whether to poll the engine now.
 func (e *engine) needsReport(now time.Time) bool {
 	if e.polling || now.Before(e.nextPoll) {
 		return false
 	}
-	if !e.known {
+	if !e.known || !e.conflictAt.IsZero() {
 		return true
 	}
-	p := e.pending
-	if p == nil {
-		return false
-	}
-	return p.state == orderUnknown || p.state == orderAccepted && isModelLoad(p.Order) && !now.Before(p.due)
-}
-
-// needsResend reports whether to send the pending order again now.
-func (e *engine) needsResend(now time.Time) bool {
-	p := e.pending
-	if p == nil || !e.known {
-		return false
+	for _, p := range e.orders.all() {
+		if p.state == orderUnknown || p.state == orderAccepted && !p.short && !now.Before(p.due) {
+			return true
+		}
 	}
-	return p.state == orderUnknown && now.Sub(p.sentAt) > resendAfter || p.state == orderConflicted && !now.Before(p.due)
+	return false
 }
 
 // poll requests a report from an engine.
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -58,14 +58,14 @@
 	c.syncRegistry(f, now)
 	c.syncEngines(f, now)
 	for _, e := range c.engines {
-		if e.completeShortOrder(now) {
+		if e.completeShortOrders(now) {
 			c.markChanged(e, now)
 		}
 		if c.pendingPolls < maxPendingPolls && e.needsReport(now) {
 			c.poll(ctx, e, now)
 		}
-		if e.needsResend(now) {
-			c.sendOrder(ctx, e, now)
+		if p := e.orders.unresolved(); e.known && p.needsResend(now) {
+			c.sendOrder(ctx, e, p, now)
 		}
 	}
 	if now.Sub(c.actingSince) < demandGrace {
@@ -99,7 +99,7 @@
 func (c *Controller) availableStoreLoads() int {
 	inProgress := 0
 	for _, e := range c.engines {
-		if e.pending != nil && e.pending.fromStore {
+		if p := e.orders.model; p != nil && p.fromStore {
 			inProgress++
 		}
 	}
@@ -153,11 +153,9 @@
 		view := residency.Upstream{
 			Name: e.upstream.Name, DataCentre: e.upstream.DataCentre,
 			Replicas: e.knownReplicas(), InMemory: e.inMemory, OnDisk: e.onDisk,
-			Reserved: e.reservation(now), Blocked: !e.known,
-		}
-		if e.pending != nil {
-			view.Pending = &e.pending.Order
+			Reserved: e.reservation(now), Blocked: !e.takesOrders(),
 		}
+		e.orders.fill(&view)
 		in.Upstreams = append(in.Upstreams, view)
 	}
 	for _, step := range residency.Plan(in) {
@@ -178,33 +176,33 @@
 	if step.FromStore {
 		c.storeLimiter.tokens--
 	}
-	e.pending = p
+	e.orders.add(p)
 	if step.Reserve != "" {
 		e.reservedModel, e.reservedAt = step.Reserve, now
 	}
 	c.opts.Logger.Info("order", "kind", p.Kind.String(), "model", p.Model, "adapter", p.Adapter, "upstream", step.Upstream,
 		"expect", p.Expect, "term", token, "from_store", p.fromStore, "waiting", demand.Waiting, "rate", demand.Rate)
-	p.due = now.Add(shortOrderDuration)
-	if isModelLoad(p.Order) {
+	switch {
+	case p.forModel() && p.Kind == fleet.Load:
 		p.loadTime = fleet.LoadTime(service.Engine.Models[p.Model], e.inMemory, e.onDisk)
-	}
-	if p.Kind == fleet.Unload {
+	case p.Kind == fleet.Unload:
+		// An unload waits for the requests that use its target.
+		p.short = demand.Running == 0
 		c.markChanged(e, now)
+	default:
+		p.short = true
 	}
-	c.sendOrder(ctx, e, now)
+	c.sendOrder(ctx, e, p, now)
 }
 
-// sendOrder sends the pending order of an engine. It checks the lease again
+// sendOrder sends a pending order of an engine. It checks the lease again
 // right before the call, since the process may have been suspended meanwhile.
-func (c *Controller) sendOrder(ctx context.Context, e *engine, now time.Time) {
-	p, u, until := e.pending, e.upstream, c.machine.ValidUntil()
+func (c *Controller) sendOrder(ctx context.Context, e *engine, p *pendingOrder, now time.Time) {
+	u, until := e.upstream, c.machine.ValidUntil()
 	first := p.state == 0
 	p.state, p.sentAt = orderSending, now
-	if isModelLoad(p.Order) {
-		p.due = now.Add(p.loadTime)
-	}
 	go func() {
-		if first && p.Kind == fleet.Unload {
+		if first && p.forModel() && p.Kind == fleet.Unload {
 			ctxtime.Sleep(ctx, unloadLeadTime)
 		}
 		result, err := fleet.OrderRefused, error(nil)
@@ -217,7 +215,7 @@
 
 // handleOrderResult applies the result of an order.
 func (c *Controller) handleOrderResult(e *engine, p *pendingOrder, result fleet.OrderResult, err error, now time.Time) {
-	if e.pending != p {
+	if p != e.orders.unresolved() {
 		return
 	}
 	if result != fleet.OrderAccepted {
@@ -226,46 +224,32 @@
 	}
 	switch result {
 	case fleet.OrderAccepted:
-		p.state = orderAccepted
-		if !isModelLoad(p.Order) {
-			p.due = now.Add(shortOrderDuration)
-		}
+		p.state, p.due = orderAccepted, now.Add(max(p.loadTime, shortOrderDuration))
+		e.acceptedOrders = p.Expect + 1
 	case fleet.OrderAlreadySatisfied:
-		e.pending = nil
 		if p.Kind == fleet.Unload && p.Adapter != "" {
 			// If no request uses an adapter, the engine unloads it at once and
 			// counts the order as accepted.
 			e.acceptedOrders = p.Expect + 1
 		}
-		e.replicas = residency.ApplyOrder(e.replicas, p.Order)
+		e.complete(p, now)
 		c.markChanged(e, now)
 	case fleet.OrderUnknown:
 		p.state = orderUnknown
 	case fleet.OrderConflict:
-		c.handleConflict(e, p, now)
+		// Another order is in progress, such as an unload that still waits for
+		// requests, or the number of accepted orders differs.
+		e.orders.remove(p)
+		e.conflictAt, e.nextPoll = now, now
+		c.markChanged(e, now)
 	default:
-		e.pending = nil
+		e.orders.remove(p)
 		e.known = false
 		e.nextPoll = now.Add(pollInterval)
 		c.markChanged(e, now)
 	}
 }
 
-// handleConflict handles an order that was refused because another one is in
-// progress or because the number of accepted orders differs. The former is
-// likely after an unload, which waits for running requests, so the order is
-// sent once more before the engine is polled.
-func (c *Controller) handleConflict(e *engine, p *pendingOrder, now time.Time) {
-	p.conflicts++
-	if p.conflicts <= maxConflictRetries {
-		p.state, p.due = orderConflicted, now.Add(conflictRetryDelay)
-		return
-	}
-	e.pending, e.known = nil, false
-	e.nextPoll = now
-	c.markChanged(e, now)
-}
-
 // markChanged records that the replicas that an engine serves have changed.
 func (c *Controller) markChanged(e *engine, now time.Time) {
 	c.publisher.revision++
--- a/internal/decide/residency/adapters.go
+++ b/internal/decide/residency/adapters.go
@@ -1,10 +1,16 @@
 package residency
 
 import (
+	"slices"
+
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
+// MaxAdapterOrders is how many orders for adapters an upstream carries out at the
+// same time.
+const MaxAdapterOrders = 4
+
 // placeWaitingAdapters plans loads of the adapters that requests wait for. An
 // adapter that an upstream holds or is loading is not loaded a second time.
 func (p *planner) placeWaitingAdapters() {
@@ -22,7 +28,7 @@
 		if fleet.Holds(u.Replicas, t) && !isUnloadingAdapter(u, t) {
 			return true
 		}
-		if o := u.Pending; o != nil && o.Kind == fleet.Load && o.Target == t {
+		if slices.ContainsFunc(u.PendingAdapters, func(o fleet.Order) bool { return o.Kind == fleet.Load && o.Target == t }) {
 			return true
 		}
 	}
@@ -30,8 +36,8 @@
 }
 
 func isUnloadingAdapter(u *Upstream, t fleet.Target) bool {
-	o := u.Pending
-	return o != nil && o.Kind == fleet.Unload && (o.Target == t || o.Target == fleet.Target{Model: t.Model})
+	return isUnloading(u, t.Model) ||
+		slices.ContainsFunc(u.PendingAdapters, func(o fleet.Order) bool { return o.Kind == fleet.Unload && o.Target == t })
 }
 
 // adapterOption is a way to load an adapter on an upstream.
@@ -48,7 +54,7 @@
 	best, found := adapterOption{}, false
 	for i := range p.Upstreams {
 		u := &p.Upstreams[i]
-		if p.unavailable[u.Name] || !holds(u, t.Model) {
+		if p.unavailable[u.Name] || len(u.PendingAdapters) >= MaxAdapterOrders || !holds(u, t.Model) {
 			continue
 		}
 		o, ok := p.adapterOption(u, spec)
@@ -69,13 +75,16 @@
 
 func (p *planner) adapterOption(u *Upstream, spec fleet.ModelSpec) (adapterOption, bool) {
 	o := adapterOption{upstream: u, cost: float64(adapterCount(u))}
-	if adapterCount(u) < p.Engine.AdapterSlots && p.free(u) >= spec.AdapterSize {
+	if adapterCount(u) < p.Engine.AdapterSlots && p.free(u)-p.reservedRoom(u) >= spec.AdapterSize {
 		return o, true
 	}
 	found, lowest := false, 0.0
 	for _, r := range u.Replicas {
 		for _, a := range r.Adapters {
 			t := fleet.Target{Model: r.Model, Adapter: a}
+			if isUnloadingAdapter(u, t) {
+				continue
+			}
 			cost, ok := p.adapterEvictionCost(t)
 			if ok && (!found || cost < lowest) {
 				o.victim, lowest, found = t, cost, true
@@ -86,6 +95,16 @@
 	return o, found
 }
 
+// reservedRoom returns the memory that is reserved for a model whose load has not
+// begun.
+func (p *planner) reservedRoom(u *Upstream) fleet.Megabytes {
+	spec, known := p.Engine.Models[u.Reserved]
+	if !known || holds(u, u.Reserved) || u.Pending != nil && u.Pending.Kind == fleet.Load {
+		return 0
+	}
+	return min(spec.Size, p.free(u))
+}
+
 // adapterEvictionCost returns the cost of unloading an adapter, and false if requests
 // wait for it, so that it must stay.
 func (p *planner) adapterEvictionCost(t fleet.Target) (float64, bool) {
@@ -93,14 +112,25 @@
 	return d.Rate + runningWeight*float64(d.Running), d.Waiting == 0
 }
 
+// adapterCount returns how many adapters an upstream holds or is loading.
 func adapterCount(u *Upstream) int {
-	n := 0
+	n := pendingAdapterLoads(u)
 	for i := range u.Replicas {
 		n += len(u.Replicas[i].Adapters)
 	}
 	return n
 }
 
+func pendingAdapterLoads(u *Upstream) int {
+	n := 0
+	for _, o := range u.PendingAdapters {
+		if o.Kind == fleet.Load {
+			n++
+		}
+	}
+	return n
+}
+
 // ApplyOrder returns the replicas that an upstream holds once it has carried out an
 // order; replicas are those that it held before.
 func ApplyOrder(replicas []fleet.Replica, order fleet.Order) []fleet.Replica {
--- a/internal/decide/residency/residency.go
+++ b/internal/decide/residency/residency.go
@@ -1,7 +1,7 @@
 // Package residency decides which models and adapters the upstreams load and
 // unload, so that every model and adapter in demand is loaded somewhere. A plan is
-// a pure function of a snapshot. The controller gives each upstream one order at a
-// time and plans again once the order has ended.
+// a pure function of a snapshot. An upstream carries out one order for a model, or
+// several for adapters, at a time.
 package residency
 
 import (
@@ -20,10 +20,12 @@
 	DataCentre       state.DataCentre
 	Replicas         []fleet.Replica
 	InMemory, OnDisk []state.ModelName
-	// Pending is an order that the upstream is carrying out or whose outcome is
-	// not known; nil if there is none.
+	// Pending is an order for a model that the upstream is carrying out or whose
+	// outcome is not known; nil if there is none.
 	Pending *fleet.Order
-	// Blocked means that the upstream can accept no order for another reason.
+	// PendingAdapters are such orders for adapters.
+	PendingAdapters []fleet.Order
+	// Blocked means that no order can be sent to the upstream now.
 	Blocked bool
 	// Reserved is the model that an unload has made or is making room for;
 	// empty if there is none.
@@ -99,7 +101,9 @@
 // for come first, then models that requests wait for, then adapters that requests
 // wait for, then further replicas of models that have too few.
 func Plan(in Input) []Step {
-	p := planner{Input: in, replicas: make(map[state.ModelName]int), unavailable: make(map[state.UpstreamName]bool)}
+	p := planner{
+		Input: in, replicas: make(map[state.ModelName]int), unavailable: make(map[state.UpstreamName]bool),
+	}
 	for i := range in.Upstreams {
 		p.countReplicas(&in.Upstreams[i])
 	}
@@ -132,7 +136,7 @@
 	loading := u.Reserved
 	if o := u.Pending; o != nil {
 		p.unavailable[u.Name] = true
-		if o.Kind == fleet.Load && o.Adapter == "" {
+		if o.Kind == fleet.Load {
 			loading = o.Model
 		}
 	}
@@ -147,7 +151,7 @@
 	for i := range p.Upstreams {
 		u := &p.Upstreams[i]
 		spec, known := p.Engine.Models[u.Reserved]
-		if !known || p.unavailable[u.Name] || holds(u, u.Reserved) {
+		if !known || p.unavailable[u.Name] || holds(u, u.Reserved) || pendingAdapterLoads(u) > 0 {
 			continue
 		}
 		if o, ok := p.option(u, spec, math.Inf(1)); ok {
@@ -167,7 +171,7 @@
 
 func isUnloading(u *Upstream, model state.ModelName) bool {
 	o := u.Pending
-	return o != nil && o.Kind == fleet.Unload && o.Adapter == "" && o.Model == model
+	return o != nil && o.Kind == fleet.Unload && o.Model == model
 }
 
 func holds(u *Upstream, model state.ModelName) bool {
@@ -216,7 +220,7 @@
 	best, found := option{}, false
 	for i := range p.Upstreams {
 		u := &p.Upstreams[i]
-		if p.unavailable[u.Name] || u.Reserved != "" || holds(u, spec.Name) {
+		if p.unavailable[u.Name] || u.Reserved != "" || holds(u, spec.Name) || pendingAdapterLoads(u) > 0 {
 			continue
 		}
 		o, ok := p.option(u, spec, maxEvictionCost)
@@ -371,10 +375,18 @@
 	return sum
 }
 
-// used returns the memory that an upstream's replicas and their adapters occupy. It
-// does not count a pending order: no order is planned for an upstream that has one.
+// used returns the memory that an upstream's replicas and their adapters occupy or
+// will occupy once its pending loads are complete.
 func (p *planner) used(u *Upstream) fleet.Megabytes {
 	used := fleet.Megabytes(0)
+	if o := u.Pending; o != nil && o.Kind == fleet.Load && !holds(u, o.Model) {
+		used += p.size(&fleet.Replica{Model: o.Model})
+	}
+	for _, o := range u.PendingAdapters {
+		if o.Kind == fleet.Load {
+			used += p.Engine.Models[o.Model].AdapterSize
+		}
+	}
 	for i := range u.Replicas {
 		used += p.size(&u.Replicas[i])
 	}
