residency: replicas by load, evictions by what they lose, turns for overdue models

Change: gateways report the engine time of prompts. A further replica is worth the delay that it saves; a second one also what a loss would cost. An eviction costs what the replica is worth, its running requests and the adapters that only it holds. A load must gain a quarter more than its evictions cost, unless requests have found no replica for 4 s. A loaded model stays for 2 s or its load time. Only replicas that serve count as a reason to unload another one.

--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -18,6 +18,9 @@
 	// peersRevision counts the changes to the set of gateways and their
 	// addresses.
 	peersRevision uint64
+	// unservedSince is when requests for a target were first seen waiting, for the
+	// targets for which some wait now.
+	unservedSince map[fleet.Target]time.Time
 }
 
 type gatewayReport struct {
@@ -27,7 +30,7 @@
 }
 
 func newDemandTable() *demandTable {
-	return &demandTable{gateways: make(map[string]*gatewayReport)}
+	return &demandTable{gateways: make(map[string]*gatewayReport), unservedSince: make(map[fleet.Target]time.Time)}
 }
 
 func (t *demandTable) touch(gateway string, now time.Time) *gatewayReport {
@@ -83,13 +86,36 @@
 			}
 		}
 	}
+	t.measureUnserved(all, now)
 	return all
 }
 
+// measureUnserved sets for how long requests have waited for each target.
+func (t *demandTable) measureUnserved(all map[fleet.Target]residency.Demand, now time.Time) {
+	for target := range t.unservedSince {
+		if all[target].Waiting == 0 {
+			delete(t.unservedSince, target)
+		}
+	}
+	for target, d := range all {
+		if d.Waiting == 0 {
+			continue
+		}
+		since, ok := t.unservedSince[target]
+		if !ok {
+			since = now
+			t.unservedSince[target] = now
+		}
+		d.Unserved = now.Sub(since)
+		all[target] = d
+	}
+}
+
 func addDemand(all map[fleet.Target]residency.Demand, target fleet.Target, d rpc.TargetDemand) {
 	sum := all[target]
 	sum.Waiting += d.Waiting
 	sum.Running += d.Running
 	sum.Rate += d.Rate
+	sum.Work += d.Work
 	all[target] = sum
 }
--- a/internal/controller/engine.go
+++ b/internal/controller/engine.go
@@ -26,6 +26,8 @@
 	// conflictReportAge is how old a report may be: after a conflict, a later one
 	// is valid even if it counts fewer accepted orders than the controller.
 	conflictReportAge = time.Second
+	// minResidency is the shortest time that a model stays loaded.
+	minResidency = 2 * time.Second
 	// reservationTTL is how long memory stays reserved for a model after an
 	// unload.
 	reservationTTL = 3 * time.Second
@@ -46,9 +48,10 @@
 	conflictAt       time.Time
 	replicas         []fleet.Replica
 	inMemory, onDisk []state.ModelName
-	// loadedAt is when a load of a model was completed.
-	loadedAt map[state.ModelName]time.Time
-	orders   pipeline
+	// keepUntil is until when a model that was loaded stays: an earlier unload
+	// would waste the load.
+	keepUntil map[state.ModelName]time.Time
+	orders    pipeline
 	// reservedModel is the model that the last unload made room for.
 	reservedModel state.ModelName
 	reservedAt    time.Time
@@ -194,13 +197,26 @@
 	e.orders.remove(p)
 	e.replicas = residency.ApplyOrder(e.replicas, p.Order)
 	if p.forModel() && p.Kind == fleet.Load {
-		if e.loadedAt == nil {
-			e.loadedAt = make(map[state.ModelName]time.Time)
+		if e.keepUntil == nil {
+			e.keepUntil = make(map[state.ModelName]time.Time)
 		}
-		e.loadedAt[p.Model] = now
+		e.keepUntil[p.Model] = now.Add(max(p.loadTime, minResidency))
 	}
 }
 
+// recentLoads returns the models that were loaded so recently that they stay.
+func (e *engine) recentLoads(now time.Time) []state.ModelName {
+	var recent []state.ModelName
+	for model, until := range e.keepUntil {
+		if now.Before(until) {
+			recent = append(recent, model)
+		} else {
+			delete(e.keepUntil, model)
+		}
+	}
+	return recent
+}
+
 func (e *engine) setReport(r fleet.EngineReport) {
 	e.known, e.acceptedOrders, e.conflictAt = true, r.Accepted, time.Time{}
 	e.replicas, e.inMemory, e.onDisk = r.Replicas, r.InMemory, r.OnDisk
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -153,7 +153,7 @@
 		view := residency.Upstream{
 			Name: e.upstream.Name, DataCentre: e.upstream.DataCentre,
 			Replicas: e.knownReplicas(), InMemory: e.inMemory, OnDisk: e.onDisk,
-			Reserved: e.reservation(now), Blocked: !e.takesOrders(),
+			Reserved: e.reservation(now), Blocked: !e.takesOrders(), Recent: e.recentLoads(now),
 		}
 		e.orders.fill(&view)
 		in.Upstreams = append(in.Upstreams, view)
--- a/internal/decide/residency/adapters.go
+++ b/internal/decide/residency/adapters.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
@@ -11,28 +12,55 @@
 // same time.
 const MaxAdapterOrders = 4
 
-// placeWaitingAdapters plans loads of the adapters that requests wait for. An
-// adapter that an upstream holds or is loading is not loaded a second time.
-func (p *planner) placeWaitingAdapters() {
-	for _, t := range p.waitingTargets(true) {
-		spec, known := p.Engine.Models[t.Model]
-		if known && !p.adapterHeldOrLoading(t) {
-			p.placeAdapter(t, spec)
+// minAdapterRate is the rate, in requests per second, from which an adapter needs a
+// place of its own.
+const minAdapterRate = 0.05
+
+// countAdapters adds the adapters that an upstream holds or is loading.
+func (p *planner) countAdapters(u *Upstream) {
+	for _, r := range u.Replicas {
+		for _, a := range r.Adapters {
+			if t := (fleet.Target{Model: r.Model, Adapter: a}); !isUnloadingAdapter(u, t) {
+				p.adapterReplicas[t]++
+			}
+		}
+	}
+	for _, o := range u.PendingAdapters {
+		if o.Kind == fleet.Load {
+			p.adapterReplicas[o.Target]++
 		}
 	}
 }
 
-func (p *planner) adapterHeldOrLoading(t fleet.Target) bool {
-	for i := range p.Upstreams {
-		u := &p.Upstreams[i]
-		if fleet.Holds(u.Replicas, t) && !isUnloadingAdapter(u, t) {
-			return true
+// listAdapters lists the adapters in demand.
+func (p *planner) listAdapters() {
+	for t, d := range p.Demand {
+		if t.Adapter != "" && (d.Rate >= minAdapterRate || d.Waiting > 0) {
+			p.adaptersOf[t.Model] = append(p.adaptersOf[t.Model], t)
 		}
-		if slices.ContainsFunc(u.PendingAdapters, func(o fleet.Order) bool { return o.Kind == fleet.Load && o.Target == t }) {
-			return true
+	}
+}
+
+// placeWaitingAdapters plans loads of the adapters that requests wait for, those with
+// the most waiting requests first. An adapter that an upstream holds or is loading is
+// not loaded a second time.
+func (p *planner) placeWaitingAdapters() {
+	var waiting []fleet.Target
+	for t, d := range p.Demand {
+		if t.Adapter != "" && d.Waiting > 0 && p.adapterReplicas[t] == 0 {
+			waiting = append(waiting, t)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b fleet.Target) int {
+		return cmp.Or(cmp.Compare(p.Demand[b].Waiting, p.Demand[a].Waiting),
+			cmp.Compare(p.Demand[b].Rate, p.Demand[a].Rate),
+			cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	for _, t := range waiting {
+		if spec, known := p.Engine.Models[t.Model]; known {
+			p.placeAdapter(t, spec)
 		}
 	}
-	return false
 }
 
 func isUnloadingAdapter(u *Upstream, t fleet.Target) bool {
@@ -109,7 +137,8 @@
 // wait for it, so that it must stay.
 func (p *planner) adapterEvictionCost(t fleet.Target) (float64, bool) {
 	d := p.Demand[t]
-	return d.Rate + runningWeight*float64(d.Running), d.Waiting == 0
+	cost := d.Rate + runningWeight*float64(d.Running)
+	return cost / float64(max(p.adapterReplicas[t], 1)), d.Waiting == 0
 }
 
 // adapterCount returns how many adapters an upstream holds or is loading.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -112,10 +112,11 @@
 // startPrefill adds the expected prefill time of the prompt to the upstream's
 // pending work until the returned function is called.
 func (x *exchange) startPrefill(m *member) func() {
-	work := int64(time.Duration(x.uncachedTokens) * x.gateway.selection.PrefillPerToken)
-	m.stats.ownPrefill.Add(work)
-	x.gateway.notifyGateways(m, x.prompt, time.Duration(work))
-	x.prefillDone = sync.OnceFunc(func() { m.stats.ownPrefill.Add(-work) })
+	work := time.Duration(x.uncachedTokens) * x.gateway.selection.PrefillPerToken
+	x.gateway.demand.recordWork(x.call.Target, work)
+	m.stats.ownPrefill.Add(int64(work))
+	x.gateway.notifyGateways(m, x.prompt, work)
+	x.prefillDone = sync.OnceFunc(func() { m.stats.ownPrefill.Add(-int64(work)) })
 	return x.prefillDone
 }
 
--- a/internal/gateway/wanted.go
+++ b/internal/gateway/wanted.go
@@ -31,16 +31,19 @@
 // targetCount counts the requests for a target.
 type targetCount struct {
 	waiting, running int
-	// rate is an exponentially weighted rate of requests per second.
-	rate      float64
-	decayedAt time.Time
+	// rate is an exponentially weighted rate of requests per second, and work one
+	// of the seconds of engine time that their prompts needed.
+	rate, work float64
+	decayedAt  time.Time
 	// lastRefusal is when a request was last refused because no upstream held the
 	// target.
 	lastRefusal time.Time
 }
 
 func (c *targetCount) decay(now time.Time) {
-	c.rate *= math.Exp(-now.Sub(c.decayedAt).Seconds() / rateWindow.Seconds())
+	factor := math.Exp(-now.Sub(c.decayedAt).Seconds() / rateWindow.Seconds())
+	c.rate *= factor
+	c.work *= factor
 	c.decayedAt = now
 }
 
@@ -69,6 +72,14 @@
 	})
 }
 
+// recordWork records the engine time that the prompt of a request needs.
+func (d *demand) recordWork(t fleet.Target, work time.Duration) {
+	d.update(t, func(c *targetCount) {
+		c.decay(time.Now())
+		c.work += work.Seconds() / rateWindow.Seconds()
+	})
+}
+
 func (d *demand) addRunning(t fleet.Target, n int) {
 	d.update(t, func(c *targetCount) { c.running += n })
 }
@@ -107,8 +118,12 @@
 			waiting = 1
 		}
 		list = append(list, rpc.TargetDemand{
-			Model: t.Model, Adapter: t.Adapter, Waiting: waiting, Running: c.running, Rate: math.Round(c.rate*1e3) / 1e3,
+			Model: t.Model, Adapter: t.Adapter, Waiting: waiting, Running: c.running,
+			Rate: roundTo3(c.rate), Work: roundTo3(c.work),
 		})
 	}
 	return list
 }
+
+// roundTo3 rounds to three decimals, which keeps reports short.
+func roundTo3(x float64) float64 { return math.Round(x*1e3) / 1e3 }
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -19,6 +19,8 @@
 	Running int `json:"r,omitempty"`
 	// Rate is the recent number of requests per second.
 	Rate float64 `json:"n,omitempty"`
+	// Work is the recent engine time per second that prompts needed.
+	Work float64 `json:"k,omitempty"`
 }
 
 // WantedParams reports the demand of a gateway's callers to the controller. It
