forward, gateway, platform: limits of what upstreams may send

Cause: http.ReadResponse has no limit. An upstream that never ended a header line, its headers, its informational responses, its body or an event filled the memory of a gateway or kept it busy until the deadline of the request. Change: a head may have 64 KiB and take 2 s from its first byte, with at most eight informational responses before it; a skipped response 1 MiB and 1 s. A body without a declared length may have 16 MiB and an event 1 MiB. The connection is closed and the verdict is 'may have run'; its detail names the limit.

--- a/internal/agent/defaults.go
+++ b/internal/agent/defaults.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
@@ -133,6 +134,8 @@
 		IdleConnTimeout:     time.Minute,
 		WriteBufferSize:     copyBuffer,
 		ReadBufferSize:      copyBuffer,
+
+		MaxResponseHeaderBytes: int64(headers.MaxResponseHead),
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/scaling"
+	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -220,6 +221,8 @@
 			IdleConnTimeout:     idleTimeout,
 			DisableKeepAlives:   !keep,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: int64(headers.MaxResponseHead),
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -21,21 +21,11 @@
 	// maxInlineBody is the largest body that is written before the response is
 	// read. An upstream may respond before it has read a larger one.
 	maxInlineBody = 4 << 10
-	// maxStray bounds the responses to other requests that are skipped.
-	maxStray = 4
-	// maxStrayBody bounds the body of a skipped response.
-	maxStrayBody = 1 << 20
 )
 
-// errStray means that only responses to other requests arrived on a connection.
-var errStray = errors.New("received only responses to other requests")
-
-// errUnsealed means that a successful response is not marked as an upstream's own.
-var errUnsealed = errors.New("successful response is not marked as an upstream's")
-
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*limitedConn
 	reader *bufio.Reader
 	// writeIncomplete means that writing a request has failed or not finished.
 	writeIncomplete atomic.Bool
@@ -45,7 +35,8 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}
+	limited := &limitedConn{Conn: raw}
+	return &conn{limitedConn: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout}
 }
 
 // abort closes the connection at once. An error is irrelevant, as nothing more is
@@ -110,10 +101,7 @@
 			}
 			return resp, info, nil
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, maxStrayBody); !errors.Is(err, io.EOF) {
-			return nil, info, errStray
-		}
-		if resp.Close {
+		if !c.skipBody(resp) || resp.Close {
 			return nil, info, errStray
 		}
 	}
@@ -122,9 +110,20 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
+// skipBody reads the body of a response to another request. It reports whether the
+// body has ended within its limits.
+func (c *conn) skipBody(resp *http.Response) bool {
+	c.limitTime(strayTimeout)
+	defer c.limitTime(0)
+	_, err := io.CopyN(io.Discard, resp.Body, int64(maxStrayBody))
+	return errors.Is(err, io.EOF)
+}
+
 // readResponse reads the head of a response, skipping informational (1xx) ones.
 func (c *conn) readResponse(method string) (*http.Response, error) {
-	for {
+	c.startHead()
+	defer c.endHead()
+	for range maxInformational {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -132,7 +131,9 @@
 		if resp.StatusCode >= 200 {
 			return resp, nil
 		}
+		c.expectHead()
 	}
+	return nil, errInformational
 }
 
 // clean reports whether the request was written completely and no bytes are
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,6 +23,9 @@
 	// of it is delivered.
 	maxBufferedResponse = 256 << 10
 	streamBufferSize    = 4 << 10
+	// maxUndeclaredBody bounds a body that declares no length: a faulty upstream
+	// may send bytes without end.
+	maxUndeclaredBody = 16 << 20
 )
 
 // deliver passes an upstream's response on to the caller.
@@ -86,10 +89,22 @@
 	if _, err := x.w.Write(first); err != nil {
 		return verdict.Unknown(verdict.ReasonCallerGone, err.Error())
 	}
-	if _, err := io.Copy(x.w, resp); err != nil {
+	if resp.Length() >= 0 {
+		// The response ends at its declared length.
+		if _, err := io.Copy(x.w, resp); err != nil {
+			return verdict.Unknown(verdict.ReasonStreamCut, err.Error())
+		}
+		return nil
+	}
+	_, err := io.CopyN(x.w, resp, maxUndeclaredBody-int64(len(first)))
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err != nil:
 		return verdict.Unknown(verdict.ReasonStreamCut, err.Error())
+	default:
+		return verdict.Unknown(verdict.ReasonStreamCut, "body without a declared length exceeds "+strconv.Itoa(maxUndeclaredBody)+" bytes")
 	}
-	return nil
 }
 
 // writeHead writes the status and the headers of a response to the caller; a
@@ -183,10 +198,11 @@
 // marked by a length or by chunked encoding, a stream that ends within an event was
 // cut.
 func eventReader(resp *forward.Response) io.Reader {
+	events := sse.LimitEvents(resp)
 	if resp.Framed() {
-		return resp
+		return events
 	}
-	return &unframedEvents{src: resp}
+	return &unframedEvents{src: events}
 }
 
 // unframedEvents reads events from a body that ends with its connection.
--- a/internal/sse/events.go
+++ b/internal/sse/events.go
@@ -19,7 +19,10 @@
 	maxEventSize = 32 << 10
 )
 
-var idField = []byte("id:")
+var (
+	idField        = []byte("id:")
+	eventSeparator = []byte("\n\n")
+)
 
 // EventReader reads a stream whose events have ids and returns whole events only, so
 // that the stream can be resumed from another connection after it was cut. A stream
@@ -97,8 +100,8 @@
 		e.ready = len(e.buffer)
 		return
 	}
-	e.ready = bytes.LastIndex(e.buffer, []byte("\n\n")) + len("\n\n")
-	if e.ready < len("\n\n")+1 {
+	e.ready = bytes.LastIndex(e.buffer, eventSeparator) + len(eventSeparator)
+	if e.ready < len(eventSeparator)+1 {
 		e.ready = 0
 		return
 	}
--- a/internal/sse/events_test.go
+++ b/internal/sse/events_test.go
@@ -48,3 +48,24 @@
 		g.Expect(events.LastID()).To(BeEmpty())
 	}
 }
+
+// Guards against an event without an end that is passed on until the caller gives up,
+// and against a limit that counts several events as one, wherever reads split them.
+func TestLimitEvents(t *testing.T) {
+	g := NewWithT(t)
+	endless := sse.LimitEvents(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\ndata: "), repeated("x")))
+	passed, err := io.Copy(io.Discard, endless)
+	g.Expect(err).To(MatchError(sse.ErrEventTooLong))
+	g.Expect(passed).To(BeNumerically("<", 2<<20))
+	many := strings.Repeat("data: "+strings.Repeat("y", 1000)+"\n\n", 3000)
+	for _, src := range []io.Reader{strings.NewReader(many), iotest.OneByteReader(strings.NewReader(many))} {
+		n, err := io.Copy(io.Discard, sse.LimitEvents(src))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(Equal(int64(len(many))))
+	}
+}
+
+// repeated is a reader that returns its text without end.
+type repeated string
+
+func (r repeated) Read(p []byte) (int, error) { return copy(p, r), nil }
