--- a/internal/controller/pipeline.go
+++ b/internal/controller/pipeline.go
@@ -70,18 +70,12 @@
 	l.adapters = append(l.adapters, p)
 }
 
-// remove removes an order and reports whether it was pending.
-func (l *pipeline) remove(p *pendingOrder) bool {
+// remove removes an order; it has no effect if the order is not pending.
+func (l *pipeline) remove(p *pendingOrder) {
 	if l.model == p {
 		l.model = nil
-		return true
 	}
-	i := slices.Index(l.adapters, p)
-	if i < 0 {
-		return false
-	}
-	l.adapters = slices.Delete(l.adapters, i, i+1)
-	return true
+	l.adapters = slices.DeleteFunc(l.adapters, func(other *pendingOrder) bool { return other == p })
 }
 
 // unresolved returns the order that the engine may or may not have accepted; nil if
--- a/internal/decide/residency/models.go
+++ b/internal/decide/residency/models.go
@@ -14,7 +14,7 @@
 	// hysteresis is by how much the benefit of a load must exceed the cost of the
 	// evictions, so that two models with similar demand don't replace each other
 	// all the time.
-	hysteresis = 1.25
+	hysteresis = 2.0
 	// adapterDelayWeight is the cost of a load for each request per second that
 	// needs adapters on the same upstream, as a share of the load time: adapters
 	// can't be loaded meanwhile.
--- a/internal/decide/residency/value.go
+++ b/internal/decide/residency/value.go
@@ -26,7 +26,7 @@
 	// the load that it should serve.
 	fullLoadDelay = 0.3
 	// minReplicaValue is the value from which a further replica is worth a load.
-	minReplicaValue = 0.15
+	minReplicaValue = 0.3
 	// failoverWeight is the value of the second replica of a model for each request
 	// per second.
 	failoverWeight = 0.3
