selection: reserve no replica for short prompts without long ones

Every gateway adds 100 ms for a short prompt at any replica but the one reserved for short prompts, and sees only its own running requests: 22 gateways may send it 33 each before another one is cheaper. The models of this deployment receive no long prompts at all. Change: a replica is reserved only if the model has received a long prompt in the last 20 s at this gateway. TestShortPromptsAloneUseAllReplicas failed on the code before.

--- a/internal/decide/selection/backlog_test.go
+++ b/internal/decide/selection/backlog_test.go
@@ -48,7 +48,7 @@
 			for r := range candidates {
 				candidates[r] = selection.Candidate{Hash: uint64(r+1) * 0x9e3779b97f4a7c15, PendingPrefill: own[at][r] + others[at][r].Remaining(now)}
 			}
-			chosen := cfg.Select(candidates, selection.Request{ModelHash: 7, Prompt: 8000})
+			chosen := cfg.Select(candidates, selection.Request{ModelHash: 7, LongPrompts: true, Prompt: 8000})
 			work := 8000 * cfg.PrefillPerToken
 			own[at][chosen] += work
 			total[chosen] += work
--- a/internal/decide/selection/selection.go
+++ b/internal/decide/selection/selection.go
@@ -1,9 +1,9 @@
 // Package selection chooses the replica for a request among those that hold its
 // model. Engines process a long prompt in chunks between the tokens of running
 // streams (chunked prefill), so it slows down every stream on the same replica.
-// Of each model with several replicas, one is therefore reserved for short prompts
-// as far as the load allows (size-based assignment). All gateways determine the
-// same one by rendezvous hashing, without communication.
+// Of each model with several replicas and long prompts, one is therefore reserved for
+// short prompts as far as the load allows (size-based assignment). All gateways
+// determine the same one by rendezvous hashing, without communication.
 package selection
 
 import (
@@ -67,7 +67,9 @@
 	// ModelHash is the hash of the model name. It determines the replica reserved
 	// for short prompts.
 	ModelHash uint64
-	Prompt    fleet.Tokens
+	// LongPrompts says that the model has received long prompts lately.
+	LongPrompts bool
+	Prompt      fleet.Tokens
 	// Shared is the number of tokens in the prompt parts that other requests
 	// share, and SharedID is the hash of these parts.
 	Shared   fleet.Tokens
@@ -79,7 +81,9 @@
 func (c Config) Select(candidates []Candidate, req Request) int {
 	reserved, shared := -1, -1
 	if len(candidates) > 1 && req.Prompt > 0 {
-		reserved = highestRanked(candidates, req.ModelHash, -1)
+		if req.LongPrompts {
+			reserved = highestRanked(candidates, req.ModelHash, -1)
+		}
 		shared = highestRanked(candidates, req.SharedID, reserved)
 	}
 	best, bestCost := -1, time.Duration(0)
--- a/internal/decide/selection/selection_test.go
+++ b/internal/decide/selection/selection_test.go
@@ -26,7 +26,7 @@
 	used := map[bool]map[int]bool{true: {}, false: {}}
 	for id := range uint64(200) {
 		for _, long := range []bool{true, false} {
-			req := selection.Request{ModelHash: 7, Prompt: 300, SharedID: id}
+			req := selection.Request{ModelHash: 7, LongPrompts: true, Prompt: 300, SharedID: id}
 			if long {
 				req.Prompt, req.Shared = 9000, 6000
 			}
@@ -46,12 +46,12 @@
 	g := NewWithT(t)
 	cfg := selection.DefaultConfig()
 	candidates := replicas(2)
-	short := cfg.Select(candidates, selection.Request{ModelHash: 7, Prompt: 300})
+	short := cfg.Select(candidates, selection.Request{ModelHash: 7, LongPrompts: true, Prompt: 300})
 	candidates[short].PendingPrefill = time.Second
-	g.Expect(cfg.Select(candidates, selection.Request{ModelHash: 7, Prompt: 300})).NotTo(Equal(short))
+	g.Expect(cfg.Select(candidates, selection.Request{ModelHash: 7, LongPrompts: true, Prompt: 300})).NotTo(Equal(short))
 	candidates = replicas(2)
 	candidates[1-short].PendingPrefill = time.Second
-	g.Expect(cfg.Select(candidates, selection.Request{ModelHash: 7, Prompt: 9000})).To(Equal(short))
+	g.Expect(cfg.Select(candidates, selection.Request{ModelHash: 7, LongPrompts: true, Prompt: 9000})).To(Equal(short))
 }
 
 // Guards against a request to an ejected replica while another one is available, and
@@ -74,13 +74,13 @@
 	g := NewWithT(t)
 	cfg := selection.DefaultConfig()
 	candidates := replicas(3)
-	short := cfg.Select(candidates, selection.Request{ModelHash: 7, Prompt: 300})
+	short := cfg.Select(candidates, selection.Request{ModelHash: 7, LongPrompts: true, Prompt: 300})
 	for i := range candidates {
 		if i == short {
 			continue
 		}
 		candidates[i].Cached = 6000
-		g.Expect(cfg.Select(candidates, selection.Request{ModelHash: 7, Prompt: 9000})).To(Equal(i))
+		g.Expect(cfg.Select(candidates, selection.Request{ModelHash: 7, LongPrompts: true, Prompt: 9000})).To(Equal(i))
 		candidates[i].Cached = 0
 	}
 	for i := range candidates {
@@ -89,3 +89,18 @@
 	candidates[2].Locality = routing.SameDataCentre
 	g.Expect(cfg.Select(candidates, selection.Request{})).To(Equal(2))
 }
+
+// Guards against short prompts that all go to the replica reserved for them although
+// the model receives no long ones: the gateways of a large deployment together sent it
+// several times the requests that it has slots for, while other replicas were idle.
+func TestShortPromptsAloneUseAllReplicas(t *testing.T) {
+	g := NewWithT(t)
+	cfg := selection.DefaultConfig()
+	candidates := replicas(3)
+	for range 30 {
+		candidates[cfg.Select(candidates, selection.Request{ModelHash: 7, Prompt: 700})].Running++
+	}
+	for i := range candidates {
+		g.Expect(candidates[i].Running).To(Equal(10))
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -126,7 +126,8 @@
 		})
 		chosen = append(chosen, m)
 	}
-	i := x.gateway.selection.Select(candidates, x.prompt.selectionRequest(&x.call))
+	longPrompts := x.gateway.longPrompts.record(x.call.Model, x.call.Prompt, now)
+	i := x.gateway.selection.Select(candidates, x.prompt.selectionRequest(&x.call, longPrompts))
 	if i < 0 {
 		return nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,8 @@
 	// prompt parts were sent to which upstream.
 	selection   selection.Config
 	sentPrompts *sentPrompts
+	// longPrompts records which models receive long prompts.
+	longPrompts *longPrompts
 	view        atomic.Pointer[view]
 	events      chan tableEvent
 	demand      *demand
@@ -121,6 +123,7 @@
 
 		selection:   selection.DefaultConfig(),
 		sentPrompts: newSentPrompts(),
+		longPrompts: newLongPrompts(selection.DefaultConfig().LongPrompt),
 		events:      make(chan tableEvent, eventBuffer),
 		demand:      newDemand(),
 		budgets:     budgets{byService: make(map[state.ServiceName]*retry.Budget)},
--- a/internal/gateway/prompts.go
+++ b/internal/gateway/prompts.go
@@ -3,12 +3,14 @@
 import (
 	"math/bits"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
 // maxPrefixBlocks bounds the prompt parts that a gateway records for upstreams.
@@ -43,10 +45,42 @@
 	return p
 }
 
+// longPromptTTL is how long a model counts as one that receives long prompts.
+const longPromptTTL = 20 * time.Second
+
+// longPrompts records when models last received long prompts. Its methods may be
+// called from any goroutine.
+type longPrompts struct {
+	// minimum is the number of tokens from which a prompt is long.
+	minimum fleet.Tokens
+
+	mu   sync.Mutex
+	last map[state.ModelName]time.Time
+}
+
+func newLongPrompts(minimum fleet.Tokens) *longPrompts {
+	return &longPrompts{minimum: minimum, last: make(map[state.ModelName]time.Time)}
+}
+
+// record records a prompt and reports whether its model has received long ones lately.
+func (l *longPrompts) record(model state.ModelName, tokens fleet.Tokens, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if tokens >= l.minimum {
+		l.last[model] = now
+	}
+	last, ok := l.last[model]
+	if ok && now.Sub(last) > longPromptTTL {
+		delete(l.last, model)
+		return false
+	}
+	return ok
+}
+
 // selectionRequest returns the input for the choice of a replica. The last part of
 // the prompt is specific to the request and not shared.
-func (p prompt) selectionRequest(call *fleet.RequestInfo) selection.Request {
-	req := selection.Request{ModelHash: p.model, Prompt: call.Prompt}
+func (p prompt) selectionRequest(call *fleet.RequestInfo, longPrompts bool) selection.Request {
+	req := selection.Request{ModelHash: p.model, Prompt: call.Prompt, LongPrompts: longPrompts}
 	if n := len(p.parts) - 1; n > 0 {
 		req.SharedID = p.parts[n-1]
 		for _, part := range call.Parts[:n] {
