controller: an adapter in use keeps its place until a report shows its unload

Cause: read-through of the pipeline. Engines unload an unused adapter at once, so an accepted unload waits for a request that the reports do not count yet, and the next load would exceed the places. Models are safe: the engine refuses the next order as a conflict. Change: only a report completes the unload of an adapter.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -186,8 +186,9 @@
 	case p.forModel() && p.Kind == fleet.Load:
 		p.loadTime = fleet.LoadTime(service.Engine.Models[p.Model], e.inMemory, e.onDisk)
 	case p.Kind == fleet.Unload:
-		// An unload waits for the requests that use its target.
-		p.short = demand.Running == 0
+		// An unload waits for the requests that use its target. If a model is still
+		// in use, the engine refuses the next order, but not if an adapter is.
+		p.short = p.forModel() && demand.Running == 0
 		c.markChanged(e, now)
 	default:
 		p.short = true
--- a/internal/decide/residency/value.go
+++ b/internal/decide/residency/value.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// secondReplicaRate is the rate, in requests per second, from which a model
-	// gets a second replica, so that it is still served if one is lost.
+	// secondReplicaRate is the rate, in requests per second, from which the second
+	// replica of a model has a value of its own: requests are still served if an
+	// upstream is lost.
 	secondReplicaRate = 0.5
 	// targetPromptShare is the share of an engine's time that prompts should take:
 	// streams beside a prompt pause while it is read.
