gateway: name the parts of a prompt in lines about failed attempts

The lines did not name the parts of a request, so that a fault in one part could not be told from one in a caller's requests. Change: 'attempt failed' and 'request failed' have the parts' identifiers.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -180,7 +180,7 @@
 		Deadline:   x.deadline,
 	})
 	x.gateway.opts.Logger.Info("attempt failed", "request", x.call.ID, "upstream", x.lastUpstream, "reason", v.Reason,
-		"execution", v.Execution.String(), "detail", v.Detail, "again", ok, "wait", wait)
+		"execution", v.Execution.String(), "detail", v.Detail, "again", ok, "wait", wait, "parts", x.prompt)
 	if ok {
 		x.gateway.opts.Meter.Retry(v.Reason)
 	}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -193,6 +193,6 @@
 		x.gateway.opts.Logger.Info("request answered", attrs...)
 		return
 	}
-	attrs = append(attrs, "reason", v.Reason, "execution", v.Execution.String(), "detail", v.Detail, "delivered", x.delivered)
+	attrs = append(attrs, "reason", v.Reason, "execution", v.Execution.String(), "detail", v.Detail, "delivered", x.delivered, "parts", x.prompt)
 	x.gateway.opts.Logger.Info("request failed", attrs...)
 }
--- a/internal/gateway/prompts.go
+++ b/internal/gateway/prompts.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"log/slog"
 	"math/bits"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +36,9 @@
 type prompt struct {
 	model uint64
 	parts []uint64
+	// ids are the identifiers of the parts as the caller sent them, which don't
+	// depend on the model or on other parts.
+	ids []uint64
 }
 
 func newPrompt(call *fleet.RequestInfo) prompt {
@@ -41,10 +47,24 @@
 	for _, part := range call.Parts {
 		chain = bits.RotateLeft64(chain, 7)*0x9e3779b97f4a7c15 ^ part.ID
 		p.parts = append(p.parts, chain)
+		p.ids = append(p.ids, part.ID)
 	}
 	return p
 }
 
+// LogValue implements slog.LogValuer: the identifiers of the parts as the caller
+// sent them, by which the failed requests with a part can be found.
+func (p prompt) LogValue() slog.Value {
+	var b strings.Builder
+	for i, id := range p.ids {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(id, 16))
+	}
+	return slog.StringValue(b.String())
+}
+
 // longPromptTTL is how long a model counts as one that receives long prompts.
 const longPromptTTL = 20 * time.Second
 
