gateway, controller: quarantine prompt parts that crash upstreams

Cause: crashes were attributed in the entry role only, and there by whole requests; gateways sent each request with the part to the next upstream, and no two were alike. Change: a gateway that loses connections to an upstream checks whether it has crashed (connection refused) and reports the requests that had no answer yet. The controller attributes the crashes of all gateways by prompt part and by whole request (decide/quarantine.Attribution): three crashes, at least 1 s, without an answered run of the key, the last common part of the prompts first. All gateways receive the quarantines with the residency and refuse such requests with 503 and the remaining time; they give crashes and quarantines to a new controller. Why it works: a key that crashes upstreams never has an answered run, and a sound one soon does.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -19,6 +19,8 @@
 // publisher makes the latest snapshot available to the gateways that request
 // it.
 type publisher struct {
+	// now is the clock of the Controller.
+	now     func() time.Time
 	current atomic.Pointer[snapshot]
 	// holderName is the name under which this process holds the lease or would.
 	holderName atomic.Pointer[string]
@@ -43,6 +45,7 @@
 	// peers are the gateways that receive notices.
 	peers         []rpc.GatewayPeer
 	peersRevision uint64
+	quarantine    *publishedQuarantine
 	entries       []*publishedEntry
 }
 
@@ -51,7 +54,8 @@
 	rpc.UpstreamResidency
 }
 
-func (p *publisher) init(holder string) {
+func (p *publisher) init(holder string, now func() time.Time) {
+	p.now = now
 	changed := make(chan struct{})
 	p.changed.Store(&changed)
 	p.holderName.Store(&holder)
@@ -75,6 +79,7 @@
 	next := &snapshot{term: token, revision: c.publisher.revision, leaseOffset: c.machine.Offset(), gatewayCount: len(c.demand.gateways)}
 	next.manifest = c.manifestVersion
 	next.peers, next.peersRevision = c.demand.peers(), c.demand.peersRevision
+	next.quarantine = c.crashes.published
 	if previous := c.publisher.snapshot(); previous != nil && previous.term == next.term && previous.revision == next.revision {
 		next.entries = previous.entries
 		c.publisher.current.Store(next)
@@ -167,6 +172,7 @@
 	if s.term != params.Term || s.peersRevision != params.PeersRevision {
 		result.Peers = s.peers
 	}
+	s.quarantine.addTo(&result, params, s.term, p.now())
 	after := params.Revision
 	if s.term != params.Term {
 		after = 0
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -105,6 +105,7 @@
 	pendingPolls int
 	demand       *demandTable
 	storeLimiter storeLoadLimiter
+	crashes      crashTable
 }
 
 // Leader is the holder of the lease in this process's record. Both fields are
@@ -132,8 +133,9 @@
 		demand:  newDemandTable(),
 
 		promises: make(promiseTable),
+		crashes:  newCrashTable(),
 	}
-	c.publisher.init(opts.HolderName)
+	c.publisher.init(opts.HolderName, opts.Now)
 	return c
 }
 
--- /dev/null
+++ b/internal/controller/crashes_test.go
@@ -0,0 +1,76 @@
+package controller_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const deadlyPart = 7
+
+// Guards against crashes that no gateway can attribute alone, since each has seen one,
+// and against gateways that receive the quarantine late or not at all.
+func TestCrashesOfAllGatewaysAreAttributed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 3, 2)
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		residency := func(before rpc.ResidencyResult) rpc.ResidencyResult {
+			result, err := c.Residency(ctx, rpc.ResidencyParams{
+				Gateway: "g", Term: before.Term, Revision: before.Revision, QuarantineRevision: before.QuarantineRevision,
+				Wait: state.Duration(time.Minute),
+			})
+			h.g.Expect(err).NotTo(HaveOccurred())
+			return result
+		}
+		latest := residency(rpc.ResidencyResult{})
+		h.g.Expect(latest.Quarantined).To(BeEmpty())
+		for i, gateway := range []string{"g", "h", "i"} {
+			_, err := c.ReportCrashes(ctx, rpc.CrashesParams{Gateway: gateway, Crashes: []rpc.CrashReport{{
+				Upstream: state.UpstreamName(gateway), Started: 1, Runs: []rpc.LostRun{{Parts: []uint64{1, deadlyPart}, Content: uint64(100 + i)}},
+			}}})
+			h.g.Expect(err).NotTo(HaveOccurred())
+			latest = residency(latest)
+			h.g.Expect(latest.Suspects).To(ContainElement(uint64(1)))
+			_, err = c.ReportCrashes(ctx, rpc.CrashesParams{Gateway: "j", Sound: []rpc.SoundKey{{Key: 1}}})
+			h.g.Expect(err).NotTo(HaveOccurred())
+			latest = residency(latest)
+			h.g.Expect(latest.Suspects).NotTo(ContainElement(uint64(1)))
+			time.Sleep(600 * time.Millisecond)
+		}
+		latest = residency(rpc.ResidencyResult{})
+		h.g.Expect(latest.Quarantined).To(HaveLen(1))
+		h.g.Expect(latest.Quarantined[0].Key).To(Equal(uint64(deadlyPart)))
+		h.g.Expect(latest.Quarantined[0].Remaining.Std()).To(BeNumerically(">", time.Minute))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a new controller that ends the quarantines of its predecessor.
+func TestQuarantineIsRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 3, 2)
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		_, err := c.ReportCrashes(ctx, rpc.CrashesParams{
+			Gateway: "g", Quarantined: []rpc.QuarantinedKey{{Key: deadlyPart, Remaining: state.Duration(time.Minute)}},
+		})
+		h.g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		result, err := c.Residency(ctx, rpc.ResidencyParams{Gateway: "h"})
+		h.g.Expect(err).NotTo(HaveOccurred())
+		h.g.Expect(result.Quarantined).To(HaveLen(1))
+		h.g.Expect(result.Quarantined[0].Remaining.Std()).To(BeNumerically("~", 59*time.Second, time.Second))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -55,6 +55,7 @@
 	if !holds || f == nil || f.Manifest == nil {
 		return
 	}
+	c.stepCrashes(now)
 	c.syncRegistry(f, now)
 	c.syncEngines(f, now)
 	for _, e := range c.engines {
@@ -115,6 +116,7 @@
 	c.registry, c.syncedFleet = make(map[state.UpstreamName]*registryEntry), nil
 	c.storeLimiter = storeLoadLimiter{refilledAt: now}
 	c.promises, c.heldByPromises = make(promiseTable), false
+	c.crashes = newCrashTable()
 	c.opts.Logger.Info("controller acts", "acting", holds, "term", token)
 	if !holds {
 		c.publisher.publish(nil)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,8 +7,11 @@
 	"context"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -103,3 +106,16 @@
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, resp: resp, conn: conn, pool: p, detach: stop}, nil
 }
+
+// Refuses reports whether nothing listens at an upstream's address: its process has
+// ended, but its host runs. A connection that is established meanwhile goes to the
+// pool.
+func (c *Client) Refuses(ctx context.Context, u *fleet.Upstream) bool {
+	p := c.pool(u)
+	conn, err := p.dial(ctx)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(conn, time.Now(), nil)
+	return false
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -37,10 +37,13 @@
 	}()
 	for {
 		v := x.gateway.view.Load()
+		now := time.Now()
+		if remaining := x.gateway.crashes.quarantined(x.keys, now); remaining > 0 {
+			return nil, verdict.Refuse(verdict.ReasonQuarantined, "the request has crashed upstreams before").WithRetryAfter(remaining)
+		}
 		if m := x.choose(v); m != nil {
 			return m, nil
 		}
-		now := time.Now()
 		limit := x.loadWaitDeadline(v)
 		if !now.Before(limit) {
 			x.gateway.demand.recordRefusal(x.call.Target)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -73,8 +73,7 @@
 // attempt sends the request to one upstream and delivers its response.
 func (x *exchange) attempt(ctx context.Context, m *member) *verdict.Verdict {
 	g := x.gateway
-	x.sends++
-	x.lastUpstream = m.upstream.Name
+	x.startAttempt(m)
 	x.otherRunning = int(m.stats.running.Add(1)) - 1
 	g.sentPrompts.record(m.stats.index, x.prompt.parts)
 	endPrefill := x.startPrefill(m)
@@ -103,12 +102,21 @@
 		// A disconnected caller doesn't count as a failure of the upstream.
 	case v != nil:
 		x.recordFailure(ctx, m)
+		x.recordLostRun(ctx, m, v)
 	default:
 		m.stats.recordResult(true, time.Now(), g.health)
+		x.recordSoundRun()
 	}
 	return v
 }
 
+// startAttempt records that the request is about to be sent to an upstream.
+func (x *exchange) startAttempt(m *member) {
+	x.sends++
+	x.lastUpstream = m.upstream.Name
+	x.firstWrite = time.Time{}
+}
+
 // startPrefill adds the expected prefill time of the prompt to the upstream's
 // pending work until the returned function is called.
 func (x *exchange) startPrefill(m *member) func() {
@@ -137,10 +145,11 @@
 // handleSendError records an attempt to which the upstream sent no valid response.
 func (x *exchange) handleSendError(ctx context.Context, m *member, err error) *verdict.Verdict {
 	v := verdict.Of(err)
+	x.recordFailure(ctx, m)
 	if v.Execution != verdict.NotRun {
 		x.mayHaveRun++
+		x.recordLostRun(ctx, m, v)
 	}
-	x.recordFailure(ctx, m)
 	return v
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 	// platform's store.
 	lastStoreRead atomic.Pointer[time.Time]
 	relayed       relayedFeeds
+	crashes       *crashWatch
 
 	budgets budgets
 }
@@ -126,6 +127,7 @@
 		longPrompts: newLongPrompts(selection.DefaultConfig().LongPrompt),
 		events:      make(chan tableEvent, eventBuffer),
 		demand:      newDemand(),
+		crashes:     newCrashWatch(),
 		budgets:     budgets{byService: make(map[state.ServiceName]*retry.Budget)},
 	}
 	g.abortCtx, g.abortOpen = context.WithCancel(context.Background())
@@ -148,6 +150,7 @@
 	running.Go(func() { g.followUpstreams(background) })
 	running.Go(func() { g.followResidency(background) })
 	running.Go(func() { g.reportDemand(background) })
+	running.Go(func() { g.reportCrashes(background) })
 	if g.opts.Notices != nil {
 		running.Go(func() {
 			g.opts.Notices.Run(background, notices.Handler{Sent: g.handleSent, Controller: g.handleAnnouncement})
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/quarantine"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -61,6 +62,12 @@
 	// other requests running at the upstream when the request was sent.
 	firstToken, maxGap time.Duration
 	otherRunning       int
+	// keys are the keys under which crashes of upstreams are attributed.
+	keys quarantine.Run
+	// firstWrite is when the current attempt wrote its first event to the caller;
+	// zero if it has not. sound means that an upstream has written an answer.
+	firstWrite time.Time
+	sound      bool
 	// delivered means that part of a response has been written to the caller.
 	delivered bool
 	status    int
@@ -138,6 +145,7 @@
 		return verdict.Refuse(verdict.ReasonDraining, "deadline is after the end of a planned stop").WithRetryAfter(time.Millisecond)
 	}
 	x.prompt = newPrompt(&x.call)
+	x.keys = x.crashKeys()
 	x.header = x.r.Header
 	headers.RemoveHopByHop(x.header)
 	g.opts.Dialect.Prepare(x.header)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -117,7 +117,9 @@
 	if err != nil {
 		patience = 5 * time.Second
 	}
-	return fleet.RequestInfo{ID: h.Get("Id"), Patience: patience, Target: fleet.Target{Model: state.ModelName(h.Get("Model"))}}, nil
+	return fleet.RequestInfo{
+		ID: h.Get("Id"), Patience: patience, Target: fleet.Target{Model: state.ModelName(h.Get("Model"))}, Parts: parts(h.Get("Parts")),
+	}, nil
 }
 
 func (dialect) Prepare(http.Header) {}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -72,7 +72,11 @@
 	if newTerm || result.PeersRevision != params.PeersRevision {
 		g.setPeers(result.Peers)
 	}
+	if newTerm || result.QuarantineRevision != params.QuarantineRevision {
+		g.crashes.applyQuarantine(result, time.Now())
+	}
 	params.Term, params.Revision, params.PeersRevision = result.Term, result.Revision, result.PeersRevision
+	params.QuarantineRevision = result.QuarantineRevision
 	g.gatewayCount.Store(int32(result.Gateways))
 	g.post(ctx, func(t *tables, now time.Time) bool {
 		if remote && len(result.Upstreams) > 0 {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -146,6 +146,7 @@
 			return v
 		}
 		x.recordFailure(ctx, m)
+		x.recordLostRun(ctx, m, v)
 		next, resumedAt, lastVerdict := x.resume(ctx, events.LastID(), v)
 		if next == nil {
 			x.gateway.opts.Meter.Resume(telemetry.ResumeFailed)
@@ -171,8 +172,7 @@
 		if refusal != nil {
 			break
 		}
-		x.sends++
-		x.lastUpstream = m.upstream.Name
+		x.startAttempt(m)
 		resp, err := g.forward.Send(ctx, m.upstream, x.request(m, lastEvent))
 		if err != nil {
 			v = x.handleSendError(ctx, m, err)
@@ -240,6 +240,7 @@
 // prefill.
 func (w *eventWriter) recordWrite() {
 	now := time.Now()
+	w.exchange.recordEvent(now)
 	if w.lastWrite.IsZero() {
 		w.exchange.firstToken = now.Sub(w.exchange.began)
 		w.exchange.prefillDone()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -35,6 +35,7 @@
 	control := rpc.NewServer(map[string]rpc.MethodFunc{
 		rpc.MethodResidency: rpc.Method(g.opts.Controller.Residency),
 		rpc.MethodWanted:    rpc.Method(g.opts.Controller.ReportDemand),
+		rpc.MethodCrashes:   rpc.Method(g.opts.Controller.ReportCrashes),
 	})
 	failed := make(chan error, 3)
 	var running sync.WaitGroup
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -7,6 +7,7 @@
 const (
 	MethodResidency = "controller.residency"
 	MethodWanted    = "controller.wanted"
+	MethodCrashes   = "controller.crashes"
 )
 
 // TargetDemand is the demand of a gateway's callers for a model or an adapter.
@@ -33,6 +34,57 @@
 // WantedResult answers WantedParams.
 type WantedResult struct{}
 
+// LostRun is a request that was running in an upstream when it crashed.
+type LostRun struct {
+	// Parts identify the parts of its prompt that other requests may share, in
+	// their order.
+	Parts []uint64 `json:"p,omitempty"`
+	// Content identifies the content of the whole request.
+	Content uint64 `json:"c"`
+}
+
+// CrashReport is a crash of an upstream, with the sender's requests that were
+// running in it. Requests whose answer was being written are left out.
+type CrashReport struct {
+	Upstream state.UpstreamName `json:"u"`
+	// Started is the upstream's start time in Unix milliseconds.
+	Started int64 `json:"s"`
+	// Age is the time since the crash.
+	Age  state.Duration `json:"age"`
+	Runs []LostRun      `json:"runs"`
+}
+
+// SoundKey is a key of ResidencyResult.Suspects for which an upstream has written
+// an answer.
+type SoundKey struct {
+	Key uint64 `json:"k"`
+	// Age is the time since the last such answer.
+	Age state.Duration `json:"age"`
+}
+
+// QuarantinedKey is a prompt part or the content of a request that is not sent to
+// upstreams.
+type QuarantinedKey struct {
+	Key uint64 `json:"k"`
+	// Remaining is the time to the end of the quarantine; zero if it has been
+	// lifted.
+	Remaining state.Duration `json:"r,omitempty"`
+}
+
+// CrashesParams reports crashes of upstreams to the controller, and what speaks for
+// or against the suspects. Repeated reports are merged.
+type CrashesParams struct {
+	Gateway string        `json:"gateway"`
+	Crashes []CrashReport `json:"crashes,omitempty"`
+	Sound   []SoundKey    `json:"sound,omitempty"`
+	// Quarantined lists the quarantines known to the sender, for a new
+	// controller.
+	Quarantined []QuarantinedKey `json:"quarantined,omitempty"`
+}
+
+// CrashesResult answers CrashesParams.
+type CrashesResult struct{}
+
 // GatewayPeer is how a gateway is known to the other gateways, which send it
 // notices.
 type GatewayPeer struct {
@@ -50,6 +102,8 @@
 	Peer GatewayPeer `json:"peer"`
 	// PeersRevision is the revision of the list of peers that the sender has.
 	PeersRevision uint64 `json:"peers,omitempty"`
+	// QuarantineRevision is the revision of the quarantines that the sender has.
+	QuarantineRevision uint64 `json:"quarantine,omitempty"`
 	// Term and Revision are those of the previous result; zero requests all
 	// upstreams.
 	Term     state.FencingToken `json:"term,omitempty"`
@@ -126,4 +180,10 @@
 	PeersRevision uint64              `json:"peersRevision"`
 	Peers         []GatewayPeer       `json:"peers,omitempty"`
 	Upstreams     []UpstreamResidency `json:"upstreams,omitempty"`
+	// QuarantineRevision is the revision of Quarantined and Suspects, which are
+	// set if the receiver has another one. Suspects are keys of requests that
+	// were running in crashed upstreams: the receiver reports the sound ones.
+	QuarantineRevision uint64           `json:"quarantineRevision,omitempty"`
+	Quarantined        []QuarantinedKey `json:"quarantined,omitempty"`
+	Suspects           []uint64         `json:"suspects,omitempty"`
 }
