quarantine: decide once all gateways could report to a new controller

Cause: gateways repeat long past crashes to a new controller; it decided as soon as the first gateway's reports were in, without those that explain the crashes. Change: the delay for reports and the shortest span count from the first report that the controller has of a crash. TestNewControllerWaitsForAllReports fails on the version before.

--- a/internal/controller/crashes.go
+++ b/internal/controller/crashes.go
@@ -65,7 +65,7 @@
 	}
 	for _, crash := range params.Crashes {
 		id := quarantine.CrashID{Upstream: crash.Upstream, Started: crash.Started}
-		t.attribution.RecordCrash(id, now.Add(-crash.Age.Std()), runsOf(crash.Runs))
+		t.attribution.RecordCrash(id, now.Add(-crash.Age.Std()), now, runsOf(crash.Runs))
 		c.opts.Logger.Info("crash reported", "upstream", crash.Upstream, "gateway", params.Gateway, "age", crash.Age.Std(), "runs", len(crash.Runs))
 	}
 }
--- a/internal/decide/quarantine/attribution.go
+++ b/internal/decide/quarantine/attribution.go
@@ -34,10 +34,10 @@
 	// 3. After an earlier quarantine, one is enough.
 	Crashes int
 	// SameMoment is the time within which crashes count as one, since a failure
-	// of a rack or of the network has many; default 250 ms.
+	// of a rack or of the network has many; default 100 ms.
 	SameMoment time.Duration
-	// MinSpan is the shortest time from the first of the crashes to the
-	// quarantine, within which reports of sound runs arrive; default 1 s.
+	// MinSpan is the shortest time from the report of the first of the crashes to
+	// the quarantine, within which reports of sound runs arrive; default 1 s.
 	MinSpan time.Duration
 	// ReportDelay is how long a crash waits for the reports of all gateways; default
 	// 300 ms.
@@ -61,7 +61,7 @@
 // DefaultAttributionSettings returns the defaults.
 func DefaultAttributionSettings() AttributionSettings {
 	return AttributionSettings{
-		Crashes: 3, SameMoment: 250 * time.Millisecond, MinSpan: time.Second, ReportDelay: 300 * time.Millisecond, CrashWindow: 10 * time.Minute,
+		Crashes: 3, SameMoment: 100 * time.Millisecond, MinSpan: time.Second, ReportDelay: 300 * time.Millisecond, CrashWindow: 10 * time.Minute,
 		FirstDuration: 5 * time.Minute, RepeatDuration: time.Hour, RememberFor: 24 * time.Hour,
 		MaxCrashes: 64, MaxKeys: 512, MaxQuarantines: 1024,
 	}
@@ -89,7 +89,9 @@
 
 // crash is one crash and the keys of the requests that were running in it.
 type crash struct {
-	at time.Time
+	// at is the time of the crash, and reportedAt that of the first report, which a
+	// new controller receives long after the crash.
+	at, reportedAt time.Time
 	// keys holds for each key its depth: the position of a part in its prompt,
 	// from 1, or contentDepth.
 	keys map[Key]int
@@ -119,13 +121,14 @@
 
 // RecordCrash records requests that were running when an upstream crashed. Several
 // reports of one crash are merged.
-func (a *Attribution) RecordCrash(id CrashID, at time.Time, runs []Run) {
+// The time now is that of the report.
+func (a *Attribution) RecordCrash(id CrashID, at, now time.Time, runs []Run) {
 	c, ok := a.crashes[id]
 	if !ok {
 		if len(a.crashes) >= a.settings.MaxCrashes {
 			a.dropOldestCrash()
 		}
-		c = &crash{at: at, keys: make(map[Key]int)}
+		c = &crash{at: at, reportedAt: now, keys: make(map[Key]int)}
 		a.crashes[id] = c
 	}
 	for _, run := range runs {
@@ -251,7 +254,7 @@
 	}
 	against := a.unexplained(crashes, counts, key, until)
 	moments := a.moments(against)
-	if moments < needed || now.Sub(against[0].at) < minSpan {
+	if moments < needed || now.Sub(against[0].reportedAt) < minSpan {
 		return Decision{}, false
 	}
 	return Decision{Key: key, Until: now.Add(duration), Crashes: moments}, true
@@ -327,7 +330,7 @@
 func (a *Attribution) settledCrashes(now time.Time) []*crash {
 	list := make([]*crash, 0, len(a.crashes))
 	for _, c := range a.crashes {
-		if now.Sub(c.at) >= a.settings.ReportDelay {
+		if now.Sub(c.reportedAt) >= a.settings.ReportDelay {
 			list = append(list, c)
 		}
 	}
--- a/internal/decide/quarantine/attribution_test.go
+++ b/internal/decide/quarantine/attribution_test.go
@@ -39,7 +39,7 @@
 
 func (c *crashes) crash(after time.Duration, runs ...quarantine.Run) {
 	c.next++
-	c.RecordCrash(quarantine.CrashID{Upstream: "u", Started: int64(c.next)}, c.at(after), runs)
+	c.RecordCrash(quarantine.CrashID{Upstream: "u", Started: int64(c.next)}, c.at(after), c.at(after), runs)
 }
 
 // decided returns the quarantines that are decided at a time, once all gateways had
@@ -96,13 +96,31 @@
 	c := newCrashes()
 	for i := range 3 {
 		id := quarantine.CrashID{Upstream: "u", Started: int64(i)}
-		c.RecordCrash(id, c.at(time.Duration(i)*time.Second), []quarantine.Run{c.run(system)})
+		c.RecordCrash(id, c.at(time.Duration(i)*time.Second), c.at(time.Duration(i)*time.Second), []quarantine.Run{c.run(system)})
 		g.Expect(c.Decide(c.at(time.Duration(i)*time.Second + 100*time.Millisecond))).To(BeEmpty())
-		c.RecordCrash(id, c.at(time.Duration(i)*time.Second), []quarantine.Run{c.run(system, deadly)})
+		c.RecordCrash(id, c.at(time.Duration(i)*time.Second), c.at(time.Duration(i)*time.Second), []quarantine.Run{c.run(system, deadly)})
 	}
 	g.Expect(c.decided(2 * time.Second)).To(Equal([]quarantine.Key{deadly}))
 }
 
+// Guards against a new controller that decides on the first gateway's repeated reports:
+// the crashes are long past, but those of the gateway that had sent the deadly requests,
+// and what speaks for the other parts, are on their way.
+func TestNewControllerWaitsForAllReports(t *testing.T) {
+	g := NewWithT(t)
+	c := newCrashes()
+	report := func(after time.Duration, run quarantine.Run) {
+		for i := range 3 {
+			c.RecordCrash(quarantine.CrashID{Upstream: "u", Started: int64(i)}, c.at(time.Duration(i)*time.Second), c.at(after), []quarantine.Run{run})
+		}
+	}
+	report(10*time.Second, c.run(system))
+	g.Expect(c.Decide(c.at(10 * time.Second))).To(BeEmpty())
+	report(10100*time.Millisecond, c.run(system, deadly))
+	g.Expect(c.Decide(c.at(10400 * time.Millisecond))).To(BeEmpty())
+	g.Expect(c.decided(11 * time.Second)).To(Equal([]quarantine.Key{deadly}))
+}
+
 // Guards against a request that comes again and again and has no parts, or parts of
 // which others are sound.
 func TestWholeRequestIsQuarantined(t *testing.T) {
@@ -193,7 +211,7 @@
 	c := newCrashes()
 	for i := range 5 {
 		id := quarantine.CrashID{Upstream: "u", Started: 1}
-		c.RecordCrash(id, c.at(time.Duration(i)*time.Second), []quarantine.Run{c.run(deadly)})
+		c.RecordCrash(id, c.at(time.Duration(i)*time.Second), c.at(time.Duration(i)*time.Second), []quarantine.Run{c.run(deadly)})
 	}
 	g.Expect(c.decided(5 * time.Second)).To(BeEmpty())
 }
