quarantine: keep quarantines in the store

Cause: controller and gateways kept quarantines in memory only, and gave them to each other; nothing survived the end of all. Change: the controller writes each quarantine to a topic of its own, removes those that end or are lifted, and repeats failed writes; a gateway reads the topic once at its start and reports what it holds to the controller. One call to the store a start, and one a quarantine and controller.

--- a/cmd/lagoonvalve/gateway.go
+++ b/cmd/lagoonvalve/gateway.go
@@ -46,12 +46,13 @@
 	logger, level := telemetry.NewLogger(sink, cfg.Common)
 	store := platform.NewStore(cfg.Store, cfg.StoreTimeout.Std())
 	on := roles.GatewayPlatform{
-		Manifests: store.Manifests(),
-		Upstreams: store.Upstreams(),
-		Lease:     store.Lease(),
-		Engines:   platform.NewEngines(cfg.EngineTimeout.Std()),
-		Dialect:   platform.Dialect{},
-		ReadyPath: platform.ReadyPath,
+		Manifests:   store.Manifests(),
+		Upstreams:   store.Upstreams(),
+		Lease:       store.Lease(),
+		Quarantines: store.Quarantines(),
+		Engines:     platform.NewEngines(cfg.EngineTimeout.Std()),
+		Dialect:     platform.Dialect{},
+		ReadyPath:   platform.ReadyPath,
 	}
 	reloads := roles.ReloadOn[settings.Gateway](ctx, path, hangups(), logger)
 	return roles.StartGateway(ctx, cfg, on, roles.Process[settings.Gateway]{Logger: logger, Level: level, Reloads: reloads})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -28,7 +28,9 @@
 	Control string
 	Lease   fleet.LeaseStore
 	Engines fleet.EngineControl
-	Logger  *slog.Logger
+	// Quarantines keeps the quarantines; nil keeps none.
+	Quarantines fleet.QuarantineStore
+	Logger      *slog.Logger
 	// Now is a clock that continues while the host is suspended.
 	Now      func() time.Time
 	Election election.Settings
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -179,6 +179,8 @@
 	log     *leaseLog
 	engines *fakeEngines
 	fleet   *controller.Fleet
+	// quarantines keeps the quarantines; nil keeps none.
+	quarantines fleet.QuarantineStore
 }
 
 func newHarness(t *testing.T, upstreams, models int) *harness {
@@ -203,7 +205,7 @@
 
 func (h *harness) start(ctx context.Context, name string) *controller.Controller {
 	c := controller.New(controller.Options{
-		HolderName: name, Host: name, Control: name, Lease: leaseClient{h.log, name}, Engines: h.engines,
+		HolderName: name, Host: name, Control: name, Lease: leaseClient{h.log, name}, Engines: h.engines, Quarantines: h.quarantines,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now, Election: electionSettings, StoreLoadsAtOnce: 4,
 	})
 	c.Update(h.fleet)
--- a/internal/controller/crashes.go
+++ b/internal/controller/crashes.go
@@ -26,6 +26,10 @@
 	changed      bool
 	nextDecision time.Time
 	published    *publishedQuarantine
+	// stored holds the ends of the quarantines that this controller has written.
+	stored       map[quarantine.Key]time.Time
+	writePending bool
+	nextWrite    time.Time
 }
 
 // publishedQuarantine is what gateways receive of a crashTable. It is immutable.
@@ -40,6 +44,7 @@
 	return crashTable{
 		attribution: quarantine.NewAttribution(quarantine.DefaultAttributionSettings()),
 		published:   &publishedQuarantine{},
+		stored:      make(map[quarantine.Key]time.Time),
 	}
 }
 
--- a/internal/controller/crashes_test.go
+++ b/internal/controller/crashes_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -74,3 +78,77 @@
 		synctest.Wait()
 	})
 }
+
+// quarantineStore is an in-memory fleet.QuarantineStore.
+type quarantineStore struct {
+	mu    sync.Mutex
+	down  bool
+	until map[uint64]time.Time
+	calls int
+}
+
+func (q *quarantineStore) List(context.Context) ([]fleet.QuarantineRecord, error) { return nil, nil }
+
+func (q *quarantineStore) Put(_ context.Context, record fleet.QuarantineRecord) error {
+	return q.change(func() { q.until[record.Key] = record.Until })
+}
+
+func (q *quarantineStore) Remove(_ context.Context, key uint64) error {
+	return q.change(func() { delete(q.until, key) })
+}
+
+func (q *quarantineStore) change(apply func()) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.calls++
+	if q.down {
+		return platform.ErrUnavailable
+	}
+	apply()
+	return nil
+}
+
+func (q *quarantineStore) setDown(down bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.down = down
+}
+
+func (q *quarantineStore) state() (until map[uint64]time.Time, calls int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return maps.Clone(q.until), q.calls
+}
+
+// Guards against quarantines that the store does not have, as after an outage, that
+// stay there once lifted, and against writes without end.
+func TestQuarantinesAreWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 3, 2)
+		store := &quarantineStore{down: true, until: make(map[uint64]time.Time)}
+		h.quarantines = store
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		report := func(params rpc.CrashesParams) {
+			_, err := c.ReportCrashes(ctx, params)
+			h.g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(2 * time.Second)
+		}
+		report(rpc.CrashesParams{Gateway: "g", Quarantined: []rpc.QuarantinedKey{{Key: deadlyPart, Remaining: state.Duration(time.Minute)}}})
+		until, _ := store.state()
+		h.g.Expect(until).To(BeEmpty())
+		store.setDown(false)
+		report(rpc.CrashesParams{Gateway: "h", Quarantined: []rpc.QuarantinedKey{{Key: deadlyPart, Remaining: state.Duration(59 * time.Second)}}})
+		until, calls := store.state()
+		h.g.Expect(until).To(HaveKey(uint64(deadlyPart)))
+		time.Sleep(10 * time.Second)
+		_, later := store.state()
+		h.g.Expect(later).To(Equal(calls))
+		report(rpc.CrashesParams{Gateway: "h", Sound: []rpc.SoundKey{{Key: deadlyPart}}})
+		until, _ = store.state()
+		h.g.Expect(until).To(BeEmpty())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -56,6 +56,7 @@
 		return
 	}
 	c.stepCrashes(now)
+	c.stepQuarantineStore(ctx, now)
 	c.syncRegistry(f, now)
 	c.syncEngines(f, now)
 	for _, e := range c.engines {
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -78,6 +78,25 @@
 	Write(ctx context.Context, record LeaseRecord, end state.Offset) error
 }
 
+// QuarantineRecord is a quarantine as the store keeps it.
+type QuarantineRecord struct {
+	// Key is the quarantine.Key.
+	Key uint64
+	// Until is the end of the quarantine by the time of day.
+	Until time.Time
+}
+
+// QuarantineStore keeps the quarantines that the controller has decided, for
+// gateways that start later. The errors wrap platform.ErrUnavailable or
+// platform.ErrUnknownOutcome. Each write may be repeated.
+type QuarantineStore interface {
+	// List returns all quarantines, also those that have ended. It leaves out
+	// invalid records.
+	List(ctx context.Context) ([]QuarantineRecord, error)
+	Put(ctx context.Context, record QuarantineRecord) error
+	Remove(ctx context.Context, key uint64) error
+}
+
 // OrderKind is the operation that an order requests from an upstream.
 type OrderKind uint8
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/quarantine"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -113,6 +115,26 @@
 	w.signal()
 }
 
+// load adds quarantines from the store. They have to be reported to the controller,
+// which may have started without them too.
+func (w *crashWatch) load(records []fleet.QuarantineRecord, now time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := maps.Clone(*w.until.Load())
+	loaded := 0
+	for _, r := range records {
+		key := quarantine.Key(r.Key)
+		if r.Until.After(now) && r.Until.After(next[key]) {
+			next[key] = r.Until
+			loaded++
+		}
+	}
+	w.until.Store(&next)
+	w.restored = 0
+	w.signal()
+	return loaded
+}
+
 // signal triggers a report.
 func (w *crashWatch) signal() {
 	select {
@@ -233,6 +255,22 @@
 	return list
 }
 
+// loadQuarantines reads the quarantines from the store once.
+func (g *Gateway) loadQuarantines(ctx context.Context) {
+	for {
+		records, err := g.opts.Quarantines.List(ctx)
+		if err == nil {
+			loaded := g.crashes.load(records, time.Now())
+			g.opts.Logger.Info("quarantines loaded", "records", len(records), "in_force", loaded)
+			return
+		}
+		g.opts.Logger.Warn("quarantines not loaded", "error", err)
+		if !ctxtime.Sleep(ctx, maxRetryDelay) {
+			return
+		}
+	}
+}
+
 // reportCrashes reports crashes and sound runs to the controller as they occur.
 func (g *Gateway) reportCrashes(ctx context.Context) {
 	ticker := time.NewTicker(soundReportInterval)
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/quarantine"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -93,3 +94,19 @@
 	_, ok = keys.last(1)
 	g.Expect(ok).To(BeFalse())
 }
+
+// Guards against quarantines that are lost when all processes end: a gateway has them
+// after its start, and reports them to a controller that has none.
+func TestLoadedQuarantinesAreReported(t *testing.T) {
+	g := NewWithT(t)
+	w, now := newCrashWatch(), time.Unix(1000, 0)
+	w.applyQuarantine(rpc.ResidencyResult{Term: 1}, now)
+	_, received := w.pending(now)
+	received()
+	records := []fleet.QuarantineRecord{{Key: uint64(part), Until: now.Add(time.Minute)}, {Key: uint64(otherPart), Until: now.Add(-time.Second)}}
+	g.Expect(w.load(records, now)).To(Equal(1))
+	g.Expect(w.quarantined(quarantine.Run{Parts: []quarantine.Key{part}}, now)).To(Equal(time.Minute))
+	g.Expect(w.quarantined(quarantine.Run{Parts: []quarantine.Key{otherPart}}, now)).To(BeZero())
+	params, _ := w.pending(now)
+	g.Expect(params.Quarantined).To(HaveLen(1))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,13 +31,15 @@
 	Control    string
 	DataCentre state.DataCentre
 	// RegionOf maps each data centre to its region.
-	RegionOf   map[state.DataCentre]state.Region
-	Manifests  fleet.Feed[fleet.Manifest]
-	Upstreams  fleet.Feed[fleet.Upstream]
-	Dialect    fleet.Dialect
-	Controller *controller.Controller
-	Caller     rpc.Caller
-	Logger     *slog.Logger
+	RegionOf  map[state.DataCentre]state.Region
+	Manifests fleet.Feed[fleet.Manifest]
+	Upstreams fleet.Feed[fleet.Upstream]
+	// Quarantines has the quarantines from before the start; nil has none.
+	Quarantines fleet.QuarantineStore
+	Dialect     fleet.Dialect
+	Controller  *controller.Controller
+	Caller      rpc.Caller
+	Logger      *slog.Logger
 	// Notices exchanges notices with the other gateways, which reach this one at
 	// NoticeAddress; nil disables notices.
 	Notices       *notices.Exchange
@@ -151,6 +153,9 @@
 	running.Go(func() { g.followResidency(background) })
 	running.Go(func() { g.reportDemand(background) })
 	running.Go(func() { g.reportCrashes(background) })
+	if g.opts.Quarantines != nil {
+		running.Go(func() { g.loadQuarantines(background) })
+	}
 	if g.opts.Notices != nil {
 		running.Go(func() {
 			g.opts.Notices.Run(background, notices.Handler{Sent: g.handleSent, Controller: g.handleAnnouncement})
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -29,8 +29,10 @@
 	Manifests fleet.Feed[fleet.Manifest]
 	Upstreams fleet.Feed[fleet.Upstream]
 	Lease     fleet.LeaseStore
-	Engines   fleet.EngineControl
-	Dialect   fleet.Dialect
+	// Quarantines keeps quarantines beyond the end of all processes.
+	Quarantines fleet.QuarantineStore
+	Engines     fleet.EngineControl
+	Dialect     fleet.Dialect
 	// ReadyPath is where the load balancer asks for readiness.
 	ReadyPath string
 }
@@ -59,13 +61,14 @@
 	name := fmt.Sprintf("%s/%d", cfg.Name, time.Now().UnixNano())
 	process.Logger.Info("gateway starts", "holder", name, "data_centre", cfg.DataCentre, "store", cfg.Store, "pid", os.Getpid())
 	leader := controller.New(controller.Options{
-		HolderName: name,
-		Host:       string(cfg.Host),
-		Control:    cfg.Listen.Control,
-		Lease:      on.Lease,
-		Engines:    on.Engines,
-		Logger:     process.Logger,
-		Now:        boottime.Now,
+		HolderName:  name,
+		Host:        string(cfg.Host),
+		Control:     cfg.Listen.Control,
+		Lease:       on.Lease,
+		Engines:     on.Engines,
+		Quarantines: on.Quarantines,
+		Logger:      process.Logger,
+		Now:         boottime.Now,
 		Election: election.Settings{
 			TTL: cfg.Lease.TTL.Std(), Renew: cfg.Lease.Renew.Std(), Margin: leaseMargin, Settle: cfg.Lease.Settle.Std(),
 		},
@@ -79,6 +82,7 @@
 		RegionOf:      regions(cfg.DataCentres),
 		Manifests:     on.Manifests,
 		Upstreams:     on.Upstreams,
+		Quarantines:   on.Quarantines,
 		Dialect:       on.Dialect,
 		Controller:    leader,
 		Caller:        client,
