gateway: a quarantine ends the attempts that it concerns

Cause: a quarantine held for the next send only. Change: an attempt whose response has not begun ends when its request is quarantined, with the verdict that it may have run (502). TestQuarantineEndsAttempts fails without the cancellation (504 at the deadline).

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -45,7 +45,9 @@
 	// lost holds the runs on upstreams whose crash is not confirmed yet.
 	lost    map[quarantine.CrashID][]quarantine.Run
 	reports []*crashReport
-	sound   recentKeys
+	// unanswered holds the attempts whose response has not begun.
+	unanswered map[*unansweredAttempt]bool
+	sound      recentKeys
 	// suspects holds the keys on which the controller needs reports, and when the
 	// last one was sent; zero before the first one.
 	suspects map[quarantine.Key]time.Time
@@ -54,6 +56,12 @@
 	term, restored state.FencingToken
 }
 
+// unansweredAttempt is an attempt that ends if its request is quarantined.
+type unansweredAttempt struct {
+	keys   quarantine.Run
+	cancel context.CancelFunc
+}
+
 // crashReport is a confirmed crash.
 type crashReport struct {
 	id   quarantine.CrashID
@@ -66,7 +74,7 @@
 func newCrashWatch() *crashWatch {
 	w := &crashWatch{
 		reportNow: make(chan struct{}, 1), lost: make(map[quarantine.CrashID][]quarantine.Run),
-		suspects: make(map[quarantine.Key]time.Time),
+		suspects: make(map[quarantine.Key]time.Time), unanswered: make(map[*unansweredAttempt]bool),
 	}
 	w.until.Store(&map[quarantine.Key]time.Time{})
 	return w
@@ -105,7 +113,7 @@
 			next[quarantine.Key(q.Key)] = now.Add(q.Remaining.Std())
 		}
 	}
-	w.until.Store(&next)
+	w.setQuarantines(next, now)
 	suspects := make(map[quarantine.Key]time.Time, len(result.Suspects))
 	for _, key := range result.Suspects {
 		suspects[quarantine.Key(key)] = w.suspects[quarantine.Key(key)]
@@ -115,6 +123,31 @@
 	w.signal()
 }
 
+// setQuarantines replaces the quarantines and ends the attempts that they concern:
+// the upstreams that have these requests would crash too.
+func (w *crashWatch) setQuarantines(until map[quarantine.Key]time.Time, now time.Time) {
+	w.until.Store(&until)
+	for a := range w.unanswered {
+		if w.quarantined(a.keys, now) > 0 {
+			a.cancel()
+		}
+	}
+}
+
+// cancelOnQuarantine calls cancel if a request is quarantined before the returned
+// function is called.
+func (w *crashWatch) cancelOnQuarantine(keys quarantine.Run, cancel context.CancelFunc) (stop func()) {
+	a := &unansweredAttempt{keys, cancel}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unanswered[a] = true
+	return sync.OnceFunc(func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.unanswered, a)
+	})
+}
+
 // load adds quarantines from the store. They have to be reported to the controller,
 // which may have started without them too.
 func (w *crashWatch) load(records []fleet.QuarantineRecord, now time.Time) int {
@@ -129,7 +162,7 @@
 			loaded++
 		}
 	}
-	w.until.Store(&next)
+	w.setQuarantines(next, now)
 	w.restored = 0
 	w.signal()
 	return loaded
@@ -318,6 +351,7 @@
 func (x *exchange) recordEvent(now time.Time) {
 	if x.firstWrite.IsZero() {
 		x.firstWrite = now
+		x.stopWatch()
 	}
 	if now.Sub(x.firstWrite) >= soundAfter {
 		x.markSound(now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -70,8 +70,22 @@
 	return verdict.Refuse(reason, ctx.Err().Error())
 }
 
-// attempt sends the request to one upstream and delivers its response.
+// attempt sends the request to one upstream and delivers its response. The attempt
+// ends early if the request is quarantined before the response begins.
 func (x *exchange) attempt(ctx context.Context, m *member) *verdict.Verdict {
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x.stopWatch = x.gateway.crashes.cancelOnQuarantine(x.keys, cancel)
+	defer x.stopWatch()
+	v := x.send(attemptCtx, m)
+	if v != nil && attemptCtx.Err() != nil && ctx.Err() == nil {
+		return verdict.Unknown(verdict.ReasonQuarantined, "quarantined while an upstream had the request")
+	}
+	return v
+}
+
+// send sends the request to one upstream and delivers its response.
+func (x *exchange) send(ctx context.Context, m *member) *verdict.Verdict {
 	g := x.gateway
 	x.startAttempt(m)
 	x.otherRunning = int(m.stats.running.Add(1)) - 1
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -68,6 +68,8 @@
 	// zero if it has not. sound means that an upstream has written an answer.
 	firstWrite time.Time
 	sound      bool
+	// stopWatch ends the watch for a quarantine during the current attempt.
+	stopWatch func()
 	// delivered means that part of a response has been written to the caller.
 	delivered bool
 	status    int
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -198,7 +198,7 @@
 
 // routes publishes a manifest and waits until it is in force. It has a path for
 // each kind of request, all routed to the service "plain" except /model/, which is
-// routed to the service "engines" that holds models.
+// routed to the service "engines" that holds models, and /patient/ to one of its own.
 func (s *system) routes(version fleet.Version) {
 	plain := []fleet.WeightedService{{Service: "plain", Weight: 1}}
 	route := func(path string, kind fleet.RouteKind, resumable bool) *fleet.Route {
@@ -209,11 +209,13 @@
 	}
 	model := route("/model/", fleet.Idempotent, false)
 	model.Services = []fleet.WeightedService{{Service: "engines", Weight: 1}}
+	patient := route("/patient/", fleet.AtMostOnce, false)
+	patient.Services = []fleet.WeightedService{{Service: "patient", Weight: 1}}
 	spec := fleet.ModelSpec{Name: "m", Size: 10, FromStore: 50 * time.Millisecond, FromDisk: 10 * time.Millisecond}
 	s.manifests.add("manifest", fleet.NewManifest(version, []*fleet.Route{
 		route("/once/", fleet.AtMostOnce, false), route("/any/", fleet.Idempotent, false),
-		route("/stream/", fleet.Stream, false), route("/resume/", fleet.Stream, true), model,
-	}, []*fleet.Service{{Name: "plain"}, {Name: "engines", Engine: &fleet.EngineSpec{
+		route("/stream/", fleet.Stream, false), route("/resume/", fleet.Stream, true), model, patient,
+	}, []*fleet.Service{{Name: "plain"}, {Name: "patient"}, {Name: "engines", Engine: &fleet.EngineSpec{
 		Slots: 4, Memory: 20, LoadsPerSecond: 10, Models: map[state.ModelName]fleet.ModelSpec{"m": spec},
 	}}}, 1000))
 	s.g.Eventually(s.gateway.Ready).WithTimeout(3 * time.Second).Should(BeTrue())
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -100,6 +100,34 @@
 	}
 }
 
+// Guards against crashes by requests that upstreams already have when a part of theirs
+// is quarantined: one of them waits in an upstream with others in front of it.
+func TestQuarantineEndsAttempts(t *testing.T) {
+	c := startCrashing(t, 6)
+	ended := make(chan struct{})
+	c.upstream("slow", "patient", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	})
+	answered := make(chan int, 1)
+	go func() {
+		var got response
+		for range 100 {
+			if got = c.send("/patient/1", "a,b,dead,1"); got.status != http.StatusServiceUnavailable {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		answered <- got.status
+	}()
+	for i := range 8 {
+		c.send(fmt.Sprintf("/once/%d", i), fmt.Sprintf("a,b,dead,%x", 1000+i))
+		time.Sleep(400 * time.Millisecond)
+	}
+	c.g.Eventually(ended).WithTimeout(3 * time.Second).Should(BeClosed())
+	c.g.Eventually(answered).WithTimeout(time.Second).Should(Receive(Equal(http.StatusBadGateway)))
+}
+
 // parts decodes the parts of a prompt, hexadecimal numbers.
 func parts(text string) (list []fleet.PromptPart) {
 	for id := range strings.SplitSeq(text, ",") {
