gateway, controller: keep the rate limits that upstreams name

Cause: no code read the limit, and six gateways send to each upstream: a gateway alone can't keep a limit for all. Change: the controller grants a permit for each request to an upstream with a limit, from one token bucket an upstream; a gateway requests it before each send, also of retries and resumed streams, waits until it is valid, and counts the expected wait as a cost of the upstream. If all upstreams of a request are beyond its time, it is refused at once with the time of the next permit. Gateways report limits and their ends; the controller publishes them with the residency, so that a gateway keeps a limit before it has seen it; a new controller receives them again. Why it works: one bucket counts what all gateways send.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -99,8 +99,15 @@
 	if ok && e.known && !listed.gone {
 		revision = max(revision, e.revision)
 	}
+	limit := c.limits[name]
+	if limit != nil && !listed.gone {
+		revision = max(revision, limit.revision)
+	}
 	if listed.published == nil || listed.published.revision != revision {
 		listed.published = newPublishedEntry(name, listed, e, revision)
+		if limit != nil {
+			listed.published.Limited, listed.published.PerSecond = limit.limit.Limited, limit.limit.PerSecond
+		}
 	}
 	return listed.published
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -108,6 +108,7 @@
 	demand       *demandTable
 	storeLimiter storeLoadLimiter
 	crashes      crashTable
+	limits       map[state.UpstreamName]*upstreamLimit
 }
 
 // Leader is the holder of the lease in this process's record. Both fields are
@@ -136,6 +137,7 @@
 
 		promises: make(promiseTable),
 		crashes:  newCrashTable(),
+		limits:   make(map[state.UpstreamName]*upstreamLimit),
 	}
 	c.publisher.init(opts.HolderName, opts.Now)
 	return c
--- /dev/null
+++ b/internal/controller/limits_test.go
@@ -0,0 +1,122 @@
+package controller_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// limitObserved returns the report of a limit of the upstream u0.
+func limitObserved(limited bool, perSecond float64) rpc.LimitObservation {
+	return rpc.LimitObservation{Upstream: "u0", Limited: limited, PerSecond: perSecond}
+}
+
+func requestPermit(ctx context.Context, h *harness, c *controller.Controller, gateway string, perSecond float64, maxWait time.Duration) rpc.PermitResult {
+	result, err := c.Permit(ctx, rpc.PermitParams{Gateway: gateway, Limit: limitObserved(true, perSecond), MaxWait: state.Duration(maxWait)})
+	h.g.Expect(err).NotTo(HaveOccurred())
+	return result
+}
+
+// Guards against issue 24, LIMIT: an upstream that names a limit for all gateways
+// together gets that number from each of them.
+func TestGatewaysShareTheLimitOfAnUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 3, 2)
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		const perSecond, seconds = 1.5, 40
+		var valid []time.Time
+		for range seconds * 10 {
+			for _, gateway := range []string{"g", "h", "i", "j", "k", "l"} {
+				now := time.Now()
+				if result := requestPermit(ctx, h, c, gateway, perSecond, 200*time.Millisecond); result.Granted {
+					valid = append(valid, now.Add(result.Delay.Std()))
+				} else {
+					h.g.Expect(result.Delay.Std()).To(BeNumerically(">", 200*time.Millisecond))
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		h.g.Expect(float64(len(valid))).To(BeNumerically("~", perSecond*seconds, 2), "the limit is used")
+		const window = 4 * time.Second
+		for i, first := range valid {
+			n := 0
+			for _, at := range valid[i:] {
+				if at.Sub(first) < window {
+					n++
+				}
+			}
+			h.g.Expect(float64(n)).To(BeNumerically("<=", perSecond*window.Seconds()+1))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against gateways that don't receive a limit or its end, and against an old
+// report that replaces a newer one.
+func TestLimitsArePublished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 1, 1)
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		published := func() (bool, float64) {
+			time.Sleep(100 * time.Millisecond)
+			result, err := c.Residency(ctx, rpc.ResidencyParams{Gateway: "g"})
+			h.g.Expect(err).NotTo(HaveOccurred())
+			h.g.Expect(result.Upstreams).To(HaveLen(1))
+			return result.Upstreams[0].Limited, result.Upstreams[0].PerSecond
+		}
+		report := func(o rpc.LimitObservation) {
+			_, err := c.ReportLimits(ctx, rpc.LimitsParams{Gateway: "g", Limits: []rpc.LimitObservation{o}})
+			h.g.Expect(err).NotTo(HaveOccurred())
+		}
+		report(limitObserved(false, 0))
+		limited, _ := published()
+		h.g.Expect(limited).To(BeFalse())
+		report(limitObserved(true, 2))
+		limited, perSecond := published()
+		h.g.Expect(limited).To(BeTrue())
+		h.g.Expect(perSecond).To(Equal(2.0))
+		old := limitObserved(false, 0)
+		old.Age = state.Duration(time.Minute)
+		report(old)
+		limited, _ = published()
+		h.g.Expect(limited).To(BeTrue())
+		report(limitObserved(false, 0))
+		limited, _ = published()
+		h.g.Expect(limited).To(BeFalse())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against an upstream that gets no request again after it has named zero: nobody
+// would receive that the limit has ended.
+func TestLimitOfZeroIsProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 1, 1)
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		granted := 0
+		for range 300 {
+			if requestPermit(ctx, h, c, "g", 0, 0).Granted {
+				granted++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		h.g.Expect(granted).To(BeNumerically("~", 3, 1))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -58,6 +58,7 @@
 	c.stepCrashes(now)
 	c.stepQuarantineStore(ctx, now)
 	c.syncRegistry(f, now)
+	c.dropLimits()
 	c.syncEngines(f, now)
 	for _, e := range c.engines {
 		if e.completeShortOrders(now) {
@@ -117,7 +118,7 @@
 	c.registry, c.syncedFleet = make(map[state.UpstreamName]*registryEntry), nil
 	c.storeLimiter = storeLoadLimiter{refilledAt: now}
 	c.promises, c.heldByPromises = make(promiseTable), false
-	c.crashes = newCrashTable()
+	c.crashes, c.limits = newCrashTable(), make(map[state.UpstreamName]*upstreamLimit)
 	c.opts.Logger.Info("controller acts", "acting", holds, "term", token)
 	if !holds {
 		c.publisher.publish(nil)
--- a/internal/decide/selection/selection.go
+++ b/internal/decide/selection/selection.go
@@ -58,6 +58,8 @@
 	// Cached is how many tokens of the prompt the replica is estimated to have
 	// cached.
 	Cached fleet.Tokens
+	// Delay is the expected time until the request may be sent to the replica.
+	Delay time.Duration
 	// Ejected replicas are chosen only if all are.
 	Ejected bool
 }
@@ -117,7 +119,7 @@
 // hasReserved that any candidate is reserved.
 func (c Config) cost(cand *Candidate, req Request, isReserved, isShared, hasReserved bool) time.Duration {
 	uncached := max(req.Prompt-cand.Cached, 0)
-	cost := time.Duration(uncached)*c.PrefillPerToken + cand.PendingPrefill + time.Duration(cand.Running)*c.PerRunningRequest
+	cost := cand.Delay + time.Duration(uncached)*c.PrefillPerToken + cand.PendingPrefill + time.Duration(cand.Running)*c.PerRunningRequest
 	long := req.Prompt >= c.LongPrompt
 	switch {
 	case !hasReserved:
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -41,10 +41,21 @@
 		if remaining := x.gateway.crashes.quarantined(x.keys, now); remaining > 0 {
 			return nil, verdict.Refuse(verdict.ReasonQuarantined, "the request has crashed upstreams before").WithRetryAfter(remaining)
 		}
-		if m := x.choose(v); m != nil {
-			return m, nil
-		}
 		limit := x.loadWaitDeadline(v)
+		m, permitAt := x.choose(v, limit)
+		if m != nil {
+			if x.awaitPermit(ctx, m, limit) {
+				return m, nil
+			}
+			if ctx.Err() != nil {
+				return nil, x.contextVerdict(ctx)
+			}
+			continue
+		}
+		if !permitAt.IsZero() {
+			x.gateway.demand.recordRefusal(x.call.Target)
+			return nil, verdict.Refuse(verdict.ReasonShed, "upstreams have reached their rate limits").WithRetryAfter(permitAt.Sub(now))
+		}
 		if !now.Before(limit) {
 			x.gateway.demand.recordRefusal(x.call.Target)
 			return nil, verdict.Refuse(verdict.ReasonNoReplica, "no upstream can take the request in time").WithRetryAfter(noReplicaRetryAfter)
@@ -109,16 +120,24 @@
 
 // choose returns the upstream with the lowest expected cost, or nil if none can
 // take the request. Ejected upstreams are used only if no other upstream holds the
-// target.
-func (x *exchange) choose(v *view) *member {
+// target. Upstreams with a rate limit are left out if a request could be sent there
+// only after the time latest; if there are no others, permitAt is the earliest time.
+func (x *exchange) choose(v *view, latest time.Time) (chosen *member, permitAt time.Time) {
 	now := time.Now()
 	members := v.service(x.service)
 	candidates := make([]selection.Candidate, 0, len(members))
-	chosen := make([]*member, 0, len(members))
+	list := make([]*member, 0, len(members))
 	for _, m := range members {
 		if !fleet.Holds(m.replicas, x.call.Target) || slices.Contains(x.excluded, m.upstream.Name) {
 			continue
 		}
+		delay := m.stats.permitDelay(now)
+		if at := now.Add(delay); delay > 0 && at.After(latest) {
+			if permitAt.IsZero() || at.Before(permitAt) {
+				permitAt = at
+			}
+			continue
+		}
 		candidates = append(candidates, selection.Candidate{
 			Hash:           m.hash,
 			Locality:       m.locality,
@@ -126,14 +145,15 @@
 			PendingPrefill: m.stats.pendingPrefill(now),
 			Cached:         x.gateway.sentPrompts.cachedTokens(m.stats.index, x.prompt, x.call.Parts),
 			Ejected:        m.stats.ejected(now),
+			Delay:          delay,
 		})
-		chosen = append(chosen, m)
+		list = append(list, m)
 	}
 	longPrompts := x.gateway.longPrompts.record(x.call.Model, x.call.Prompt, now)
 	i := x.gateway.selection.Select(candidates, x.prompt.selectionRequest(&x.call, longPrompts))
 	if i < 0 {
-		return nil
+		return nil, permitAt
 	}
 	x.uncachedTokens = max(x.call.Prompt-candidates[i].Cached, 0)
-	return chosen[i]
+	return list[i], time.Time{}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -127,11 +127,13 @@
 // sendTo sends the request to an upstream, and records the rate limit of the answer.
 func (x *exchange) sendTo(ctx context.Context, m *member, lastEvent string) (*forward.Response, error) {
 	g := x.gateway
+	sentAt := time.Now()
 	resp, err := g.forward.Send(ctx, m.upstream, x.request(m, lastEvent))
 	if err != nil {
 		return nil, err
 	}
-	if limit := resp.Info.Limit; m.stats.recordLimit(limit) {
+	if limit := resp.Info.Limit; m.stats.recordLimit(limit, sentAt) {
+		g.limitReports.add(m)
 		g.opts.Logger.Info("upstream names a rate limit", "request", x.call.ID, "upstream", m.upstream.Name,
 			"limited", limit.Limited, "per_second", limit.PerSecond)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,7 @@
 	lastStoreRead atomic.Pointer[time.Time]
 	relayed       relayedFeeds
 	crashes       *crashWatch
+	limitReports  *limitReports
 
 	budgets budgets
 }
@@ -130,7 +131,9 @@
 		events:      make(chan tableEvent, eventBuffer),
 		demand:      newDemand(),
 		crashes:     newCrashWatch(),
-		budgets:     budgets{byService: make(map[state.ServiceName]*retry.Budget)},
+
+		limitReports: newLimitReports(),
+		budgets:      budgets{byService: make(map[state.ServiceName]*retry.Budget)},
 	}
 	g.abortCtx, g.abortOpen = context.WithCancel(context.Background())
 	g.lastStoreRead.Store(new(time.Time))
@@ -153,6 +156,7 @@
 	running.Go(func() { g.followResidency(background) })
 	running.Go(func() { g.reportDemand(background) })
 	running.Go(func() { g.reportCrashes(background) })
+	running.Go(func() { g.reportLimits(background) })
 	if g.opts.Quarantines != nil {
 		running.Go(func() { g.loadQuarantines(background) })
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -132,7 +133,11 @@
 }
 
 func (dialect) ParseAnswer(_ int, h http.Header) fleet.AnswerInfo {
-	return fleet.AnswerInfo{ID: h.Get("Id"), Sealed: h.Get("Mark") != "", NotRun: h.Get("Not-Run") != ""}
+	rate, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	return fleet.AnswerInfo{
+		ID: h.Get("Id"), Sealed: h.Get("Mark") != "", NotRun: h.Get("Not-Run") != "",
+		Limit: fleet.RateLimit{Limited: err == nil, PerSecond: rate},
+	}
 }
 
 // system is a gateway with in-memory replacements for its dependencies.
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+const (
+	// permitTimeout bounds the request for a permit.
+	permitTimeout = 300 * time.Millisecond
+	// permitRetryDelay is how long an upstream with a limit is not used after the
+	// request for a permit failed.
+	permitRetryDelay = 300 * time.Millisecond
+	// permitCost is the expected time to request a permit.
+	permitCost = 30 * time.Millisecond
+)
+
+// recordLimit records the rate limit of the answer to a request sent at a time. That
+// an answer names none counts only if its request was sent after the last one with a
+// limit: answers overtake each other. It reports whether the limit has changed.
+func (s *upstreamStats) recordLimit(limit fleet.RateLimit, sentAt time.Time) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !limit.Limited && !sentAt.After(s.limitAt) {
+		return false
+	}
+	changed = s.limit != limit
+	s.limit = limit
+	if limit.Limited {
+		s.limitAt = sentAt
+	}
+	return changed
+}
+
+// applyLimit applies a change of the limit that another gateway has observed.
+func (s *upstreamStats) applyLimit(limit fleet.RateLimit, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.limitAt = limit, now
+}
+
+// rateLimit returns the limit of the upstream, and when it was observed.
+func (s *upstreamStats) rateLimit() (fleet.RateLimit, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit, s.limitAt
+}
+
+// permitDelay returns the expected time until a request may be sent to the upstream;
+// zero without a limit.
+func (s *upstreamStats) permitDelay(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.limit.Limited {
+		return 0
+	}
+	return permitCost + max(s.permitsFrom.Sub(now), 0)
+}
+
+func (s *upstreamStats) setPermitsFrom(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.permitsFrom = at
+}
+
+// observation returns the upstream's limit as it is reported to the controller.
+func (m *member) observation(now time.Time) rpc.LimitObservation {
+	limit, at := m.stats.rateLimit()
+	return rpc.LimitObservation{
+		Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli(), Limited: limit.Limited, PerSecond: limit.PerSecond,
+		Age: state.Duration(now.Sub(at)),
+	}
+}
+
+// awaitPermit waits until a request may be sent to an upstream. It returns false if
+// that would be after the given time or no permit could be requested; the upstream's
+// expected delay is then up to date.
+func (x *exchange) awaitPermit(ctx context.Context, m *member, latest time.Time) bool {
+	if limit, _ := m.stats.rateLimit(); !limit.Limited {
+		return true
+	}
+	g := x.gateway
+	now := time.Now()
+	result, err := g.requestPermit(ctx, m, now, latest.Sub(now))
+	now = time.Now()
+	if err != nil {
+		g.opts.Logger.Warn("permit not received", "request", x.call.ID, "upstream", m.upstream.Name, "error", err)
+		m.stats.setPermitsFrom(now.Add(permitRetryDelay))
+		return false
+	}
+	m.stats.setPermitsFrom(now.Add(result.Delay.Std()))
+	return result.Granted && ctxtime.Sleep(ctx, result.Delay.Std())
+}
+
+func (g *Gateway) requestPermit(ctx context.Context, m *member, now time.Time, maxWait time.Duration) (rpc.PermitResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	params := rpc.PermitParams{Gateway: g.opts.Name, Limit: m.observation(now), MaxWait: state.Duration(max(maxWait, 0))}
+	return callLeader(ctx, g, g.opts.Controller.Leader(), rpc.MethodPermit, params, g.opts.Controller.Permit)
+}
+
+// limitReports holds the upstreams whose limits have to be reported to the
+// controller. Its methods may be called from any goroutine.
+type limitReports struct {
+	reportNow chan struct{}
+
+	mu      sync.Mutex
+	pending map[state.UpstreamName]*member
+}
+
+func newLimitReports() *limitReports {
+	return &limitReports{reportNow: make(chan struct{}, 1), pending: make(map[state.UpstreamName]*member)}
+}
+
+func (r *limitReports) add(m *member) {
+	r.mu.Lock()
+	r.pending[m.upstream.Name] = m
+	r.mu.Unlock()
+	select {
+	case r.reportNow <- struct{}{}:
+	default:
+	}
+}
+
+// take removes and returns the pending reports.
+func (r *limitReports) take() []*member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*member, 0, len(r.pending))
+	for _, m := range r.pending {
+		list = append(list, m)
+	}
+	clear(r.pending)
+	return list
+}
+
+// reportLimits reports changes of rate limits to the controller.
+func (g *Gateway) reportLimits(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.limitReports.reportNow:
+		}
+		members := g.limitReports.take()
+		if len(members) == 0 {
+			continue
+		}
+		if err := g.sendLimits(ctx, members); err != nil {
+			g.opts.Logger.Warn("rate limits not reported", "upstreams", len(members), "error", err)
+			ctxtime.Sleep(ctx, callRetryDelay)
+			for _, m := range members {
+				g.limitReports.add(m)
+			}
+		}
+	}
+}
+
+func (g *Gateway) sendLimits(ctx context.Context, members []*member) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	params := rpc.LimitsParams{Gateway: g.opts.Name}
+	now := time.Now()
+	for _, m := range members {
+		params.Limits = append(params.Limits, m.observation(now))
+	}
+	_, err := callLeader(ctx, g, g.opts.Controller.Leader(), rpc.MethodLimits, params, g.opts.Controller.ReportLimits)
+	return err
+}
+
+// repeatLimits reports all known limits, as a new controller has none.
+func (g *Gateway) repeatLimits() {
+	for _, m := range g.view.Load().byName {
+		if limit, _ := m.stats.rateLimit(); limit.Limited {
+			g.limitReports.add(m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,99 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against an upstream that gets more requests than the limit that it names, and
+// against a limit of which only a part is used.
+func TestLimitOfAnUpstreamIsKept(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	const perSecond, seconds = 5, 3
+	var received atomic.Int32
+	s.upstream("limited", "plain", func(w http.ResponseWriter, _ *http.Request) {
+		received.Add(1)
+		w.Header().Set("Limit", strconv.Itoa(perSecond))
+	})
+	s.await("/any/0", http.StatusOK)
+	before := received.Load()
+	var requests sync.WaitGroup
+	for range 30 * seconds {
+		requests.Go(func() { s.request(context.Background(), "/any/1", http.Header{"Patience": {"1s"}}) })
+		time.Sleep(time.Second / 30)
+	}
+	requests.Wait()
+	s.g.Expect(received.Load() - before).To(And(BeNumerically("<=", perSecond*(seconds+1)+1), BeNumerically(">=", perSecond*(seconds-1))))
+}
+
+// Guards against requests that are refused although an upstream without a limit takes
+// them.
+func TestOtherUpstreamsServeBesideALimit(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	var limited, other atomic.Int32
+	s.upstream("limited", "plain", func(w http.ResponseWriter, _ *http.Request) {
+		limited.Add(1)
+		w.Header().Set("Limit", "0.2")
+	})
+	s.await("/any/0", http.StatusOK)
+	s.upstream("other", "plain", func(http.ResponseWriter, *http.Request) {
+		other.Add(1)
+		time.Sleep(50 * time.Millisecond)
+	})
+	s.g.Eventually(func() int32 {
+		s.request(context.Background(), "/any/0", nil)
+		return other.Load()
+	}).WithTimeout(5 * time.Second).Should(BeNumerically(">=", 1))
+	before := limited.Load()
+	var requests sync.WaitGroup
+	for range 60 {
+		requests.Go(func() { s.g.Expect(s.request(context.Background(), "/any/1", nil).status).To(Equal(http.StatusOK)) })
+		time.Sleep(10 * time.Millisecond)
+	}
+	requests.Wait()
+	s.g.Expect(limited.Load() - before).To(BeNumerically("<=", 2))
+}
+
+// Guards against requests that wait until their deadline for an upstream that can't take
+// them in time, and against a limit that is kept after its end.
+func TestRequestsBeyondTheLimitAreRefused(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	var ended atomic.Bool
+	s.upstream("limited", "plain", func(w http.ResponseWriter, _ *http.Request) {
+		if !ended.Load() {
+			w.Header().Set("Limit", "0.5")
+		}
+	})
+	s.await("/any/0", http.StatusOK)
+	header := func() http.Header { return http.Header{"Patience": {"1s"}} }
+	refused := 0
+	for range 5 {
+		began := time.Now()
+		got := s.request(context.Background(), "/any/1", header())
+		if got.status != http.StatusServiceUnavailable {
+			continue
+		}
+		refused++
+		s.g.Expect(time.Since(began)).To(BeNumerically("<", 900*time.Millisecond))
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(seconds).To(And(BeNumerically(">", 0.2), BeNumerically("<=", 2.1)))
+	}
+	s.g.Expect(refused).To(BeNumerically(">=", 3))
+	ended.Store(true)
+	s.g.Eventually(func() int { return s.request(context.Background(), "/any/2", header()).status }).
+		WithTimeout(5 * time.Second).Should(Equal(http.StatusOK))
+	for range 10 {
+		s.g.Expect(s.request(context.Background(), "/any/3", header()).status).To(Equal(http.StatusOK))
+	}
+}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -69,6 +69,9 @@
 		}
 		g.applyRelayed(result, newTerm)
 	}
+	if newTerm {
+		g.repeatLimits()
+	}
 	if newTerm || result.PeersRevision != params.PeersRevision {
 		g.setPeers(result.Peers)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,6 +36,8 @@
 		rpc.MethodResidency: rpc.Method(g.opts.Controller.Residency),
 		rpc.MethodWanted:    rpc.Method(g.opts.Controller.ReportDemand),
 		rpc.MethodCrashes:   rpc.Method(g.opts.Controller.ReportCrashes),
+		rpc.MethodLimits:    rpc.Method(g.opts.Controller.ReportLimits),
+		rpc.MethodPermit:    rpc.Method(g.opts.Controller.Permit),
 	})
 	failed := make(chan error, 3)
 	var running sync.WaitGroup
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -123,11 +123,25 @@
 	}
 	t.term, t.revision, t.residencyAt = r.Term, r.Revision, now
 	for _, u := range r.Upstreams {
+		t.applyReportedLimit(u, now)
 		t.residency[u.Upstream] = u
 	}
 	return changed
 }
 
+// applyReportedLimit applies a rate limit if it differs from the last one that the
+// controller reported.
+func (t *tables) applyReportedLimit(u rpc.UpstreamResidency, now time.Time) {
+	row, ok := t.upstreams[u.Upstream]
+	last := t.residency[u.Upstream]
+	if !ok || u.Started != row.upstream.Started.UnixMilli() {
+		return
+	}
+	if u.Limited != last.Limited || u.PerSecond != last.PerSecond {
+		row.stats.applyLimit(fleet.RateLimit{Limited: u.Limited, PerSecond: u.PerSecond}, now)
+	}
+}
+
 // replicas returns what an upstream holds: as reported by the controller if that
 // report is recent and about this start of the upstream, and otherwise as in the
 // upstream's own entry.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -48,8 +48,13 @@
 	health health.Record
 	// othersBacklog is the prefill work sent by other gateways.
 	othersBacklog selection.Backlog
-	// limit is the rate limit that the upstream named in its last answer.
-	limit fleet.RateLimit
+	// limit is the rate limit that the upstream names, and limitAt when the request
+	// was sent whose answer named it.
+	limit   fleet.RateLimit
+	limitAt time.Time
+	// permitsFrom is when the next permit to send a request is expected to become
+	// valid.
+	permitsFrom time.Time
 }
 
 // pendingPrefill returns the expected time until the upstream has prefilled the
@@ -86,13 +91,3 @@
 
 // service returns the upstreams of a service.
 func (v *view) service(name state.ServiceName) []*member { return v.byService[name] }
-
-// recordLimit records the rate limit of an answer. It reports whether it differs from
-// the one before.
-func (s *upstreamStats) recordLimit(limit fleet.RateLimit) (changed bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	changed = s.limit != limit
-	s.limit = limit
-	return changed
-}
