gateway: a part of an upstream's limit while the controller is lost

What callers saw: requests to upstreams with limits were sent to nobody for the 3 to 4 s without a controller. Change: after a failure, a gateway asks again after 300 ms, and meanwhile grants permits from its own part: the limit divided by the number of gateways, beginning without any. Tests: TestOwnPermitsStayWithinTheLimit, TestPermitsAreNotRequestedAgainAtOnce.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -14,9 +16,11 @@
 const (
 	// permitTimeout bounds the request for a permit.
 	permitTimeout = 300 * time.Millisecond
-	// permitRetryDelay is how long an upstream with a limit is not used after the
-	// request for a permit failed.
+	// permitRetryDelay is the delay before the next request for a permit of an
+	// upstream after one failed.
 	permitRetryDelay = 300 * time.Millisecond
+	// minLimit is the lowest limit, in requests per second, of which a part is used.
+	minLimit = 0.1
 	// permitCost is the expected time to request a permit.
 	permitCost = 30 * time.Millisecond
 )
@@ -79,23 +83,69 @@
 }
 
 // awaitPermit waits until a request may be sent to an upstream. It returns false if
-// that would be after the given time or no permit could be requested; the upstream's
-// expected delay is then up to date.
+// that would be after the given time; the upstream's expected delay is then up to date.
 func (x *exchange) awaitPermit(ctx context.Context, m *member, latest time.Time) bool {
 	if limit, _ := m.stats.rateLimit(); !limit.Limited {
 		return true
 	}
-	g := x.gateway
 	now := time.Now()
-	result, err := g.requestPermit(ctx, m, now, latest.Sub(now))
+	result := x.gateway.permit(ctx, m, now, max(latest.Sub(now), 0))
+	m.stats.setPermitsFrom(time.Now().Add(result.Delay.Std()))
+	return result.Granted && ctxtime.Sleep(ctx, result.Delay.Std())
+}
+
+// permit requests a permit from the controller. While it can't be reached, the gateway
+// uses its part of the limit.
+func (g *Gateway) permit(ctx context.Context, m *member, now time.Time, maxWait time.Duration) rpc.PermitResult {
+	gateways := max(float64(g.gatewayCount.Load()), minGateways)
+	if m.stats.isControllerLost(now) {
+		return m.stats.ownPermit(now, gateways, maxWait)
+	}
+	result, err := g.requestPermit(ctx, m, now, maxWait)
 	now = time.Now()
-	if err != nil {
-		g.opts.Logger.Warn("permit not received", "request", x.call.ID, "upstream", m.upstream.Name, "error", err)
-		m.stats.setPermitsFrom(now.Add(permitRetryDelay))
-		return false
+	if err == nil {
+		m.stats.endOwnPermits()
+		return result
 	}
-	m.stats.setPermitsFrom(now.Add(result.Delay.Std()))
-	return result.Granted && ctxtime.Sleep(ctx, result.Delay.Std())
+	g.opts.Logger.Warn("permit not received", "upstream", m.upstream.Name, "error", err)
+	m.stats.setControllerLost(now)
+	return m.stats.ownPermit(now, gateways, maxWait)
+}
+
+// isControllerLost reports whether the last request for a permit failed recently.
+func (s *upstreamStats) isControllerLost(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.controllerLostUntil)
+}
+
+func (s *upstreamStats) setControllerLost(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.controllerLostUntil = now.Add(permitRetryDelay)
+}
+
+// ownPermit grants a permit from this gateway's part of the limit. The part begins
+// without a permit, since the controller has granted all until now.
+func (s *upstreamStats) ownPermit(now time.Time, gateways float64, maxWait time.Duration) rpc.PermitResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ownPermits == nil {
+		s.ownPermits = rate.NewLimiter(rate.Limit(max(s.limit.PerSecond, minLimit)/gateways), 1)
+		s.ownPermits.AllowN(now, 1)
+	}
+	permit := s.ownPermits.ReserveN(now, 1)
+	delay := permit.DelayFrom(now)
+	if delay > maxWait {
+		permit.CancelAt(now)
+	}
+	return rpc.PermitResult{Granted: delay <= maxWait, Delay: state.Duration(delay)}
+}
+
+func (s *upstreamStats) endOwnPermits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ownPermits = nil
 }
 
 func (g *Gateway) requestPermit(ctx context.Context, m *member, now time.Time, maxWait time.Duration) (rpc.PermitResult, error) {
--- a/internal/gateway/limitstats_test.go
+++ b/internal/gateway/limitstats_test.go
@@ -24,3 +24,36 @@
 	g.Expect(s.recordLimit(fleet.RateLimit{}, now.Add(3*time.Second))).To(BeTrue())
 	g.Expect(s.permitDelay(now)).To(BeZero())
 }
+
+// Guards against an upstream with a limit that gets no requests while the controller is
+// lost, and against gateways that together send more than the limit then.
+func TestOwnPermitsStayWithinTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	const gateways, perSecond, seconds = 6, 3, 20
+	start := time.Unix(1000, 0)
+	granted := 0
+	for range gateways {
+		var s upstreamStats
+		s.recordLimit(fleet.RateLimit{Limited: true, PerSecond: perSecond}, start)
+		for i := range 10 * seconds {
+			if s.ownPermit(start.Add(time.Duration(i)*100*time.Millisecond), gateways, 0).Granted {
+				granted++
+			}
+		}
+		later := s.ownPermit(start.Add(seconds*time.Second), gateways, time.Minute)
+		g.Expect(later.Granted).To(BeTrue())
+		g.Expect(later.Delay.Std()).To(BeNumerically("<=", gateways*time.Second/perSecond))
+	}
+	g.Expect(granted).To(And(BeNumerically("<=", perSecond*seconds), BeNumerically(">=", perSecond*(seconds-3))))
+}
+
+// Guards against a loop of requests for permits while the controller is lost.
+func TestPermitsAreNotRequestedAgainAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	var s upstreamStats
+	now := time.Unix(1000, 0)
+	g.Expect(s.isControllerLost(now)).To(BeFalse())
+	s.setControllerLost(now)
+	g.Expect(s.isControllerLost(now.Add(permitRetryDelay - time.Millisecond))).To(BeTrue())
+	g.Expect(s.isControllerLost(now.Add(permitRetryDelay))).To(BeFalse())
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/health"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
@@ -55,6 +57,11 @@
 	// permitsFrom is when the next permit to send a request is expected to become
 	// valid.
 	permitsFrom time.Time
+	// controllerLostUntil is until when permits are not requested from the
+	// controller, and ownPermits grants this gateway's part meanwhile; nil if the
+	// controller grants them.
+	controllerLostUntil time.Time
+	ownPermits          *rate.Limiter
 }
 
 // pendingPrefill returns the expected time until the upstream has prefilled the
