residency: no load of an adapter during its unload

Cause: an adapter in demand again while its unload waited for its last requests was ordered anew; a report from before that load then completed the unload, and the controller counted an adapter too few. Change: an upstream whose unload of an adapter is pending gets no load of it. TestAdapterIsNotLoadedDuringItsUnload fails without the change.

--- a/internal/decide/residency/adapters.go
+++ b/internal/decide/residency/adapters.go
@@ -85,6 +85,10 @@
 		if p.unavailable[u.Name] || len(u.PendingAdapters) >= MaxAdapterOrders || !holds(u, t.Model) {
 			continue
 		}
+		if isUnloadingAdapter(u, t) {
+			// A report could not tell the end of the unload from the load.
+			continue
+		}
 		o, ok := p.adapterOption(u, spec)
 		if ok && (!found || o.cost < best.cost) {
 			best, found = o, true
--- a/internal/decide/residency/pressure_test.go
+++ b/internal/decide/residency/pressure_test.go
@@ -198,3 +198,22 @@
 		})
 	}
 }
+
+// Guards against more adapters than an engine has places for, which ends its process
+// (hunted days of sacola-valve-grown and sacola-valve): an adapter that was in demand
+// again while its unload waited for its last requests was loaded again at once. A report
+// from before the load then showed the unload complete, and the controller counted an
+// adapter too few.
+func TestAdapterIsNotLoadedDuringItsUnload(t *testing.T) {
+	g := NewWithT(t)
+	adapter := fleet.Target{Model: "m0", Adapter: "a1"}
+	in := residency.Input{
+		Engine: engine(1), Upstreams: upstreams([]state.ModelName{"m0"}),
+		Demand: map[fleet.Target]residency.Demand{model("m0"): {Rate: 1}, adapter: {Waiting: 1, Rate: 1}},
+	}
+	in.Upstreams[0].Replicas[0].Adapters = []state.AdapterName{"a1"}
+	in.Upstreams[0].PendingAdapters = []fleet.Order{{Kind: fleet.Unload, Target: adapter}}
+	g.Expect(residency.Plan(in)).To(BeEmpty())
+	in.Upstreams[0].Replicas[0].Adapters, in.Upstreams[0].PendingAdapters = nil, nil
+	g.Expect(residency.Plan(in)).To(HaveLen(1), "after the unload")
+}
