controller: a crashed engine holds nothing until it restarts

Models that only it had were loaded elsewhere as late. Cause: each gateway found a crash out by itself, and the controller took the engine's models to be there. Change: a gateway that can't connect to an upstream tests it as after lost connections, and reports a crash without requests; the controller takes the engine to be empty from the report on, for at most 8 s or until the registry shows the restart. TestModelsOfCrashedEngineAreLoadedElsewhere fails without it.

--- a/internal/controller/crashes.go
+++ b/internal/controller/crashes.go
@@ -71,10 +71,22 @@
 	for _, crash := range params.Crashes {
 		id := quarantine.CrashID{Upstream: crash.Upstream, Started: crash.Started}
 		t.attribution.RecordCrash(id, now.Add(-crash.Age.Std()), now, runsOf(crash.Runs))
+		c.recordEngineCrash(crash, now)
 		c.opts.Logger.Info("crash reported", "upstream", crash.Upstream, "gateway", params.Gateway, "age", crash.Age.Std(), "runs", len(crash.Runs))
 	}
 }
 
+// recordEngineCrash records that a model engine has lost all that it held, so that its
+// models are loaded elsewhere before the registry shows the crash.
+func (c *Controller) recordEngineCrash(crash rpc.CrashReport, now time.Time) {
+	e, ok := c.engines[crash.Upstream]
+	if !ok || e.upstream.Started.UnixMilli() != crash.Started || !e.crashedAt.IsZero() || crash.Age.Std() > maxCrashAge {
+		return
+	}
+	e.crash(now)
+	c.markChanged(e, now)
+}
+
 func runsOf(lost []rpc.LostRun) []quarantine.Run {
 	runs := make([]quarantine.Run, len(lost))
 	for i, r := range lost {
--- a/internal/controller/crashes_test.go
+++ b/internal/controller/crashes_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/controller"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -152,3 +153,42 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against requests that are sent to a crashed engine, and models that nobody
+// serves, until the registry shows the crash seconds later.
+func TestModelsOfCrashedEngineAreLoadedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 2, 1)
+		h.engines.all["u0"].replicas = []fleet.Replica{{Model: "m0"}}
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		started := h.fleet.Upstreams[0].Started.UnixMilli()
+		_, err := c.ReportCrashes(ctx, rpc.CrashesParams{Gateway: "g", Crashes: []rpc.CrashReport{{Upstream: "u0", Started: started}}})
+		h.g.Expect(err).NotTo(HaveOccurred())
+		h.reportDemand(c, 0)
+		time.Sleep(500 * time.Millisecond)
+		result, err := c.Residency(ctx, rpc.ResidencyParams{Gateway: "g"})
+		h.g.Expect(err).NotTo(HaveOccurred())
+		for _, u := range result.Upstreams {
+			h.g.Expect(u.Known).To(BeTrue())
+			h.g.Expect(u.Replicas).To(BeEmpty(), string(u.Upstream))
+		}
+		h.g.Expect(h.engines.sent).To(HaveLen(1))
+		h.g.Expect(h.engines.sent[0].upstream).To(Equal(state.UpstreamName("u1")))
+
+		restarted := *h.fleet.Upstreams[0]
+		restarted.Started = restarted.Started.Add(time.Hour)
+		c.Update(&controller.Fleet{Manifest: h.fleet.Manifest, Upstreams: []*fleet.Upstream{&restarted, h.fleet.Upstreams[1]}})
+		time.Sleep(time.Second)
+		result, err = c.Residency(ctx, rpc.ResidencyParams{Gateway: "h"})
+		h.g.Expect(err).NotTo(HaveOccurred())
+		for _, u := range result.Upstreams {
+			if u.Upstream == "u0" {
+				h.g.Expect(u.Replicas).To(HaveLen(1), "the engine is asked again after its restart")
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/controller/engine.go
+++ b/internal/controller/engine.go
@@ -31,6 +31,11 @@
 	// reservationTTL is how long memory stays reserved for a model after an
 	// unload.
 	reservationTTL = 3 * time.Second
+	// maxRestart is how long a crashed engine is taken to hold nothing unless the
+	// registry shows that it has restarted.
+	maxRestart = 8 * time.Second
+	// maxCrashAge is how old the report of a crash may be to change the engine's state.
+	maxCrashAge = 3 * time.Second
 	// registryMismatchGrace is how long after a change the registry may differ
 	// from the controller's state before the controller polls the engine.
 	registryMismatchGrace = 4 * time.Second
@@ -57,6 +62,9 @@
 	reservedAt    time.Time
 	polling       bool
 	nextPoll      time.Time
+	// crashedAt is when the engine crashed; zero if it has not, or has restarted
+	// since. It holds nothing and takes no orders.
+	crashedAt time.Time
 	// changedAt is when replicas last changed, and revision the number of that
 	// change among the changes of all engines.
 	changedAt time.Time
@@ -78,7 +86,12 @@
 // takesOrders reports whether an order may be sent now: the number of accepted
 // orders is certain only while no other order's outcome is open.
 func (e *engine) takesOrders() bool {
-	return e.known && e.conflictAt.IsZero() && e.orders.unresolved() == nil
+	return e.known && e.crashedAt.IsZero() && e.conflictAt.IsZero() && e.orders.unresolved() == nil
+}
+
+// crash records that the engine has crashed, which ends its orders and empties it.
+func (e *engine) crash(now time.Time) {
+	*e = engine{upstream: e.upstream, known: true, replicas: []fleet.Replica{}, onDisk: e.onDisk, crashedAt: now, revision: e.revision, polling: e.polling}
 }
 
 // knownReplicas returns the replicas on the engine as last known, from the
@@ -141,6 +154,10 @@
 // applyReport applies an engine's report, which may be older than the last
 // orders. It reports whether the replicas that the engine serves may have changed.
 func (e *engine) applyReport(r fleet.EngineReport, now time.Time) bool {
+	if !e.crashedAt.IsZero() {
+		// The report is from before the crash.
+		return false
+	}
 	e.nextPoll = now.Add(pollInterval)
 	e.resolve(r, now)
 	changed := e.completeReported(r, now)
@@ -241,6 +258,13 @@
 	if e.polling || now.Before(e.nextPoll) {
 		return false
 	}
+	if !e.crashedAt.IsZero() {
+		if now.Sub(e.crashedAt) < maxRestart {
+			return false
+		}
+		// The registry does not show the restart of every upstream.
+		e.known, e.crashedAt = false, time.Time{}
+	}
 	if !e.known || !e.conflictAt.IsZero() {
 		return true
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,9 @@
 	// crashSettle is how long the loss of a connection to an upstream waits for
 	// others to it, so that one report has the requests of all.
 	crashSettle = 60 * time.Millisecond
+	// crashTestInterval is the shortest time between two tests of an upstream that
+	// accepts no connections.
+	crashTestInterval = 2 * time.Second
 	// crashReportTTL is how long a gateway repeats a crash to new controllers.
 	crashReportTTL = time.Minute
 	// maxCrashReports bounds the crashes that are kept for that.
@@ -176,14 +180,25 @@
 	}
 }
 
-// recordLost records a run that ended with its connection. It reports whether it is
-// the first one on this start of the upstream.
-func (w *crashWatch) recordLost(id quarantine.CrashID, run quarantine.Run) (first bool) {
+// recordLost records runs that ended with their connections, or none if no connection
+// could be established. It reports whether the upstream has to be tested: it is not
+// being tested, and there are runs or no recent report of its crash.
+func (w *crashWatch) recordLost(id quarantine.CrashID, now time.Time, runs ...quarantine.Run) (test bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, known := w.lost[id]
-	w.lost[id] = append(w.lost[id], run)
-	return !known
+	_, testing := w.lost[id]
+	if len(runs) == 0 && (testing || w.reportedLately(id, now)) {
+		return false
+	}
+	w.lost[id] = append(w.lost[id], runs...)
+	return !testing
+}
+
+// reportedLately reports whether a crash was confirmed within crashTestInterval.
+func (w *crashWatch) reportedLately(id quarantine.CrashID, now time.Time) bool {
+	return slices.ContainsFunc(w.reports, func(r *crashReport) bool {
+		return r.id == id && now.Sub(r.at) < crashTestInterval
+	})
 }
 
 // settle ends the observation of an upstream: its lost runs are reported if it has
@@ -380,10 +395,22 @@
 	if !lost || ctx.Err() != nil || x.sound {
 		return
 	}
-	g := x.gateway
+	x.gateway.testForCrash(m, x.keys)
+}
+
+// recordNoConnection records that no connection to an upstream could be established.
+func (x *exchange) recordNoConnection(ctx context.Context, m *member) {
+	if ctx.Err() == nil {
+		x.gateway.testForCrash(m)
+	}
+}
+
+// testForCrash finds out whether an upstream has crashed, with the runs that it had.
+func (g *Gateway) testForCrash(m *member, lost ...quarantine.Run) {
+	now := time.Now()
 	id := quarantine.CrashID{Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli()}
-	if g.crashes.recordLost(id, x.keys) {
-		go g.confirmCrash(m, id, time.Now())
+	if g.crashes.recordLost(id, now, lost...) {
+		go g.confirmCrash(m, id, now)
 	}
 }
 
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -16,7 +16,7 @@
 
 func crashAt(w *crashWatch, upstream state.UpstreamName, now time.Time) {
 	id := quarantine.CrashID{Upstream: upstream, Started: 1}
-	w.recordLost(id, quarantine.Run{Parts: []quarantine.Key{part}, Content: 99})
+	w.recordLost(id, now, quarantine.Run{Parts: []quarantine.Key{part}, Content: 99})
 	w.settle(id, true, now)
 }
 
@@ -110,3 +110,17 @@
 	params, _ := w.pending(now)
 	g.Expect(params.Quarantined).To(HaveLen(1))
 }
+
+// Guards against a test of an upstream for each request that can't connect to it.
+func TestRefusingUpstreamIsTestedOnce(t *testing.T) {
+	g := NewWithT(t)
+	w, now := newCrashWatch(), time.Unix(1000, 0)
+	id := quarantine.CrashID{Upstream: "u", Started: 1}
+	g.Expect(w.recordLost(id, now)).To(BeTrue())
+	g.Expect(w.recordLost(id, now)).To(BeFalse(), "it is being tested")
+	w.settle(id, true, now)
+	g.Expect(w.recordLost(id, now.Add(time.Second))).To(BeFalse(), "it was reported")
+	g.Expect(w.recordLost(id, now.Add(time.Second), quarantine.Run{Content: 1})).To(BeTrue(), "lost runs are always reported")
+	w.settle(id, true, now.Add(time.Second))
+	g.Expect(w.recordLost(id, now.Add(crashTestInterval+time.Second))).To(BeTrue())
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -176,10 +176,12 @@
 func (x *exchange) handleSendError(ctx context.Context, m *member, err error) *verdict.Verdict {
 	v := verdict.Of(err)
 	x.recordFailure(ctx, m)
-	if v.Execution != verdict.NotRun {
-		x.mayHaveRun++
-		x.recordLostRun(ctx, m, v)
+	if v.Execution == verdict.NotRun {
+		x.recordNoConnection(ctx, m)
+		return v
 	}
+	x.mayHaveRun++
+	x.recordLostRun(ctx, m, v)
 	return v
 }
 
