gateway: report the end of a limit with its own time

What callers saw: nothing yet; gateways went on requesting permits after upstreams had stopped naming limits, until each had seen an answer without one. Change: an answer without a limit has the time of its own request. The state of an upstream's limit and permits is a type of its own, apart from load and health. TestOlderAnswerDoesNotEndALimit checks the time and fails without the change.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -131,7 +131,7 @@
 		if !fleet.Holds(m.replicas, x.call.Target) || slices.Contains(x.excluded, m.upstream.Name) {
 			continue
 		}
-		delay := m.stats.permitDelay(now)
+		delay := m.stats.limit.permitDelay(now)
 		if at := now.Add(delay); delay > 0 && at.After(latest) {
 			if permitAt.IsZero() || at.Before(permitAt) {
 				permitAt = at
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if limit := resp.Info.Limit; m.stats.recordLimit(limit, sentAt) {
+	if limit := resp.Info.Limit; m.stats.limit.record(limit, sentAt) {
 		g.limitReports.add(m)
 		g.opts.Logger.Info("upstream names a rate limit", "request", x.call.ID, "upstream", m.upstream.Name,
 			"limited", limit.Limited, "per_second", limit.PerSecond)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -25,40 +25,58 @@
 	permitCost = 30 * time.Millisecond
 )
 
-// recordLimit records the rate limit of the answer to a request sent at a time. That
+// limitState is the rate limit of an upstream and the permits to send requests to it, as
+// known to this gateway. The zero value is that of an upstream without a limit. Its
+// methods may be called from any goroutine.
+type limitState struct {
+	mu    sync.Mutex
+	limit fleet.RateLimit
+	// observedAt is when the latest request was sent whose answer named the limit, or
+	// none.
+	observedAt time.Time
+	// permitsFrom is when the next permit is expected to become valid.
+	permitsFrom time.Time
+	// controllerLostUntil is until when permits are not requested from the
+	// controller, and ownPermits grants this gateway's part meanwhile; nil if the
+	// controller grants them.
+	controllerLostUntil time.Time
+	ownPermits          *rate.Limiter
+}
+
+// record records the rate limit of the answer to a request sent at a time. That
 // an answer names none counts only if its request was sent after the last one with a
 // limit: answers overtake each other. It reports whether the limit has changed.
-func (s *upstreamStats) recordLimit(limit fleet.RateLimit, sentAt time.Time) (changed bool) {
+func (s *limitState) record(limit fleet.RateLimit, sentAt time.Time) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !limit.Limited && !sentAt.After(s.limitAt) {
+	if !limit.Limited && !sentAt.After(s.observedAt) {
 		return false
 	}
 	changed = s.limit != limit
 	s.limit = limit
-	if limit.Limited {
-		s.limitAt = sentAt
+	if sentAt.After(s.observedAt) {
+		s.observedAt = sentAt
 	}
 	return changed
 }
 
-// applyLimit applies a change of the limit that another gateway has observed.
-func (s *upstreamStats) applyLimit(limit fleet.RateLimit, now time.Time) {
+// apply applies a change of the limit that another gateway has observed.
+func (s *limitState) apply(limit fleet.RateLimit, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limit, s.limitAt = limit, now
+	s.limit, s.observedAt = limit, now
 }
 
-// rateLimit returns the limit of the upstream, and when it was observed.
-func (s *upstreamStats) rateLimit() (fleet.RateLimit, time.Time) {
+// current returns the limit of the upstream, and when it was observed.
+func (s *limitState) current() (fleet.RateLimit, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limit, s.limitAt
+	return s.limit, s.observedAt
 }
 
 // permitDelay returns the expected time until a request may be sent to the upstream;
 // zero without a limit.
-func (s *upstreamStats) permitDelay(now time.Time) time.Duration {
+func (s *limitState) permitDelay(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.limit.Limited {
@@ -67,7 +85,7 @@
 	return permitCost + max(s.permitsFrom.Sub(now), 0)
 }
 
-func (s *upstreamStats) setPermitsFrom(at time.Time) {
+func (s *limitState) setPermitsFrom(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.permitsFrom = at
@@ -75,7 +93,7 @@
 
 // observation returns the upstream's limit as it is reported to the controller.
 func (m *member) observation(now time.Time) rpc.LimitObservation {
-	limit, at := m.stats.rateLimit()
+	limit, at := m.stats.limit.current()
 	return rpc.LimitObservation{
 		Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli(), Limited: limit.Limited, PerSecond: limit.PerSecond,
 		Age: state.Duration(now.Sub(at)),
@@ -85,12 +103,12 @@
 // awaitPermit waits until a request may be sent to an upstream. It returns false if
 // that would be after the given time; the upstream's expected delay is then up to date.
 func (x *exchange) awaitPermit(ctx context.Context, m *member, latest time.Time) bool {
-	if limit, _ := m.stats.rateLimit(); !limit.Limited {
+	if limit, _ := m.stats.limit.current(); !limit.Limited {
 		return true
 	}
 	now := time.Now()
 	result := x.gateway.permit(ctx, m, now, max(latest.Sub(now), 0))
-	m.stats.setPermitsFrom(time.Now().Add(result.Delay.Std()))
+	m.stats.limit.setPermitsFrom(time.Now().Add(result.Delay.Std()))
 	return result.Granted && ctxtime.Sleep(ctx, result.Delay.Std())
 }
 
@@ -98,28 +116,28 @@
 // uses its part of the limit.
 func (g *Gateway) permit(ctx context.Context, m *member, now time.Time, maxWait time.Duration) rpc.PermitResult {
 	gateways := max(float64(g.gatewayCount.Load()), minGateways)
-	if m.stats.isControllerLost(now) {
-		return m.stats.ownPermit(now, gateways, maxWait)
+	if m.stats.limit.isControllerLost(now) {
+		return m.stats.limit.ownPermit(now, gateways, maxWait)
 	}
 	result, err := g.requestPermit(ctx, m, now, maxWait)
 	now = time.Now()
 	if err == nil {
-		m.stats.endOwnPermits()
+		m.stats.limit.endOwnPermits()
 		return result
 	}
 	g.opts.Logger.Warn("permit not received", "upstream", m.upstream.Name, "error", err)
-	m.stats.setControllerLost(now)
-	return m.stats.ownPermit(now, gateways, maxWait)
+	m.stats.limit.setControllerLost(now)
+	return m.stats.limit.ownPermit(now, gateways, maxWait)
 }
 
 // isControllerLost reports whether the last request for a permit failed recently.
-func (s *upstreamStats) isControllerLost(now time.Time) bool {
+func (s *limitState) isControllerLost(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return now.Before(s.controllerLostUntil)
 }
 
-func (s *upstreamStats) setControllerLost(now time.Time) {
+func (s *limitState) setControllerLost(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.controllerLostUntil = now.Add(permitRetryDelay)
@@ -127,7 +145,7 @@
 
 // ownPermit grants a permit from this gateway's part of the limit. The part begins
 // without a permit, since the controller has granted all until now.
-func (s *upstreamStats) ownPermit(now time.Time, gateways float64, maxWait time.Duration) rpc.PermitResult {
+func (s *limitState) ownPermit(now time.Time, gateways float64, maxWait time.Duration) rpc.PermitResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ownPermits == nil {
@@ -142,7 +160,7 @@
 	return rpc.PermitResult{Granted: delay <= maxWait, Delay: state.Duration(delay)}
 }
 
-func (s *upstreamStats) endOwnPermits() {
+func (s *limitState) endOwnPermits() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ownPermits = nil
@@ -227,7 +245,7 @@
 // repeatLimits reports all known limits, as a new controller has none.
 func (g *Gateway) repeatLimits() {
 	for _, m := range g.view.Load().byName {
-		if limit, _ := m.stats.rateLimit(); limit.Limited {
+		if limit, _ := m.stats.limit.current(); limit.Limited {
 			g.limitReports.add(m)
 		}
 	}
--- a/internal/gateway/limitstate_test.go
+++ b/internal/gateway/limitstate_test.go
@@ -13,16 +13,18 @@
 // each other.
 func TestOlderAnswerDoesNotEndALimit(t *testing.T) {
 	g := NewWithT(t)
-	var s upstreamStats
+	var s limitState
 	now := time.Unix(1000, 0)
 	limit := fleet.RateLimit{Limited: true, PerSecond: 2}
-	g.Expect(s.recordLimit(fleet.RateLimit{}, now)).To(BeFalse())
-	g.Expect(s.recordLimit(limit, now.Add(time.Second))).To(BeTrue())
-	g.Expect(s.recordLimit(fleet.RateLimit{}, now)).To(BeFalse())
-	g.Expect(s.recordLimit(limit, now.Add(2*time.Second))).To(BeFalse())
+	g.Expect(s.record(fleet.RateLimit{}, now)).To(BeFalse())
+	g.Expect(s.record(limit, now.Add(time.Second))).To(BeTrue())
+	g.Expect(s.record(fleet.RateLimit{}, now)).To(BeFalse())
+	g.Expect(s.record(limit, now.Add(2*time.Second))).To(BeFalse())
 	g.Expect(s.permitDelay(now)).To(BeNumerically(">", 0))
-	g.Expect(s.recordLimit(fleet.RateLimit{}, now.Add(3*time.Second))).To(BeTrue())
+	g.Expect(s.record(fleet.RateLimit{}, now.Add(3*time.Second))).To(BeTrue())
 	g.Expect(s.permitDelay(now)).To(BeZero())
+	_, observedAt := s.current()
+	g.Expect(observedAt).To(Equal(now.Add(3*time.Second)), "the controller must take the end for newer than the limit")
 }
 
 // Guards against an upstream with a limit that gets no requests while the controller is
@@ -33,8 +35,8 @@
 	start := time.Unix(1000, 0)
 	granted := 0
 	for range gateways {
-		var s upstreamStats
-		s.recordLimit(fleet.RateLimit{Limited: true, PerSecond: perSecond}, start)
+		var s limitState
+		s.record(fleet.RateLimit{Limited: true, PerSecond: perSecond}, start)
 		for i := range 10 * seconds {
 			if s.ownPermit(start.Add(time.Duration(i)*100*time.Millisecond), gateways, 0).Granted {
 				granted++
@@ -50,7 +52,7 @@
 // Guards against a loop of requests for permits while the controller is lost.
 func TestPermitsAreNotRequestedAgainAtOnce(t *testing.T) {
 	g := NewWithT(t)
-	var s upstreamStats
+	var s limitState
 	now := time.Unix(1000, 0)
 	g.Expect(s.isControllerLost(now)).To(BeFalse())
 	s.setControllerLost(now)
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -138,7 +138,7 @@
 		return
 	}
 	if u.Limited != last.Limited || u.PerSecond != last.PerSecond {
-		row.stats.applyLimit(fleet.RateLimit{Limited: u.Limited, PerSecond: u.PerSecond}, now)
+		row.stats.limit.apply(fleet.RateLimit{Limited: u.Limited, PerSecond: u.PerSecond}, now)
 	}
 }
 
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -5,8 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/health"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
@@ -45,23 +43,13 @@
 	// ownPrefill is the expected time, in nanoseconds, to prefill the prompts of
 	// this gateway's requests that have not returned the first part of a response.
 	ownPrefill atomic.Int64
+	// limit is the rate limit that the upstream names.
+	limit limitState
 
 	mu     sync.Mutex
 	health health.Record
 	// othersBacklog is the prefill work sent by other gateways.
 	othersBacklog selection.Backlog
-	// limit is the rate limit that the upstream names, and limitAt when the request
-	// was sent whose answer named it.
-	limit   fleet.RateLimit
-	limitAt time.Time
-	// permitsFrom is when the next permit to send a request is expected to become
-	// valid.
-	permitsFrom time.Time
-	// controllerLostUntil is until when permits are not requested from the
-	// controller, and ownPermits grants this gateway's part meanwhile; nil if the
-	// controller grants them.
-	controllerLostUntil time.Time
-	ownPermits          *rate.Limiter
 }
 
 // pendingPrefill returns the expected time until the upstream has prefilled the
