quarantine: also after the wait for a permit; ended ones leave the store

What callers saw: nothing; found by reading. Cause: a request could wait for a permit while its key was quarantined, and be sent; a quarantine that ended without another report stayed in the store. Change: the quarantine is checked again after the wait; the end of a quarantine is published and removed from the store like its lift. Measured: TestQuarantinesAreWritten fails without the second part.

--- a/internal/controller/crashes.go
+++ b/internal/controller/crashes.go
@@ -109,12 +109,14 @@
 		c.opts.Logger.Warn("requests quarantined after crashes of upstreams", "key", keyText(d.Key), "crashes", d.Crashes, "duration", d.Until.Sub(now))
 		t.changed = true
 	}
-	if !t.changed {
+	until := t.attribution.Quarantined(now)
+	ended := len(until) < len(t.published.until)
+	if !t.changed && !ended {
 		return
 	}
 	t.changed = false
 	c.publisher.revision++
-	next := &publishedQuarantine{revision: c.publisher.revision, until: t.attribution.Quarantined(now)}
+	next := &publishedQuarantine{revision: c.publisher.revision, until: until}
 	for _, key := range t.attribution.Suspects(now, maxSuspects) {
 		next.suspects = append(next.suspects, uint64(key))
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -38,14 +38,14 @@
 	for {
 		v := x.gateway.view.Load()
 		now := time.Now()
-		if remaining := x.gateway.crashes.quarantined(x.keys, now); remaining > 0 {
-			return nil, verdict.Refuse(verdict.ReasonQuarantined, "the request has crashed upstreams before").WithRetryAfter(remaining)
+		if v := x.refuseQuarantined(now); v != nil {
+			return nil, v
 		}
 		limit := x.loadWaitDeadline(v)
 		m, permitAt := x.choose(v, limit)
 		if m != nil {
 			if x.awaitPermit(ctx, m, limit) {
-				return m, nil
+				return m, x.refuseQuarantined(time.Now())
 			}
 			if ctx.Err() != nil {
 				return nil, x.contextVerdict(ctx)
@@ -77,6 +77,15 @@
 	}
 }
 
+// refuseQuarantined returns a verdict if the request is quarantined.
+func (x *exchange) refuseQuarantined(now time.Time) *verdict.Verdict {
+	remaining := x.gateway.crashes.quarantined(x.keys, now)
+	if remaining <= 0 {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonQuarantined, "the request has crashed upstreams before").WithRetryAfter(remaining)
+}
+
 // loadWaitDeadline returns the time until which the request may wait for an
 // upstream. A request doesn't wait for a model that no upstream can load before
 // that time.
