controller: a limit ends with the restart of its upstream

What callers saw: nothing; found by reading. Cause: the published limit of an upstream was not compared with its start, so that one that had restarted under its name kept the old limit until an answer without one. Change: limits of an earlier start are dropped and not published. Measured: TestLimitEndsWithARestart fails without the change. The tests' reports carry the start of the harness's upstreams, which they must match now.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -100,7 +100,10 @@
 		revision = max(revision, e.revision)
 	}
 	limit := c.limits[name]
-	if limit != nil && !listed.gone {
+	if listed.gone || limit != nil && limit.started != listed.upstream.Started.UnixMilli() {
+		limit = nil
+	}
+	if limit != nil {
 		revision = max(revision, limit.revision)
 	}
 	if listed.published == nil || listed.published.revision != revision {
--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -111,10 +111,12 @@
 	return rpc.PermitResult{Granted: true, Delay: state.Duration(delay)}
 }
 
-// dropLimits drops the limits of upstreams that the registry no longer lists.
+// dropLimits drops the limits of upstreams that the registry no longer lists, or that
+// have restarted.
 func (c *Controller) dropLimits() {
-	for name := range c.limits {
-		if e, ok := c.registry[name]; !ok || e.gone {
+	for name, l := range c.limits {
+		e, ok := c.registry[name]
+		if !ok || e.gone || e.upstream.Started.UnixMilli() > l.started {
 			delete(c.limits, name)
 		}
 	}
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -9,13 +9,15 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/controller"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
 // limitObserved returns the report of a limit of the upstream u0.
 func limitObserved(limited bool, perSecond float64) rpc.LimitObservation {
-	return rpc.LimitObservation{Upstream: "u0", Limited: limited, PerSecond: perSecond}
+	// The start of the harness's upstreams is the zero time.
+	return rpc.LimitObservation{Upstream: "u0", Started: time.Time{}.UnixMilli(), Limited: limited, PerSecond: perSecond}
 }
 
 func requestPermit(ctx context.Context, h *harness, c *controller.Controller, gateway string, perSecond float64, maxWait time.Duration) rpc.PermitResult {
@@ -120,3 +122,32 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a limit that outlasts the restart of its upstream.
+func TestLimitEndsWithARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 1, 1)
+		first := h.fleet.Upstreams[0]
+		first.Started = time.UnixMilli(1000)
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		limit := limitObserved(true, 2)
+		limit.Started = 1000
+		_, err := c.ReportLimits(ctx, rpc.LimitsParams{Gateway: "g", Limits: []rpc.LimitObservation{limit}})
+		h.g.Expect(err).NotTo(HaveOccurred())
+		limited := func() bool {
+			time.Sleep(time.Second)
+			result, err := c.Residency(ctx, rpc.ResidencyParams{Gateway: "g"})
+			h.g.Expect(err).NotTo(HaveOccurred())
+			return result.Upstreams[0].Limited
+		}
+		h.g.Expect(limited()).To(BeTrue())
+		restarted := *first
+		restarted.Started = time.UnixMilli(2000)
+		c.Update(&controller.Fleet{Manifest: h.fleet.Manifest, Upstreams: []*fleet.Upstream{&restarted}})
+		h.g.Expect(limited()).To(BeFalse())
+		cancel()
+		synctest.Wait()
+	})
+}
