--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -179,7 +179,7 @@
 	log     *leaseLog
 	engines *fakeEngines
 	fleet   *controller.Fleet
-	// quarantines keeps the quarantines; nil keeps none.
+
 	quarantines fleet.QuarantineStore
 }
 
--- a/internal/decide/residency/pressure_test.go
+++ b/internal/decide/residency/pressure_test.go
@@ -199,11 +199,10 @@
 	}
 }
 
-// Guards against more adapters than an engine has places for, which ends its process
-// (hunted days of sacola-valve-grown and sacola-valve): an adapter that was in demand
-// again while its unload waited for its last requests was loaded again at once. A report
-// from before the load then showed the unload complete, and the controller counted an
-// adapter too few.
+// Guards against more adapters than an engine has places for, which ends its process: an
+// adapter that was in demand again while its unload waited for its last requests was
+// loaded again at once. A report from before the load then showed the unload complete,
+// and the controller counted an adapter too few.
 func TestAdapterIsNotLoadedDuringItsUnload(t *testing.T) {
 	g := NewWithT(t)
 	adapter := fleet.Target{Model: "m0", Adapter: "a1"}
