--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -15,7 +15,7 @@
 	// permitBurst is how many permits of an upstream may be valid at once.
 	permitBurst = 1
 	// minPermitRate is the lowest rate of permits, in requests per second. Without
-	// any request, nobody would receive that a limit has ended.
+	// any request, no answer would show that a limit has ended.
 	minPermitRate = 0.1
 	// permitReplyTimeout bounds the wait for the goroutine of Run.
 	permitReplyTimeout = 100 * time.Millisecond
--- a/internal/decide/quarantine/attribution.go
+++ b/internal/decide/quarantine/attribution.go
@@ -119,9 +119,8 @@
 	}
 }
 
-// RecordCrash records requests that were running when an upstream crashed. Several
-// reports of one crash are merged.
-// The time now is that of the report.
+// RecordCrash records requests that were running when an upstream crashed; now is the
+// time of the report. Several reports of one crash are merged.
 func (a *Attribution) RecordCrash(id CrashID, at, now time.Time, runs []Run) {
 	c, ok := a.crashes[id]
 	if !ok {
@@ -220,8 +219,8 @@
 	return current
 }
 
-// expire drops old crashes, the sound runs of keys without crashes, and quarantines
-// that are no longer remembered.
+// expire drops crashes, sound runs and lifted quarantines older than CrashWindow, and
+// quarantines that are no longer remembered.
 func (a *Attribution) expire(now time.Time) {
 	for id, c := range a.crashes {
 		if now.Sub(c.at) >= a.settings.CrashWindow {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		params.Gateway = g.opts.Name
-		if err := g.sendCrashes(ctx, params); err != nil {
+		if err := sendReport(ctx, g, rpc.MethodCrashes, params, g.opts.Controller.ReportCrashes); err != nil {
 			// The next tick repeats the report.
 			g.opts.Logger.Warn("crashes not reported", "crashes", len(params.Crashes), "error", err)
 			continue
@@ -62,13 +62,6 @@
 	}
 }
 
-func (g *Gateway) sendCrashes(ctx context.Context, params rpc.CrashesParams) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := callLeader(ctx, g, g.opts.Controller.Leader(), rpc.MethodCrashes, params, g.opts.Controller.ReportCrashes)
-	return err
-}
-
 // crashKeys returns the keys under which crashes are attributed to the request. The
 // last part of a prompt is specific to the request and is no key.
 func (x *exchange) crashKeys() quarantine.Run {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -231,15 +231,12 @@
 }
 
 func (g *Gateway) sendLimits(ctx context.Context, members []*member) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	params := rpc.LimitsParams{Gateway: g.opts.Name}
 	now := time.Now()
 	for _, m := range members {
 		params.Limits = append(params.Limits, m.observation(now))
 	}
-	_, err := callLeader(ctx, g, g.opts.Controller.Leader(), rpc.MethodLimits, params, g.opts.Controller.ReportLimits)
-	return err
+	return sendReport(ctx, g, rpc.MethodLimits, params, g.opts.Controller.ReportLimits)
 }
 
 // repeatLimits reports all known limits, as a new controller has none.
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -135,15 +135,16 @@
 		if len(list) == 0 && empty {
 			continue
 		}
-		err := g.sendDemand(ctx, rpc.WantedParams{Gateway: g.opts.Name, Targets: list})
+		err := sendReport(ctx, g, rpc.MethodWanted, rpc.WantedParams{Gateway: g.opts.Name, Targets: list}, g.opts.Controller.ReportDemand)
 		empty = len(list) == 0 && err == nil
 		ctxtime.Sleep(ctx, minDemandInterval)
 	}
 }
 
-func (g *Gateway) sendDemand(ctx context.Context, params rpc.WantedParams) error {
+// sendReport sends a report to the controller and waits for its receipt.
+func sendReport[P, R any](ctx context.Context, g *Gateway, method string, params P, local func(context.Context, P) (R, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := callLeader(ctx, g, g.opts.Controller.Leader(), rpc.MethodWanted, params, g.opts.Controller.ReportDemand)
+	_, err := callLeader(ctx, g, g.opts.Controller.Leader(), method, params, local)
 	return err
 }
