--- a/review/_cases/consumer.go
+++ b/review/_cases/consumer.go
@@ -16,8 +16,8 @@
 
 // outcome is what a consumer saw of one request.
 type outcome struct {
-	id, gateway string
-	sent, ended time.Time
+	id, gateway, path string
+	sent, ended       time.Time
 	// status is zero if the channel ended without an answer.
 	status int
 	body   string
@@ -49,7 +49,7 @@
 
 // send sends one request and waits for the end of its answer.
 func (c *consumers) send(ctx context.Context, g *gateway, what request) outcome {
-	o := outcome{id: fmt.Sprintf("%016x", c.ids.Add(1)), gateway: g.name, sent: time.Now()}
+	o := outcome{id: fmt.Sprintf("%016x", c.ids.Add(1)), gateway: g.name, path: what.path, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(what.deadlineMs)*time.Millisecond+2*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.callers+what.path, strings.NewReader("prompt of "+o.id))
@@ -170,3 +170,34 @@
 		"slots": 64, "kvCapacity": 256000, "weightsMb": 160000, "adapterSlots": 8, "loadsPerS": loadsPerS, "models": list,
 	}
 }
+
+// choose returns the outcomes on a route, at one gateway or, if none is named, at all.
+func (c *consumers) choose(prefix, gateway string) []outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []outcome
+	for _, o := range c.seen {
+		if strings.HasPrefix(o.path, prefix) && (gateway == "" || o.gateway == gateway) {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// asked returns how many requests were sent on a route.
+func (c *consumers) asked(prefix string) int { return len(c.choose(prefix, "")) }
+
+// servedShare returns the share of the requests on a route that were served.
+func (c *consumers) servedShare(prefix string) float64 { return c.servedShareAt(prefix, "") }
+
+// servedShareAt returns that share for one gateway.
+func (c *consumers) servedShareAt(prefix, gateway string) float64 {
+	list := c.choose(prefix, gateway)
+	served := 0
+	for _, o := range list {
+		if o.served() {
+			served++
+		}
+	}
+	return float64(served) / float64(max(len(list), 1))
+}
--- a/review/_cases/runner.go
+++ b/review/_cases/runner.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,9 +41,11 @@
 	stop      chan struct{}
 	stopOnce  sync.Once
 
-	mu       sync.Mutex
-	models   []string
-	seq      int
+	mu     sync.Mutex
+	models []string
+	seq    int
+	// silent says that the runner does not reach the store.
+	silent   bool
 	orders   int
 	busy     bool
 	draining bool
@@ -74,6 +77,8 @@
 }
 
 func (r *runner) beat() {
+	// Runners don't write at the same moments.
+	time.Sleep(rand.N(heartbeat))
 	for {
 		select {
 		case <-r.stop:
@@ -88,6 +93,9 @@
 func (r *runner) register() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.silent || r.world.store.isDown() {
+		return
+	}
 	r.seq++
 	state := "ready"
 	if r.draining {
@@ -228,3 +236,10 @@
 	}
 	return 1
 }
+
+// setSilent cuts the runner off from the store, or ends that.
+func (r *runner) setSilent(silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = silent
+}
--- a/review/_cases/store.go
+++ b/review/_cases/store.go
@@ -19,6 +19,8 @@
 
 	mu     sync.Mutex
 	topics map[string]*topic
+	// down says that the store answers each call with 503.
+	down bool
 }
 
 type topic struct {
@@ -37,10 +39,33 @@
 	mux.HandleFunc("POST /lagoonvalve/log-append", s.handleAppend)
 	mux.HandleFunc("GET /lagoonvalve/log-read", s.handleRead)
 	mux.HandleFunc("GET /lagoonvalve/log-newest", s.handleNewest)
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = http.Serve(l, s.unlessDown(mux)) }()
 	return s
 }
 
+// unlessDown answers with 503 while the store is down: nothing was done.
+func (s *store) unlessDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDown() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 // topic returns a topic; the lock is held.
 func (s *store) topic(name string) *topic {
 	t, ok := s.topics[name]
