--- a/review/_cases/gateway.go
+++ b/review/_cases/gateway.go
@@ -31,6 +31,7 @@
 	store    *store
 	gateways []*gateway
 	runners  []*runner
+	engines  []*engine
 }
 
 func newWorld() *world {
@@ -121,6 +122,9 @@
 	for _, r := range w.runners {
 		r.exit()
 	}
+	for _, e := range w.engines {
+		e.crash()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.dir)
 	}
