gateway: check the chosen upstream again right before each send

Cause: the upstream was chosen from the view and kept for however long the request waited for its permit. Only quarantines were looked at after the wait.

Evidence: `permit_wait`, new in the lines of ended requests, tells a late reading of the registry from a choice that is out of date.

Change: decide/eligibility decides whether a request may still be sent to its upstream: this start of it is listed, it does not drain and it holds the target. The check is made at each change of the view during the wait for a permit, and once more with the connection in hand, right before the request is written (forward.Request.Check). A request that is turned away there was not sent; it chooses again and draws on no budget.

Related paths: the wait for a connection had the same gap, and has the same check now; a request whose context has ended there is not written. Waits for a load, before a retry and before a resumption end with a new choice. The test of telemetry that counts the metrics that are no events counts one more.

Tests of gateway, forward, telemetry and eligibility pass, also with the race detector.

Why it works: the gateway acts on what it knows when it sends, not on what it knew when it chose.

--- /dev/null
+++ b/internal/decide/eligibility/eligibility.go
@@ -0,0 +1,47 @@
+// Package eligibility decides whether a request may still be sent to the upstream that
+// was chosen for it. A choice goes out of date while the request waits for a permit
+// or a connection, so the same check is made once more right before each send.
+package eligibility
+
+import "time"
+
+// Reason says why a request must not be sent to an upstream.
+type Reason string
+
+// The reasons. Eligible means that the request may be sent.
+const (
+	Eligible  Reason = ""
+	Gone      Reason = "gone"
+	Restarted Reason = "restarted"
+	Draining  Reason = "draining"
+	NotHeld   Reason = "not_held"
+)
+
+// Upstream is what is known of an upstream at present.
+type Upstream struct {
+	// Listed says that the registry has an entry of the upstream.
+	Listed bool
+	// Started is when the process of that entry has started.
+	Started time.Time
+	// Draining says that the upstream has announced that it leaves.
+	Draining bool
+	// HoldsTarget says that it holds the model and the adapter of the request.
+	HoldsTarget bool
+}
+
+// Check returns whether a request may be sent to an upstream that was chosen when the
+// process started at chosenStart ran there.
+func Check(chosenStart time.Time, now Upstream) Reason {
+	switch {
+	case !now.Listed:
+		return Gone
+	case !now.Started.Equal(chosenStart):
+		return Restarted
+	case now.Draining:
+		return Draining
+	case !now.HoldsTarget:
+		return NotHeld
+	default:
+		return Eligible
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -27,6 +27,16 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Check is called right before the request is written. If it returns an error,
+	// nothing is sent. Nil checks nothing.
+	Check func() error
+}
+
+func (r *Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
 }
 
 // Client keeps connection pools for all upstreams.
@@ -89,13 +99,17 @@
 
 // Send sends a request and returns the response once its headers have arrived. The
 // end of ctx closes the connection, which makes the upstream stop its work. The
-// error is a *verdict.Verdict.
+// error is a *verdict.Verdict or that of req.Check.
 func (c *Client) Send(ctx context.Context, u *fleet.Upstream, req *Request) (*Response, error) {
 	p := c.pool(u)
 	conn, err := p.get(ctx, time.Now())
 	if err != nil {
 		return nil, verdict.Refuse(verdict.ReasonUpstreamFailed, "connect: "+err.Error())
 	}
+	if err := req.check(); err != nil {
+		conn.abort()
+		return nil, err
+	}
 	stop := context.AfterFunc(ctx, conn.abort)
 	conn.send(req)
 	resp, info, err := conn.receive(req, c.dialect) //nolint:bodyclose // Response.Close closes the connection or returns it to the pool.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
@@ -99,6 +100,23 @@
 	return string(body), err
 }
 
+// Guards against a request that is sent although it must not be any more when the
+// connection is ready, and against a failed check that is reported as a failed attempt.
+func TestCheckBeforeSend(t *testing.T) {
+	g := NewWithT(t)
+	var received atomic.Int32
+	u := serve(t, func(net.Conn, *http.Request) { received.Add(1) })
+	refused := errors.New("refused")
+	client := forward.NewClient(dialect{})
+	_, err := client.Send(context.Background(), u.Upstream, &forward.Request{ID: "1", Method: http.MethodPost, URI: "/", Check: func() error {
+		g.Eventually(u.conns.Load).Should(Equal(int32(1)), "the check comes after the connection")
+		return refused
+	}})
+	g.Expect(err).To(MatchError(refused))
+	g.Eventually(u.closed).Should(Receive())
+	g.Expect(received.Load()).To(BeZero())
+}
+
 // Guards against changing a request when it is forwarded, and against opening a new
 // connection for each request.
 func TestRequestsAreForwardedUnchangedOverOneConnection(t *testing.T) {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -77,6 +78,36 @@
 	}
 }
 
+// eligible reports whether the request may still be sent to the upstream chosen for it.
+func (x *exchange) eligible(v *view, m *member) bool {
+	reason := v.eligibility(m, x.call.Target)
+	if reason == eligibility.Eligible {
+		return true
+	}
+	x.gateway.opts.Meter.Reselect(reason)
+	x.gateway.opts.Logger.Info("upstream not eligible any more", "request", x.call.ID, "upstream", m.upstream.Name,
+		"reason", reason, "permit_wait", x.permitWait)
+	return false
+}
+
+// errChooseAgain means that the upstream chosen for a request is not eligible any more.
+// Nothing was sent to it.
+var errChooseAgain = verdict.Refuse(verdict.ReasonNoReplica, "the upstream is not eligible any more")
+
+// checkSend is the last check before the request is written to an upstream. Between the
+// choice of the upstream and this check the request may have waited for a permit and for
+// a connection. Waits for a load and before a retry end with a new choice.
+func (x *exchange) checkSend(ctx context.Context, m *member) error {
+	switch {
+	case ctx.Err() != nil:
+		return verdict.Refuse(verdict.ReasonUpstreamFailed, ctx.Err().Error())
+	case !x.eligible(x.gateway.view.Load(), m):
+		return errChooseAgain
+	default:
+		return nil
+	}
+}
+
 // refuseQuarantined returns a verdict if the request is quarantined.
 func (x *exchange) refuseQuarantined(now time.Time) *verdict.Verdict {
 	remaining := x.gateway.crashes.quarantined(x.keys, now)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,11 +33,13 @@
 			return x.correctExecution(v)
 		}
 		v = x.attempt(ctx, m)
-		if v == nil {
+		switch {
+		case v == nil:
 			return nil
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return x.correctExecution(x.contextVerdict(ctx))
+		case v == errChooseAgain:
+			continue
 		}
 		if !x.waitForRetry(ctx, v) {
 			return x.correctExecution(v)
@@ -78,10 +80,15 @@
 	x.stopWatch = x.gateway.crashes.cancelOnQuarantine(x.keys, cancel)
 	defer x.stopWatch()
 	v := x.send(attemptCtx, m)
-	if v != nil && attemptCtx.Err() != nil && ctx.Err() == nil {
+	quarantined := attemptCtx.Err() != nil && ctx.Err() == nil
+	switch {
+	case v == nil || !quarantined:
+		return v
+	case v.Execution == verdict.NotRun:
+		return verdict.Refuse(verdict.ReasonQuarantined, "quarantined before the request was sent")
+	default:
 		return verdict.Unknown(verdict.ReasonQuarantined, "quarantined while an upstream had the request")
 	}
-	return v
 }
 
 // send sends the request to one upstream and delivers its response.
@@ -128,7 +135,9 @@
 func (x *exchange) sendTo(ctx context.Context, m *member, lastEvent string) (*forward.Response, error) {
 	g := x.gateway
 	sentAt := time.Now()
-	resp, err := g.forward.Send(ctx, m.upstream, x.request(m, lastEvent))
+	req := x.request(m, lastEvent)
+	req.Check = func() error { return x.checkSend(ctx, m) }
+	resp, err := g.forward.Send(ctx, m.upstream, req)
 	if err != nil {
 		return nil, err
 	}
@@ -172,9 +181,14 @@
 	}
 }
 
-// handleSendError records an attempt to which the upstream sent no valid response.
+// handleSendError records an attempt to which the upstream sent no valid response. An
+// attempt that ended in errChooseAgain does not count as one.
 func (x *exchange) handleSendError(ctx context.Context, m *member, err error) *verdict.Verdict {
 	v := verdict.Of(err)
+	if v == errChooseAgain {
+		x.sends--
+		return v
+	}
 	x.recordFailure(ctx, m)
 	if v.Execution == verdict.NotRun {
 		x.recordNoConnection(ctx, m)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -55,8 +55,9 @@
 	excluded []state.UpstreamName
 	// lastUpstream is the upstream of the last attempt.
 	lastUpstream state.UpstreamName
-	// waited is the time spent waiting for an upstream that holds the target.
-	waited time.Duration
+	// waited is the time spent waiting for an upstream that holds the target, and
+	// permitWait the time spent waiting for permits.
+	waited, permitWait time.Duration
 	// firstToken is the time to the first part of a streamed response, maxGap the
 	// longest gap between two parts, and otherRunning the number of this gateway's
 	// other requests running at the upstream when the request was sent.
@@ -193,7 +194,7 @@
 func (x *exchange) logResult(v *verdict.Verdict) {
 	attrs := []any{
 		"request", x.call.ID, "route", x.route.Name, "service", x.service, "upstream", x.lastUpstream, "sends", x.sends,
-		"may_have_run", x.mayHaveRun, "waited", x.waited, "took", time.Since(x.began), "first", x.firstToken, "gap", x.maxGap,
+		"may_have_run", x.mayHaveRun, "waited", x.waited, "permit_wait", x.permitWait, "took", time.Since(x.began), "first", x.firstToken, "gap", x.maxGap,
 		"beside", x.otherRunning, "status", x.status,
 	}
 	if x.call.Model != "" {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -240,6 +240,18 @@
 	return server
 }
 
+// drainNoticed is the time within which the gateway has read that an upstream drains;
+// it reads the registry every 600 ms.
+const drainNoticed = time.Second
+
+// drain registers an upstream as draining.
+func (s *system) drain(name string, service state.ServiceName, server *httptest.Server) {
+	s.upstreams.add(name, &fleet.Upstream{
+		Name: state.UpstreamName(name), Service: service, Address: server.Listener.Addr().String(), DataCentre: "dc", Slots: 4,
+		Draining: true, Report: 1,
+	})
+}
+
 type response struct {
 	status int
 	header http.Header
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -101,15 +101,37 @@
 }
 
 // awaitPermit waits until a request may be sent to an upstream. It returns false if
-// that would be after the given time; the upstream's expected delay is then up to date.
+// that would be after the given time, and as soon as the upstream may not be sent the
+// request at all; the upstream's expected delay is then up to date.
 func (x *exchange) awaitPermit(ctx context.Context, m *member, latest time.Time) bool {
 	if limit, _ := m.stats.limit.current(); !limit.Limited {
 		return true
 	}
 	now := time.Now()
+	defer func() { x.permitWait += time.Since(now) }()
 	result := x.gateway.permit(ctx, m, now, max(latest.Sub(now), 0))
 	m.stats.limit.setPermitsFrom(time.Now().Add(result.Delay.Std()))
-	return result.Granted && ctxtime.Sleep(ctx, result.Delay.Std())
+	return result.Granted && x.sleepWhileEligible(ctx, m, result.Delay.Std())
+}
+
+// sleepWhileEligible waits for d. It returns false if ctx ends or the upstream must not
+// be sent the request any more.
+func (x *exchange) sleepWhileEligible(ctx context.Context, m *member, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		v := x.gateway.view.Load()
+		if !x.eligible(v, m) {
+			return false
+		}
+		select {
+		case <-timer.C:
+			return true
+		case <-v.changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // permit requests a permit from the controller. While it can't be reached, the gateway
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -97,3 +97,70 @@
 		s.g.Expect(s.request(context.Background(), "/any/3", header()).status).To(Equal(http.StatusOK))
 	}
 }
+
+// Guards against requests that wait for a permit and are sent to an upstream long after
+// it began to drain (rule DRAIN): such requests were cut when it ended. They have to go to
+// another upstream.
+func TestRequestsWaitingForAPermitLeaveADrainingUpstream(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	var drained atomic.Pointer[time.Time]
+	var late, served atomic.Int32
+	limited := s.upstream("limited", "plain", func(w http.ResponseWriter, _ *http.Request) {
+		if at := drained.Load(); at != nil && time.Since(*at) > drainNoticed {
+			late.Add(1)
+		}
+		w.Header().Set("Limit", "2")
+	})
+	s.await("/any/0", http.StatusOK)
+	var requests sync.WaitGroup
+	for range 6 {
+		requests.Go(func() {
+			if s.request(context.Background(), "/any/1", http.Header{"Patience": {"5s"}}).status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.upstream("other", "plain", func(http.ResponseWriter, *http.Request) {})
+	now := time.Now()
+	drained.Store(&now)
+	s.drain("limited", "plain", limited)
+	requests.Wait()
+	s.g.Expect(served.Load()).To(Equal(int32(6)))
+	s.g.Expect(late.Load()).To(BeZero(), "requests that reached the draining upstream")
+}
+
+// Guards against requests that hold on to an upstream that has left, until the permits
+// for it are valid, although no other upstream serves them: they are refused as not run.
+func TestRequestsWaitingForAPermitAreRefusedWhenTheirUpstreamLeaves(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	var drained atomic.Pointer[time.Time]
+	var late, refused atomic.Int32
+	limited := s.upstream("limited", "plain", func(w http.ResponseWriter, _ *http.Request) {
+		if at := drained.Load(); at != nil && time.Since(*at) > drainNoticed {
+			late.Add(1)
+		}
+		w.Header().Set("Limit", "0.5")
+	})
+	s.await("/any/0", http.StatusOK)
+	var requests sync.WaitGroup
+	for range 3 {
+		requests.Go(func() {
+			switch status := s.request(context.Background(), "/once/1", http.Header{"Patience": {"5s"}}).status; status {
+			case http.StatusServiceUnavailable:
+				refused.Add(1)
+			default:
+				s.g.Expect(status).To(Equal(http.StatusOK))
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	now := time.Now()
+	drained.Store(&now)
+	s.drain("limited", "plain", limited)
+	requests.Wait()
+	s.g.Expect(late.Load()).To(BeZero(), "requests that reached the draining upstream")
+	s.g.Expect(refused.Load()).To(BeNumerically(">=", 2))
+}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -22,6 +23,9 @@
 	// Retry counts a retry, and Resume an attempt to resume a stream that was cut.
 	Retry(reason verdict.Reason)
 	Resume(result telemetry.ResumeResult)
+	// Reselect counts a request for which another upstream is chosen before it was
+	// sent.
+	Reselect(reason eligibility.Reason)
 }
 
 // noMeter records nothing.
@@ -33,6 +37,7 @@
 func (noMeter) ColdStart(state.ModelName, time.Duration)                    {}
 func (noMeter) Retry(verdict.Reason)                                        {}
 func (noMeter) Resume(telemetry.ResumeResult)                               {}
+func (noMeter) Reselect(eligibility.Reason)                                 {}
 
 // classOf returns the class under which metrics count a route's priority.
 func classOf(priority int) state.Class {
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -200,11 +200,13 @@
 		manifest:  t.manifest,
 		byService: make(map[state.ServiceName][]*member),
 		byName:    make(map[state.UpstreamName]*member),
+		draining:  make(map[state.UpstreamName]*fleet.Upstream),
 		changed:   make(chan struct{}),
 	}
 	for _, row := range t.sorted() {
 		u := row.upstream
 		if u.Draining {
+			v.draining[u.Name] = u
 			continue
 		}
 		m := &member{
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/health"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/routing"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
@@ -18,6 +19,9 @@
 	manifest  *fleet.Manifest
 	byService map[state.ServiceName][]*member
 	byName    map[state.UpstreamName]*member
+	// draining has the upstreams that are registered as draining; they are in
+	// neither of the other maps.
+	draining map[state.UpstreamName]*fleet.Upstream
 	// changed is closed when a newer view is published.
 	changed chan struct{}
 }
@@ -84,5 +88,21 @@
 	}
 }
 
+// eligibility returns whether a request for a target may be sent to an upstream that was
+// chosen from this view or from an earlier one.
+func (v *view) eligibility(chosen *member, t fleet.Target) eligibility.Reason {
+	started := chosen.upstream.Started
+	if u, ok := v.draining[chosen.upstream.Name]; ok {
+		return eligibility.Check(started, eligibility.Upstream{Listed: true, Started: u.Started, Draining: true})
+	}
+	m, ok := v.byName[chosen.upstream.Name]
+	if !ok {
+		return eligibility.Check(started, eligibility.Upstream{})
+	}
+	return eligibility.Check(started, eligibility.Upstream{
+		Listed: true, Started: m.upstream.Started, HoldsTarget: fleet.Holds(m.replicas, t),
+	})
+}
+
 // service returns the upstreams of a service.
 func (v *view) service(name state.ServiceName) []*member { return v.byService[name] }
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -35,6 +35,7 @@
 	nameRetries        = "lagoonvalve_retries_total"
 	nameHedges         = "lagoonvalve_hedges_total"
 	nameResumes        = "lagoonvalve_stream_resumes_total"
+	nameReselections   = "lagoonvalve_reselections_total"
 	nameEjections      = "lagoonvalve_ejections_total"
 	nameClaims         = "lagoonvalve_claims_total"
 	nameConfigLag      = "lagoonvalve_config_lag_seconds"
@@ -72,6 +73,7 @@
 		{Name: nameIdle, Type: Counter, Labels: []string{"model"}, Help: "Time that replicas were loaded without work."},
 		{Name: nameRetries, Type: Counter, Labels: []string{"reason"}, Help: "Further attempts by the reason of the failed one."},
 		{Name: nameResumes, Type: Counter, Labels: []string{"result"}, Help: "Cut streams that an upstream was asked to resume."},
+		{Name: nameReselections, Type: Counter, Labels: []string{"reason"}, Help: "Requests for which another upstream was chosen before they were sent, by why the first one was not eligible any more."},
 		{Name: nameHedges, Type: Counter, Labels: []string{"result"}, Help: "Hedged attempts by which attempt won."},
 		{Name: nameEjections, Type: Counter, Labels: []string{"cause"}, Help: "Upstreams taken out of routing as outliers."},
 		{Name: nameClaims, Type: Counter, Labels: []string{"result"}, Help: "Answered claims of non-idempotent requests."},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -203,6 +204,11 @@
 // Resume counts a cut stream that the upstream was asked to resume.
 func (i *Instruments) Resume(result ResumeResult) { i.count(nameResumes, 1, string(result)) }
 
+// Reselect counts a request for which another upstream is chosen before it was sent.
+func (i *Instruments) Reselect(reason eligibility.Reason) {
+	i.count(nameReselections, 1, string(reason))
+}
+
 // Hedge counts a hedged request that ended.
 func (i *Instruments) Hedge(result HedgeResult) { i.count(nameHedges, 1, string(result)) }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -16,6 +16,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
@@ -51,6 +52,7 @@
 	tel.Retry(verdict.ReasonQueueFull)
 	tel.Hedge(telemetry.HedgeFirstWon)
 	tel.Resume(telemetry.ResumeDone)
+	tel.Reselect(eligibility.Draining)
 	tel.Ejection(telemetry.EjectedFirstToken)
 	tel.Claim(telemetry.ClaimGranted)
 	tel.ConfigLag(time.Second)
@@ -87,7 +89,7 @@
 			}
 		}
 	}
-	g.Expect(counted).To(HaveLen(len(defined) - 20))
+	g.Expect(counted).To(HaveLen(len(defined) - 21))
 }
 
 var (
