--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -270,6 +270,8 @@
 		name := state.UpstreamName(c.Key)
 		switch {
 		case c.Invalid != nil:
+			// An upstream that another writer's entry has replaced writes its own again.
+			listed[name] = true
 			g.opts.Logger.Warn("upstream entry ignored", "upstream", name, "error", c.Invalid)
 		case c.Value == nil:
 			g.opts.Logger.Info("upstream entry removed", "upstream", name, "outage", outage)
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -45,6 +45,22 @@
 	g.Expect(tables.view(now).service("s")).To(BeEmpty())
 }
 
+// Guards against an odd entry of another writer that takes an upstream out of routing, its
+// own or that of another key, whether the registry is read in full or followed.
+func TestOddEntryLeavesUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	for _, complete := range []bool{true, false} {
+		gateway := New(Options{Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		tables := newTables("dc1", nil)
+		tables.applyUpstream(entry(1))
+		gateway.applyUpstreams(tables, fleet.Page[fleet.Upstream]{Changes: []fleet.Change[fleet.Upstream]{
+			{Key: "odd", Invalid: fleet.ErrInvalidEntry}, {Key: "u", Invalid: fleet.ErrInvalidEntry},
+		}}, complete, false, now)
+		g.Expect(tables.view(now).service("s")).To(HaveLen(1), "complete: %v", complete)
+	}
+}
+
 // Guards against applying outdated entries, and against keeping the stats of an
 // upstream after it has restarted.
 func TestOutdatedEntriesAndRestart(t *testing.T) {
