forward, agent: an earlier refusal is not that of the next request

Cause: the gateway accepted an answer without an id as that of the open request, on connections with earlier requests too. The agent trusted the order of an engine's answers, which have no ids.

Change: an answer without an id is accepted only on a connection without earlier requests; otherwise the request may have run. The agent leaves the last byte of a refusal unread, so that net/http closes the connection.

Measured: TestRepeatedRefusalIsNotThatOfTheNextRequest/without_an_id, TestRefusalOfARequestWithoutID and TestNoRequestFollowsARefusalOnItsConnection failed before and pass now; a repeated refusal with the earlier id was skipped before too. Tests of forward and agent pass, also with the race detector.

Why it works: "not run" is said only where nothing but the request itself can have been answered.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -137,13 +137,25 @@
 // a request loaded. It says so before it runs anything.
 const codeNotLoaded = `"model_not_loaded"`
 
-// outcomeOfWhole is the verdict of a short answer. An engine that restarted or
-// evicted the model since its last listing has run nothing.
-func (a *Agent) outcomeOfWhole(status int, body []byte) *verdict.Verdict {
-	if !a.service && status == http.StatusNotFound && bytes.Contains(body, []byte(codeNotLoaded)) {
-		return verdict.Refuse(verdict.ReasonNoReplica, "the engine does not have the model loaded")
+// refuses reports whether an answer says that the engine does not have the model: it has
+// restarted or evicted it since its last listing, and has run nothing.
+func (a *Agent) refuses(status int, body []byte) bool {
+	return !a.service && status == http.StatusNotFound && bytes.Contains(body, []byte(codeNotLoaded))
+}
+
+// readWhole reads an answer of known length into body and returns its verdict. Of a
+// refusal the last byte is not read, so that net/http closes the connection: the engine
+// may write it once more, and nothing in an answer tells which request it belongs to.
+func (a *Agent) readWhole(resp *http.Response, body []byte) (*verdict.Verdict, error) {
+	last := max(len(body)-1, 0)
+	if _, err := io.ReadFull(resp.Body, body[:last]); err != nil {
+		return nil, err
 	}
-	return outcomeOf(status)
+	if a.refuses(resp.StatusCode, body[:last]) {
+		return verdict.Refuse(verdict.ReasonNoReplica, "the engine does not have the model loaded"), nil
+	}
+	_, err := io.ReadFull(resp.Body, body[last:])
+	return outcomeOf(resp.StatusCode), err
 }
 
 // fail answers a request for which no whole answer arrived and nothing was
@@ -190,11 +202,11 @@
 	if resp.Body != http.NoBody {
 		body = make([]byte, resp.ContentLength)
 	}
-	if _, err := io.ReadFull(resp.Body, body); err != nil {
+	v, err := a.readWhole(resp, body)
+	if err != nil {
 		a.fail(ctx, w, c, started, true, err)
 		return
 	}
-	v := a.outcomeOfWhole(resp.StatusCode, body)
 	if v.Execution == verdict.NotRun {
 		a.endClaim(c, v, nil, 0, "")
 		a.refuse(w, v)
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -27,6 +27,8 @@
 type conn struct {
 	*limitedConn
 	reader *bufio.Reader
+	// requests is how many requests were sent on the connection.
+	requests int
 	// writeIncomplete means that writing a request has failed or not finished.
 	writeIncomplete atomic.Bool
 	lastUsed        time.Time
@@ -46,6 +48,7 @@
 // send writes a request. It returns no error, as the upstream may have responded
 // even though the write failed; the failure shows when the response is read.
 func (c *conn) send(req *Request) {
+	c.requests++
 	head := make([]byte, 0, 1<<10+min(len(req.Body), maxInlineBody))
 	head = appendHead(head, req)
 	if len(req.Body) <= maxInlineBody {
@@ -87,7 +90,8 @@
 }
 
 // receive returns the response to req. Responses to other requests are skipped: an
-// upstream may send a response late or twice.
+// upstream may send a response late or twice. One without an id can belong to an earlier
+// request, so it is accepted only if there was none on the connection.
 func (c *conn) receive(req *Request, dialect fleet.Dialect) (*http.Response, fleet.AnswerInfo, error) {
 	for range maxStray {
 		resp, err := c.readResponse(req.Method)
@@ -96,6 +100,9 @@
 		}
 		info := dialect.ParseAnswer(resp.StatusCode, resp.Header)
 		if info.ID == req.ID || info.ID == "" {
+			if info.ID == "" && c.requests > 1 {
+				return nil, info, errUnmatched
+			}
 			if isSuccess(resp.StatusCode) && (!info.Sealed || info.ID == "") {
 				return nil, info, errUnsealed
 			}
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -34,6 +34,8 @@
 	errInformational = errors.Errorf("more than %d informational responses", maxInformational)
 	// errStray means that only responses to other requests arrived on a connection.
 	errStray = errors.New("received only responses to other requests")
+	// errUnmatched means that a response has no id and may belong to an earlier request.
+	errUnmatched = errors.New("response without an id on a connection with earlier requests")
 	// errUnsealed means that a successful response is not marked as an upstream's own.
 	errUnsealed = errors.New("successful response is not marked as an upstream's")
 )
