sse: the rest of a stream has to follow its last event

What callers saw: nothing here; other operators reported an error's text or head in the middle of streams, or streams that ended as if they were complete, when the next upstream answered with an error.

Cause: the gateway judged the answer of the upstream that is asked for the rest by its status and content type. Text with status 200 as an event stream was passed on after the events, and the response looked complete; so did the same events once more.

Change: after Resume, EventReader returns nothing before the first event is whole, and ErrNotResumed unless its id follows the last one or it is the end mark. The gateway takes that for a cut.

Why it works: a stream is resumed by its ids, so an answer shows by its first id whether it is the rest.

--- a/internal/sse/events.go
+++ b/internal/sse/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"slices"
+	"strconv"
 
 	"github.com/go-faster/errors"
 )
@@ -41,8 +42,14 @@
 	formatKnown bool
 	passThrough bool
 	lastID      string
+	// unverified says that no whole event has arrived since Resume.
+	unverified bool
 }
 
+// ErrNotResumed means that a source does not continue the stream after its last event: it
+// begins with other bytes than an event, or with an event that was returned before.
+var ErrNotResumed = errors.New("the stream does not continue after its last event")
+
 // NewEventReader returns a reader of the events of src.
 func NewEventReader(src io.Reader) *EventReader { return &EventReader{source: src} }
 
@@ -55,10 +62,11 @@
 	return e.lastID
 }
 
-// Resume continues with src, which begins after the event with LastID. Part of an
-// event that was cut is dropped.
+// Resume continues with src, which has to begin after the event with LastID: otherwise
+// Read returns ErrNotResumed and nothing of src. Part of an event that was cut is dropped.
 func (e *EventReader) Resume(src io.Reader) {
 	e.source, e.buffer, e.ready, e.err = src, e.buffer[:0], 0, nil
+	e.unverified = true
 }
 
 // Read implements io.Reader. An error of the source is returned after the last whole
@@ -89,6 +97,9 @@
 	filled := len(e.buffer)
 	n, err := e.source.Read(e.buffer[filled : filled+readSize])
 	e.buffer, e.err = e.buffer[:filled+n], err
+	if e.unverified && !e.verify() {
+		return
+	}
 	if !e.formatKnown && len(e.buffer) >= len(idField) {
 		e.formatKnown = true
 		e.passThrough = !bytes.HasPrefix(e.buffer, idField)
@@ -105,9 +116,48 @@
 		e.ready = 0
 		return
 	}
-	for line := range bytes.Lines(e.buffer[:e.ready]) {
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			e.lastID = string(bytes.TrimSpace(id))
+	if id, ok := lastEventID(e.buffer[:e.ready]); ok {
+		e.lastID = id
+	}
+}
+
+// verify checks the first event since Resume once it is whole, and reports whether it
+// continues the stream. If it does not, the buffer is dropped.
+func (e *EventReader) verify() bool {
+	first, _, whole := bytes.Cut(e.buffer, eventSeparator)
+	tooLong := len(first) > maxEventSize
+	ended := errors.Is(e.err, io.EOF) && len(first) > 0
+	switch {
+	case whole && !tooLong && e.continues(first):
+		e.unverified = false
+		return true
+	case whole || tooLong || ended:
+		e.buffer, e.err = e.buffer[:0], ErrNotResumed
+	}
+	return false
+}
+
+// continues reports whether an event may follow the one with LastID: ids increase. The
+// end mark has none.
+func (e *EventReader) continues(event []byte) bool {
+	id, ok := lastEventID(event)
+	if !ok {
+		return isEndMark(string(event))
+	}
+	last, err := strconv.ParseUint(e.lastID, 10, 64)
+	next, err2 := strconv.ParseUint(id, 10, 64)
+	if err != nil || err2 != nil {
+		return id != e.lastID
+	}
+	return next > last
+}
+
+// lastEventID returns the last id in a series of events.
+func lastEventID(events []byte) (id string, ok bool) {
+	for line := range bytes.Lines(events) {
+		if text, found := bytes.CutPrefix(line, idField); found {
+			id, ok = string(bytes.TrimSpace(text)), true
 		}
 	}
+	return id, ok
 }
--- a/internal/sse/events_test.go
+++ b/internal/sse/events_test.go
@@ -36,6 +36,39 @@
 	}
 }
 
+// Guards against text in the middle of a stream, or events that come twice, when a source
+// does not continue the stream that it is to resume.
+func TestResumeChecksTheFirstEvent(t *testing.T) {
+	const begun = "id: 9\ndata: a\n\n"
+	for rest, want := range map[string]error{
+		"id: 10\ndata: b\n\n":             nil,
+		"version: 3\nid: 10\ndata: b\n\n": nil,
+		"data: [DONE]\n\n":                nil,
+		"":                                nil,
+		"id: 9\ndata: a\n\nid: 10\n\n":    sse.ErrNotResumed,
+		"error\n\n":                       sse.ErrNotResumed,
+		"error":                           sse.ErrNotResumed,
+		"\n\nid: 10\ndata: b\n\n":         sse.ErrNotResumed,
+		strings.Repeat("x", 80<<10):       sse.ErrNotResumed,
+	} {
+		for _, wrap := range []func(io.Reader) io.Reader{func(r io.Reader) io.Reader { return r }, iotest.OneByteReader} {
+			g := NewWithT(t)
+			events := sse.NewEventReader(io.MultiReader(strings.NewReader(begun), iotest.ErrReader(errors.New("cut"))))
+			_, err := io.ReadAll(events)
+			g.Expect(err).To(HaveOccurred())
+			events.Resume(wrap(strings.NewReader(rest)))
+			got, err := io.ReadAll(events)
+			if want != nil {
+				g.Expect(err).To(MatchError(want), "%.40q", rest)
+				g.Expect(got).To(BeEmpty())
+				continue
+			}
+			g.Expect(err).NotTo(HaveOccurred(), "%.40q", rest)
+			g.Expect(string(got)).To(Equal(rest))
+		}
+	}
+}
+
 // Guards against delaying streams, or taking them for resumable, although their
 // events have no ids or are too long to be buffered.
 func TestEventsPassOtherStreamsOn(t *testing.T) {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -42,5 +42,8 @@
 		return false
 	}
 	line := text[bytes.LastIndexAny(text, "\r\n")+1:]
-	return string(line) == "data: [DONE]" || string(line) == "data:[DONE]"
+	return isEndMark(string(line))
 }
+
+// isEndMark reports whether a line is the one that ends a stream.
+func isEndMark(line string) bool { return line == "data: [DONE]" || line == "data:[DONE]" }
