gateway: no requests to an upstream that asks for a pause

Cause: no code read Retry-After of an upstream.

Selection counts the rest of a pause as a delay: other upstreams are preferred, a request waits for the end of the pause if that is in time, and is otherwise refused at once with the remaining time as Retry-After. The check before each send sees it too. A new counter and a log line tell of each pause.

Tests of gateway, platform, telemetry and eligibility pass.

Why it works: what an upstream asks for is a fact about it like its drain, looked at when it is chosen and when a request is sent.

--- /dev/null
+++ b/internal/decide/eligibility/answers_test.go
@@ -0,0 +1,32 @@
+package eligibility_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+)
+
+// Guards against a pause that ends early with a later answer, does not end, or keeps an
+// upstream out of use for good because of one absurd value.
+func TestPause(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var a eligibility.Answers
+	g.Expect(a.Record(fleet.AnswerInfo{}, now)).To(Equal(eligibility.Eligible))
+	g.Expect(a.PauseLeft(now)).To(BeZero())
+	g.Expect(a.Record(fleet.AnswerInfo{Pause: 5 * time.Second}, now)).To(Equal(eligibility.Paused))
+	g.Expect(a.Record(fleet.AnswerInfo{Pause: time.Second}, now.Add(time.Second))).To(Equal(eligibility.Eligible))
+	g.Expect(a.Record(fleet.AnswerInfo{}, now.Add(time.Second))).To(Equal(eligibility.Eligible))
+	g.Expect(a.PauseLeft(now.Add(2 * time.Second))).To(Equal(3 * time.Second))
+	sound := eligibility.Upstream{Listed: true, Started: now, HoldsTarget: true, Answers: a}
+	g.Expect(eligibility.Check(now, sound, now.Add(5*time.Second-1))).To(Equal(eligibility.Paused))
+	g.Expect(eligibility.Check(now, sound, now.Add(5*time.Second))).To(Equal(eligibility.Eligible))
+	a.Record(fleet.AnswerInfo{Pause: math.MaxInt64}, now)
+	g.Expect(a.PauseLeft(now)).To(BeNumerically("<=", time.Minute))
+	g.Expect(a.Record(fleet.AnswerInfo{Pause: time.Second}, now.Add(time.Hour))).To(Equal(eligibility.Paused))
+}
--- a/internal/decide/eligibility/eligibility.go
+++ b/internal/decide/eligibility/eligibility.go
@@ -1,6 +1,7 @@
-// Package eligibility decides whether a request may still be sent to the upstream that
-// was chosen for it. A choice goes out of date while the request waits for a permit
-// or a connection, so the same check is made once more right before each send.
+// Package eligibility decides whether a request may be sent to an upstream, by what the
+// registry says of it and what it has said in its answers. A choice goes out of date
+// while the request waits for a permit or a connection, so the same check is made once
+// more right before each send.
 package eligibility
 
 import "time"
@@ -14,6 +15,7 @@
 	Gone      Reason = "gone"
 	Restarted Reason = "restarted"
 	Draining  Reason = "draining"
+	Paused    Reason = "paused"
 	NotHeld   Reason = "not_held"
 )
 
@@ -27,19 +29,23 @@
 	Draining bool
 	// HoldsTarget says that it holds the model and the adapter of the request.
 	HoldsTarget bool
+	// Answers is what it has said in its answers.
+	Answers Answers
 }
 
 // Check returns whether a request may be sent to an upstream that was chosen when the
 // process started at chosenStart ran there.
-func Check(chosenStart time.Time, now Upstream) Reason {
+func Check(chosenStart time.Time, u Upstream, now time.Time) Reason {
 	switch {
-	case !now.Listed:
+	case !u.Listed:
 		return Gone
-	case !now.Started.Equal(chosenStart):
+	case !u.Started.Equal(chosenStart):
 		return Restarted
-	case now.Draining:
+	case u.Draining:
 		return Draining
-	case !now.HoldsTarget:
+	case u.Answers.PauseLeft(now) > 0:
+		return Paused
+	case !u.HoldsTarget:
 		return NotHeld
 	default:
 		return Eligible
--- a/internal/decide/eligibility/eligibility_test.go
+++ b/internal/decide/eligibility/eligibility_test.go
@@ -23,6 +23,6 @@
 	} {
 		u := sound
 		change(&u)
-		NewWithT(t).Expect(eligibility.Check(start, u)).To(Equal(want))
+		NewWithT(t).Expect(eligibility.Check(start, u, start)).To(Equal(want))
 	}
 }
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -206,6 +206,9 @@
 	NotRun bool
 	// Limit is the rate limit that the upstream names.
 	Limit RateLimit
+	// Pause is how long the upstream wants no requests from this gateway; zero if
+	// it does not say.
+	Pause time.Duration
 }
 
 // RateLimit is how many requests a second an upstream takes from all gateways
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -43,9 +43,9 @@
 			return nil, v
 		}
 		limit := x.loadWaitDeadline(v)
-		m, permitAt := x.choose(v, limit)
+		m, freeAt := x.choose(v, limit)
 		if m != nil {
-			if x.awaitPermit(ctx, m, limit) {
+			if x.awaitPauseEnd(ctx, m) && x.awaitPermit(ctx, m, limit) {
 				return m, x.refuseQuarantined(time.Now())
 			}
 			if ctx.Err() != nil {
@@ -53,9 +53,9 @@
 			}
 			continue
 		}
-		if !permitAt.IsZero() {
+		if !freeAt.IsZero() {
 			x.gateway.demand.recordRefusal(x.call.Target)
-			return nil, verdict.Refuse(verdict.ReasonShed, "upstreams have reached their rate limits").WithRetryAfter(permitAt.Sub(now))
+			return nil, verdict.Refuse(verdict.ReasonShed, "upstreams have reached their rate limits or want a pause").WithRetryAfter(freeAt.Sub(now))
 		}
 		if !now.Before(limit) {
 			x.gateway.demand.recordRefusal(x.call.Target)
@@ -80,7 +80,7 @@
 
 // eligible reports whether the request may still be sent to the upstream chosen for it.
 func (x *exchange) eligible(v *view, m *member) bool {
-	reason := v.eligibility(m, x.call.Target)
+	reason := v.eligibility(m, x.call.Target, time.Now())
 	if reason == eligibility.Eligible {
 		return true
 	}
@@ -160,24 +160,30 @@
 
 // choose returns the upstream with the lowest expected cost, or nil if none can
 // take the request. Ejected upstreams are used only if no other upstream holds the
-// target. Upstreams with a rate limit are left out if a request could be sent there
-// only after the time latest; if there are no others, permitAt is the earliest time.
-func (x *exchange) choose(v *view, latest time.Time) (chosen *member, permitAt time.Time) {
+// target. Upstreams with a rate limit or in a pause are left out if a request could be
+// sent there only after the time latest; if there are no others, freeAt is the earliest
+// time. A pausing upstream that has refused this request counts for freeAt only.
+func (x *exchange) choose(v *view, latest time.Time) (chosen *member, freeAt time.Time) {
 	now := time.Now()
 	members := v.service(x.service)
 	candidates := make([]selection.Candidate, 0, len(members))
 	list := make([]*member, 0, len(members))
 	for _, m := range members {
-		if !fleet.Holds(m.replicas, x.call.Target) || slices.Contains(x.excluded, m.upstream.Name) {
+		if !fleet.Holds(m.replicas, x.call.Target) {
 			continue
 		}
-		delay := m.stats.limit.permitDelay(now)
-		if at := now.Add(delay); delay > 0 && at.After(latest) {
-			if permitAt.IsZero() || at.Before(permitAt) {
-				permitAt = at
+		excluded := slices.Contains(x.excluded, m.upstream.Name)
+		pause := m.stats.pauseLeft(now)
+		delay := max(m.stats.limit.permitDelay(now), pause)
+		if at := now.Add(delay); excluded && pause > 0 || !excluded && delay > 0 && at.After(latest) {
+			if freeAt.IsZero() || at.Before(freeAt) {
+				freeAt = at
 			}
 			continue
 		}
+		if excluded {
+			continue
+		}
 		candidates = append(candidates, selection.Candidate{
 			Hash:           m.hash,
 			Locality:       m.locality,
@@ -192,7 +198,7 @@
 	longPrompts := x.gateway.longPrompts.record(x.call.Model, x.call.Prompt, now)
 	i := x.gateway.selection.Select(candidates, x.prompt.selectionRequest(&x.call, longPrompts))
 	if i < 0 {
-		return nil, permitAt
+		return nil, freeAt
 	}
 	x.uncachedTokens = max(x.call.Prompt-candidates[i].Cached, 0)
 	return list[i], time.Time{}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
@@ -131,7 +132,8 @@
 	return v
 }
 
-// sendTo sends the request to an upstream, and records the rate limit of the answer.
+// sendTo sends the request to an upstream, and records what the answer says about further
+// requests.
 func (x *exchange) sendTo(ctx context.Context, m *member, lastEvent string) (*forward.Response, error) {
 	g := x.gateway
 	sentAt := time.Now()
@@ -146,6 +148,11 @@
 		g.opts.Logger.Info("upstream names a rate limit", "request", x.call.ID, "upstream", m.upstream.Name,
 			"limited", limit.Limited, "per_second", limit.PerSecond)
 	}
+	if reason := m.stats.recordAnswer(resp.Info, time.Now()); reason != eligibility.Eligible {
+		g.opts.Meter.UpstreamIneligible(m.upstream.Name, reason)
+		g.opts.Logger.Info("upstream not eligible by its answer", "request", x.call.ID, "upstream", m.upstream.Name,
+			"reason", reason, "pause", resp.Info.Pause)
+	}
 	return resp, nil
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -56,7 +56,7 @@
 	// lastUpstream is the upstream of the last attempt.
 	lastUpstream state.UpstreamName
 	// waited is the time spent waiting for an upstream that holds the target, and
-	// permitWait the time spent waiting for permits.
+	// permitWait the time spent waiting for permits and for the ends of pauses.
 	waited, permitWait time.Duration
 	// firstToken is the time to the first part of a streamed response, maxGap the
 	// longest gap between two parts, and otherRunning the number of this gateway's
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -134,9 +134,10 @@
 
 func (dialect) ParseAnswer(_ int, h http.Header) fleet.AnswerInfo {
 	rate, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return fleet.AnswerInfo{
 		ID: h.Get("Id"), Sealed: h.Get("Mark") != "", NotRun: h.Get("Not-Run") != "",
-		Limit: fleet.RateLimit{Limited: err == nil, PerSecond: rate},
+		Limit: fleet.RateLimit{Limited: err == nil, PerSecond: rate}, Pause: pause,
 	}
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -114,6 +114,25 @@
 	return result.Granted && x.sleepWhileEligible(ctx, m, result.Delay.Std())
 }
 
+// awaitPauseEnd waits until the end of the pause that an upstream has asked for, if there
+// is one. It returns false if there was a pause: the request chooses again after it.
+func (x *exchange) awaitPauseEnd(ctx context.Context, m *member) bool {
+	left := m.stats.pauseLeft(time.Now())
+	if left == 0 {
+		return true
+	}
+	began := time.Now()
+	defer func() { x.permitWait += time.Since(began) }()
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-x.gateway.view.Load().changed:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // sleepWhileEligible waits for d. It returns false if ctx ends or the upstream must not
 // be sent the request any more.
 func (x *exchange) sleepWhileEligible(ctx context.Context, m *member, d time.Duration) bool {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -26,6 +26,9 @@
 	// Reselect counts a request for which another upstream is chosen before it was
 	// sent.
 	Reselect(reason eligibility.Reason)
+	// UpstreamIneligible counts that an upstream has said in an answer why it is not
+	// eligible from now on.
+	UpstreamIneligible(upstream state.UpstreamName, reason eligibility.Reason)
 }
 
 // noMeter records nothing.
@@ -38,6 +41,7 @@
 func (noMeter) Retry(verdict.Reason)                                        {}
 func (noMeter) Resume(telemetry.ResumeResult)                               {}
 func (noMeter) Reselect(eligibility.Reason)                                 {}
+func (noMeter) UpstreamIneligible(state.UpstreamName, eligibility.Reason)   {}
 
 // classOf returns the class under which metrics count a route's priority.
 func classOf(priority int) state.Class {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -52,6 +52,8 @@
 
 	mu     sync.Mutex
 	health health.Record
+	// answers is what the upstream has said in its answers about further requests.
+	answers eligibility.Answers
 	// othersBacklog is the prefill work sent by other gateways.
 	othersBacklog selection.Backlog
 }
@@ -77,6 +79,26 @@
 	return s.health.Ejected(now)
 }
 
+// recordAnswer records what an answer says about further requests. It returns the reason
+// for which the upstream is not eligible from now on, if that is new.
+func (s *upstreamStats) recordAnswer(answer fleet.AnswerInfo, now time.Time) (began eligibility.Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers.Record(answer, now)
+}
+
+func (s *upstreamStats) saidInAnswers() eligibility.Answers {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers
+}
+
+func (s *upstreamStats) pauseLeft(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers.PauseLeft(now)
+}
+
 // recordResult records the success or failure of a request to the upstream.
 func (s *upstreamStats) recordResult(ok bool, now time.Time, cfg health.Config) {
 	s.mu.Lock()
@@ -90,18 +112,16 @@
 
 // eligibility returns whether a request for a target may be sent to an upstream that was
 // chosen from this view or from an earlier one.
-func (v *view) eligibility(chosen *member, t fleet.Target) eligibility.Reason {
-	started := chosen.upstream.Started
+func (v *view) eligibility(chosen *member, t fleet.Target, now time.Time) eligibility.Reason {
+	var current eligibility.Upstream
 	if u, ok := v.draining[chosen.upstream.Name]; ok {
-		return eligibility.Check(started, eligibility.Upstream{Listed: true, Started: u.Started, Draining: true})
-	}
-	m, ok := v.byName[chosen.upstream.Name]
-	if !ok {
-		return eligibility.Check(started, eligibility.Upstream{})
+		current = eligibility.Upstream{Listed: true, Started: u.Started, Draining: true}
+	} else if m, ok := v.byName[chosen.upstream.Name]; ok {
+		current = eligibility.Upstream{
+			Listed: true, Started: m.upstream.Started, HoldsTarget: fleet.Holds(m.replicas, t), Answers: m.stats.saidInAnswers(),
+		}
 	}
-	return eligibility.Check(started, eligibility.Upstream{
-		Listed: true, Started: m.upstream.Started, HoldsTarget: fleet.Holds(m.replicas, t),
-	})
+	return eligibility.Check(chosen.upstream.Started, current, now)
 }
 
 // service returns the upstreams of a service.
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -33,6 +33,7 @@
 	nameAdapterLoads   = "lagoonvalve_adapter_loads_total"
 	nameIdle           = "lagoonvalve_idle_accelerator_seconds_total"
 	nameRetries        = "lagoonvalve_retries_total"
+	nameIneligible     = "lagoonvalve_upstream_ineligible_total"
 	nameHedges         = "lagoonvalve_hedges_total"
 	nameResumes        = "lagoonvalve_stream_resumes_total"
 	nameReselections   = "lagoonvalve_reselections_total"
@@ -74,6 +75,7 @@
 		{Name: nameRetries, Type: Counter, Labels: []string{"reason"}, Help: "Further attempts by the reason of the failed one."},
 		{Name: nameResumes, Type: Counter, Labels: []string{"result"}, Help: "Cut streams that an upstream was asked to resume."},
 		{Name: nameReselections, Type: Counter, Labels: []string{"reason"}, Help: "Requests for which another upstream was chosen before they were sent, by why the first one was not eligible any more."},
+		{Name: nameIneligible, Type: Counter, Labels: []string{"upstream", "reason"}, Help: "Times that an upstream has said in an answer why it takes no further requests."},
 		{Name: nameHedges, Type: Counter, Labels: []string{"result"}, Help: "Hedged attempts by which attempt won."},
 		{Name: nameEjections, Type: Counter, Labels: []string{"cause"}, Help: "Upstreams taken out of routing as outliers."},
 		{Name: nameClaims, Type: Counter, Labels: []string{"result"}, Help: "Answered claims of non-idempotent requests."},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -19,7 +19,7 @@
 // Instruments records the metrics of a process. Its methods may be called
 // from any goroutine.
 type Instruments struct {
-	models, adapters *TopNames
+	models, adapters, upstreams *TopNames
 
 	counters map[string]metric.Int64Counter
 	// events holds the counters without labels, with and without prefix.
@@ -90,11 +90,12 @@
 )
 
 // newInstruments makes the instruments of all definitions. Top is how many
-// models and adapters get a label value of their own at a time.
+// models, adapters and upstreams get a label value of their own at a time.
 func newInstruments(meter metric.Meter, top int) (*Instruments, error) {
 	i := &Instruments{
 		models:     NewTopNames(top),
 		adapters:   NewTopNames(top),
+		upstreams:  NewTopNames(top),
 		counters:   make(map[string]metric.Int64Counter),
 		events:     make(map[string]metric.Int64Counter),
 		seconds:    make(map[string]metric.Float64Counter),
@@ -134,6 +135,7 @@
 func (i *Instruments) RotateNames() {
 	i.models.Rotate()
 	i.adapters.Rotate()
+	i.upstreams.Rotate()
 }
 
 // RequestEnded counts a request that ended with v; nil means that it was
@@ -209,6 +211,12 @@
 	i.count(nameReselections, 1, string(reason))
 }
 
+// UpstreamIneligible counts that an upstream has said in an answer why it takes no further
+// requests.
+func (i *Instruments) UpstreamIneligible(upstream state.UpstreamName, reason eligibility.Reason) {
+	i.count(nameIneligible, 1, i.upstreams.Label(string(upstream)), string(reason))
+}
+
 // Hedge counts a hedged request that ended.
 func (i *Instruments) Hedge(result HedgeResult) { i.count(nameHedges, 1, string(result)) }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -53,6 +53,7 @@
 	tel.Hedge(telemetry.HedgeFirstWon)
 	tel.Resume(telemetry.ResumeDone)
 	tel.Reselect(eligibility.Draining)
+	tel.UpstreamIneligible("u", eligibility.Paused)
 	tel.Ejection(telemetry.EjectedFirstToken)
 	tel.Claim(telemetry.ClaimGranted)
 	tel.ConfigLag(time.Second)
@@ -89,7 +90,7 @@
 			}
 		}
 	}
-	g.Expect(counted).To(HaveLen(len(defined) - 21))
+	g.Expect(counted).To(HaveLen(len(defined) - 22))
 }
 
 var (
