gateway, controller: an upstream that leaves by its answers is draining

They are cut when it ends.

Cause: no code read the header.

The gateway that saw it takes the upstream out of its view at once, so that requests that wait for a permit choose again, and tells the controller. The controller treats the upstream as draining and publishes that to all gateways, as its models have to be placed elsewhere before it ends. Streams in progress finish; a new start is not concerned. The reports of limits became reports of answers (rpc.AnswersParams); all processes have the same version.

Why it works: the answer is as good a word of the upstream as its entry, and comes sooner.

--- a/internal/controller/board.go
+++ b/internal/controller/board.go
@@ -111,6 +111,7 @@
 		if limit != nil {
 			listed.published.Limited, listed.published.PerSecond = limit.limit.Limited, limit.limit.PerSecond
 		}
+		listed.published.Leaving = !listed.gone && c.isLeaving(listed.upstream)
 	}
 	return listed.published
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -109,6 +109,9 @@
 	storeLimiter storeLoadLimiter
 	crashes      crashTable
 	limits       map[state.UpstreamName]*upstreamLimit
+	// leaving has the starts, in Unix milliseconds, of upstreams that have said in an
+	// answer that they leave.
+	leaving map[state.UpstreamName]int64
 }
 
 // Leader is the holder of the lease in this process's record. Both fields are
@@ -138,6 +141,7 @@
 		promises: make(promiseTable),
 		crashes:  newCrashTable(),
 		limits:   make(map[state.UpstreamName]*upstreamLimit),
+		leaving:  make(map[state.UpstreamName]int64),
 	}
 	c.publisher.init(opts.HolderName, opts.Now)
 	return c
--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -34,19 +34,6 @@
 	revision uint64
 }
 
-// ReportLimits records changes of rate limits that a gateway reports.
-func (c *Controller) ReportLimits(_ context.Context, params rpc.LimitsParams) (rpc.LimitsResult, error) {
-	if c.publisher.snapshot() == nil {
-		return rpc.LimitsResult{}, errNotController()
-	}
-	c.post(func(c *Controller, now time.Time) {
-		for _, o := range params.Limits {
-			c.recordLimit(o, now)
-		}
-	})
-	return rpc.LimitsResult{}, nil
-}
-
 // Permit grants a permit to send one request to an upstream with a rate limit, if it
 // becomes valid within the requested wait.
 func (c *Controller) Permit(ctx context.Context, params rpc.PermitParams) (rpc.PermitResult, error) {
@@ -69,7 +56,7 @@
 
 // recordLimit applies a report unless a newer one is known. It returns nil for an
 // upstream that never named a limit.
-func (c *Controller) recordLimit(o rpc.LimitObservation, now time.Time) *upstreamLimit {
+func (c *Controller) recordLimit(o rpc.AnswerObservation, now time.Time) *upstreamLimit {
 	l, ok := c.limits[o.Upstream]
 	if !ok || l.started < o.Started {
 		if !o.Limited {
@@ -110,14 +97,3 @@
 	}
 	return rpc.PermitResult{Granted: true, Delay: state.Duration(delay)}
 }
-
-// dropLimits drops the limits of upstreams that the registry no longer lists, or that
-// have restarted.
-func (c *Controller) dropLimits() {
-	for name, l := range c.limits {
-		e, ok := c.registry[name]
-		if !ok || e.gone || e.upstream.Started.UnixMilli() > l.started {
-			delete(c.limits, name)
-		}
-	}
-}
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -15,9 +15,9 @@
 )
 
 // limitObserved returns the report of a limit of the upstream u0.
-func limitObserved(limited bool, perSecond float64) rpc.LimitObservation {
+func limitObserved(limited bool, perSecond float64) rpc.AnswerObservation {
 	// The start of the harness's upstreams is the zero time.
-	return rpc.LimitObservation{Upstream: "u0", Started: time.Time{}.UnixMilli(), Limited: limited, PerSecond: perSecond}
+	return rpc.AnswerObservation{Upstream: "u0", Started: time.Time{}.UnixMilli(), Limited: limited, PerSecond: perSecond}
 }
 
 func requestPermit(ctx context.Context, h *harness, c *controller.Controller, gateway string, perSecond float64, maxWait time.Duration) rpc.PermitResult {
@@ -78,8 +78,8 @@
 			h.g.Expect(result.Upstreams).To(HaveLen(1))
 			return result.Upstreams[0].Limited, result.Upstreams[0].PerSecond
 		}
-		report := func(o rpc.LimitObservation) {
-			_, err := c.ReportLimits(ctx, rpc.LimitsParams{Gateway: "g", Limits: []rpc.LimitObservation{o}})
+		report := func(o rpc.AnswerObservation) {
+			_, err := c.ReportAnswers(ctx, rpc.AnswersParams{Gateway: "g", Answers: []rpc.AnswerObservation{o}})
 			h.g.Expect(err).NotTo(HaveOccurred())
 		}
 		report(limitObserved(false, 0))
@@ -134,7 +134,7 @@
 		time.Sleep(time.Second)
 		limit := limitObserved(true, 2)
 		limit.Started = 1000
-		_, err := c.ReportLimits(ctx, rpc.LimitsParams{Gateway: "g", Limits: []rpc.LimitObservation{limit}})
+		_, err := c.ReportAnswers(ctx, rpc.AnswersParams{Gateway: "g", Answers: []rpc.AnswerObservation{limit}})
 		h.g.Expect(err).NotTo(HaveOccurred())
 		limited := func() bool {
 			time.Sleep(time.Second)
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -58,7 +58,7 @@
 	c.stepCrashes(now)
 	c.stepQuarantineStore(ctx, now)
 	c.syncRegistry(f, now)
-	c.dropLimits()
+	c.dropAnswers()
 	c.syncEngines(f, now)
 	for _, e := range c.engines {
 		if e.completeShortOrders(now) {
@@ -119,6 +119,7 @@
 	c.storeLimiter = storeLoadLimiter{refilledAt: now}
 	c.promises, c.heldByPromises = make(promiseTable), false
 	c.crashes, c.limits = newCrashTable(), make(map[state.UpstreamName]*upstreamLimit)
+	c.leaving = make(map[state.UpstreamName]int64)
 	c.opts.Logger.Info("controller acts", "acting", holds, "term", token)
 	if !holds {
 		c.publisher.publish(nil)
@@ -130,7 +131,7 @@
 	live := make(map[state.UpstreamName]bool, len(f.Upstreams))
 	for _, u := range f.Upstreams {
 		service := f.Manifest.Services[u.Service]
-		if service == nil || service.Engine == nil || u.Draining {
+		if service == nil || service.Engine == nil || u.Draining || c.isLeaving(u) {
 			continue
 		}
 		live[u.Name] = true
--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -14,6 +14,9 @@
 // The zero value has said nothing. It is updated with each answer that this gateway gets,
 // and dropped when the upstream restarts or leaves the registry.
 type Answers struct {
+	// leaving says that the upstream is about to end. That holds for the rest of this
+	// start, as answers overtake each other.
+	leaving bool
 	// pausedUntil is the end of the pause that the upstream has asked for.
 	pausedUntil time.Time
 }
@@ -27,8 +30,15 @@
 		}
 		a.pausedUntil = until
 	}
+	if answer.Leaving && !a.leaving {
+		a.leaving = true
+		began = Leaving
+	}
 	return began
 }
 
+// Leaving reports whether the upstream has said that it is about to end.
+func (a *Answers) Leaving() bool { return a.leaving }
+
 // PauseLeft returns how long the upstream still wants no requests.
 func (a *Answers) PauseLeft(now time.Time) time.Duration { return max(a.pausedUntil.Sub(now), 0) }
--- a/internal/decide/eligibility/answers_test.go
+++ b/internal/decide/eligibility/answers_test.go
@@ -11,6 +11,19 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 )
 
+// Guards against an upstream that is taken to stay after all, since an answer from before it
+// began to leave arrives last.
+func TestLeaving(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var a eligibility.Answers
+	g.Expect(a.Record(fleet.AnswerInfo{Leaving: true, Pause: time.Second}, now)).To(Equal(eligibility.Leaving))
+	g.Expect(a.Record(fleet.AnswerInfo{Leaving: true}, now)).To(Equal(eligibility.Eligible))
+	g.Expect(a.Record(fleet.AnswerInfo{}, now)).To(Equal(eligibility.Eligible))
+	u := eligibility.Upstream{Listed: true, Started: now, HoldsTarget: true, Answers: a}
+	g.Expect(eligibility.Check(now, u, now.Add(time.Hour))).To(Equal(eligibility.Leaving))
+}
+
 // Guards against a pause that ends early with a later answer, does not end, or keeps an
 // upstream out of use for good because of one absurd value.
 func TestPause(t *testing.T) {
--- a/internal/decide/eligibility/eligibility.go
+++ b/internal/decide/eligibility/eligibility.go
@@ -15,6 +15,7 @@
 	Gone      Reason = "gone"
 	Restarted Reason = "restarted"
 	Draining  Reason = "draining"
+	Leaving   Reason = "leaving"
 	Paused    Reason = "paused"
 	NotHeld   Reason = "not_held"
 )
@@ -25,7 +26,7 @@
 	Listed bool
 	// Started is when the process of that entry has started.
 	Started time.Time
-	// Draining says that the upstream has announced that it leaves.
+	// Draining says that the registry lists it as draining.
 	Draining bool
 	// HoldsTarget says that it holds the model and the adapter of the request.
 	HoldsTarget bool
@@ -43,6 +44,8 @@
 		return Restarted
 	case u.Draining:
 		return Draining
+	case u.Answers.Leaving():
+		return Leaving
 	case u.Answers.PauseLeft(now) > 0:
 		return Paused
 	case !u.HoldsTarget:
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -206,6 +206,8 @@
 	NotRun bool
 	// Limit is the rate limit that the upstream names.
 	Limit RateLimit
+	// Leaving says that the upstream is about to end.
+	Leaving bool
 	// Pause is how long the upstream wants no requests from this gateway; zero if
 	// it does not say.
 	Pause time.Duration
--- /dev/null
+++ b/internal/gateway/answers.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
+	"github.com/lagoonvalve/lagoonvalve/internal/forward"
+	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
+)
+
+// recordAnswer records what an answer to a request that was sent at a time says about
+// further requests to its upstream.
+func (x *exchange) recordAnswer(ctx context.Context, m *member, resp *forward.Response, sentAt time.Time) {
+	g := x.gateway
+	if limit := resp.Info.Limit; m.stats.limit.record(limit, sentAt) {
+		g.answerReports.add(m)
+		g.opts.Logger.Info("upstream names a rate limit", "request", x.call.ID, "upstream", m.upstream.Name,
+			"limited", limit.Limited, "per_second", limit.PerSecond)
+	}
+	reason := m.stats.recordAnswer(resp.Info, time.Now())
+	if reason == eligibility.Eligible {
+		return
+	}
+	g.opts.Meter.UpstreamIneligible(m.upstream.Name, reason)
+	g.opts.Logger.Info("upstream not eligible by its answer", "request", x.call.ID, "upstream", m.upstream.Name,
+		"reason", reason, "pause", resp.Info.Pause)
+	if reason == eligibility.Leaving {
+		// Requests that wait for a permit choose again with the next view.
+		g.post(ctx, func(*tables, time.Time) bool { return true })
+		g.answerReports.add(m)
+	}
+}
+
+// observation returns what the upstream has said in its answers as it is reported to the
+// controller.
+func (m *member) observation(now time.Time) rpc.AnswerObservation {
+	limit, at := m.stats.limit.current()
+	said := m.stats.saidInAnswers()
+	return rpc.AnswerObservation{
+		Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli(), Limited: limit.Limited, PerSecond: limit.PerSecond,
+		Leaving: said.Leaving(), Age: state.Duration(now.Sub(at)),
+	}
+}
+
+// answerReports holds the upstreams whose answers have to be reported to the controller.
+// Its methods may be called from any goroutine.
+type answerReports struct {
+	reportNow chan struct{}
+
+	mu      sync.Mutex
+	pending map[state.UpstreamName]*member
+}
+
+func newAnswerReports() *answerReports {
+	return &answerReports{reportNow: make(chan struct{}, 1), pending: make(map[state.UpstreamName]*member)}
+}
+
+func (r *answerReports) add(m *member) {
+	r.mu.Lock()
+	r.pending[m.upstream.Name] = m
+	r.mu.Unlock()
+	select {
+	case r.reportNow <- struct{}{}:
+	default:
+	}
+}
+
+// take removes and returns the pending reports.
+func (r *answerReports) take() []*member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*member, 0, len(r.pending))
+	for _, m := range r.pending {
+		list = append(list, m)
+	}
+	clear(r.pending)
+	return list
+}
+
+// reportAnswers reports to the controller what is new in the answers of upstreams.
+func (g *Gateway) reportAnswers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.answerReports.reportNow:
+		}
+		members := g.answerReports.take()
+		if len(members) == 0 {
+			continue
+		}
+		if err := g.sendAnswers(ctx, members); err != nil {
+			g.opts.Logger.Warn("answers of upstreams not reported", "upstreams", len(members), "error", err)
+			ctxtime.Sleep(ctx, callRetryDelay)
+			for _, m := range members {
+				g.answerReports.add(m)
+			}
+		}
+	}
+}
+
+func (g *Gateway) sendAnswers(ctx context.Context, members []*member) error {
+	params := rpc.AnswersParams{Gateway: g.opts.Name}
+	now := time.Now()
+	for _, m := range members {
+		params.Answers = append(params.Answers, m.observation(now))
+	}
+	return sendReport(ctx, g, rpc.MethodAnswers, params, g.opts.Controller.ReportAnswers)
+}
+
+// repeatAnswers reports all limits and all upstreams that leave, as a new controller knows
+// of none.
+func (g *Gateway) repeatAnswers() {
+	v := g.view.Load()
+	for _, m := range v.byName {
+		if limit, _ := m.stats.limit.current(); limit.Limited {
+			g.answerReports.add(m)
+		}
+	}
+	for _, m := range v.draining {
+		if said := m.stats.saidInAnswers(); said.Leaving() {
+			g.answerReports.add(m)
+		}
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -173,7 +173,11 @@
 			continue
 		}
 		excluded := slices.Contains(x.excluded, m.upstream.Name)
-		pause := m.stats.pauseLeft(now)
+		said := m.stats.saidInAnswers()
+		if said.Leaving() {
+			continue
+		}
+		pause := said.PauseLeft(now)
 		delay := max(m.stats.limit.permitDelay(now), pause)
 		if at := now.Add(delay); excluded && pause > 0 || !excluded && delay > 0 && at.After(latest) {
 			if freeAt.IsZero() || at.Before(freeAt) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
-	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
@@ -135,24 +134,14 @@
 // sendTo sends the request to an upstream, and records what the answer says about further
 // requests.
 func (x *exchange) sendTo(ctx context.Context, m *member, lastEvent string) (*forward.Response, error) {
-	g := x.gateway
 	sentAt := time.Now()
 	req := x.request(m, lastEvent)
 	req.Check = func() error { return x.checkSend(ctx, m) }
-	resp, err := g.forward.Send(ctx, m.upstream, req)
+	resp, err := x.gateway.forward.Send(ctx, m.upstream, req)
 	if err != nil {
 		return nil, err
 	}
-	if limit := resp.Info.Limit; m.stats.limit.record(limit, sentAt) {
-		g.limitReports.add(m)
-		g.opts.Logger.Info("upstream names a rate limit", "request", x.call.ID, "upstream", m.upstream.Name,
-			"limited", limit.Limited, "per_second", limit.PerSecond)
-	}
-	if reason := m.stats.recordAnswer(resp.Info, time.Now()); reason != eligibility.Eligible {
-		g.opts.Meter.UpstreamIneligible(m.upstream.Name, reason)
-		g.opts.Logger.Info("upstream not eligible by its answer", "request", x.call.ID, "upstream", m.upstream.Name,
-			"reason", reason, "pause", resp.Info.Pause)
-	}
+	x.recordAnswer(ctx, m, resp, sentAt)
 	return resp, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,7 +88,7 @@
 	lastStoreRead atomic.Pointer[time.Time]
 	relayed       relayedFeeds
 	crashes       *crashWatch
-	limitReports  *limitReports
+	answerReports *answerReports
 
 	budgets budgets
 }
@@ -132,8 +132,8 @@
 		demand:      newDemand(),
 		crashes:     newCrashWatch(),
 
-		limitReports: newLimitReports(),
-		budgets:      budgets{byService: make(map[state.ServiceName]*retry.Budget)},
+		answerReports: newAnswerReports(),
+		budgets:       budgets{byService: make(map[state.ServiceName]*retry.Budget)},
 	}
 	g.abortCtx, g.abortOpen = context.WithCancel(context.Background())
 	g.lastStoreRead.Store(new(time.Time))
@@ -156,7 +156,7 @@
 	running.Go(func() { g.followResidency(background) })
 	running.Go(func() { g.reportDemand(background) })
 	running.Go(func() { g.reportCrashes(background) })
-	running.Go(func() { g.reportLimits(background) })
+	running.Go(func() { g.reportAnswers(background) })
 	if g.opts.Quarantines != nil {
 		running.Go(func() { g.loadQuarantines(background) })
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -137,7 +137,7 @@
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return fleet.AnswerInfo{
 		ID: h.Get("Id"), Sealed: h.Get("Mark") != "", NotRun: h.Get("Not-Run") != "",
-		Limit: fleet.RateLimit{Limited: err == nil, PerSecond: rate}, Pause: pause,
+		Limit: fleet.RateLimit{Limited: err == nil, PerSecond: rate}, Pause: pause, Leaving: h.Get("Leaving") != "",
 	}
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -7,7 +7,6 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -91,15 +90,6 @@
 	s.permitsFrom = at
 }
 
-// observation returns the upstream's limit as it is reported to the controller.
-func (m *member) observation(now time.Time) rpc.LimitObservation {
-	limit, at := m.stats.limit.current()
-	return rpc.LimitObservation{
-		Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli(), Limited: limit.Limited, PerSecond: limit.PerSecond,
-		Age: state.Duration(now.Sub(at)),
-	}
-}
-
 // awaitPermit waits until a request may be sent to an upstream. It returns false if
 // that would be after the given time, and as soon as the upstream may not be sent the
 // request at all; the upstream's expected delay is then up to date.
@@ -117,7 +107,8 @@
 // awaitPauseEnd waits until the end of the pause that an upstream has asked for, if there
 // is one. It returns false if there was a pause: the request chooses again after it.
 func (x *exchange) awaitPauseEnd(ctx context.Context, m *member) bool {
-	left := m.stats.pauseLeft(time.Now())
+	said := m.stats.saidInAnswers()
+	left := said.PauseLeft(time.Now())
 	if left == 0 {
 		return true
 	}
@@ -213,78 +204,3 @@
 	params := rpc.PermitParams{Gateway: g.opts.Name, Limit: m.observation(now), MaxWait: state.Duration(max(maxWait, 0))}
 	return callLeader(ctx, g, g.opts.Controller.Leader(), rpc.MethodPermit, params, g.opts.Controller.Permit)
 }
-
-// limitReports holds the upstreams whose limits have to be reported to the
-// controller. Its methods may be called from any goroutine.
-type limitReports struct {
-	reportNow chan struct{}
-
-	mu      sync.Mutex
-	pending map[state.UpstreamName]*member
-}
-
-func newLimitReports() *limitReports {
-	return &limitReports{reportNow: make(chan struct{}, 1), pending: make(map[state.UpstreamName]*member)}
-}
-
-func (r *limitReports) add(m *member) {
-	r.mu.Lock()
-	r.pending[m.upstream.Name] = m
-	r.mu.Unlock()
-	select {
-	case r.reportNow <- struct{}{}:
-	default:
-	}
-}
-
-// take removes and returns the pending reports.
-func (r *limitReports) take() []*member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := make([]*member, 0, len(r.pending))
-	for _, m := range r.pending {
-		list = append(list, m)
-	}
-	clear(r.pending)
-	return list
-}
-
-// reportLimits reports changes of rate limits to the controller.
-func (g *Gateway) reportLimits(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.limitReports.reportNow:
-		}
-		members := g.limitReports.take()
-		if len(members) == 0 {
-			continue
-		}
-		if err := g.sendLimits(ctx, members); err != nil {
-			g.opts.Logger.Warn("rate limits not reported", "upstreams", len(members), "error", err)
-			ctxtime.Sleep(ctx, callRetryDelay)
-			for _, m := range members {
-				g.limitReports.add(m)
-			}
-		}
-	}
-}
-
-func (g *Gateway) sendLimits(ctx context.Context, members []*member) error {
-	params := rpc.LimitsParams{Gateway: g.opts.Name}
-	now := time.Now()
-	for _, m := range members {
-		params.Limits = append(params.Limits, m.observation(now))
-	}
-	return sendReport(ctx, g, rpc.MethodLimits, params, g.opts.Controller.ReportLimits)
-}
-
-// repeatLimits reports all known limits, as a new controller has none.
-func (g *Gateway) repeatLimits() {
-	for _, m := range g.view.Load().byName {
-		if limit, _ := m.stats.limit.current(); limit.Limited {
-			g.limitReports.add(m)
-		}
-	}
-}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -70,7 +70,7 @@
 		g.applyRelayed(result, newTerm)
 	}
 	if newTerm {
-		g.repeatLimits()
+		g.repeatAnswers()
 	}
 	if newTerm || result.PeersRevision != params.PeersRevision {
 		g.setPeers(result.Peers)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,7 +36,7 @@
 		rpc.MethodResidency: rpc.Method(g.opts.Controller.Residency),
 		rpc.MethodWanted:    rpc.Method(g.opts.Controller.ReportDemand),
 		rpc.MethodCrashes:   rpc.Method(g.opts.Controller.ReportCrashes),
-		rpc.MethodLimits:    rpc.Method(g.opts.Controller.ReportLimits),
+		rpc.MethodAnswers:   rpc.Method(g.opts.Controller.ReportAnswers),
 		rpc.MethodPermit:    rpc.Method(g.opts.Controller.Permit),
 	})
 	failed := make(chan error, 3)
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -123,20 +123,22 @@
 	}
 	t.term, t.revision, t.residencyAt = r.Term, r.Revision, now
 	for _, u := range r.Upstreams {
-		t.applyReportedLimit(u, now)
+		t.applyReportedAnswers(u, now)
 		t.residency[u.Upstream] = u
 	}
 	return changed
 }
 
-// applyReportedLimit applies a rate limit if it differs from the last one that the
-// controller reported.
-func (t *tables) applyReportedLimit(u rpc.UpstreamResidency, now time.Time) {
+// applyReportedAnswers applies what an upstream has said in answers to other gateways: that
+// it leaves, and a rate limit if it differs from the last one that the controller
+// reported.
+func (t *tables) applyReportedAnswers(u rpc.UpstreamResidency, now time.Time) {
 	row, ok := t.upstreams[u.Upstream]
 	last := t.residency[u.Upstream]
 	if !ok || u.Started != row.upstream.Started.UnixMilli() {
 		return
 	}
+	row.stats.recordAnswer(fleet.AnswerInfo{Leaving: u.Leaving}, now)
 	if u.Limited != last.Limited || u.PerSecond != last.PerSecond {
 		row.stats.limit.apply(fleet.RateLimit{Limited: u.Limited, PerSecond: u.PerSecond}, now)
 	}
@@ -200,15 +202,11 @@
 		manifest:  t.manifest,
 		byService: make(map[state.ServiceName][]*member),
 		byName:    make(map[state.UpstreamName]*member),
-		draining:  make(map[state.UpstreamName]*fleet.Upstream),
+		draining:  make(map[state.UpstreamName]*member),
 		changed:   make(chan struct{}),
 	}
 	for _, row := range t.sorted() {
 		u := row.upstream
-		if u.Draining {
-			v.draining[u.Name] = u
-			continue
-		}
 		m := &member{
 			upstream: u,
 			replicas: t.replicas(u, now),
@@ -216,6 +214,10 @@
 			hash:     routing.UpstreamHash(u.Name),
 			stats:    row.stats,
 		}
+		if said := row.stats.saidInAnswers(); u.Draining || said.Leaving() {
+			v.draining[u.Name] = m
+			continue
+		}
 		v.byService[u.Service] = append(v.byService[u.Service], m)
 		v.byName[u.Name] = m
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -19,9 +19,9 @@
 	manifest  *fleet.Manifest
 	byService map[state.ServiceName][]*member
 	byName    map[state.UpstreamName]*member
-	// draining has the upstreams that are registered as draining; they are in
-	// neither of the other maps.
-	draining map[state.UpstreamName]*fleet.Upstream
+	// draining has the upstreams that are registered as draining or have said that
+	// they leave; they are in neither of the other maps.
+	draining map[state.UpstreamName]*member
 	// changed is closed when a newer view is published.
 	changed chan struct{}
 }
@@ -93,12 +93,6 @@
 	return s.answers
 }
 
-func (s *upstreamStats) pauseLeft(now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.answers.PauseLeft(now)
-}
-
 // recordResult records the success or failure of a request to the upstream.
 func (s *upstreamStats) recordResult(ok bool, now time.Time, cfg health.Config) {
 	s.mu.Lock()
@@ -113,15 +107,17 @@
 // eligibility returns whether a request for a target may be sent to an upstream that was
 // chosen from this view or from an earlier one.
 func (v *view) eligibility(chosen *member, t fleet.Target, now time.Time) eligibility.Reason {
-	var current eligibility.Upstream
-	if u, ok := v.draining[chosen.upstream.Name]; ok {
-		current = eligibility.Upstream{Listed: true, Started: u.Started, Draining: true}
-	} else if m, ok := v.byName[chosen.upstream.Name]; ok {
-		current = eligibility.Upstream{
-			Listed: true, Started: m.upstream.Started, HoldsTarget: fleet.Holds(m.replicas, t), Answers: m.stats.saidInAnswers(),
-		}
+	m, ok := v.byName[chosen.upstream.Name]
+	if !ok {
+		m, ok = v.draining[chosen.upstream.Name]
+	}
+	if !ok {
+		return eligibility.Check(chosen.upstream.Started, eligibility.Upstream{}, now)
 	}
-	return eligibility.Check(chosen.upstream.Started, current, now)
+	return eligibility.Check(chosen.upstream.Started, eligibility.Upstream{
+		Listed: true, Started: m.upstream.Started, Draining: m.upstream.Draining,
+		HoldsTarget: fleet.Holds(m.replicas, t), Answers: m.stats.saidInAnswers(),
+	}, now)
 }
 
 // service returns the upstreams of a service.
--- a/internal/rpc/limits.go
+++ b/internal/rpc/answers.go
@@ -2,9 +2,9 @@
 
 import "github.com/lagoonvalve/lagoonvalve/internal/state"
 
-// LimitObservation is the rate limit that an upstream named in an answer, or that it
-// named none.
-type LimitObservation struct {
+// AnswerObservation is what an upstream has said of itself in an answer: a rate limit or
+// none, and whether it leaves.
+type AnswerObservation struct {
 	Upstream state.UpstreamName `json:"u"`
 	// Started is the upstream's start time in Unix milliseconds.
 	Started int64 `json:"s"`
@@ -12,25 +12,27 @@
 	// the upstream takes from all gateways together.
 	Limited   bool    `json:"l,omitempty"`
 	PerSecond float64 `json:"r,omitempty"`
+	// Leaving says that this start of the upstream leaves.
+	Leaving bool `json:"leaving,omitempty"`
 	// Age is the time since the request of that answer was sent.
 	Age state.Duration `json:"age"`
 }
 
-// LimitsParams reports changes of rate limits to the controller, which reports them
-// to all gateways.
-type LimitsParams struct {
-	Gateway string             `json:"gateway"`
-	Limits  []LimitObservation `json:"limits"`
+// AnswersParams reports what is new in the answers of upstreams to the controller, which
+// reports it to all gateways.
+type AnswersParams struct {
+	Gateway string              `json:"gateway"`
+	Answers []AnswerObservation `json:"answers"`
 }
 
-// LimitsResult answers LimitsParams.
-type LimitsResult struct{}
+// AnswersResult answers AnswersParams.
+type AnswersResult struct{}
 
 // PermitParams requests a permit to send one request to an upstream with a rate
 // limit.
 type PermitParams struct {
-	Gateway string           `json:"gateway"`
-	Limit   LimitObservation `json:"limit"`
+	Gateway string            `json:"gateway"`
+	Limit   AnswerObservation `json:"limit"`
 	// MaxWait is how long the request may wait for the permit to become valid.
 	MaxWait state.Duration `json:"wait"`
 }
--- a/internal/rpc/controller.go
+++ b/internal/rpc/controller.go
@@ -8,7 +8,7 @@
 	MethodResidency = "controller.residency"
 	MethodWanted    = "controller.wanted"
 	MethodCrashes   = "controller.crashes"
-	MethodLimits    = "controller.limits"
+	MethodAnswers   = "controller.answers"
 	MethodPermit    = "controller.permit"
 )
 
@@ -102,6 +102,8 @@
 	// Limited and PerSecond are the rate limit that the upstream names.
 	Limited   bool    `json:"l,omitempty"`
 	PerSecond float64 `json:"ps,omitempty"`
+	// Leaving says that the upstream has said in an answer that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // ResidencyResult answers ResidencyParams with the upstreams that have changed
