gateway: leave the upstream of a cut stream before resuming it

Cause: the response of a stream that was cut was closed only at the end of the exchange. An upstream that sends bytes without end after it has spoiled its answer works on.

Change: the connection is closed before another upstream is asked for the rest. Response.Close has no effect after the first call.

Why it works: closing the connection is what ends the work of an upstream.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -21,6 +21,7 @@
 	pool     *pool
 	detach   func() bool
 	complete bool
+	closed   bool
 }
 
 // Length returns the length of the body, or -1 if it is unknown.
@@ -45,9 +46,24 @@
 	return n, nil
 }
 
+// Abort closes the connection, which makes the upstream stop its work.
+func (r *Response) Abort() {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	r.detach()
+	r.conn.abort()
+}
+
 // Close returns the connection to the pool if the complete response was read and
-// nothing else was received on it, and closes the connection otherwise.
+// nothing else was received on it, and closes the connection otherwise. After the first
+// call of Close or Abort it has no effect.
 func (r *Response) Close() {
+	if r.closed {
+		return
+	}
+	r.closed = true
 	if !r.detach() || !r.complete || r.resp.Close || !r.conn.clean() {
 		r.conn.abort()
 		return
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -140,11 +140,15 @@
 		return out.copy(eventReader(resp))
 	}
 	events := sse.NewEventReader(eventReader(resp))
+	current := resp
+	defer func() { current.Close() }()
 	for {
 		v := out.copy(events)
 		if v == nil || !x.delivered || v.Reason != verdict.ReasonStreamCut || ctx.Err() != nil {
 			return v
 		}
+		// Two upstreams must not work on the request at the same time.
+		current.Abort()
 		x.recordFailure(ctx, m)
 		x.recordLostRun(ctx, m, v)
 		next, resumedAt, lastVerdict := x.resume(ctx, events.LastID(), v)
@@ -153,9 +157,8 @@
 			return lastVerdict
 		}
 		x.gateway.opts.Meter.Resume(telemetry.ResumeDone)
-		defer next.Close()
 		events.Resume(eventReader(next))
-		m = resumedAt
+		current, m = next, resumedAt
 	}
 }
 
