gateway: each stream that ends within an event was cut

Cause: the check for an end within an event was made only for bodies without a length and without chunks.

Change: it is made for all event streams. They are passed on without a declared length, which would make a broken stream look complete. An event may end with any of the line ends of event streams.

Measured: TestStreamThatEndsWithinAnEventIsCut failed before with chunks and with a length, and passes; all tests of gateway and roles pass.

Why it works: the end of a stream is the end of its last event, whatever the body says.

--- /dev/null
+++ b/internal/gateway/order_test.go
@@ -0,0 +1,46 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against issue 21, ORDER: a stream that ends within an event has been broken off,
+// also if the end of its body is marked by a length or a last chunk.
+func TestStreamThatEndsWithinAnEventIsCut(t *testing.T) {
+	const begun = "id: 1\ndata: 1\n\nid: 2\ndata: 4\n\n"
+	for name, framing := range map[string]string{
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n28\r\n" + begun + "id: 3\ndata\r\n0\r\n\r\n",
+		"length": "Content-Length: 40\r\n\r\n" + begun + "id: 3\ndata",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.URL.Path == "/any/0":
+				case r.Header.Get("After") != "":
+					events(w, 3, 4, false)
+				default:
+					conn, _, err := w.(http.Hijacker).Hijack()
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: request-1\r\nMark: a\r\nContent-Type: text/event-stream\r\n"+framing)
+					_ = conn.Close()
+				}
+			}
+			s.upstream("a", "plain", serve)
+			s.upstream("b", "plain", serve)
+			s.await("/any/0", http.StatusOK)
+			time.Sleep(time.Second) // Waits until the gateway has read both entries.
+			s.g.Expect(s.request(t.Context(), "/stream/1", nil).err).To(MatchError(io.ErrUnexpectedEOF))
+			got := s.request(t.Context(), "/resume/1", nil)
+			s.g.Expect([]any{got.body, got.err}).To(Equal([]any{wholeStream, nil}))
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,6 +24,8 @@
 	// of it is delivered.
 	maxBufferedResponse = 256 << 10
 	streamBufferSize    = 4 << 10
+	// unknownLength is the length of a body that declares none.
+	unknownLength = -1
 	// maxUndeclaredBody bounds a body that declares no length: a faulty upstream
 	// may send bytes without end.
 	maxUndeclaredBody = 16 << 20
@@ -197,38 +200,49 @@
 	return nil, nil, v
 }
 
-// eventReader returns a reader for a stream of events. If the body's end is not
-// marked by a length or by chunked encoding, a stream that ends within an event was
-// cut.
+// eventReader returns a reader for a stream of events. A stream that ends within an event
+// was cut, even if the end of its body is marked by a length or a last chunk. Without such
+// a mark, one without any event was cut as well.
 func eventReader(resp *forward.Response) io.Reader {
-	events := sse.LimitEvents(resp)
-	if resp.Framed() {
-		return events
-	}
-	return &unframedEvents{src: events}
+	return &wholeEvents{src: sse.LimitEvents(resp), mayBeEmpty: resp.Framed()}
 }
 
-// unframedEvents reads events from a body that ends with its connection.
-type unframedEvents struct {
+// wholeEvents reads a stream and checks that it ends after an event.
+type wholeEvents struct {
 	src io.Reader
+	// mayBeEmpty says that a stream without any event is complete.
+	mayBeEmpty bool
 	// tail holds the last bytes read.
 	tail []byte
 }
 
-var eventEnd = []byte("\n\n")
+// eventEnds are the ends of an event: an empty line, with each of the line ends that
+// streams may use.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")}
+
+// maxEventEnd is the length of the longest of eventEnds.
+const maxEventEnd = 4
 
 // Read implements io.Reader. It returns io.ErrUnexpectedEOF if the source ends
 // within an event.
-func (u *unframedEvents) Read(p []byte) (int, error) {
-	n, err := u.src.Read(p)
-	u.tail = append(u.tail, p[:n]...)
-	u.tail = u.tail[max(len(u.tail)-len(eventEnd), 0):]
-	if errors.Is(err, io.EOF) && !bytes.Equal(u.tail, eventEnd) {
+func (w *wholeEvents) Read(p []byte) (int, error) {
+	n, err := w.src.Read(p)
+	w.tail = append(w.tail, p[:n]...)
+	w.tail = w.tail[max(len(w.tail)-maxEventEnd, 0):]
+	if errors.Is(err, io.EOF) && !w.ended() {
 		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
+// ended reports whether the stream so far ends after an event.
+func (w *wholeEvents) ended() bool {
+	if len(w.tail) == 0 {
+		return w.mayBeEmpty
+	}
+	return slices.ContainsFunc(eventEnds, func(end []byte) bool { return bytes.HasSuffix(w.tail, end) })
+}
+
 // eventWriter passes a stream on to the caller.
 type eventWriter struct {
 	exchange *exchange
@@ -261,7 +275,9 @@
 		n, err := src.Read(w.buffer[:])
 		if n > 0 {
 			if !x.delivered {
-				x.writeHead(w.resp, int(w.resp.Length()))
+				// With a declared length, a stream that ends within an event would
+				// look complete, and a resumed one could not be longer.
+				x.writeHead(w.resp, unknownLength)
 			}
 			if _, err := x.w.Write(w.buffer[:n]); err != nil {
 				return verdict.Unknown(verdict.ReasonCallerGone, err.Error())
