gateway: request the whole registry when it begins to be relayed

Change: a gateway that begins to go by the relayed registry requests all of it once. An entry of the same start ends the grace.

Why it works: from the moment on at which a gateway relies on changes, it has the state that they change.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -44,6 +44,8 @@
 	// relayed reports whether the controller currently relays the feed, so that
 	// it need not be read; nil if it is never relayed.
 	relayed func(now time.Time) bool
+	// onRelayed is called when the feed begins to be relayed; nil calls nothing.
+	onRelayed func()
 	// shared reports whether other processes depend on this process's reads; nil
 	// if they never do.
 	shared func() bool
@@ -87,6 +89,9 @@
 // waitWhileRelayed waits until the feed is no longer relayed.
 func (f *follower[T]) waitWhileRelayed(ctx context.Context) {
 	f.logger.Info("feed relayed", "feed", f.name)
+	if f.onRelayed != nil {
+		f.onRelayed()
+	}
 	began := time.Now()
 	for f.relayed(time.Now()) && ctxtime.Sleep(ctx, relayedPoll) {
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -253,7 +253,7 @@
 func (g *Gateway) followUpstreams(ctx context.Context) {
 	f := follower[fleet.Upstream]{
 		name: "upstreams", feed: g.opts.Upstreams, logger: g.opts.Logger, minInterval: upstreamReadInterval, onRead: g.recordRegistryRead,
-		relayed: g.registryRelayed, shared: g.opts.Controller.IsActing,
+		relayed: g.registryRelayed, onRelayed: g.requestRegistry, shared: g.opts.Controller.IsActing,
 		apply: func(page fleet.Page[fleet.Upstream], complete, outage bool) {
 			g.post(ctx, func(t *tables, now time.Time) bool {
 				g.applyUpstreams(t, page, complete, outage, now)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -34,7 +34,7 @@
 	lost := true
 	for ctx.Err() == nil {
 		leader := g.opts.Controller.Leader()
-		params.StoreAge = state.Duration(time.Since(*g.lastStoreRead.Load()))
+		g.prepareResidency(&params)
 		result, err := g.requestResidency(ctx, leader, params)
 		if err != nil || result.Term == 0 {
 			if !lost && ctx.Err() == nil {
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -6,6 +6,7 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
 // relayedAge is the maximum age of the controller's last read of a feed; beyond it a
@@ -21,6 +22,8 @@
 	registryReadAt, manifestReadAt atomic.Pointer[time.Time]
 	// manifestVersion is the version of the manifest that the controller holds.
 	manifestVersion atomic.Uint64
+	// wantRegistry says that the whole registry has to be requested once.
+	wantRegistry atomic.Bool
 }
 
 // reset causes both feeds to be read again.
@@ -46,6 +49,19 @@
 	g.relayed.manifestReadAt.Store(&manifest)
 }
 
+// requestRegistry lets the next request to the controller ask for the whole registry. This
+// gateway goes by it from now on, and may lack entries that the controller has no reason
+// to report again: its own reading of the registry was of another moment.
+func (g *Gateway) requestRegistry() { g.relayed.wantRegistry.Store(true) }
+
+// prepareResidency updates the parameters of the next request to the controller.
+func (g *Gateway) prepareResidency(params *rpc.ResidencyParams) {
+	params.StoreAge = state.Duration(time.Since(*g.lastStoreRead.Load()))
+	if g.relayed.wantRegistry.Swap(false) {
+		params.Revision = 0
+	}
+}
+
 // registryRelayed reports whether a controller in another process relays changes of
 // the registry promptly enough.
 func (g *Gateway) registryRelayed(now time.Time) bool {
--- a/internal/gateway/relayed_test.go
+++ b/internal/gateway/relayed_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
+	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -41,6 +44,55 @@
 	g.Expect(gw.registryRelayed(time.Now())).To(BeFalse())
 }
 
+// Guards against issue 21: after an outage of the store, a gateway gave the entries that had
+// lapsed a time to come back, and went by the controller's registry meanwhile. The
+// controller had no change to report, so the gateway dropped the upstreams for good.
+func TestRelayedRegistryEndsTheGraceOfLapsedEntries(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	gw := New(Options{Logger: slog.New(slog.DiscardHandler)})
+	tables := newTables("dc", nil)
+	tables.applyUpstream(entry(9))
+	gw.applyUpstreams(tables, fleet.Page[fleet.Upstream]{}, true, true, now)
+	// The controller repeats an entry only when it changes for routing.
+	listed := rpc.UpstreamResidency{Upstream: "u", Started: testStart.UnixMilli(), Report: 3, Service: "s", DataCentre: "dc2", Slots: 1}
+	gw.applyUpstreams(tables, registryPage([]rpc.UpstreamResidency{listed}), false, false, now.Add(time.Second))
+	g.Expect(tables.expire(now.Add(reregisterGrace))).To(BeEmpty())
+	g.Expect(tables.view(now).service("s")).To(HaveLen(1))
+	gw.applyUpstreams(tables, registryPage([]rpc.UpstreamResidency{{Upstream: "u", Gone: true}}), false, false, now)
+	g.Expect(tables.view(now).service("s")).To(BeEmpty(), "the controller drops it when its own grace has passed")
+}
+
+// Guards against a gateway that goes by the relayed registry without ever having had all of
+// it: entries that it lacks and that do not change any more would stay unknown.
+func TestRelayedRegistryIsRequestedInFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gw := New(Options{Logger: slog.New(slog.DiscardHandler)})
+		params := rpc.ResidencyParams{Term: 3, Revision: 70}
+		gw.prepareResidency(&params)
+		g.Expect(params.Revision).To(Equal(uint64(70)))
+		f := follower[fleet.Upstream]{
+			name: "upstreams", feed: &countedFeed{}, logger: gw.opts.Logger, minInterval: upstreamReadInterval,
+			apply:     func(fleet.Page[fleet.Upstream], bool, bool) {},
+			onRead:    func(time.Time) {},
+			relayed:   func(time.Time) bool { return true },
+			onRelayed: gw.requestRegistry,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.run(ctx)
+		time.Sleep(2 * time.Second)
+		gw.prepareResidency(&params)
+		g.Expect(params.Revision).To(BeZero())
+		g.Expect(params.Term).To(Equal(state.FencingToken(3)))
+		params.Revision = 71
+		gw.prepareResidency(&params)
+		g.Expect(params.Revision).To(Equal(uint64(71)), "once")
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against limits whose sum exceeds the time within which a manifest must be in
 // force or an upstream must get no more requests. When the controller stops
 // responding, its last read first has to exceed relayedAge, and then this gateway
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -73,10 +73,13 @@
 		t.upstreams[u.Name] = &upstreamRow{upstream: u, stats: t.newStats()}
 		return true
 	}
+	if !u.Started.Before(row.upstream.Started) {
+		// The upstream is listed, though the controller may relay an older report of it.
+		row.dropAt = time.Time{}
+	}
 	if !u.Supersedes(row.upstream) {
 		return false
 	}
-	row.dropAt = time.Time{}
 	changed = u.Draining != row.upstream.Draining || !u.Started.Equal(row.upstream.Started)
 	if !u.Started.Equal(row.upstream.Started) {
 		row.stats = t.newStats()
