controller: adapters on their way to an engine hold places

Cause: the list of adapters on their way in an engine's report was not decoded. A report made while an adapter was on its way took the place of what the controller held for true, and the adapter's place counted as free.

Change: the list is decoded. An adapter of it whose load was taken for complete stays held; another counts as an accepted load.

Why it works: an adapter takes its place from the order on, and each report shows it either as held or as on its way.

--- a/internal/controller/engine.go
+++ b/internal/controller/engine.go
@@ -165,7 +165,7 @@
 	if r.Busy || outdated || e.known && e.conflictAt.IsZero() && r.Accepted < e.acceptedOrders || !e.orders.empty() {
 		return changed
 	}
-	e.setReport(r)
+	e.setReport(r, now)
 	return true
 }
 
@@ -234,9 +234,24 @@
 	return recent
 }
 
-func (e *engine) setReport(r fleet.EngineReport) {
+// setReport replaces the state by that of a report. Adapters that were on their way then
+// hold places: those whose loads were taken for complete go on being served, and the
+// others count as loads that were accepted.
+func (e *engine) setReport(r fleet.EngineReport, now time.Time) {
+	before := e.replicas
 	e.known, e.acceptedOrders, e.conflictAt = true, r.Accepted, time.Time{}
 	e.replicas, e.inMemory, e.onDisk = r.Replicas, r.InMemory, r.OnDisk
+	for _, t := range r.Coming {
+		p := &pendingOrder{Order: fleet.Order{Kind: fleet.Load, Target: t, Expect: r.Accepted - 1}, state: orderAccepted, short: true}
+		switch {
+		case fleet.Holds(e.replicas, t):
+		case fleet.Holds(before, t):
+			e.replicas = residency.ApplyOrder(e.replicas, p.Order)
+		default:
+			p.due = now.Add(shortOrderDuration)
+			e.orders.add(p)
+		}
+	}
 }
 
 // completeShortOrders treats short orders as complete shortOrderDuration after they
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -150,6 +150,9 @@
 // hundred milliseconds old.
 type EngineReport struct {
 	Replicas []Replica
+	// Coming lists the adapters that are being loaded. They take places like those
+	// that are held.
+	Coming []Target
 	// Busy says that an order is in progress.
 	Busy bool
 	// Accepted is the number of orders accepted since the engine's start.
