gateway, controller: permits of several grantors keep one limit together

Cause: permits are reserved seconds ahead. Gateways used those of the former holder while their own parts, and then the new holder, granted from buckets that did not know of them.

Change: a gateway keeps until when its permits are valid, by grantor. Its own part begins after the last one, and a controller grants no permit that is valid before those of other grantors are used.

TestOwnPermitsFollowThoseOfTheController and TestNewHolderGrantsAfterThePermitsOfTheFormerOne failed before. Tests of gateway, controller and pacing pass.

Why it works: the limit is one timeline, and each grantor begins where the one before has ended.

--- a/internal/controller/limits.go
+++ b/internal/controller/limits.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/pacing"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -65,6 +66,9 @@
 		l = &upstreamLimit{started: o.Started, permits: rate.NewLimiter(permitRate(o.PerSecond), permitBurst)}
 		c.limits[o.Upstream] = l
 	}
+	if l.started == o.Started {
+		pacing.SkipUntil(l.permits, now, now.Add(c.othersPermits(o, now)))
+	}
 	observedAt := now.Add(-o.Age.Std())
 	if l.started > o.Started || observedAt.Before(l.observedAt) {
 		return l
@@ -82,12 +86,22 @@
 	return l
 }
 
+// othersPermits returns until when a gateway uses permits that this controller has not
+// granted: those of an earlier one, and those of the gateway's own part.
+func (c *Controller) othersPermits(o rpc.AnswerObservation, now time.Time) time.Duration {
+	if term, _ := c.machine.MayAct(now); o.GrantedBy == term {
+		return o.EarlierUntil.Std()
+	}
+	return max(o.EarlierUntil, o.GrantedUntil).Std()
+}
+
 func permitRate(perSecond float64) rate.Limit { return rate.Limit(max(perSecond, minPermitRate)) }
 
 func (c *Controller) grantPermit(params rpc.PermitParams, now time.Time) rpc.PermitResult {
 	l := c.recordLimit(params.Limit, now)
+	term, _ := c.machine.MayAct(now)
 	if l == nil || !l.limit.Limited {
-		return rpc.PermitResult{Granted: true}
+		return rpc.PermitResult{Granted: true, Term: term}
 	}
 	permit := l.permits.ReserveN(now, 1)
 	delay := permit.DelayFrom(now)
@@ -95,5 +109,5 @@
 		permit.CancelAt(now)
 		return rpc.PermitResult{Delay: state.Duration(delay)}
 	}
-	return rpc.PermitResult{Granted: true, Delay: state.Duration(delay)}
+	return rpc.PermitResult{Granted: true, Term: term, Delay: state.Duration(delay)}
 }
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -63,6 +63,35 @@
 	})
 }
 
+// Guards against permits that a new holder grants beside those of the former one, which
+// gateways go on using: an upstream got up to twice its limit.
+func TestNewHolderGrantsAfterThePermitsOfTheFormerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newHarness(t, 1, 1)
+		c := h.start(ctx, "a")
+		time.Sleep(time.Second)
+		const perSecond, held = 20, 5 * time.Second
+		observed := limitObserved(true, perSecond)
+		observed.GrantedBy, observed.GrantedUntil = 1_000, state.Duration(held)
+		_, err := c.ReportAnswers(ctx, rpc.AnswersParams{Gateway: "g", Answers: []rpc.AnswerObservation{observed}})
+		h.g.Expect(err).NotTo(HaveOccurred())
+		h.g.Expect(requestPermit(ctx, h, c, "h", perSecond, held-time.Second).Granted).To(BeFalse())
+		for i := range 10 {
+			result := requestPermit(ctx, h, c, "h", perSecond, time.Minute)
+			h.g.Expect(result.Granted).To(BeTrue())
+			want := held + time.Duration(i)*time.Second/perSecond
+			h.g.Expect(result.Delay.Std()).To(BeNumerically("~", want, 100*time.Millisecond))
+			// What the holder has granted itself does not defer its next permits.
+			observed.GrantedBy, observed.GrantedUntil, observed.EarlierUntil = result.Term, state.Duration(time.Minute), state.Duration(held)
+			_, err := c.ReportAnswers(ctx, rpc.AnswersParams{Gateway: "g", Answers: []rpc.AnswerObservation{observed}})
+			h.g.Expect(err).NotTo(HaveOccurred())
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against gateways that don't receive a limit or its end, and against an old
 // report that replaces a newer one.
 func TestLimitsArePublished(t *testing.T) {
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -40,12 +40,16 @@
 func (m *member) observation(now time.Time) rpc.AnswerObservation {
 	limit, at := m.stats.limit.current()
 	said := m.stats.saidInAnswers()
+	held := m.stats.limit.heldPermits()
 	return rpc.AnswerObservation{
 		Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli(), Limited: limit.Limited, PerSecond: limit.PerSecond,
 		Leaving: said.Leaving(), Age: state.Duration(now.Sub(at)),
+		GrantedBy: held.grantor, GrantedUntil: timeUntil(held.until, now), EarlierUntil: timeUntil(held.earlierUntil, now),
 	}
 }
 
+func timeUntil(at, now time.Time) state.Duration { return state.Duration(max(at.Sub(now), 0)) }
+
 // answerReports holds the upstreams whose answers have to be reported to the controller.
 // Its methods may be called from any goroutine.
 type answerReports struct {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/pacing"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -35,6 +36,7 @@
 	observedAt time.Time
 	// permitsFrom is when the next permit is expected to become valid.
 	permitsFrom time.Time
+	permits     heldPermits
 	// controllerLostUntil is until when permits are not requested from the
 	// controller, and ownPermits grants this gateway's part meanwhile; nil if the
 	// controller grants them.
@@ -42,6 +44,35 @@
 	ownPermits          *rate.Limiter
 }
 
+// heldPermits says until when the permits that were granted to this gateway are valid.
+type heldPermits struct {
+	// grantor is the term of the controller that has granted the latest ones, zero
+	// for those of this gateway's own part, and until is when the last one is valid.
+	grantor state.FencingToken
+	until   time.Time
+	// earlierUntil is when the last one of the grantors before is valid.
+	earlierUntil time.Time
+}
+
+// add adds a permit.
+func (p *heldPermits) add(grantor state.FencingToken, validAt time.Time) {
+	if p.grantor != grantor {
+		p.earlierUntil = p.last()
+		p.grantor, p.until = grantor, time.Time{}
+	}
+	if validAt.After(p.until) {
+		p.until = validAt
+	}
+}
+
+// last returns when the last of all permits is valid.
+func (p *heldPermits) last() time.Time {
+	if p.until.After(p.earlierUntil) {
+		return p.until
+	}
+	return p.earlierUntil
+}
+
 // record records the rate limit of the answer to a request sent at a time. That
 // an answer names none counts only if its request was sent after the last one with a
 // limit: answers overtake each other. It reports whether the limit has changed.
@@ -90,6 +121,19 @@
 	s.permitsFrom = at
 }
 
+// recordPermit records a permit that was granted to this gateway.
+func (s *limitState) recordPermit(grantor state.FencingToken, validAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.permits.add(grantor, validAt)
+}
+
+func (s *limitState) heldPermits() heldPermits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.permits
+}
+
 // awaitPermit waits until a request may be sent to an upstream. It returns false if
 // that would be after the given time, and as soon as the upstream may not be sent the
 // request at all; the upstream's expected delay is then up to date.
@@ -100,7 +144,11 @@
 	now := time.Now()
 	defer func() { x.permitWait += time.Since(now) }()
 	result := x.gateway.permit(ctx, m, now, max(latest.Sub(now), 0))
-	m.stats.limit.setPermitsFrom(time.Now().Add(result.Delay.Std()))
+	validAt := time.Now().Add(result.Delay.Std())
+	m.stats.limit.setPermitsFrom(validAt)
+	if result.Granted {
+		m.stats.limit.recordPermit(result.Term, validAt)
+	}
 	return result.Granted && x.sleepWhileEligible(ctx, m, result.Delay.Std())
 }
 
@@ -175,14 +223,15 @@
 	s.controllerLostUntil = now.Add(permitRetryDelay)
 }
 
-// ownPermit grants a permit from this gateway's part of the limit. The part begins
-// without a permit, since the controller has granted all until now.
+// ownPermit grants a permit from this gateway's part of the limit. The part begins after
+// the permits that the controller has granted.
 func (s *limitState) ownPermit(now time.Time, gateways float64, maxWait time.Duration) rpc.PermitResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ownPermits == nil {
 		s.ownPermits = rate.NewLimiter(rate.Limit(max(s.limit.PerSecond, minLimit)/gateways), 1)
 		s.ownPermits.AllowN(now, 1)
+		pacing.SkipUntil(s.ownPermits, now, s.permits.last())
 	}
 	permit := s.ownPermits.ReserveN(now, 1)
 	delay := permit.DelayFrom(now)
--- a/internal/gateway/limitstate_test.go
+++ b/internal/gateway/limitstate_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
 // Guards against a limit that ends with an answer from before it, as answers overtake
@@ -49,6 +50,38 @@
 	g.Expect(granted).To(And(BeNumerically("<=", perSecond*seconds), BeNumerically(">=", perSecond*(seconds-3))))
 }
 
+// Guards against permits of a gateway's own part that are valid beside those that the lost
+// controller has granted: together they exceed the limit.
+func TestOwnPermitsFollowThoseOfTheController(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var s limitState
+	s.record(fleet.RateLimit{Limited: true, PerSecond: 8}, now)
+	s.recordPermit(3, now.Add(5*time.Second))
+	s.recordPermit(3, now.Add(2*time.Second))
+	g.Expect(s.ownPermit(now, minGateways, 4*time.Second).Granted).To(BeFalse())
+	first := s.ownPermit(now, minGateways, time.Minute)
+	g.Expect(first.Granted).To(BeTrue())
+	g.Expect(first.Delay.Std()).To(And(BeNumerically(">=", 5*time.Second), BeNumerically("<=", 7*time.Second)))
+}
+
+// Guards against a new controller that is not told of the permits of the former one, and
+// against one that is told of its own: it would skip permits for the time that messages
+// take.
+func TestHeldPermitsByGrantor(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	m := &member{upstream: &fleet.Upstream{Name: "u"}, stats: &upstreamStats{}}
+	s := &m.stats.limit
+	s.recordPermit(3, now.Add(5*time.Second))
+	held := m.observation(now)
+	g.Expect([]any{held.GrantedBy, held.GrantedUntil.Std(), held.EarlierUntil.Std()}).To(Equal([]any{state.FencingToken(3), 5 * time.Second, time.Duration(0)}))
+	s.recordPermit(0, now.Add(2*time.Second))
+	s.recordPermit(4, now.Add(time.Second))
+	held = m.observation(now)
+	g.Expect([]any{held.GrantedBy, held.GrantedUntil.Std(), held.EarlierUntil.Std()}).To(Equal([]any{state.FencingToken(4), time.Second, 5 * time.Second}))
+}
+
 // Guards against a loop of requests for permits while the controller is lost.
 func TestPermitsAreNotRequestedAgainAtOnce(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/rpc/answers.go
+++ b/internal/rpc/answers.go
@@ -14,6 +14,13 @@
 	PerSecond float64 `json:"r,omitempty"`
 	// Leaving says that this start of the upstream leaves.
 	Leaving bool `json:"leaving,omitempty"`
+	// GrantedBy is the term of the controller that has granted the sender's latest
+	// permits for the upstream, zero if they are of the sender's own part.
+	// GrantedUntil is the time until the last of them is valid, and EarlierUntil the
+	// same for permits that another controller has granted before.
+	GrantedBy    state.FencingToken `json:"gb,omitempty"`
+	GrantedUntil state.Duration     `json:"gu,omitempty"`
+	EarlierUntil state.Duration     `json:"eu,omitempty"`
 	// Age is the time since the request of that answer was sent.
 	Age state.Duration `json:"age"`
 }
@@ -40,6 +47,8 @@
 // PermitResult answers PermitParams.
 type PermitResult struct {
 	Granted bool `json:"ok,omitempty"`
+	// Term is that of the controller.
+	Term state.FencingToken `json:"term,omitempty"`
 	// Delay is the time until the permit becomes valid, or until one could have if
 	// none is granted.
 	Delay state.Duration `json:"delay,omitempty"`
