forward: send Content-Length once

Cause: the caller's header was passed on beside the one of the body that is sent. Change: only the latter is sent. Measured: TestContentLengthIsSentOnce failed before (two) and passes, with the other tests of forward and gateway.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -21,6 +21,8 @@
 	// maxInlineBody is the largest body that is written before the response is
 	// read. An upstream may respond before it has read a larger one.
 	maxInlineBody = 4 << 10
+
+	headerContentLength = "Content-Length"
 )
 
 // conn is a connection to an upstream. It carries one request at a time.
@@ -74,6 +76,10 @@
 	b = append(b, req.Host...)
 	b = append(b, "\r\n"...)
 	for name, values := range req.Header {
+		if name == headerContentLength {
+			// The length is that of the body that is sent.
+			continue
+		}
 		for _, value := range values {
 			b = append(b, name...)
 			b = append(b, ": "...)
@@ -82,7 +88,7 @@
 		}
 	}
 	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
-		b = append(b, "Content-Length: "...)
+		b = append(b, headerContentLength+": "...)
 		b = strconv.AppendInt(b, int64(len(req.Body)), 10)
 		b = append(b, "\r\n"...)
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -140,6 +140,33 @@
 	g.Expect(u.conns.Load()).To(Equal(int32(1)))
 }
 
+// Guards against a request that goes on with two Content-Length headers, the caller's and
+// that of the body that is sent: a strict upstream refuses it.
+func TestContentLengthIsSentOnce(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	received := make(chan string, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		buffer := make([]byte, 1<<10)
+		n, _ := conn.Read(buffer)
+		received <- string(buffer[:n])
+		_, _ = io.WriteString(conn, response("1", "ok"))
+	}()
+	req := request("1")
+	req.Header.Set("Content-Length", "4")
+	a, err := forward.NewClient(dialect{}).Send(context.Background(), &fleet.Upstream{Name: "u", Address: listener.Addr().String()}, req)
+	g.Expect(err).NotTo(HaveOccurred())
+	a.Close()
+	g.Expect(strings.Count(<-received, "Content-Length: 4\r\n")).To(Equal(1))
+}
+
 // Guards against returning the response to another request: an upstream may send a
 // late or duplicate response before the one that is expected.
 func TestStrayResponsesAreSkipped(t *testing.T) {
