forward: keep the idle timeout that an upstream names

Cause: the header was removed from the response for the caller before the pool read it. Change: it is read when the response arrives. Measured: TestIdleTimeoutOfTheUpstreamIsKept failed before and passes, with the other tests of forward and gateway.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -16,6 +16,9 @@
 	Header http.Header
 	Info   fleet.AnswerInfo
 
+	// keepAlive is the upstream's Keep-Alive header, which is not passed on.
+	keepAlive string
+
 	resp     *http.Response
 	conn     *conn
 	pool     *pool
@@ -68,5 +71,5 @@
 		r.conn.abort()
 		return
 	}
-	r.pool.put(r.conn, time.Now(), r.Header)
+	r.pool.put(r.conn, time.Now(), r.keepAlive)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -118,7 +118,10 @@
 		conn.abort()
 		return nil, verdict.Unknown(verdict.ReasonUpstreamFailed, "receive response: "+err.Error())
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, resp: resp, conn: conn, pool: p, detach: stop}, nil
+	return &Response{
+		Status: resp.StatusCode, Header: resp.Header, Info: info, keepAlive: resp.Header.Get("Keep-Alive"),
+		resp: resp, conn: conn, pool: p, detach: stop,
+	}, nil
 }
 
 // Refuses reports whether nothing listens at an upstream's address: its process has
@@ -130,6 +133,6 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	p.put(conn, time.Now(), nil)
+	p.put(conn, time.Now(), "")
 	return false
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -167,6 +167,23 @@
 	g.Expect(strings.Count(<-received, "Content-Length: 4\r\n")).To(Equal(1))
 }
 
+// Guards against an upstream's idle timeout that is lost when its headers are passed on
+// before the connection goes back to the pool: the next request fails on a connection
+// that the upstream closes.
+func TestIdleTimeoutOfTheUpstreamIsKept(t *testing.T) {
+	g := NewWithT(t)
+	answer := strings.Replace(response("1", "ok"), "Mark: 1\r\n", "Mark: 1\r\nKeep-Alive: timeout=0\r\n", 1)
+	u := serve(t, sendText(answer), sendText(answer))
+	client := forward.NewClient(dialect{})
+	for range 2 {
+		a, err := client.Send(context.Background(), u.Upstream, request("1"))
+		g.Expect(err).NotTo(HaveOccurred())
+		a.Header.Del("Keep-Alive")
+		g.Expect(read(t, a)).To(Equal("ok"))
+	}
+	g.Expect(u.conns.Load()).To(Equal(int32(2)))
+}
+
 // Guards against returning the response to another request: an upstream may send a
 // late or duplicate response before the one that is expected.
 func TestStrayResponsesAreSkipped(t *testing.T) {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -91,10 +90,11 @@
 	return failed
 }
 
-// put returns a connection to the pool.
-func (p *pool) put(c *conn, now time.Time, header http.Header) {
+// put returns a connection to the pool; keepAlive is the Keep-Alive header of the last
+// response on it.
+func (p *pool) put(c *conn, now time.Time, keepAlive string) {
 	c.lastUsed = now
-	if limit, ok := parseIdleTimeout(header.Get("Keep-Alive")); ok {
+	if limit, ok := parseIdleTimeout(keepAlive); ok {
 		c.idleTimeout = limit
 	}
 	p.mu.Lock()
