gateway: count a resumed stream for the upstream that ended it

Cause: after a resumption, the success was counted for the first upstream, which had failed, and cleared its failures. Change: it is counted for the upstream whose part ended the stream. Measured: TestResumedStreamCountsForTheUpstreamThatEndedIt failed before (6 of 6 requests began at that upstream) and passes, with the other tests of gateway.

--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -54,3 +55,33 @@
 	s.g.Expect([]any{got.body, got.err}).To(Equal([]any{wholeStream, nil}))
 	s.g.Expect(overlapped.Load()).To(BeFalse(), "the first upstream still works a second later")
 }
+
+// Guards against an upstream that cuts all its streams and stays in use, since the success
+// of the one that resumed them was counted for it.
+func TestResumedStreamCountsForTheUpstreamThatEndedIt(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	var cuts atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/any/0":
+		case r.Header.Get("After") != "":
+			events(w, 3, 4, false)
+		default:
+			cuts.Add(1)
+			events(w, 1, 2, true)
+		}
+	}
+	sound := func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.Atoi(r.Header.Get("After"))
+		events(w, after+1, 4, false)
+	}
+	s.upstream("cuts", "plain", serve)
+	s.await("/any/0", http.StatusOK)
+	s.upstream("sound", "plain", sound)
+	time.Sleep(time.Second) // Waits until the gateway has read both entries.
+	for range 6 {
+		s.g.Expect(s.request(t.Context(), "/resume/1", nil).body).To(Equal(wholeStream))
+	}
+	s.g.Expect(cuts.Load()).To(BeNumerically("<=", 2), "two failures eject an upstream")
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -113,6 +113,7 @@
 		return x.handleRefusal(m, resp)
 	}
 	x.mayHaveRun++
+	x.servedBy = m
 	v := x.deliver(ctx, m, resp)
 	switch {
 	case resp.Status >= http.StatusInternalServerError:
@@ -125,7 +126,7 @@
 		x.recordFailure(ctx, m)
 		x.recordLostRun(ctx, m, v)
 	default:
-		m.stats.recordResult(true, time.Now(), g.health)
+		x.servedBy.stats.recordResult(true, time.Now(), g.health)
 		x.recordSoundRun()
 	}
 	return v
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -55,6 +55,9 @@
 	excluded []state.UpstreamName
 	// lastUpstream is the upstream of the last attempt.
 	lastUpstream state.UpstreamName
+	// servedBy is the upstream whose response is delivered, or the last one that has
+	// resumed it.
+	servedBy *member
 	// waited is the time spent waiting for an upstream that holds the target, and
 	// permitWait the time spent waiting for permits and for the ends of pauses.
 	waited, permitWait time.Duration
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -161,7 +161,7 @@
 		}
 		x.gateway.opts.Meter.Resume(telemetry.ResumeDone)
 		events.Resume(eventReader(next))
-		current, m = next, resumedAt
+		current, m, x.servedBy = next, resumedAt, resumedAt
 	}
 }
 
