gateway: an upstream that refuses comes after the others

Cause: selection prefers what has least to do, and knew nothing of refusals. The retry budget allows one second attempt in six or so.

Change: three refusals without a served request between let an upstream come after those that serve, for 0.2 s that double with each further refusal, to 5 s at most. Then one request probes it while the others go on avoiding it. Ejected upstreams stay the last.

Why it works: an upstream that is merely full serves other requests between its refusals, and one that refuses all is found out with three.

--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -6,9 +6,18 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 )
 
-// maxPause bounds a pause: an upstream that names a pause by mistake is asked again after
-// this time.
-const maxPause = time.Minute
+const (
+	// maxPause bounds a pause: an upstream that names a pause by mistake is asked again
+	// after this time.
+	maxPause = time.Minute
+	// refusalsToAvoid is how many refusals, without a served request between, let an
+	// upstream be avoided. One that is merely full serves others meanwhile.
+	refusalsToAvoid = 3
+	// minAvoidance is how long it is avoided then. Each further refusal doubles that,
+	// up to maxAvoidance.
+	minAvoidance = 200 * time.Millisecond
+	maxAvoidance = 5 * time.Second
+)
 
 // Answers is what one start of an upstream has said in its answers about further requests.
 // The zero value has said nothing. It is updated with each answer that this gateway gets,
@@ -19,6 +28,15 @@
 	leaving bool
 	// pausedUntil is the end of the pause that the upstream has asked for.
 	pausedUntil time.Time
+	// refusals counts the refusals since the last served request, up to
+	// refusalsToAvoid. avoidance is how long the last one lets the upstream be
+	// avoided, and avoidedUntil is when that ends.
+	refusals     int
+	avoidance    time.Duration
+	avoidedUntil time.Time
+	// probing says that a request is on its way that decides whether the upstream is
+	// avoided for longer.
+	probing bool
 }
 
 // Record applies an answer that has arrived at the time now. It returns the reason for
@@ -40,5 +58,36 @@
 // Leaving reports whether the upstream has said that it is about to end.
 func (a *Answers) Leaving() bool { return a.leaving }
 
+// RecordRefusal records that the upstream has refused a request.
+func (a *Answers) RecordRefusal(now time.Time) {
+	if a.Avoided(now) && !a.probing {
+		// The request was sent before the first refusal arrived.
+		return
+	}
+	if a.refusals++; a.refusals < refusalsToAvoid {
+		return
+	}
+	a.refusals = refusalsToAvoid
+	a.avoidance = min(max(2*a.avoidance, minAvoidance), maxAvoidance)
+	a.avoidedUntil, a.probing = now.Add(a.avoidance), false
+}
+
+// RecordServed records that the upstream has served a request.
+func (a *Answers) RecordServed() {
+	a.refusals, a.avoidance, a.avoidedUntil, a.probing = 0, 0, time.Time{}, false
+}
+
+// RecordChosen records that the upstream was chosen for a request. The first one after a
+// time of avoidance is a probe: others avoid the upstream until its outcome is known.
+func (a *Answers) RecordChosen(now time.Time) {
+	if a.avoidance > 0 && !a.Avoided(now) {
+		a.avoidedUntil, a.probing = now.Add(a.avoidance), true
+	}
+}
+
+// Avoided reports whether a request goes to the upstream only if all others that hold its
+// target are avoided as well: it has refused requests lately.
+func (a *Answers) Avoided(now time.Time) bool { return now.Before(a.avoidedUntil) }
+
 // PauseLeft returns how long the upstream still wants no requests.
 func (a *Answers) PauseLeft(now time.Time) time.Duration { return max(a.pausedUntil.Sub(now), 0) }
--- a/internal/decide/eligibility/answers_test.go
+++ b/internal/decide/eligibility/answers_test.go
@@ -43,3 +43,42 @@
 	g.Expect(a.PauseLeft(now)).To(BeNumerically("<=", time.Minute))
 	g.Expect(a.Record(fleet.AnswerInfo{Pause: time.Second}, now.Add(time.Hour))).To(Equal(eligibility.Paused))
 }
+
+// Guards against an upstream that is avoided although it serves requests between its
+// refusals, or for good, against several requests that find out at the same time that it
+// still refuses, and against refusals to requests sent before that count as further ones.
+func TestAvoidance(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var a eligibility.Answers
+	refuse := func(times int) {
+		for range times {
+			a.RecordRefusal(now)
+		}
+	}
+	a.RecordChosen(now)
+	for range 5 {
+		refuse(2)
+		g.Expect(a.Avoided(now)).To(BeFalse())
+		a.RecordServed()
+	}
+	refuse(10)
+	g.Expect(a.Avoided(now.Add(199 * time.Millisecond))).To(BeTrue())
+	now = now.Add(200 * time.Millisecond)
+	g.Expect(a.Avoided(now)).To(BeFalse())
+	a.RecordChosen(now)
+	g.Expect(a.Avoided(now)).To(BeTrue(), "while the probe is on its way")
+	refuse(1)
+	g.Expect(a.Avoided(now.Add(399 * time.Millisecond))).To(BeTrue())
+	g.Expect(a.Avoided(now.Add(400 * time.Millisecond))).To(BeFalse())
+	for range 20 {
+		now = now.Add(time.Minute)
+		a.RecordChosen(now)
+		refuse(1)
+	}
+	g.Expect(a.Avoided(now.Add(5 * time.Second))).To(BeFalse())
+	a.RecordServed()
+	g.Expect(a.Avoided(now)).To(BeFalse())
+	refuse(2)
+	g.Expect(a.Avoided(now)).To(BeFalse(), "it begins anew")
+}
--- a/internal/decide/selection/selection.go
+++ b/internal/decide/selection/selection.go
@@ -60,8 +60,21 @@
 	Cached fleet.Tokens
 	// Delay is the expected time until the request may be sent to the replica.
 	Delay time.Duration
-	// Ejected replicas are chosen only if all are.
-	Ejected bool
+	// Ejected replicas are chosen only if all are, and Avoided ones only if there are
+	// none but these and ejected ones.
+	Ejected, Avoided bool
+}
+
+// preference orders candidates before their costs do; the lowest is the best.
+func (c *Candidate) preference() int {
+	switch {
+	case c.Ejected:
+		return 2
+	case c.Avoided:
+		return 1
+	default:
+		return 0
+	}
 }
 
 // Request describes a request for the choice of a replica.
@@ -88,14 +101,12 @@
 		}
 		shared = highestRanked(candidates, req.SharedID, reserved)
 	}
-	best, bestCost := -1, time.Duration(0)
+	best, bestCost, bestPreference := -1, time.Duration(0), 0
 	for i := range candidates {
 		cost := c.cost(&candidates[i], req, i == reserved, i == shared, reserved >= 0)
-		switch {
-		case best < 0,
-			candidates[best].Ejected && !candidates[i].Ejected,
-			candidates[best].Ejected == candidates[i].Ejected && cost < bestCost:
-			best, bestCost = i, cost
+		preference := candidates[i].preference()
+		if best < 0 || preference < bestPreference || preference == bestPreference && cost < bestCost {
+			best, bestCost, bestPreference = i, cost, preference
 		}
 	}
 	return best
--- a/internal/decide/selection/selection_test.go
+++ b/internal/decide/selection/selection_test.go
@@ -68,6 +68,19 @@
 	g.Expect(cfg.Select(nil, selection.Request{})).To(Equal(-1))
 }
 
+// Guards against a request to a replica that refuses while another one is ready, and against
+// one to a replica that fails before one that refuses.
+func TestAvoidedReplicasAreChosenBeforeEjectedOnes(t *testing.T) {
+	g := NewWithT(t)
+	cfg := selection.DefaultConfig()
+	candidates := replicas(3)
+	candidates[0].Avoided, candidates[1].Ejected = true, true
+	candidates[2].Running = 60
+	g.Expect(cfg.Select(candidates, selection.Request{})).To(Equal(2))
+	candidates[2].Ejected = true
+	g.Expect(cfg.Select(candidates, selection.Request{})).To(Equal(0))
+}
+
 // Guards against a second prefill of prompt parts that another replica has cached,
 // and against unnecessary traffic to other regions.
 func TestCachedPartsAndLocality(t *testing.T) {
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -21,6 +21,9 @@
 		g.opts.Logger.Info("upstream names a rate limit", "request", x.call.ID, "upstream", m.upstream.Name,
 			"limited", limit.Limited, "per_second", limit.PerSecond)
 	}
+	if !resp.Info.NotRun {
+		m.stats.recordServed()
+	}
 	reason := m.stats.recordAnswer(resp.Info, time.Now())
 	if reason == eligibility.Eligible {
 		return
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -195,6 +195,7 @@
 			PendingPrefill: m.stats.pendingPrefill(now),
 			Cached:         x.gateway.sentPrompts.cachedTokens(m.stats.index, x.prompt, x.call.Parts),
 			Ejected:        m.stats.ejected(now),
+			Avoided:        said.Avoided(now),
 			Delay:          delay,
 		})
 		list = append(list, m)
@@ -204,6 +205,7 @@
 	if i < 0 {
 		return nil, freeAt
 	}
+	list[i].stats.recordChosen(now)
 	x.uncachedTokens = max(x.call.Prompt-candidates[i].Cached, 0)
 	return list[i], time.Time{}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -215,6 +215,8 @@
 	reason := verdict.ReasonShed
 	if resp.Status == http.StatusMisdirectedRequest {
 		reason = verdict.ReasonNoReplica
+	} else {
+		m.stats.recordRefusal(time.Now())
 	}
 	return verdict.Refuse(reason, http.StatusText(resp.Status)).WithRetryAfter(shedRetryAfter)
 }
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -115,3 +115,76 @@
 	s.g.Expect(time.Since(began)).To(And(BeNumerically(">", time.Second), BeNumerically("<", 2500*time.Millisecond)))
 	s.g.Expect(u.between(100*time.Millisecond, u.pause, first)).To(BeZero())
 }
+
+// flow sends requests one after the other and returns how many were sent and served.
+func (s *system) flow(d, interval time.Duration) (sent, served int) {
+	for began := time.Now(); time.Since(began) < d; time.Sleep(interval) {
+		sent++
+		if s.request(s.t.Context(), "/once/1", nil).status == http.StatusOK {
+			served++
+		}
+	}
+	return sent, served
+}
+
+// Guards against issue 31: an upstream that refuses all requests, and is preferred since it
+// has nothing to do, took nearly all requests with it; the retry budget saved one in six.
+func TestRefusingUpstreamIsAvoided(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	u, first := s.preferred(&refuser{}, &refuser{})
+	u.refusing.Store(true)
+	sent, served := s.flow(4*time.Second, 20*time.Millisecond)
+	s.g.Expect(float64(served)).To(BeNumerically(">=", 0.99*float64(sent)))
+	s.g.Expect(u.count()-first).To(And(BeNumerically(">=", 2), BeNumerically("<=", 8)), "it is probed, less and less often")
+	u.refusing.Store(false)
+	time.Sleep(3500 * time.Millisecond) // Longer than it is avoided after refusals over 4 s.
+	before := u.count()
+	s.flow(500*time.Millisecond, 20*time.Millisecond)
+	s.g.Expect(u.count()-before).To(BeNumerically(">=", 10), "a served request ends it")
+}
+
+// Guards against an upstream that is full for moments and gets no requests for much longer.
+func TestUpstreamThatIsFullForMomentsIsUsed(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	u, first := s.preferred(&refuser{}, &refuser{})
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			for _, full := range []bool{true, false} {
+				u.refusing.Store(full)
+				select {
+				case <-stop:
+					return
+				case <-time.After(map[bool]time.Duration{true: 200 * time.Millisecond, false: 800 * time.Millisecond}[full]):
+				}
+			}
+		}
+	}()
+	sent, served := s.flow(4*time.Second, 20*time.Millisecond)
+	s.g.Expect(float64(served)).To(BeNumerically(">=", 0.99*float64(sent)))
+	s.g.Expect(float64(u.count() - first)).To(BeNumerically(">=", 0.5*float64(sent)))
+}
+
+// Guards against a fleet that is merely full and gets more requests because its upstreams
+// are avoided, or whose requests wait instead of being refused.
+func TestAllUpstreamsRefuse(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	a, b := &refuser{}, &refuser{}
+	s.preferred(a, b)
+	before := a.count() + b.count()
+	a.refusing.Store(true)
+	b.refusing.Store(true)
+	began, sent := time.Now(), 0
+	for ; sent < 100; sent++ {
+		got := s.request(t.Context(), "/once/1", http.Header{"Patience": {"500ms"}})
+		s.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	}
+	s.g.Expect(time.Since(began)).To(BeNumerically("<", 15*time.Second))
+	t.Logf("%d requests, %d arrivals", sent, a.count()+b.count()-before)
+	// The first attempt of each, and what the retry budget allows.
+	s.g.Expect(a.count() + b.count() - before).To(And(BeNumerically(">=", sent), BeNumerically("<=", 130)))
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -87,6 +87,25 @@
 	return s.answers.Record(answer, now)
 }
 
+// recordRefusal, recordServed and recordChosen are those of eligibility.Answers.
+func (s *upstreamStats) recordRefusal(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers.RecordRefusal(now)
+}
+
+func (s *upstreamStats) recordServed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers.RecordServed()
+}
+
+func (s *upstreamStats) recordChosen(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers.RecordChosen(now)
+}
+
 func (s *upstreamStats) saidInAnswers() eligibility.Answers {
 	s.mu.Lock()
 	defer s.mu.Unlock()
