gateway: one wait for the next view; shorter selection; wording

The wait for a change of the view stood twice, two tests repeated their upstream and requests, the loop over candidates tested exclusion three times, and a comment left out the controller.

--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -21,7 +21,8 @@
 
 // Answers is what one start of an upstream has said in its answers about further requests.
 // The zero value has said nothing. It is updated with each answer that this gateway gets,
-// and dropped when the upstream restarts or leaves the registry.
+// and with what the controller has heard from others, and dropped when the upstream
+// restarts or leaves the registry.
 type Answers struct {
 	// leaving says that the upstream is about to end. That holds for the rest of this
 	// start, as answers overtake each other.
@@ -42,11 +43,8 @@
 // Record applies an answer that has arrived at the time now. It returns the reason for
 // which requests are no longer sent from now on, Eligible if none is new.
 func (a *Answers) Record(answer fleet.AnswerInfo, now time.Time) (began Reason) {
-	if until := now.Add(min(answer.Pause, maxPause)); until.After(a.pausedUntil) && answer.Pause > 0 {
-		if a.PauseLeft(now) == 0 {
-			began = Paused
-		}
-		a.pausedUntil = until
+	if answer.Pause > 0 {
+		began = a.recordPause(min(answer.Pause, maxPause), now)
 	}
 	if answer.Leaving && !a.leaving {
 		a.leaving = true
@@ -55,6 +53,16 @@
 	return began
 }
 
+func (a *Answers) recordPause(d time.Duration, now time.Time) (began Reason) {
+	if a.PauseLeft(now) == 0 {
+		began = Paused
+	}
+	if until := now.Add(d); until.After(a.pausedUntil) {
+		a.pausedUntil = until
+	}
+	return began
+}
+
 // Leaving reports whether the upstream has said that it is about to end.
 func (a *Answers) Leaving() bool { return a.leaving }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -65,13 +65,7 @@
 			began = now
 			x.gateway.demand.addWaiting(x.call.Target, 1)
 		}
-		timer := time.NewTimer(limit.Sub(now))
-		select {
-		case <-v.changed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		v.awaitChange(ctx, limit.Sub(now))
 		if ctx.Err() != nil {
 			return nil, x.contextVerdict(ctx)
 		}
@@ -158,6 +152,14 @@
 	return slices.ContainsFunc(members, func(m *member) bool { return fleet.Holds(m.replicas, t) })
 }
 
+// earliest returns the earlier one of two times; a zero time is none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // choose returns the upstream with the lowest expected cost, or nil if none can
 // take the request. Ejected upstreams are used only if no other upstream holds the
 // target. Upstreams with a rate limit or in a pause are left out if a request could be
@@ -172,20 +174,15 @@
 		if !fleet.Holds(m.replicas, x.call.Target) {
 			continue
 		}
-		excluded := slices.Contains(x.excluded, m.upstream.Name)
 		said := m.stats.saidInAnswers()
-		if said.Leaving() {
-			continue
-		}
 		pause := said.PauseLeft(now)
-		delay := max(m.stats.limit.permitDelay(now), pause)
-		if at := now.Add(delay); excluded && pause > 0 || !excluded && delay > 0 && at.After(latest) {
-			if freeAt.IsZero() || at.Before(freeAt) {
-				freeAt = at
-			}
+		excluded := slices.Contains(x.excluded, m.upstream.Name)
+		if said.Leaving() || excluded && pause == 0 {
 			continue
 		}
-		if excluded {
+		delay := max(m.stats.limit.permitDelay(now), pause)
+		if at := now.Add(delay); excluded || delay > 0 && at.After(latest) {
+			freeAt = earliest(freeAt, at)
 			continue
 		}
 		candidates = append(candidates, selection.Candidate{
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -152,23 +152,17 @@
 	return result.Granted && x.sleepWhileEligible(ctx, m, result.Delay.Std())
 }
 
-// awaitPauseEnd waits until the end of the pause that an upstream has asked for, if there
-// is one. It returns false if there was a pause: the request chooses again after it.
+// awaitPauseEnd waits until the end of the pause that an upstream has asked for, or the next
+// view, if there is a pause. It returns false then: the request chooses again.
 func (x *exchange) awaitPauseEnd(ctx context.Context, m *member) bool {
+	began := time.Now()
 	said := m.stats.saidInAnswers()
-	left := said.PauseLeft(time.Now())
+	left := said.PauseLeft(began)
 	if left == 0 {
 		return true
 	}
-	began := time.Now()
-	defer func() { x.permitWait += time.Since(began) }()
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-x.gateway.view.Load().changed:
-	case <-ctx.Done():
-	}
+	x.gateway.view.Load().awaitChange(ctx, left)
+	x.permitWait += time.Since(began)
 	return false
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -98,37 +99,58 @@
 	}
 }
 
+// limitedUpstream is an upstream with a rate limit that counts the requests which arrive
+// after the gateway must have read that it drains.
+type limitedUpstream struct {
+	limit   string
+	server  *httptest.Server
+	drained atomic.Pointer[time.Time]
+	late    atomic.Int32
+}
+
+func (s *system) limitedUpstream(limit string) *limitedUpstream {
+	u := &limitedUpstream{limit: limit}
+	u.server = s.upstream("limited", "plain", u.ServeHTTP)
+	s.await("/any/0", http.StatusOK)
+	return u
+}
+
+func (u *limitedUpstream) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if at := u.drained.Load(); at != nil && time.Since(*at) > drainNoticed {
+		u.late.Add(1)
+	}
+	w.Header().Set("Limit", u.limit)
+}
+
+// sendAndDrain sends requests at the same time, calls meanwhile and drains the upstream
+// while they wait, and returns how many were answered with each status.
+func (u *limitedUpstream) sendAndDrain(s *system, path string, requests int, meanwhile func()) map[int]int {
+	statuses := make(chan int, requests)
+	for range requests {
+		go func() { statuses <- s.request(s.t.Context(), path, http.Header{"Patience": {"5s"}}).status }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	meanwhile()
+	now := time.Now()
+	u.drained.Store(&now)
+	s.drain("limited", "plain", u.server)
+	counts := map[int]int{}
+	for range requests {
+		counts[<-statuses]++
+	}
+	return counts
+}
+
 // Guards against requests that wait for a permit and are sent to an upstream long after
 // it began to drain (rule DRAIN): such requests were cut when it ended. They have to go to
 // another upstream.
 func TestRequestsWaitingForAPermitLeaveADrainingUpstream(t *testing.T) {
 	s := start(t)
 	s.routes(1)
-	var drained atomic.Pointer[time.Time]
-	var late, served atomic.Int32
-	limited := s.upstream("limited", "plain", func(w http.ResponseWriter, _ *http.Request) {
-		if at := drained.Load(); at != nil && time.Since(*at) > drainNoticed {
-			late.Add(1)
-		}
-		w.Header().Set("Limit", "2")
-	})
-	s.await("/any/0", http.StatusOK)
-	var requests sync.WaitGroup
-	for range 6 {
-		requests.Go(func() {
-			if s.request(context.Background(), "/any/1", http.Header{"Patience": {"5s"}}).status == http.StatusOK {
-				served.Add(1)
-			}
-		})
-	}
-	time.Sleep(100 * time.Millisecond)
-	s.upstream("other", "plain", func(http.ResponseWriter, *http.Request) {})
-	now := time.Now()
-	drained.Store(&now)
-	s.drain("limited", "plain", limited)
-	requests.Wait()
-	s.g.Expect(served.Load()).To(Equal(int32(6)))
-	s.g.Expect(late.Load()).To(BeZero(), "requests that reached the draining upstream")
+	u := s.limitedUpstream("2")
+	addOther := func() { s.upstream("other", "plain", func(http.ResponseWriter, *http.Request) {}) }
+	s.g.Expect(u.sendAndDrain(s, "/any/1", 6, addOther)).To(Equal(map[int]int{http.StatusOK: 6}))
+	s.g.Expect(u.late.Load()).To(BeZero(), "requests that reached the draining upstream")
 }
 
 // Guards against requests that hold on to an upstream that has left, until the permits
@@ -136,31 +158,9 @@
 func TestRequestsWaitingForAPermitAreRefusedWhenTheirUpstreamLeaves(t *testing.T) {
 	s := start(t)
 	s.routes(1)
-	var drained atomic.Pointer[time.Time]
-	var late, refused atomic.Int32
-	limited := s.upstream("limited", "plain", func(w http.ResponseWriter, _ *http.Request) {
-		if at := drained.Load(); at != nil && time.Since(*at) > drainNoticed {
-			late.Add(1)
-		}
-		w.Header().Set("Limit", "0.5")
-	})
-	s.await("/any/0", http.StatusOK)
-	var requests sync.WaitGroup
-	for range 3 {
-		requests.Go(func() {
-			switch status := s.request(context.Background(), "/once/1", http.Header{"Patience": {"5s"}}).status; status {
-			case http.StatusServiceUnavailable:
-				refused.Add(1)
-			default:
-				s.g.Expect(status).To(Equal(http.StatusOK))
-			}
-		})
-	}
-	time.Sleep(100 * time.Millisecond)
-	now := time.Now()
-	drained.Store(&now)
-	s.drain("limited", "plain", limited)
-	requests.Wait()
-	s.g.Expect(late.Load()).To(BeZero(), "requests that reached the draining upstream")
-	s.g.Expect(refused.Load()).To(BeNumerically(">=", 2))
+	u := s.limitedUpstream("0.5")
+	counts := u.sendAndDrain(s, "/once/1", 3, func() {})
+	s.g.Expect(u.late.Load()).To(BeZero(), "requests that reached the draining upstream")
+	s.g.Expect(counts[http.StatusServiceUnavailable]).To(BeNumerically(">=", 2))
+	s.g.Expect(counts[http.StatusOK] + counts[http.StatusServiceUnavailable]).To(Equal(3))
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,5 +140,16 @@
 	}, now)
 }
 
+// awaitChange waits until a newer view is published, d has passed or ctx ends.
+func (v *view) awaitChange(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-v.changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // service returns the upstreams of a service.
 func (v *view) service(name state.ServiceName) []*member { return v.byService[name] }
