gateway: tell of upstreams that refuse requests

Cause: pauses and leaving were counted and logged by upstream, refusals were not, so that nothing told why an upstream comes after the others. Change: the same counter and line tell when that begins, once until a request is served. Measured: TestAvoidance covers when it is told; tests of gateway, eligibility and telemetry pass.

--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -66,18 +66,23 @@
 // Leaving reports whether the upstream has said that it is about to end.
 func (a *Answers) Leaving() bool { return a.leaving }
 
-// RecordRefusal records that the upstream has refused a request.
-func (a *Answers) RecordRefusal(now time.Time) {
+// RecordRefusal records that the upstream has refused a request. It returns Refusing if the
+// upstream is avoided from now on and was not since its last served request.
+func (a *Answers) RecordRefusal(now time.Time) (began Reason) {
 	if a.Avoided(now) && !a.probing {
 		// The request was sent before the first refusal arrived.
-		return
+		return Eligible
 	}
 	if a.refusals++; a.refusals < refusalsToAvoid {
-		return
+		return Eligible
 	}
 	a.refusals = refusalsToAvoid
+	if a.avoidance == 0 {
+		began = Refusing
+	}
 	a.avoidance = min(max(2*a.avoidance, minAvoidance), maxAvoidance)
 	a.avoidedUntil, a.probing = now.Add(a.avoidance), false
+	return began
 }
 
 // RecordServed records that the upstream has served a request.
--- a/internal/decide/eligibility/answers_test.go
+++ b/internal/decide/eligibility/answers_test.go
@@ -51,10 +51,13 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	var a eligibility.Answers
-	refuse := func(times int) {
+	refuse := func(times int) (began int) {
 		for range times {
-			a.RecordRefusal(now)
+			if a.RecordRefusal(now) == eligibility.Refusing {
+				began++
+			}
 		}
+		return began
 	}
 	a.RecordChosen(now)
 	for range 5 {
@@ -62,13 +65,13 @@
 		g.Expect(a.Avoided(now)).To(BeFalse())
 		a.RecordServed()
 	}
-	refuse(10)
+	g.Expect(refuse(10)).To(Equal(1))
 	g.Expect(a.Avoided(now.Add(199 * time.Millisecond))).To(BeTrue())
 	now = now.Add(200 * time.Millisecond)
 	g.Expect(a.Avoided(now)).To(BeFalse())
 	a.RecordChosen(now)
 	g.Expect(a.Avoided(now)).To(BeTrue(), "while the probe is on its way")
-	refuse(1)
+	g.Expect(refuse(1)).To(BeZero(), "it goes on")
 	g.Expect(a.Avoided(now.Add(399 * time.Millisecond))).To(BeTrue())
 	g.Expect(a.Avoided(now.Add(400 * time.Millisecond))).To(BeFalse())
 	for range 20 {
--- a/internal/decide/eligibility/eligibility.go
+++ b/internal/decide/eligibility/eligibility.go
@@ -20,6 +20,10 @@
 	NotHeld   Reason = "not_held"
 )
 
+// Refusing is the reason for which an upstream comes after the others, see
+// Answers.Avoided. Check does not return it.
+const Refusing Reason = "refusing"
+
 // Upstream is what is known of an upstream at present.
 type Upstream struct {
 	// Listed says that the registry has an entry of the upstream.
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -25,12 +25,7 @@
 		m.stats.recordServed()
 	}
 	reason := m.stats.recordAnswer(resp.Info, time.Now())
-	if reason == eligibility.Eligible {
-		return
-	}
-	g.opts.Meter.UpstreamIneligible(m.upstream.Name, reason)
-	g.opts.Logger.Info("upstream not eligible by its answer", "request", x.call.ID, "upstream", m.upstream.Name,
-		"reason", reason, "pause", resp.Info.Pause)
+	x.reportBegan(m, reason, resp.Info.Pause)
 	if reason == eligibility.Leaving {
 		// Requests that wait for a permit choose again with the next view.
 		g.post(ctx, func(*tables, time.Time) bool { return true })
@@ -38,6 +33,22 @@
 	}
 }
 
+// recordRefusal records that an upstream has refused the request.
+func (x *exchange) recordRefusal(m *member) {
+	x.reportBegan(m, m.stats.recordRefusal(time.Now()), 0)
+}
+
+// reportBegan logs and counts why an upstream takes no further requests, or comes after the
+// others, from an answer to this request on.
+func (x *exchange) reportBegan(m *member, reason eligibility.Reason, pause time.Duration) {
+	if reason == eligibility.Eligible {
+		return
+	}
+	x.gateway.opts.Meter.UpstreamIneligible(m.upstream.Name, reason)
+	x.gateway.opts.Logger.Info("upstream not eligible by its answer", "request", x.call.ID, "upstream", m.upstream.Name,
+		"reason", reason, "pause", pause)
+}
+
 // observation returns what the upstream has said in its answers as it is reported to the
 // controller.
 func (m *member) observation(now time.Time) rpc.AnswerObservation {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -216,7 +216,7 @@
 	if resp.Status == http.StatusMisdirectedRequest {
 		reason = verdict.ReasonNoReplica
 	} else {
-		m.stats.recordRefusal(time.Now())
+		x.recordRefusal(m)
 	}
 	return verdict.Refuse(reason, http.StatusText(resp.Status)).WithRetryAfter(shedRetryAfter)
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -89,10 +89,10 @@
 }
 
 // recordRefusal, recordServed and recordChosen are those of eligibility.Answers.
-func (s *upstreamStats) recordRefusal(now time.Time) {
+func (s *upstreamStats) recordRefusal(now time.Time) (began eligibility.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answers.RecordRefusal(now)
+	return s.answers.RecordRefusal(now)
 }
 
 func (s *upstreamStats) recordServed() {
