gateway: the bound of refused requests is that of the retry budget; wording

TestAllUpstreamsRefuse allowed 130 arrivals for 100 requests, a figure near the measured 119 and not the stated budget. Two comments and the help of a metric left out what was added after them. Change: the bound is computed from the budget, 122.25; the comments and the help.

--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -85,7 +85,7 @@
 	return began
 }
 
-// RecordServed records that the upstream has served a request.
+// RecordServed records that the upstream has answered a request and not refused it.
 func (a *Answers) RecordServed() {
 	a.refusals, a.avoidance, a.avoidedUntil, a.probing = 0, 0, time.Time{}, false
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -90,7 +90,8 @@
 
 // checkSend is the last check before the request is written to an upstream. Between the
 // choice of the upstream and this check the request may have waited for a permit and for
-// a connection. Waits for a load and before a retry end with a new choice.
+// a connection. Waits for a load, for the end of a pause and before a retry end with a new
+// choice.
 func (x *exchange) checkSend(ctx context.Context, m *member) error {
 	switch {
 	case ctx.Err() != nil:
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -26,8 +26,8 @@
 	// Reselect counts a request for which another upstream is chosen before it was
 	// sent.
 	Reselect(reason eligibility.Reason)
-	// UpstreamIneligible counts that an upstream has said in an answer why it is not
-	// eligible from now on.
+	// UpstreamIneligible counts that an upstream's answers keep requests from it from
+	// now on: it leaves, wants a pause, or comes after the others as it refuses.
 	UpstreamIneligible(upstream state.UpstreamName, reason eligibility.Reason)
 }
 
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -184,7 +184,8 @@
 		s.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 	}
 	s.g.Expect(time.Since(began)).To(BeNumerically("<", 15*time.Second))
-	t.Logf("%d requests, %d arrivals", sent, a.count()+b.count()-before)
-	// The first attempt of each, and what the retry budget allows.
-	s.g.Expect(a.count() + b.count() - before).To(And(BeNumerically(">=", sent), BeNumerically("<=", 130)))
+	// The first attempt of each, and what the retry budget of a gateway allows: 0.8 of the
+	// share of 0.2, and a sixteenth of the slack of 100.
+	allowed := float64(sent) + 0.8*0.2*float64(sent) + 100.0/16
+	s.g.Expect(float64(a.count() + b.count() - before)).To(And(BeNumerically(">=", sent), BeNumerically("<=", allowed)))
 }
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -75,7 +75,7 @@
 		{Name: nameRetries, Type: Counter, Labels: []string{"reason"}, Help: "Further attempts by the reason of the failed one."},
 		{Name: nameResumes, Type: Counter, Labels: []string{"result"}, Help: "Cut streams that an upstream was asked to resume."},
 		{Name: nameReselections, Type: Counter, Labels: []string{"reason"}, Help: "Requests for which another upstream was chosen before they were sent, by why the first one was not eligible any more."},
-		{Name: nameIneligible, Type: Counter, Labels: []string{"upstream", "reason"}, Help: "Times that an upstream has said in an answer why it takes no further requests."},
+		{Name: nameIneligible, Type: Counter, Labels: []string{"upstream", "reason"}, Help: "Times that an upstream's answers began to keep requests from it."},
 		{Name: nameHedges, Type: Counter, Labels: []string{"result"}, Help: "Hedged attempts by which attempt won."},
 		{Name: nameEjections, Type: Counter, Labels: []string{"cause"}, Help: "Upstreams taken out of routing as outliers."},
 		{Name: nameClaims, Type: Counter, Labels: []string{"result"}, Help: "Answered claims of non-idempotent requests."},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -211,8 +211,7 @@
 	i.count(nameReselections, 1, string(reason))
 }
 
-// UpstreamIneligible counts that an upstream has said in an answer why it takes no further
-// requests.
+// UpstreamIneligible counts that an upstream's answers keep requests from it from now on.
 func (i *Instruments) UpstreamIneligible(upstream state.UpstreamName, reason eligibility.Reason) {
 	i.count(nameIneligible, 1, i.upstreams.Label(string(upstream)), string(reason))
 }
