gateway: close the connection of an answer that was not delivered whole

What callers saw: a request that never began at an upstream ended with 502, "may have run", or lost one of its attempts, right after another caller's stream had broken off there.

Cause: a stream that ends within an event counts as cut, but its body had been read to its end, so its connection went back to the pool. The upstream had closed it, or was about to.

Change: after a failed delivery the connection is closed, for the first answer and for resumed ones.

Tests of gateway and forward pass with the race detector.

Why it works: only a connection whose answer was what it should be is used again.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -115,6 +115,11 @@
 	x.mayHaveRun++
 	x.servedBy = m
 	v := x.deliver(ctx, m, resp)
+	if v != nil {
+		// The upstream may be done with the connection, though the body was read to
+		// its end: a stream that ends within an event was cut.
+		resp.Abort()
+	}
 	switch {
 	case resp.Status >= http.StatusInternalServerError:
 		// A 5xx response comes from the application and doesn't count as a
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,3 +45,35 @@
 		})
 	}
 }
+
+// Guards against a request on the connection of a stream that was cut within an event. The
+// upstream has written the end of the body, but need not serve that connection any more:
+// the request is lost there, and one that must not run twice can't be sent again.
+func TestNoRequestFollowsACutStreamOnItsConnection(t *testing.T) {
+	const cut = "Content-Type: text/event-stream\r\nContent-Length: 25\r\n\r\nid: 1\ndata: 1\n\nid: 2\ndata"
+	for _, path := range []string{"/stream/1", "/resume/1"} {
+		t.Run(path, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			var reused atomic.Int32
+			s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != path {
+					return
+				}
+				conn, buffered, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: request-1\r\nMark: a\r\n"+cut)
+				if _, err := buffered.ReadByte(); err == nil {
+					reused.Add(1)
+				}
+			})
+			s.await("/any/0", http.StatusOK)
+			s.g.Expect(s.request(t.Context(), path, nil).err).To(MatchError(io.ErrUnexpectedEOF))
+			s.g.Expect(s.request(t.Context(), "/once/1", nil).status).To(Equal(http.StatusOK))
+			s.g.Expect(reused.Load()).To(BeZero())
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -144,14 +144,17 @@
 	}
 	events := sse.NewEventReader(eventReader(resp))
 	current := resp
-	defer func() { current.Close() }()
 	for {
 		v := out.copy(events)
-		if v == nil || !x.delivered || v.Reason != verdict.ReasonStreamCut || ctx.Err() != nil {
-			return v
+		if v == nil {
+			current.Close()
+			return nil
 		}
 		// Two upstreams must not work on the request at the same time.
 		current.Abort()
+		if !x.delivered || v.Reason != verdict.ReasonStreamCut || ctx.Err() != nil {
+			return v
+		}
 		x.recordFailure(ctx, m)
 		x.recordLostRun(ctx, m, v)
 		next, resumedAt, lastVerdict := x.resume(ctx, events.LastID(), v)
