agent: a stream without its end is not whole

What callers saw: with the roles entry and agent, a stream that had lost its end and came with the verdict "ran"; the lost outcome of a claimed request was kept as its answer.

The agent took the end of a body with a length or a last chunk for the end of the stream; the entry goes by the agent's verdict.

Change: an engine's stream is whole if it ends with its end mark, which docs/platform.md asks of engines; that of a plain service, if it ends after an event. sse.EndDetector tells both, and the gateway uses it in place of its own tail.

Measured: TestStreamThatEndsEarly failed before ("ran" for an engine's stream without its end mark) and passes; tests of agent, sse, gateway and entry pass.

Why it works: the end of a stream is where its events say, not where its body says.

--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -157,8 +157,12 @@
 
 // request sends a request as an entry does; headers are name, value pairs.
 func (w *world) request(ctx context.Context, headers ...string) answer {
-	url := "http://" + trafficAddr + "/v1/completions"
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(w.body))
+	return w.requestPath(ctx, "/v1/completions", headers...)
+}
+
+// requestPath sends a request with the given path as an entry does.
+func (w *world) requestPath(ctx context.Context, path string, headers ...string) answer {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+trafficAddr+path, strings.NewReader(w.body))
 	req.Header.Set(agent.HeaderModel, "a")
 	req.Header.Set(agent.HeaderVersion, "v1")
 	for i := 0; i < len(headers); i += 2 {
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -51,8 +51,8 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	short := resp.ContentLength >= 0 && resp.ContentLength <= wholeAnswer && !sse.IsEventStream(resp.Header)
-	if short || resp.Body == http.NoBody {
+	short := resp.ContentLength >= 0 && resp.ContentLength <= wholeAnswer || resp.Body == http.NoBody
+	if short && !sse.IsEventStream(resp.Header) {
 		a.relayWhole(ctx, w, c, started, resp)
 		return
 	}
@@ -236,7 +236,7 @@
 		h["Trailer"] = []string{verdict.HeaderVerdict, verdict.HeaderReason, HeaderSuspects, HeaderFingerprint}
 	}
 	w.WriteHeader(resp.StatusCode)
-	kept, err := copyAnswer(w, resp, events, arrived)
+	kept, err := a.copyAnswer(w, resp, events, arrived)
 	if err == nil {
 		v := outcomeOf(resp.StatusCode)
 		a.endClaim(c, v, kept, resp.StatusCode, resp.Header.Get("Content-Type"))
@@ -271,7 +271,7 @@
 
 // copyAnswer passes the body on with a flush after each read. It returns the
 // body if it is short enough to be kept, and calls arrived at the first part.
-func copyAnswer(w http.ResponseWriter, resp *http.Response, events bool, arrived func()) ([]byte, error) {
+func (a *Agent) copyAnswer(w http.ResponseWriter, resp *http.Response, events bool, arrived func()) ([]byte, error) {
 	buf := copyBuffers.Get().(*[copyBuffer]byte)
 	defer copyBuffers.Put(buf)
 	control := http.NewResponseController(w)
@@ -298,7 +298,7 @@
 		whole := events && end.Seen()
 		switch {
 		case errors.Is(err, io.EOF):
-			return kept.bytes(), checkEnd(resp, whole)
+			return kept.bytes(), a.checkEnd(resp, events, &end)
 		case err != nil && whole:
 			// Many callers close the connection at the last event.
 			return kept.bytes(), nil
@@ -333,14 +333,23 @@
 	return k.data
 }
 
-// checkEnd reports an answer that only the end of the connection delimits: its
-// end doesn't show that it is whole, unless an end mark does.
-func checkEnd(resp *http.Response, whole bool) error {
+// checkEnd returns an error for an answer whose end does not show that it is whole. A
+// stream of an engine ends with its end mark, and that of a plain service after an event;
+// other answers end where their length or their last chunk says.
+func (a *Agent) checkEnd(resp *http.Response, events bool, end *sse.EndDetector) error {
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor >= 2
-	if delimited || whole {
+	switch {
+	case events && end.Seen():
+		return nil
+	case events && !a.service:
+		return errors.New("the stream has no end mark")
+	case events && !end.Empty() && !end.AfterEvent():
+		return errors.New("the stream ends within an event")
+	case !delimited:
+		return errors.New("the answer has no declared end")
+	default:
 		return nil
 	}
-	return errors.New("the answer has no declared end")
 }
 
 // endClaim records the outcome of a claimed request.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -215,35 +213,26 @@
 	src io.Reader
 	// mayBeEmpty says that a stream without any event is complete.
 	mayBeEmpty bool
-	// tail holds the last bytes read.
-	tail []byte
+	end        sse.EndDetector
 }
 
-// eventEnds are the ends of an event: an empty line, with each of the line ends that
-// streams may use.
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\r\r")}
-
-// maxEventEnd is the length of the longest of eventEnds.
-const maxEventEnd = 4
-
 // Read implements io.Reader. It returns io.ErrUnexpectedEOF if the source ends
 // within an event.
 func (w *wholeEvents) Read(p []byte) (int, error) {
 	n, err := w.src.Read(p)
-	w.tail = append(w.tail, p[:n]...)
-	w.tail = w.tail[max(len(w.tail)-maxEventEnd, 0):]
+	w.end.Add(p[:n])
 	if errors.Is(err, io.EOF) && !w.ended() {
 		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
-// ended reports whether the stream so far ends after an event.
+// ended reports whether the stream so far may be complete.
 func (w *wholeEvents) ended() bool {
-	if len(w.tail) == 0 {
+	if w.end.Empty() {
 		return w.mayBeEmpty
 	}
-	return slices.ContainsFunc(eventEnds, func(end []byte) bool { return bytes.HasSuffix(w.tail, end) })
+	return w.end.AfterEvent()
 }
 
 // eventWriter passes a stream on to the caller.
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -17,8 +18,12 @@
 // tailSize is enough bytes for the last event with its line ends.
 const tailSize = 32
 
-// EndDetector detects the last event, "data: [DONE]", in a stream that it gets
-// in parts. Its zero value is ready to use.
+// eventEnds are the ends of an event: an empty line, with each of the line ends that
+// streams may use.
+var eventEnds = [][]byte{eventSeparator, []byte("\r\n\r\n"), []byte("\r\r")}
+
+// EndDetector detects the end of an event, and of the last event, "data: [DONE]", in a
+// stream that it gets in parts. Its zero value is ready to use.
 type EndDetector struct{ tail []byte }
 
 // Add adds the next part of the stream.
@@ -45,5 +50,14 @@
 	return isEndMark(string(line))
 }
 
+// Empty reports whether the stream so far has no bytes.
+func (e *EndDetector) Empty() bool { return len(e.tail) == 0 }
+
+// AfterEvent reports whether the stream so far ends after an event. One that ends elsewhere
+// was cut.
+func (e *EndDetector) AfterEvent() bool {
+	return slices.ContainsFunc(eventEnds, func(end []byte) bool { return bytes.HasSuffix(e.tail, end) })
+}
+
 // isEndMark reports whether a line is the one that ends a stream.
 func isEndMark(line string) bool { return line == "data: [DONE]" || line == "data:[DONE]" }
