gateway, controller: what an upstream has said outlasts its lapsed entry

What callers would see: requests to an upstream that has said that it leaves, cut when it ends (rule DRAIN), or to one that wants a pause (BUDGET), after its entry was missing from the registry for a moment.

Cause: what an upstream says in its answers was dropped with its entry, here and at the controller. An entry lapses when the upstream is cut off from the store, and is back while the same process runs.

Evidence: found by reading the wait of the rule ("in touch or not", until a restart or a freeze of the machine) against tables.removeUpstream; the tests below.

Change: the gateway keeps the stats of an upstream for a minute after its entry is gone, and takes them up again for the same start. The controller keeps its rate limit and that it leaves for as long as it tells gateways that it is gone.

Measured: TestFactsOutlastALapsedEntry, TestLeavingUpstreamIsListedAgain (200 from the leaving upstream in place of 503) and a new step of TestModelOfALeavingUpstreamIsLoadedElsewhere failed before; tests of gateway and controller pass, also with the race detector.

Why it works: these facts belong to a start of the upstream, and the entry names the start.

--- a/internal/controller/answers.go
+++ b/internal/controller/answers.go
@@ -41,18 +41,16 @@
 	return ok && started == u.Started.UnixMilli()
 }
 
-// dropAnswers drops what upstreams have said that the registry no longer lists, or that
-// have restarted.
+// dropAnswers drops what upstreams have said that have restarted, or that the registry has
+// not listed for goneEntryTTL. The entry of one that runs may lapse for less.
 func (c *Controller) dropAnswers() {
 	for name, l := range c.limits {
-		e, ok := c.registry[name]
-		if !ok || e.gone || e.upstream.Started.UnixMilli() > l.started {
+		if e, ok := c.registry[name]; !ok || !e.gone && e.upstream.Started.UnixMilli() > l.started {
 			delete(c.limits, name)
 		}
 	}
 	for name := range c.leaving {
-		e, ok := c.registry[name]
-		if !ok || e.gone || !c.isLeaving(e.upstream) {
+		if e, ok := c.registry[name]; !ok || !e.gone && !c.isLeaving(e.upstream) {
 			delete(c.leaving, name)
 		}
 	}
--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -45,6 +45,13 @@
 		time.Sleep(time.Second)
 		h.g.Expect(h.engines.accepted).To(HaveLen(1))
 		h.g.Expect(h.engines.accepted[0].upstream).To(Equal(state.UpstreamName("u1")))
+		lapsed := *h.fleet
+		lapsed.Upstreams = lapsed.Upstreams[1:]
+		c.Update(&lapsed)
+		h.g.Expect(leaving()).To(Equal(map[state.UpstreamName]bool{"u0": false, "u1": false}), "u0 is not listed")
+		listedAgain := *h.fleet
+		c.Update(&listedAgain)
+		h.g.Expect(leaving()).To(Equal(map[state.UpstreamName]bool{"u0": true, "u1": false}), "its entry had lapsed")
 		restarted := *h.fleet
 		again := *restarted.Upstreams[0]
 		again.Started = time.Now()
--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -22,7 +22,7 @@
 // Answers is what one start of an upstream has said in its answers about further requests.
 // The zero value has said nothing. It is updated with each answer that this gateway gets,
 // and with what the controller has heard from others, and dropped when the upstream
-// restarts or leaves the registry.
+// restarts or has been missing from the registry for a while.
 type Answers struct {
 	// leaving says that the upstream is about to end. That holds for the rest of this
 	// start, as answers overtake each other.
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -89,3 +89,25 @@
 	s.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
 	s.g.Expect(u.received.Load()).To(Equal(before))
 }
+
+// Guards against requests to an upstream that has said that it leaves and whose entry was
+// missing from the registry for a while (rule DRAIN).
+func TestLeavingUpstreamIsListedAgain(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	u := &leaver{}
+	u.server = s.upstream("a", "plain", u.ServeHTTP)
+	s.await("/any/0", http.StatusOK)
+	u.leaving.Store(true)
+	s.g.Expect(s.request(t.Context(), "/once/1", nil).status).To(Equal(http.StatusOK))
+	before := u.received.Load()
+	s.upstreams.add("a", nil)
+	time.Sleep(drainNoticed)
+	s.upstreams.add("a", &fleet.Upstream{
+		Name: "a", Service: "plain", Address: u.server.Listener.Addr().String(), DataCentre: "dc", Slots: 4, Report: 1,
+	})
+	time.Sleep(drainNoticed)
+	got := s.request(t.Context(), "/once/1", http.Header{"Patience": {"1s"}})
+	s.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	s.g.Expect(u.received.Load()).To(Equal(before))
+}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -16,6 +16,8 @@
 	// reregisterGrace is how long an upstream whose entry lapsed during an outage
 	// of the store may take to register again after the store's return.
 	reregisterGrace = 2200 * time.Millisecond
+	// unlistedTTL is how long the stats of an upstream outlast its entry.
+	unlistedTTL = time.Minute
 	// residencyTTL is how long the controller's last response remains valid.
 	residencyTTL = 3 * time.Second
 )
@@ -28,6 +30,7 @@
 
 	manifest  *fleet.Manifest
 	upstreams map[state.UpstreamName]*upstreamRow
+	unlisted  map[state.UpstreamName]unlistedUpstream
 	// nextIndex is the last index assigned to an upstream.
 	nextIndex int
 
@@ -47,11 +50,20 @@
 	dropAt time.Time
 }
 
+// unlistedUpstream is an upstream without an entry. The entry may have lapsed while the
+// upstream runs; if it is back, what this start of the upstream has said still holds.
+type unlistedUpstream struct {
+	started time.Time
+	stats   *upstreamStats
+	dropAt  time.Time
+}
+
 func newTables(dc state.DataCentre, regionOf map[state.DataCentre]state.Region) *tables {
 	return &tables{
 		dataCentre: dc,
 		regionOf:   regionOf,
 		upstreams:  make(map[state.UpstreamName]*upstreamRow),
+		unlisted:   make(map[state.UpstreamName]unlistedUpstream),
 		residency:  make(map[state.UpstreamName]rpc.UpstreamResidency),
 	}
 }
@@ -70,7 +82,7 @@
 func (t *tables) applyUpstream(u *fleet.Upstream) (changed bool) {
 	row, ok := t.upstreams[u.Name]
 	if !ok {
-		t.upstreams[u.Name] = &upstreamRow{upstream: u, stats: t.newStats()}
+		t.upstreams[u.Name] = &upstreamRow{upstream: u, stats: t.statsOf(u)}
 		return true
 	}
 	if !u.Started.Before(row.upstream.Started) {
@@ -88,6 +100,17 @@
 	return changed
 }
 
+// statsOf returns the stats of an upstream whose entry is new, which are those that it had
+// if the entry had lapsed.
+func (t *tables) statsOf(u *fleet.Upstream) *upstreamStats {
+	earlier, ok := t.unlisted[u.Name]
+	delete(t.unlisted, u.Name)
+	if ok && earlier.started.Equal(u.Started) {
+		return earlier.stats
+	}
+	return t.newStats()
+}
+
 func (t *tables) newStats() *upstreamStats {
 	t.nextIndex++
 	return &upstreamStats{index: t.nextIndex}
@@ -104,14 +127,26 @@
 		row.dropAt = now.Add(reregisterGrace)
 		return
 	}
-	delete(t.upstreams, name)
+	t.drop(row, now)
 }
 
-// expire drops the upstreams whose grace has passed.
+func (t *tables) drop(row *upstreamRow, now time.Time) {
+	u := row.upstream
+	delete(t.upstreams, u.Name)
+	t.unlisted[u.Name] = unlistedUpstream{started: u.Started, stats: row.stats, dropAt: now.Add(unlistedTTL)}
+}
+
+// expire drops the upstreams whose grace has passed, and what is kept of those that were
+// dropped before.
 func (t *tables) expire(now time.Time) (dropped []state.UpstreamName) {
+	for name, u := range t.unlisted {
+		if !now.Before(u.dropAt) {
+			delete(t.unlisted, name)
+		}
+	}
 	for name, row := range t.upstreams {
 		if !row.dropAt.IsZero() && !now.Before(row.dropAt) {
-			delete(t.upstreams, name)
+			t.drop(row, now)
 			dropped = append(dropped, name)
 		}
 	}
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -45,6 +45,43 @@
 	g.Expect(tables.view(now).service("s")).To(BeEmpty())
 }
 
+// Guards against requests to an upstream that has said that it leaves, or wants a pause,
+// once its entry has lapsed and is back; against such facts for a new start under the same
+// name; and against facts that are kept for good.
+func TestFactsOutlastALapsedEntry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	lapsed := func() *tables {
+		tables := newTables("dc1", nil)
+		tables.applyUpstream(entry(1))
+		tables.upstreams["u"].stats.recordAnswer(fleet.AnswerInfo{Leaving: true, Pause: 2 * time.Second}, now)
+		tables.removeUpstream("u", now, false)
+		return tables
+	}
+	for name, c := range map[string]struct {
+		started time.Time
+		after   time.Duration
+		leaving bool
+	}{
+		"back":         {testStart, time.Second, true},
+		"restarted":    {testStart.Add(time.Second), time.Second, false},
+		"back at last": {testStart, unlistedTTL + time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			tables := lapsed()
+			tables.expire(now.Add(c.after))
+			again := entry(2)
+			again.Started = c.started
+			tables.applyUpstream(again)
+			said := tables.upstreams["u"].stats.saidInAnswers()
+			g.Expect(said.Leaving()).To(Equal(c.leaving))
+			g.Expect(said.PauseLeft(now) > 0).To(Equal(c.leaving))
+			g.Expect(tables.view(now).service("s")).To(HaveLen(map[bool]int{true: 0, false: 1}[c.leaving]))
+			g.Expect(tables.unlisted).To(BeEmpty())
+		})
+	}
+}
+
 // Guards against an odd entry of another writer that takes an upstream out of routing, its
 // own or that of another key, whether the registry is read in full or followed.
 func TestOddEntryLeavesUpstreams(t *testing.T) {
