gateway: keep a long pause to its end

What callers would see: requests that an upstream refuses once more, as they reach it a minute into a pause of ten; more than two of them break rule BUDGET.

Cause: a pause was bounded by a minute, against absurd values.

Change: the bound is an hour. The Retry-After made from a pause or from a rate limit is 30 s at most, since another upstream may hold the model by then.

Why it works: the upstream gets nothing for as long as it has asked for, and a value by mistake ends with an hour or a restart.

--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// maxPause bounds a pause: an upstream that names a pause by mistake is asked again
-	// after this time.
-	maxPause = time.Minute
+	// maxPause bounds a pause: an upstream that names a longer one by mistake is not out
+	// of use for good.
+	maxPause = time.Hour
 	// refusalsToAvoid is how many refusals, without a served request between, let an
 	// upstream be avoided. One that is merely full serves others meanwhile.
 	refusalsToAvoid = 3
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,6 +24,9 @@
 	// noReplicaRetryAfter is the Retry-After sent when no upstream can load the
 	// model in time.
 	noReplicaRetryAfter = 500 * time.Millisecond
+	// maxDelayRetryAfter bounds the Retry-After sent when all upstreams are limited or in
+	// a pause: another one may hold the model long before they are free.
+	maxDelayRetryAfter = 30 * time.Second
 )
 
 // waitForUpstream returns the upstream for the next attempt. If none holds the
@@ -55,7 +58,8 @@
 		}
 		if !freeAt.IsZero() {
 			x.gateway.demand.recordRefusal(x.call.Target)
-			return nil, verdict.Refuse(verdict.ReasonShed, "upstreams have reached their rate limits or want a pause").WithRetryAfter(freeAt.Sub(now))
+			v := verdict.Refuse(verdict.ReasonShed, "upstreams have reached their rate limits or want a pause")
+			return nil, v.WithRetryAfter(min(freeAt.Sub(now), maxDelayRetryAfter))
 		}
 		if !now.Before(limit) {
 			x.gateway.demand.recordRefusal(x.call.Target)
--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -116,6 +116,26 @@
 	s.g.Expect(u.between(100*time.Millisecond, u.pause, first)).To(BeZero())
 }
 
+// Guards against an upstream that is asked again long before the end of a long pause, and
+// against callers that are told to stay away for as long: another one may load the model.
+func TestLongPause(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	u := &refuser{pause: 10 * time.Minute}
+	s.upstream("pausing", "plain", u.ServeHTTP)
+	s.await("/any/0", http.StatusOK)
+	first := u.count()
+	u.refusing.Store(true)
+	for range 5 {
+		got := s.request(t.Context(), "/once/1", http.Header{"Patience": {"200ms"}})
+		s.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.g.Expect(seconds).To(And(BeNumerically(">", 1), BeNumerically("<=", 30)))
+	}
+	s.g.Expect(u.count() - first).To(Equal(1))
+}
+
 // flow sends requests one after the other and returns how many were sent and served.
 func (s *system) flow(d, interval time.Duration) (sent, served int) {
 	for began := time.Now(); time.Since(began) < d; time.Sleep(interval) {
