loopback: a port goes to one process at a time

A port was chosen, closed and bound later.

Change: loopback.FreeAddress claims each port with a socket in the abstract namespace, until the process ends, and the soak, the scripts and the test of the settings template use it in place of their own choices.

Why it works: a process that has been given a port holds it against the others, whether it has bound it or not, and the kernel gives it to no connection.

--- a/cmd/lagoonvalve/fleet_test.go
+++ b/cmd/lagoonvalve/fleet_test.go
@@ -6,20 +6,19 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/logclient"
+	"github.com/lagoonvalve/lagoonvalve/internal/loopback"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -69,22 +68,12 @@
 	}
 }
 
-// nextPort starts at a place that depends on the process, below the ports
-// that the kernel gives to outgoing connections, so that a process that is
-// started again finds its port free.
-var nextPort atomic.Int32
-
-func init() { nextPort.Store(int32(12000 + os.Getpid()%100*200)) }
-
 func freeAddr() string {
-	for {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+(nextPort.Add(1)-12000)%20000)
-		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", addr)
-		if err == nil {
-			_ = listener.Close()
-			return addr
-		}
+	addr, err := loopback.FreeAddress(context.Background())
+	if err != nil {
+		panic(err)
 	}
+	return addr
 }
 
 func (f *fleet) add(name string, args ...string) *process {
