gateway: choose again where the rest of a stream is sent

Cause: a resumption that is turned away by the check before the send returned the verdict of that check when the retry budget allowed no further attempt. run takes this verdict for a first send that has not happened and sends the request again from its start.

Change: sendRest chooses again until the request was sent or no upstream can take it. The verdict does not leave it, and a choice that sends nothing draws on no budget.

Why it works: whether part of an answer was delivered is known where the rest is requested.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,9 +112,12 @@
 }
 
 // dialect uses header names of its own, independent of any platform.
-type dialect struct{}
+type dialect struct {
+	// beforeAttempt is called before each attempt if it is set.
+	beforeAttempt atomic.Pointer[func(fleet.AttemptInfo)]
+}
 
-func (dialect) ParseRequest(h http.Header) (fleet.RequestInfo, error) {
+func (*dialect) ParseRequest(h http.Header) (fleet.RequestInfo, error) {
 	patience, err := time.ParseDuration(h.Get("Patience"))
 	if err != nil {
 		patience = 5 * time.Second
@@ -123,16 +127,19 @@
 	}, nil
 }
 
-func (dialect) Prepare(http.Header) {}
+func (*dialect) Prepare(http.Header) {}
 
-func (dialect) AddAttemptHeaders(h http.Header, s fleet.AttemptInfo) {
+func (d *dialect) AddAttemptHeaders(h http.Header, s fleet.AttemptInfo) {
+	if before := d.beforeAttempt.Load(); before != nil {
+		(*before)(s)
+	}
 	h.Set("To", string(s.Upstream))
 	if s.LastEvent != "" {
 		h.Set("After", s.LastEvent)
 	}
 }
 
-func (dialect) ParseAnswer(_ int, h http.Header) fleet.AnswerInfo {
+func (*dialect) ParseAnswer(_ int, h http.Header) fleet.AnswerInfo {
 	rate, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return fleet.AnswerInfo{
@@ -148,6 +155,7 @@
 	manifests *feed[fleet.Manifest]
 	upstreams *feed[fleet.Upstream]
 	engines   *engines
+	dialect   *dialect
 	gateway   *gateway.Gateway
 	url       string
 	stop      context.CancelFunc
@@ -164,7 +172,7 @@
 	t.Parallel()
 	s := &system{
 		t: t, g: NewWithT(t), manifests: newFeed[fleet.Manifest](), upstreams: newFeed[fleet.Upstream](),
-		engines: &engines{held: map[state.UpstreamName][]fleet.Replica{}}, done: make(chan error, 1),
+		engines: &engines{held: map[state.UpstreamName][]fleet.Replica{}}, dialect: &dialect{}, done: make(chan error, 1),
 	}
 	listeners := gateway.Listeners{Callers: s.listen(), Ready: s.listen(), Control: s.listen()}
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -178,7 +186,7 @@
 	t.Cleanup(client.Close)
 	s.gateway = gateway.New(gateway.Options{
 		Name: "gateway", Control: listeners.Control.Addr().String(), DataCentre: "dc",
-		Manifests: s.manifests, Upstreams: s.upstreams, Dialect: dialect{}, Controller: leader, Caller: client, Logger: logger,
+		Manifests: s.manifests, Upstreams: s.upstreams, Dialect: s.dialect, Controller: leader, Caller: client, Logger: logger,
 		RetryShare: 0.2, RetrySlack: 100, Grace: grace, RefuseAfter: refuseAfter,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -175,14 +175,12 @@
 		}); !ok {
 			break
 		}
-		m, refusal := x.waitForUpstream(ctx)
-		if refusal != nil {
+		m, resp, failure := x.sendRest(ctx, lastEvent)
+		if m == nil {
 			break
 		}
-		x.startAttempt(m)
-		resp, err := x.sendTo(ctx, m, lastEvent)
-		if err != nil {
-			v = x.handleSendError(ctx, m, err)
+		if failure != nil {
+			v = failure
 			continue
 		}
 		if resp.Info.NotRun {
@@ -201,6 +199,26 @@
 	return nil, nil, v
 }
 
+// sendRest requests the rest of a stream from the upstream that is chosen for it. It
+// returns no upstream if none can take the request in time, and why the attempt failed if
+// it did. If the upstream is not eligible any more right before the send, it chooses again.
+func (x *exchange) sendRest(ctx context.Context, lastEvent string) (*member, *forward.Response, *verdict.Verdict) {
+	for {
+		m, refusal := x.waitForUpstream(ctx)
+		if refusal != nil {
+			return nil, nil, refusal
+		}
+		x.startAttempt(m)
+		resp, err := x.sendTo(ctx, m, lastEvent)
+		if err == nil {
+			return m, resp, nil
+		}
+		if v := x.handleSendError(ctx, m, err); v != errChooseAgain {
+			return m, nil, v
+		}
+	}
+}
+
 // eventReader returns a reader for a stream of events. A stream that ends within an event
 // was cut, even if the end of its body is marked by a length or a last chunk. Without such
 // a mark, one without any event was cut as well.
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -4,11 +4,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
 // Guards against an upstream's error in the middle of a stream, or a stream that ends as
@@ -82,3 +86,61 @@
 		})
 	}
 }
+
+// spendRetries leaves the retry budget with just enough for one retry of the next request.
+func (s *system) spendRetries(received *atomic.Int32) {
+	s.t.Helper()
+	retried := func() bool {
+		before := received.Load()
+		s.request(s.t.Context(), "/any/fail", nil)
+		return received.Load()-before > 1
+	}
+	s.g.Eventually(retried).Should(BeFalse())
+	s.g.Eventually(retried).Should(BeTrue())
+	// Each request adds 0.16.
+	for range 6 {
+		s.request(s.t.Context(), "/any/0", nil)
+	}
+}
+
+// Guards against a request that is sent once more from its start after part of its stream
+// has been delivered: the upstream for the rest was not eligible any more right before the
+// send, and the retry budget allowed no other one.
+func TestRestIsNotSentToAnIneligibleUpstream(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	var received, begun atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		switch {
+		case r.URL.Path == "/any/fail":
+			w.WriteHeader(http.StatusInternalServerError)
+		case r.URL.Path != "/resume/1":
+		case r.Header.Get("After") != "":
+			events(w, 3, 4, false)
+		default:
+			begun.Add(1)
+			events(w, 1, 2, true)
+		}
+	}
+	servers := map[state.UpstreamName]*httptest.Server{}
+	for _, name := range []string{"a", "b", "c"} {
+		servers[state.UpstreamName(name)] = s.upstream(name, "plain", serve)
+	}
+	s.await("/any/0", http.StatusOK)
+	time.Sleep(time.Second) // Waits until the gateway has read all entries.
+	s.spendRetries(&received)
+	var turnedAway atomic.Int32
+	drainOnce := func(a fleet.AttemptInfo) {
+		if a.LastEvent != "" && turnedAway.Add(1) == 1 {
+			s.drain(string(a.Upstream), "plain", servers[a.Upstream])
+			time.Sleep(drainNoticed)
+		}
+	}
+	s.dialect.beforeAttempt.Store(&drainOnce)
+	got := s.request(t.Context(), "/resume/1", nil)
+	s.g.Expect(turnedAway.Load()).To(BeNumerically(">=", 1))
+	s.g.Expect(begun.Load()).To(Equal(int32(1)))
+	s.g.Expect(wholeStream).To(HavePrefix(got.body))
+	s.g.Expect(got.body == wholeStream).To(Equal(got.err == nil))
+}
