gateway: tests that go by requests, not by a second of them

The retry budget is spent by counting requests, and the refusals of a long pause have time to arrive, so that a busy machine does not decide.

--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -127,7 +127,7 @@
 	first := u.count()
 	u.refusing.Store(true)
 	for range 5 {
-		got := s.request(t.Context(), "/once/1", http.Header{"Patience": {"200ms"}})
+		got := s.request(t.Context(), "/once/1", http.Header{"Patience": {"1s"}})
 		s.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 		s.g.Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -90,13 +90,18 @@
 // spendRetries leaves the retry budget with just enough for one retry of the next request.
 func (s *system) spendRetries(received *atomic.Int32) {
 	s.t.Helper()
-	retried := func() bool {
-		before := received.Load()
-		s.request(s.t.Context(), "/any/fail", nil)
-		return received.Load()-before > 1
+	requestUntil := func(retried bool) {
+		for range 100 {
+			before := received.Load()
+			s.request(s.t.Context(), "/any/fail", nil)
+			if received.Load()-before > 1 == retried {
+				return
+			}
+		}
+		s.t.Fatal("the retry budget does not behave as expected")
 	}
-	s.g.Eventually(retried).Should(BeFalse())
-	s.g.Eventually(retried).Should(BeTrue())
+	requestUntil(false)
+	requestUntil(true)
 	// Each request adds 0.16.
 	for range 6 {
 		s.request(s.t.Context(), "/any/0", nil)
