cmd: show the logs of a script's processes wherever it fails

What was seen: the run that failed with "entry-1 is not ready" (KNOWN-RED.txt, resumed-agent) left no logs, so its cause could not be traced. Only two commands of the scripts showed logs before they failed.

Change: the end of each script shows the last 40 lines of all its processes if it has failed.

--- a/cmd/lagoonvalve/commands_test.go
+++ b/cmd/lagoonvalve/commands_test.go
@@ -187,24 +187,10 @@
 		return err == nil && ok == want
 	})
 	if !reached {
-		f.logTails(ts)
 		ts.Fatalf("not within %s: %s (%v)", limit, strings.Join(args[1:], " "), failure)
 	}
 }
 
-// logTails shows the last lines of what the processes logged.
-func (f *fleet) logTails(ts *testscript.TestScript) {
-	const shown = 12
-	for _, name := range f.order {
-		data, err := os.ReadFile(filepath.Join(f.dir, name+".log"))
-		if err != nil {
-			continue
-		}
-		lines := strings.Split(strings.TrimSpace(string(data)), "\n")
-		ts.Logf("last lines of %s:\n%s", name, strings.Join(lines[max(0, len(lines)-shown):], "\n"))
-	}
-}
-
 // cmdHolds checks a condition once: [!] holds CONDITION...
 func cmdHolds(ts *testscript.TestScript, neg bool, args []string) {
 	f := ts.Value(fleetKey{}).(*fleet)
--- a/cmd/lagoonvalve/disturb_test.go
+++ b/cmd/lagoonvalve/disturb_test.go
@@ -93,7 +93,6 @@
 	d.settle()
 	ts.Logf("answers by reason: %v; %d calls", d.answered, len(d.calls))
 	if len(d.problems) > 0 {
-		f.logTails(ts)
 		ts.Fatalf("disturb: %s", strings.Join(d.problems, "\n"))
 	}
 }
--- a/cmd/lagoonvalve/fleet_test.go
+++ b/cmd/lagoonvalve/fleet_test.go
@@ -161,6 +161,22 @@
 	return found.String()
 }
 
+// logTails returns the last lines of what each process has logged.
+func (f *fleet) logTails() string {
+	const shown = 40
+	var tails strings.Builder
+	for _, name := range f.order {
+		data, err := os.ReadFile(filepath.Join(f.dir, name+".log"))
+		if err != nil {
+			fmt.Fprintf(&tails, "no log of %s: %v\n", name, err)
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+		fmt.Fprintf(&tails, "last lines of %s:\n%s\n", name, strings.Join(lines[max(0, len(lines)-shown):], "\n"))
+	}
+	return tails.String()
+}
+
 // poll waits until done reports true, for at most limit.
 func poll(limit time.Duration, done func() bool) bool {
 	ticker := time.NewTicker(pollEvery)
--- a/cmd/lagoonvalve/script_test.go
+++ b/cmd/lagoonvalve/script_test.go
@@ -42,6 +42,9 @@
 			env.Values[fleetKey{}] = f
 			env.Defer(func() {
 				f.killAll()
+				if hasFailed(env.T()) {
+					env.T().Log(f.logTails())
+				}
 				if races := f.races(); races != "" {
 					env.T().Fatal(races)
 				}
@@ -73,6 +76,13 @@
 	})
 }
 
+// hasFailed reports whether a script has failed. Its test is a testing.T, which the
+// interface of testscript hides.
+func hasFailed(t testscript.T) bool {
+	test, ok := t.(interface{ Failed() bool })
+	return ok && test.Failed()
+}
+
 // scripts returns the scripts except those that KNOWN-RED.txt lists.
 func scripts(t *testing.T) []string {
 	t.Helper()
