standin: engines and services that refuse, with or without a pause

RefuseNext and RetryAfter are switches of engines and of plain services, which answer 503 before they run anything; the disturbed scripts draw them beside the other faults of the service.

Upstreams that leave by their answers stay with the runners of platform/soak: leaving is a header of the platform, whose names only platform/ may use, and the protocol of agents has none.

Nothing breaks: TestRefusalOfAnUpstreamIsNoPromise shows that an agent reports the 503 of its upstream as may-have-run and passes Retry-After on as it is, malformed values too.

--- a/cmd/lagoonvalve/disturb_test.go
+++ b/cmd/lagoonvalve/disturb_test.go
@@ -26,7 +26,7 @@
 	// made that the entry never accepted.
 	backlogTime = 200 * time.Millisecond
 	// callsTakeTime makes calls last, so that processes are lost during calls.
-	callsTakeTime = `{"delay": "200ms", "lose_next": 0, "fail_next": 0}`
+	callsTakeTime = `{"delay": "200ms", "lose_next": 0, "fail_next": 0, "refuse_next": 0}`
 	// resendFor is how long a caller sends a call again.
 	resendFor = 6 * time.Second
 )
@@ -222,7 +222,7 @@
 	platform := map[string][]string{
 		"log":   {`{"outage": true}`, `{"lose_answers": true}`, `{"delay": "700ms"}`, `{"lose_next": 3}`, `{"outage_next": 5}`},
 		"store": {`{"outage": true}`, `{"slowdown": 4}`}, "hosts": {`{"outage": true}`},
-		"service": {`{"delay": "1s"}`, `{"lose_next": 2}`, `{"fail_next": 2}`},
+		"service": {`{"delay": "1s"}`, `{"lose_next": 2}`, `{"fail_next": 2}`, `{"refuse_next": 2, "retry_after": "5"}`},
 	}
 	healed := map[string]string{
 		"log": `{"outage": false, "lose_answers": false, "delay": "0s", "lose_next": 0, "outage_next": 0}`, "store": `{"outage": false, "slowdown": 1}`,
--- a/internal/agent/refusal_test.go
+++ b/internal/agent/refusal_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/standin"
+	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -41,3 +43,30 @@
 		w.Expect(followed.Load()).To(BeFalse())
 	})
 }
+
+// Guards against work that runs twice since the 503 of an upstream is taken for a promise:
+// its protocol has none, whatever Retry-After says. The caller gets both as they are.
+func TestRefusalOfAnUpstreamIsNoPromise(t *testing.T) {
+	for _, retryAfter := range []string{"", "5", "0.5", "-1", "1e9", "soon", "Sat, 05 Dec 2026 15:00:00 GMT"} {
+		upstream := standin.NewService("orders", "order")
+		upstream.SetFaults(standin.ServiceFaults{Refusals: standin.Refusals{RefuseNext: 2, RetryAfter: retryAfter}})
+		inBubble(t, func(w *world) {
+			w.awake()
+			w.engine.handle(upstream.ServeHTTP)
+			w.expectNoPromise(w.request(anyone), retryAfter)
+		})
+		inBubble(t, func(w *world) {
+			w.cfg.Upstream.Kind = state.PlainService
+			w.start()
+			w.engine.handle(upstream.ServeHTTP)
+			w.expectNoPromise(w.requestPath(anyone, "/v1/services/orders"), retryAfter)
+		})
+		NewWithT(t).Expect(upstream.Executions()).To(BeEmpty())
+	}
+}
+
+func (w *world) expectNoPromise(got answer, retryAfter string) {
+	w.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	w.Expect(got.verdict()).To(Equal("may-have-run"))
+	w.Expect(got.header.Get("Retry-After")).To(Equal(retryAfter))
+}
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -142,6 +142,10 @@
 	if !readJSON(w, r, &request) {
 		return
 	}
+	if retryAfter, refused := e.refusal(); refused {
+		refuse(w, retryAfter)
+		return
+	}
 	class, ok := state.ParseClass(r.Header.Get(HeaderPriority))
 	if !ok {
 		class = state.ClassNormal
@@ -169,6 +173,11 @@
 	e.run(ctx, w, work)
 }
 
+func (e *Engine) refusal() (retryAfter string, refused bool) {
+	e.with(func(f *EngineFaults) { retryAfter, refused = f.take() })
+	return retryAfter, refused
+}
+
 // errNotLoaded means that the model or adapter of a request is not loaded.
 var errNotLoaded = errors.New("model or adapter not loaded")
 
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -66,6 +66,7 @@
 	FailLoads int `json:"fail_loads"`
 	// LoseOrders carries out that many orders without an answer.
 	LoseOrders int `json:"lose_orders"`
+	Refusals
 }
 
 // ServiceFaults are the fault switches of Service.
@@ -76,6 +77,34 @@
 	LoseNext int `json:"lose_next"`
 	// FailNext answers that many calls with status 500 after execution.
 	FailNext int `json:"fail_next"`
+	Refusals
+}
+
+// Refusals are the fault switches of an upstream that turns requests away with status
+// 503 before it runs anything.
+type Refusals struct {
+	// RefuseNext turns that many requests away.
+	RefuseNext int `json:"refuse_next"`
+	// RetryAfter is the Retry-After header of these answers, sent as it stands; empty
+	// means none.
+	RetryAfter string `json:"retry_after"`
+}
+
+// take reports whether the next request is turned away, and with which Retry-After.
+func (f *Refusals) take() (retryAfter string, refused bool) {
+	if f.RefuseNext <= 0 {
+		return "", false
+	}
+	f.RefuseNext--
+	return f.RetryAfter, true
+}
+
+// refuse turns a request away.
+func refuse(w http.ResponseWriter, retryAfter string) {
+	if retryAfter != "" {
+		w.Header().Set("Retry-After", retryAfter)
+	}
+	http.Error(w, "refused", http.StatusServiceUnavailable)
 }
 
 // switches holds fault switches that can be set at run time.
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -126,3 +127,45 @@
 	_, _ = post(t.Context(), service, "/issue", `{}`, standin.HeaderIdempotencyKey, "k")
 	g.Expect(service.Executions()).To(Equal(map[string]int{"7": 2, "k": 1}))
 }
+
+// Guards against stand-ins that run what they have turned away.
+func TestRefusedRequestsAreNotRun(t *testing.T) {
+	const (
+		switches = `{"refuse_next":1,"retry_after":"2.5"}`
+		refused  = http.StatusServiceUnavailable
+	)
+	t.Run("service", func(t *testing.T) {
+		g := NewWithT(t)
+		service := standin.NewService("tickets", "order")
+		_, _ = post(t.Context(), service, standin.PathFaults, switches)
+		answer, _ := post(t.Context(), service, "/issue", `{"order":"7"}`)
+		g.Expect(answer.Code).To(Equal(refused))
+		g.Expect(answer.Header().Get("Retry-After")).To(Equal("2.5"))
+		g.Expect(service.Executions()).To(BeEmpty())
+		answer, _ = post(t.Context(), service, "/issue", `{"order":"7"}`)
+		g.Expect(answer.Code).To(Equal(http.StatusOK))
+		g.Expect(service.Executions()).To(Equal(map[string]int{"7": 1}))
+	})
+	t.Run("engine", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			engine := loaded(t, standin.EngineConfig{})
+			_, _ = post(t.Context(), engine, standin.PathFaults, switches)
+			answer, _ := post(t.Context(), engine, standin.PathCompletions, `{"model":"m"}`)
+			g.Expect(answer.Code).To(Equal(refused))
+			g.Expect(answer.Header().Get("Retry-After")).To(Equal("2.5"))
+			g.Expect(started(t, engine)).To(BeZero())
+			answer, _ = post(t.Context(), engine, standin.PathCompletions, `{"model":"m"}`)
+			g.Expect(answer.Code).To(Equal(http.StatusOK))
+			g.Expect(started(t, engine)).To(Equal(1))
+		})
+	})
+}
+
+// started returns how many requests the engine began to run.
+func started(t *testing.T, engine http.Handler) int {
+	answer, _ := post(t.Context(), engine, standin.PathCounters, "")
+	var counters standin.EngineCounters
+	NewWithT(t).Expect(json.Unmarshal(answer.Body.Bytes(), &counters)).To(Succeed())
+	return counters.Started
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -67,6 +67,10 @@
 		http.Error(w, "body not readable", http.StatusBadRequest)
 		return
 	}
+	if retryAfter, refused := s.refusal(); refused {
+		refuse(w, retryAfter)
+		return
+	}
 	key := s.key(r, body)
 	count := s.execute(key)
 	lose, fail := s.callFaults()
@@ -100,6 +104,11 @@
 	return s.executions[key]
 }
 
+func (s *Service) refusal() (retryAfter string, refused bool) {
+	s.with(func(f *ServiceFaults) { retryAfter, refused = f.take() })
+	return retryAfter, refused
+}
+
 func (s *Service) callFaults() (lose, fail bool) {
 	s.with(func(f *ServiceFaults) {
 		if f.LoseNext > 0 {
