sse: find the ends of events with any line end

What callers saw: a stream whose lines end with CR LF or CR was cut after 1 MiB, as if it were one event that is too long; a test through the gateway shows it. A resumable one waited for 32 KiB or its end before its events went on, and ended broken when it was resumed.

Event streams may use LF, CR LF and CR.

Change: one place in internal/sse knows the ends of events; the reader, the limit and the end detector use it.

Measured: TestEventsResumeAtAnyCut, TestEventsAreReturnedAsTheyArrive and TestLimitEvents, each for three line ends, and TestStreamOfAnyLineEndIsWhole failed before and pass.

--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -46,6 +48,34 @@
 	}
 }
 
+// Guards against a long stream that is cut, or counted as one event that is too long, since
+// its lines end with CR LF or CR.
+func TestStreamOfAnyLineEndIsWhole(t *testing.T) {
+	const size = 2 << 20 // Longer than an event may be.
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		t.Run(fmt.Sprintf("%q", end), func(t *testing.T) {
+			var stream strings.Builder
+			for id := 1; stream.Len() < size; id++ {
+				fmt.Fprintf(&stream, "id: %d%sdata: %s%s%s", id, end, strings.Repeat("x", 1000), end, end)
+			}
+			s := start(t)
+			s.routes(1)
+			s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/any/0" {
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.WriteString(w, stream.String())
+				}
+			})
+			s.await("/any/0", http.StatusOK)
+			for _, path := range []string{"/stream/1", "/resume/1"} {
+				got := s.request(t.Context(), path, nil)
+				s.g.Expect(got.err).NotTo(HaveOccurred(), path)
+				s.g.Expect(got.body == stream.String()).To(BeTrue(), path)
+			}
+		})
+	}
+}
+
 // Guards against a request on the connection of a stream that was cut within an event. The
 // upstream has written the end of the body, but need not serve that connection any more:
 // the request is lost there, and one that must not run twice can't be sent again.
--- a/internal/sse/events.go
+++ b/internal/sse/events.go
@@ -20,10 +20,7 @@
 	maxEventSize = 32 << 10
 )
 
-var (
-	idField        = []byte("id:")
-	eventSeparator = []byte("\n\n")
-)
+var idField = []byte("id:")
 
 // EventReader reads a stream whose events have ids and returns whole events only, so
 // that the stream can be resumed from another connection after it was cut. A stream
@@ -111,11 +108,7 @@
 		e.ready = len(e.buffer)
 		return
 	}
-	e.ready = bytes.LastIndex(e.buffer, eventSeparator) + len(eventSeparator)
-	if e.ready < len(eventSeparator)+1 {
-		e.ready = 0
-		return
-	}
+	e.ready = lastEventEnd(e.buffer)
 	if id, ok := lastEventID(e.buffer[:e.ready]); ok {
 		e.lastID = id
 	}
@@ -124,7 +117,7 @@
 // verify checks the first event since Resume once it is whole, and reports whether it
 // continues the stream. If it does not, the buffer is dropped.
 func (e *EventReader) verify() bool {
-	first, _, whole := bytes.Cut(e.buffer, eventSeparator)
+	first, whole := firstEvent(e.buffer)
 	tooLong := len(first) > maxEventSize
 	ended := errors.Is(e.err, io.EOF) && len(first) > 0
 	switch {
@@ -142,7 +135,7 @@
 func (e *EventReader) continues(event []byte) bool {
 	id, ok := lastEventID(event)
 	if !ok {
-		return isEndMark(string(event))
+		return isEndMark(string(bytes.TrimRight(event, lineEnds)))
 	}
 	last, err := strconv.ParseUint(e.lastID, 10, 64)
 	next, err2 := strconv.ParseUint(id, 10, 64)
@@ -154,10 +147,15 @@
 
 // lastEventID returns the last id in a series of events.
 func lastEventID(events []byte) (id string, ok bool) {
-	for line := range bytes.Lines(events) {
-		if text, found := bytes.CutPrefix(line, idField); found {
+	for len(events) > 0 {
+		end := bytes.IndexAny(events, lineEnds)
+		if end < 0 {
+			end = len(events)
+		}
+		if text, found := bytes.CutPrefix(events[:end], idField); found {
 			id, ok = string(bytes.TrimSpace(text)), true
 		}
+		events = events[min(end+1, len(events)):]
 	}
 	return id, ok
 }
--- a/internal/sse/events_test.go
+++ b/internal/sse/events_test.go
@@ -12,30 +12,68 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/sse"
 )
 
+// lineEnds are the line ends that event streams may use.
+var lineEnds = []string{"\n", "\r\n", "\r"}
+
 // Guards against an event that reaches the caller twice, in part or whole, or not
 // at all, when a stream is resumed after a cut at any byte.
 func TestEventsResumeAtAnyCut(t *testing.T) {
 	cut := errors.New("cut")
-	const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\ndata: [DONE]\n\n"
-	rest := map[string]string{"": stream, "1": stream[15:], "2": stream[30:], "3": stream[45:]}
-	for at := range len(stream) {
-		for _, whole := range []bool{true, false} {
-			g := NewWithT(t)
-			src := io.MultiReader(strings.NewReader(stream[:at]), iotest.ErrReader(cut))
-			if !whole {
-				src = iotest.OneByteReader(src)
+	for _, end := range lineEnds {
+		lines := func(text string) string { return strings.ReplaceAll(text, "\n", end) }
+		stream := lines("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\ndata: [DONE]\n\n")
+		size := len(lines("id: 1\ndata: a\n\n"))
+		rest := map[string]string{"": stream, "1": stream[size:], "2": stream[2*size:], "3": stream[3*size:]}
+		for at := range len(stream) {
+			for _, whole := range []bool{true, false} {
+				g := NewWithT(t)
+				src := io.MultiReader(strings.NewReader(stream[:at]), iotest.ErrReader(cut))
+				if !whole {
+					src = iotest.OneByteReader(src)
+				}
+				events := sse.NewEventReader(src)
+				first, err := io.ReadAll(events)
+				g.Expect(err).To(MatchError(cut))
+				events.Resume(strings.NewReader(rest[events.LastID()]))
+				second, err := io.ReadAll(events)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(first)+string(second)).To(Equal(stream), "line end %q, cut at %d", end, at)
 			}
-			events := sse.NewEventReader(src)
-			first, err := io.ReadAll(events)
-			g.Expect(err).To(MatchError(cut))
-			events.Resume(strings.NewReader(rest[events.LastID()]))
-			second, err := io.ReadAll(events)
+		}
+	}
+}
+
+// Guards against events that wait for later ones, so that the caller gives up: each is
+// returned once it is whole, with any line end.
+func TestEventsAreReturnedAsTheyArrive(t *testing.T) {
+	for _, end := range lineEnds {
+		g := NewWithT(t)
+		src := &parts{"id: 1" + end + "data: a" + end + end, "id: 2" + end + end}
+		events := sse.NewEventReader(src)
+		for len(*src) > 0 {
+			event, later := (*src)[0], len(*src)-1
+			got := make([]byte, len(event))
+			_, err := io.ReadFull(events, got)
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(string(first)+string(second)).To(Equal(stream), "cut at %d", at)
+			g.Expect(string(got)).To(Equal(event))
+			g.Expect(*src).To(HaveLen(later), "line end %q", end)
 		}
+		g.Expect(events.LastID()).To(Equal("2"))
 	}
 }
 
+// parts is a reader that returns one part at a time.
+type parts []string
+
+func (p *parts) Read(b []byte) (int, error) {
+	if len(*p) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, (*p)[0])
+	*p = (*p)[1:]
+	return n, nil
+}
+
 // Guards against text in the middle of a stream, or events that come twice, when a source
 // does not continue the stream that it is to resume.
 func TestResumeChecksTheFirstEvent(t *testing.T) {
@@ -90,11 +128,13 @@
 	passed, err := io.Copy(io.Discard, endless)
 	g.Expect(err).To(MatchError(sse.ErrEventTooLong))
 	g.Expect(passed).To(BeNumerically("<", 2<<20))
-	many := strings.Repeat("data: "+strings.Repeat("y", 1000)+"\n\n", 3000)
-	for _, src := range []io.Reader{strings.NewReader(many), iotest.OneByteReader(strings.NewReader(many))} {
-		n, err := io.Copy(io.Discard, sse.LimitEvents(src))
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(n).To(Equal(int64(len(many))))
+	for _, end := range append(lineEnds, "\r\n\n") {
+		many := strings.Repeat("data: "+strings.Repeat("y", 1000)+end+end, 3000)
+		for _, src := range []io.Reader{strings.NewReader(many), iotest.OneByteReader(strings.NewReader(many))} {
+			n, err := io.Copy(io.Discard, sse.LimitEvents(src))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(n).To(Equal(int64(len(many))), "line end %q", end)
+		}
 	}
 }
 
--- a/internal/sse/limit.go
+++ b/internal/sse/limit.go
@@ -1,7 +1,6 @@
 package sse
 
 import (
-	"bytes"
 	"io"
 
 	"github.com/go-faster/errors"
@@ -17,12 +16,14 @@
 // eventLimit is the reader of LimitEvents.
 type eventLimit struct {
 	source io.Reader
-	// open is the size of the event that has not ended yet, and newline says that
-	// the last byte was a line feed.
-	open    int
-	newline bool
+	// open is the size of the event that has not ended yet.
+	open int
+	// edge has the last bytes, at most edgeSize, which may begin the end of an event.
+	edge []byte
 }
 
+const edgeSize = maxEventEnd - 1
+
 // LimitEvents returns a reader of src that returns ErrEventTooLong once an event
 // exceeds 1 MiB. The bytes are returned as they arrive.
 func LimitEvents(src io.Reader) io.Reader { return &eventLimit{source: src} }
@@ -39,15 +40,16 @@
 
 // count updates the size of the open event.
 func (l *eventLimit) count(p []byte) {
-	if len(p) == 0 {
-		return
+	end := lastEventEnd(p)
+	if end == 0 {
+		head := p[:min(len(p), edgeSize)]
+		end = lastEventEnd(append(l.edge, head...)) - len(l.edge)
 	}
-	if end := bytes.LastIndex(p, eventSeparator); end >= 0 {
-		l.open = len(p) - end - len(eventSeparator)
-	} else if l.newline && p[0] == '\n' {
-		l.open = len(p) - 1
+	if end > 0 {
+		l.open = len(p) - end
 	} else {
 		l.open += len(p)
 	}
-	l.newline = p[len(p)-1] == '\n'
+	l.edge = append(l.edge, p[max(0, len(p)-edgeSize):]...)
+	l.edge = append(l.edge[:0], l.edge[max(0, len(l.edge)-edgeSize):]...)
 }
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -18,9 +18,38 @@
 // tailSize is enough bytes for the last event with its line ends.
 const tailSize = 32
 
-// eventEnds are the ends of an event: an empty line, with each of the line ends that
-// streams may use.
-var eventEnds = [][]byte{eventSeparator, []byte("\r\n\r\n"), []byte("\r\r")}
+// lineEnds has the bytes that end a line. A line may end with either or with CR LF.
+const lineEnds = "\r\n"
+
+// eventEnds are the ends of an event: an empty line. The first "\n" of "\n\r\n" may be
+// the second half of a CR LF.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+// maxEventEnd is the size of the longest of eventEnds.
+const maxEventEnd = 3
+
+// lastEventEnd returns how many bytes of a stream the last event in it ends after, zero if
+// none ends in it.
+func lastEventEnd(stream []byte) int {
+	last := 0
+	for _, end := range eventEnds {
+		if at := bytes.LastIndex(stream, end); at >= 0 {
+			last = max(last, at+len(end))
+		}
+	}
+	return last
+}
+
+// firstEvent returns the first event of a stream without its end, and whether it is whole.
+func firstEvent(stream []byte) (event []byte, whole bool) {
+	event = stream
+	for _, end := range eventEnds {
+		if before, _, found := bytes.Cut(event, end); found {
+			event, whole = before, true
+		}
+	}
+	return event, whole
+}
 
 // EndDetector detects the end of an event, and of the last event, "data: [DONE]", in a
 // stream that it gets in parts. Its zero value is ready to use.
@@ -42,11 +71,11 @@
 // The same text within an event's data does not count, since it does not begin a
 // line.
 func (e *EndDetector) Seen() bool {
-	text := bytes.TrimRight(e.tail, "\r\n")
+	text := bytes.TrimRight(e.tail, lineEnds)
 	if len(text) == len(e.tail) {
 		return false
 	}
-	line := text[bytes.LastIndexAny(text, "\r\n")+1:]
+	line := text[bytes.LastIndexAny(text, lineEnds)+1:]
 	return isEndMark(string(line))
 }
 
