--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -28,8 +28,8 @@
 // maxEventEnd is the size of the longest of eventEnds.
 const maxEventEnd = 3
 
-// lastEventEnd returns how many bytes of a stream the last event in it ends after, zero if
-// none ends in it.
+// lastEventEnd returns the offset right after the last event that ends in a part of a
+// stream, zero if none does.
 func lastEventEnd(stream []byte) int {
 	last := 0
 	for _, end := range eventEnds {
@@ -40,7 +40,8 @@
 	return last
 }
 
-// firstEvent returns the first event of a stream without its end, and whether it is whole.
+// firstEvent returns the first event of a part of a stream, without its end, and whether it
+// is whole.
 func firstEvent(stream []byte) (event []byte, whole bool) {
 	event = stream
 	for _, end := range eventEnds {
