agent: send no request on the connection of a cut stream

What callers saw: the request after a stream that an engine had broken off ended as "may have run", though no engine had begun it.

The body of a cut stream is read to its end, so net/http uses its connection again, which the engine may have left.

Change: the agent closes its idle connections when an answer that was read to its end is not whole. net/http has put the connection among them before it returns the end of the body.

Measured: TestNoRequestFollowsACutStreamOnItsConnection failed before with "may-have-run"; it passes 30 of 30 times.

Why it works: nothing tells a connection that the engine left from a good one, so none is kept; a new one costs little beside an answer that failed.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -298,7 +298,11 @@
 		whole := events && end.Seen()
 		switch {
 		case errors.Is(err, io.EOF):
-			return kept.bytes(), a.checkEnd(resp, events, &end)
+			err := a.checkEnd(resp, events, &end)
+			if err != nil {
+				a.closeIdle()
+			}
+			return kept.bytes(), err
 		case err != nil && whole:
 			// Many callers close the connection at the last event.
 			return kept.bytes(), nil
@@ -333,6 +337,10 @@
 	return k.data
 }
 
+// closeIdle closes the idle connections to the upstream. After an answer that is not whole,
+// the upstream may have left its connection, and a request that is sent there is lost.
+func (a *Agent) closeIdle() { (&http.Client{Transport: a.transport}).CloseIdleConnections() }
+
 // checkEnd returns an error for an answer whose end does not show that it is whole. A
 // stream of an engine ends with its end mark, and that of a plain service after an event;
 // other answers end where their length or their last chunk says.
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -51,3 +52,30 @@
 		}
 	}
 }
+
+// Guards against a request on the connection of a stream that was cut. The upstream has
+// written the end of the body, but need not serve that connection any more: the request is
+// lost there, and one that must not run twice can't be sent again.
+func TestNoRequestFollowsACutStreamOnItsConnection(t *testing.T) {
+	const cut = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 13\r\n\r\ndata: 1\n\ndata"
+	inBubble(t, func(w *world) {
+		w.awake()
+		var reused atomic.Bool
+		w.engine.handle(func(out http.ResponseWriter, _ *http.Request) {
+			conn, buffered, err := out.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, cut)
+			if _, err := buffered.ReadByte(); err == nil {
+				reused.Store(true)
+			}
+		})
+		got := w.request(anyone)
+		w.Expect(got.trailer.Get("Lagoon-Verdict")).To(Equal("may-have-run"))
+		w.engine.handle(func(out http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(out, "answer") })
+		w.Expect(w.request(anyone).verdict()).To(Equal("ran"))
+		w.Expect(reused.Load()).To(BeFalse())
+	})
+}
