sse: part of an event is not passed on at the end of its stream

Cause: the agent ends the body of a cut stream as usual and says in the trailer that it was cut. sse.EventReader returned an unfinished event at io.EOF, the entry passed it on and then resumed the stream.

Change: EventReader returns io.ErrUnexpectedEOF if its source ends within an event; the end mark may lack its empty line.

Why it works: what may be resumed is passed on event by event, whatever way its source ends.

--- /dev/null
+++ b/internal/agent/export_test.go
@@ -0,0 +1,4 @@
+package agent
+
+// NewTransport is the transport of an agent without Deps.Transport.
+var NewTransport = newTransport
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -87,6 +87,8 @@
 }
 
 func (w *world) launch() {
+	transport := agent.NewTransport(w.cfg.Concurrency, nil)
+	transport.DialContext = w.net.Dial
 	a, err := agent.New(w.cfg, agent.Deps{
 		Engine:    w.engine,
 		Parts:     w.parts,
@@ -94,7 +96,7 @@
 		Caller:    w.caller,
 		Queue:     w.queue,
 		Watcher:   func() (string, bool) { return "watcher", true },
-		Transport: &http.Transport{DialContext: w.net.Dial, DisableCompression: true},
+		Transport: transport,
 		Listen:    w.net.Listen,
 		Logger:    slog.New(slog.DiscardHandler),
 	})
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -75,3 +75,30 @@
 		})
 	}
 }
+
+// cutByAgent answers with an event stream that its agent has found to be cut: the body ends
+// as usual, and the trailer says that it is not whole.
+func cutByAgent(text, last string) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		response, err := events(text, last, nil)(r)
+		verdict.Unknown(verdict.ReasonStreamCut, "test").SetHeaders(response.Trailer)
+		return response, err
+	}
+}
+
+// Guards against an event whose first part the caller gets twice, or that is joined from two
+// runs, when the agent ends the body of a cut stream as usual: cut at each byte, in the first
+// response and in one that resumes it.
+func TestStreamCutByItsAgentIsResumed(t *testing.T) {
+	const event = "id: 2\ndata: b\n\n"
+	for at := range len(event) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			agents := agentsOf(answers{"a": inTurn(cutByAgent(streamHead+event[:at], ""), cutByAgent(event[:at], "1"), events(streamRest, "1", nil))})
+			b := newGatewayBench(t, agents, "a")
+			got, err := b.send(t.Context(), true, func(r *request) { r.stream = true })
+			g.Expect(err).NotTo(HaveOccurred(), "cut at %d", at)
+			g.Expect(got.Body.String()).To(Equal(streamHead+streamRest), "cut at %d", at)
+		})
+	}
+}
--- a/internal/sse/events.go
+++ b/internal/sse/events.go
@@ -67,11 +67,13 @@
 }
 
 // Read implements io.Reader. An error of the source is returned after the last whole
-// event; after io.EOF, an unfinished event at the end is returned first.
+// event. If the source ends within an event, the error is io.ErrUnexpectedEOF.
 func (e *EventReader) Read(p []byte) (int, error) {
 	for e.ready == 0 {
-		if errors.Is(e.err, io.EOF) && len(e.buffer) > 0 {
-			e.ready = len(e.buffer)
+		if errors.Is(e.err, io.EOF) {
+			if err := e.end(); err != nil {
+				return 0, err
+			}
 			break
 		}
 		if e.err != nil {
@@ -88,6 +90,21 @@
 	return n, nil
 }
 
+// end returns what Read returns at the end of the source. It returns nil if the rest of the
+// buffer may be returned: the end mark, whose last event may lack its empty line, or bytes
+// of a stream whose format is not known.
+func (e *EventReader) end() error {
+	switch {
+	case len(e.buffer) == 0:
+		return io.EOF
+	case e.formatKnown && !e.passThrough && !endsWithMark(e.buffer):
+		return io.ErrUnexpectedEOF
+	default:
+		e.ready = len(e.buffer)
+		return nil
+	}
+}
+
 // fill reads from the source and sets ready to the end of the last whole event.
 func (e *EventReader) fill() {
 	e.buffer = slices.Grow(e.buffer, readSize)
--- a/internal/sse/events_test.go
+++ b/internal/sse/events_test.go
@@ -107,6 +107,28 @@
 	}
 }
 
+// Guards against part of an event that is passed on when the body ends as usual within it:
+// it would be joined to the same event of the upstream that resumes the stream. Only the end
+// mark may lack its empty line.
+func TestPartOfAnEventIsNotReturned(t *testing.T) {
+	for _, end := range lineEnds {
+		lines := func(text string) string { return strings.ReplaceAll(text, "\n", end) }
+		const complete = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+		begun, event := lines(complete), lines("id: 3\ndata: token\n\n")
+		for at := 1; at < len(event); at++ {
+			g := NewWithT(t)
+			got, err := io.ReadAll(sse.NewEventReader(strings.NewReader(begun + event[:at])))
+			g.Expect(err).To(MatchError(io.ErrUnexpectedEOF), "line end %q, cut at %d", end, at)
+			g.Expect(string(got)).To(Equal(begun), "line end %q, cut at %d", end, at)
+		}
+		g := NewWithT(t)
+		whole := begun + lines("data: [DONE]\n")
+		got, err := io.ReadAll(sse.NewEventReader(strings.NewReader(whole)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(got)).To(Equal(whole))
+	}
+}
+
 // Guards against delaying streams, or taking them for resumable, although their
 // events have no ids or are too long to be buffered.
 func TestEventsPassOtherStreamsOn(t *testing.T) {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -71,9 +71,12 @@
 // Seen reports whether the stream so far ends with the last event and a line end.
 // The same text within an event's data does not count, since it does not begin a
 // line.
-func (e *EndDetector) Seen() bool {
-	text := bytes.TrimRight(e.tail, lineEnds)
-	if len(text) == len(e.tail) {
+func (e *EndDetector) Seen() bool { return endsWithMark(e.tail) }
+
+// endsWithMark reports whether a part of a stream ends with the end mark and a line end.
+func endsWithMark(stream []byte) bool {
+	text := bytes.TrimRight(stream, lineEnds)
+	if len(text) == len(stream) {
 		return false
 	}
 	line := text[bytes.LastIndexAny(text, lineEnds)+1:]
