gateway, sse: a stream that was cut within an event has a rest

What callers saw: a stream that was cut within an event and resumed ended as complete without that event and those after it, where the upstream that resumed it sent a stream without any event (ORDER).

Cause: an empty rest was taken to mean that nothing was missing, whatever had been lost.

Change: after a cut within an event, or before the declared length, an empty rest does not continue the stream. It is resumed elsewhere or broken off.

Measured: TestEmptyRestOfACutEvent, TestRestOfAStreamIsCutAtEachByte (chunks and length, cut at 0) and TestRestOfAStreamThatIsTooShortIsNotEmpty failed before with no error and pass.

Why it works: part of an event, or a length that was not reached, shows that more has to come.

--- /dev/null
+++ b/internal/gateway/framing_test.go
@@ -0,0 +1,144 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// The ways in which the end of a body is marked.
+var framings = map[string]func(body string) string{
+	"chunks": func(body string) string {
+		if body == "" {
+			return "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		}
+		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	},
+	"length": func(body string) string {
+		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	},
+	"end of the connection": func(body string) string { return "\r\n" + body },
+}
+
+const eventStream = "Content-Type: text/event-stream\r\n"
+
+// lastResponse are the headers of a whole event stream. Its connection must not be used
+// again, as writeRaw closes it.
+const lastResponse = eventStream + "Connection: close\r\n"
+
+// writeRaw writes a response with the given headers, and closes the connection.
+func writeRaw(w http.ResponseWriter, headers, framed string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: request-1\r\nMark: a\r\n"+headers+framed)
+	_ = conn.Close()
+}
+
+// fillRetryBudget sends enough requests for one more retry: each adds 0.16.
+func (s *system) fillRetryBudget() {
+	for range 7 {
+		s.request(s.t.Context(), "/any/0", nil)
+	}
+}
+
+// Guards against issue 34, ORDER: a stream that ends within an event, at any of its bytes,
+// with any mark of the body's end and any line end, is passed on as complete, or joined to
+// the rest of another run.
+func TestStreamCutAtEachByteOfAnEvent(t *testing.T) {
+	for framing, frame := range framings {
+		for _, end := range []string{"\n", "\r\n", "\r"} {
+			t.Run(fmt.Sprintf("%s, %q", framing, end), func(t *testing.T) {
+				lines := func(text string) string { return strings.ReplaceAll(text, "\n", end) }
+				begun, event, last := lines("id: 1\ndata: 1\n\n"), lines("id: 2\ndata: 4\n\n"), lines("id: 3\ndata: 9\n\n")
+				s := start(t)
+				s.routes(1)
+				var at atomic.Int32
+				serve := func(w http.ResponseWriter, r *http.Request) {
+					switch {
+					case r.URL.Path == "/any/0":
+					case r.Header.Get("After") == "1":
+						writeRaw(w, lastResponse, frame(event+last))
+					default:
+						writeRaw(w, eventStream, frame(begun+event[:at.Load()]))
+					}
+				}
+				s.upstream("a", "plain", serve)
+				s.upstream("b", "plain", serve)
+				s.await("/any/0", http.StatusOK)
+				time.Sleep(time.Second) // Waits until the gateway has read both entries.
+				for n := 1; n < len(event); n++ {
+					at.Store(int32(n))
+					cut := s.request(t.Context(), "/stream/1", nil)
+					s.g.Expect(cut.err).To(MatchError(io.ErrUnexpectedEOF), "cut at %d: %d %q", n, cut.status, cut.body)
+					s.fillRetryBudget()
+					got := s.request(t.Context(), "/resume/1", nil)
+					s.g.Expect([]any{got.body, got.err}).To(Equal([]any{begun + event + last, nil}), "cut at %d", n)
+				}
+			})
+		}
+	}
+}
+
+// Guards against issue 34, ORDER: a stream that is resumed and cut once more, at any byte of
+// the next event and before its first byte, ends as complete. A stream that was cut within an
+// event has more events.
+func TestRestOfAStreamIsCutAtEachByte(t *testing.T) {
+	const begun, event = "id: 1\ndata: 1\n\n", "id: 2\ndata: 4\n\n"
+	for framing, frame := range framings {
+		t.Run(framing, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			var at atomic.Int32
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.URL.Path == "/any/0":
+				case r.Header.Get("After") == "1":
+					writeRaw(w, lastResponse, frame(event[:at.Load()]))
+				default:
+					writeRaw(w, eventStream, frame(begun+"id"))
+				}
+			}
+			s.upstream("a", "plain", serve)
+			s.upstream("b", "plain", serve)
+			s.await("/any/0", http.StatusOK)
+			time.Sleep(time.Second) // Waits until the gateway has read both entries.
+			for n := range len(event) {
+				at.Store(int32(n))
+				s.fillRetryBudget()
+				got := s.request(t.Context(), "/resume/1", nil)
+				s.g.Expect([]any{got.body, got.err}).To(Equal([]any{begun, io.ErrUnexpectedEOF}), "cut at %d", n)
+			}
+		})
+	}
+}
+
+// Guards against issue 34, ORDER: a stream with a declared length that is cut between two
+// events ends as complete, since the upstream that is to resume it has no event.
+func TestRestOfAStreamThatIsTooShortIsNotEmpty(t *testing.T) {
+	const begun = "id: 1\ndata: 1\n\n"
+	s := start(t)
+	s.routes(1)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/any/0":
+		case r.Header.Get("After") == "1":
+			writeRaw(w, lastResponse, "Content-Length: 0\r\n\r\n")
+		default:
+			writeRaw(w, eventStream, "Content-Length: 30\r\n\r\n"+begun)
+		}
+	}
+	s.upstream("a", "plain", serve)
+	s.upstream("b", "plain", serve)
+	s.await("/any/0", http.StatusOK)
+	time.Sleep(time.Second) // Waits until the gateway has read both entries.
+	got := s.request(t.Context(), "/resume/1", nil)
+	s.g.Expect([]any{got.body, got.err}).To(Equal([]any{begun, io.ErrUnexpectedEOF}))
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -138,10 +138,12 @@
 func (x *exchange) deliverStream(ctx context.Context, m *member, resp *forward.Response) *verdict.Verdict {
 	out := &eventWriter{exchange: x, resp: resp, flusher: http.NewResponseController(x.w)}
 	if !x.route.Resumable {
-		return out.copy(eventReader(resp))
+		return out.copy(eventReader(resp, resp.Framed()))
 	}
-	events := sse.NewEventReader(eventReader(resp))
+	events := sse.NewEventReader(eventReader(resp, resp.Framed()))
 	current := resp
+	// restExpected means that the stream has more events for certain.
+	restExpected := false
 	for {
 		v := out.copy(events)
 		if v == nil {
@@ -161,7 +163,9 @@
 			return lastVerdict
 		}
 		x.gateway.opts.Meter.Resume(telemetry.ResumeDone)
-		events.Resume(eventReader(next))
+		// A stream that was cut before its declared length has more events.
+		restExpected = restExpected || current.Length() >= 0
+		events.Resume(eventReader(next, next.Framed() && !restExpected))
 		current, m, x.servedBy = next, resumedAt, resumedAt
 	}
 }
@@ -220,10 +224,10 @@
 }
 
 // eventReader returns a reader for a stream of events. A stream that ends within an event
-// was cut, even if the end of its body is marked by a length or a last chunk. Without such
-// a mark, one without any event was cut as well.
-func eventReader(resp *forward.Response) io.Reader {
-	return &wholeEvents{src: sse.LimitEvents(resp), mayBeEmpty: resp.Framed()}
+// was cut, even if the end of its body is marked by a length or a last chunk. One without
+// any event was cut as well, unless mayBeEmpty.
+func eventReader(resp *forward.Response, mayBeEmpty bool) io.Reader {
+	return &wholeEvents{src: sse.LimitEvents(resp), mayBeEmpty: mayBeEmpty}
 }
 
 // wholeEvents reads a stream and checks that it ends after an event.
--- a/internal/sse/events.go
+++ b/internal/sse/events.go
@@ -39,12 +39,15 @@
 	formatKnown bool
 	passThrough bool
 	lastID      string
-	// unverified says that no whole event has arrived since Resume.
-	unverified bool
+	// unverified says that no whole event has arrived since Resume, and
+	// restExpected that the stream was cut within an event, so that one has to.
+	unverified   bool
+	restExpected bool
 }
 
 // ErrNotResumed means that a source does not continue the stream after its last event: it
-// begins with other bytes than an event, or with an event that was returned before.
+// begins with other bytes than an event, or with an event that was returned before, or it
+// is empty although the stream was cut within an event.
 var ErrNotResumed = errors.New("the stream does not continue after its last event")
 
 // NewEventReader returns a reader of the events of src.
@@ -62,6 +65,7 @@
 // Resume continues with src, which has to begin after the event with LastID: otherwise
 // Read returns ErrNotResumed and nothing of src. Part of an event that was cut is dropped.
 func (e *EventReader) Resume(src io.Reader) {
+	e.restExpected = e.restExpected || len(e.buffer) > 0
 	e.source, e.buffer, e.ready, e.err = src, e.buffer[:0], 0, nil
 	e.unverified = true
 }
@@ -95,6 +99,8 @@
 // of a stream whose format is not known.
 func (e *EventReader) end() error {
 	switch {
+	case e.unverified && e.restExpected:
+		return ErrNotResumed
 	case len(e.buffer) == 0:
 		return io.EOF
 	case e.formatKnown && !e.passThrough && !endsWithMark(e.buffer):
@@ -139,7 +145,7 @@
 	ended := errors.Is(e.err, io.EOF) && len(first) > 0
 	switch {
 	case whole && !tooLong && e.continues(first):
-		e.unverified = false
+		e.unverified, e.restExpected = false, false
 		return true
 	case whole || tooLong || ended:
 		e.buffer, e.err = e.buffer[:0], ErrNotResumed
--- a/internal/sse/events_test.go
+++ b/internal/sse/events_test.go
@@ -129,6 +129,36 @@
 	}
 }
 
+// Guards against a stream that ends as complete without the event in which it was cut, since
+// a source that is to resume it has no event, also after another source that did not resume it.
+func TestEmptyRestOfACutEvent(t *testing.T) {
+	cut := errors.New("cut")
+	for _, c := range []struct {
+		part  string
+		rests []string
+		want  error
+	}{
+		{"", []string{""}, nil},
+		{"id: 3\nda", []string{""}, sse.ErrNotResumed},
+		{"id: 3\nda", []string{"error\n\n", ""}, sse.ErrNotResumed},
+		{"id: 3\nda", []string{"error\n\n", "id: 3\ndata: c\n\n"}, nil},
+	} {
+		g := NewWithT(t)
+		events := sse.NewEventReader(io.MultiReader(strings.NewReader("id: 2\ndata: b\n\n"+c.part), iotest.ErrReader(cut)))
+		_, err := io.ReadAll(events)
+		g.Expect(err).To(MatchError(cut))
+		for _, rest := range c.rests {
+			events.Resume(strings.NewReader(rest))
+			_, err = io.ReadAll(events)
+		}
+		if c.want == nil {
+			g.Expect(err).NotTo(HaveOccurred(), "%q, then %q", c.part, c.rests)
+			continue
+		}
+		g.Expect(err).To(MatchError(c.want), "%q, then %q", c.part, c.rests)
+	}
+}
+
 // Guards against delaying streams, or taking them for resumable, although their
 // events have no ids or are too long to be buffered.
 func TestEventsPassOtherStreamsOn(t *testing.T) {
