sse: media types are not case-sensitive

What callers saw: a stream whose upstream spells its type Text/Event-Stream arrived late and in one piece, and as complete where it had been cut within an event (ORDER).

Cause: the type was compared byte by byte.

Change: it is compared without regard to case or parameters (RFC 9110, section 8.3.1).

Measured: TestStreamOfAnySpellingOfItsTypeIsChecked and TestIsEventStream failed before and pass; tests of sse, gateway, entry and agent pass.

Why it works: all checks of streams follow from this one comparison.

--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -142,3 +142,17 @@
 	got := s.request(t.Context(), "/resume/1", nil)
 	s.g.Expect([]any{got.body, got.err}).To(Equal([]any{begun, io.ErrUnexpectedEOF}))
 }
+
+// Guards against a stream that ends within an event and is passed on as complete, since the
+// upstream spells the media type in another way.
+func TestStreamOfAnySpellingOfItsTypeIsChecked(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/any/0" {
+			writeRaw(w, "Content-Type: Text/Event-Stream; charset=UTF-8\r\n", framings["length"]("id: 1\ndata: 1\n\nid: 2\nda"))
+		}
+	})
+	s.await("/any/0", http.StatusOK)
+	s.g.Expect(s.request(t.Context(), "/stream/1", nil).err).To(MatchError(io.ErrUnexpectedEOF))
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -13,7 +13,10 @@
 const contentType = "text/event-stream"
 
 // IsEventStream reports whether a response with these headers is an event stream.
-func IsEventStream(h http.Header) bool { return strings.HasPrefix(h.Get("Content-Type"), contentType) }
+func IsEventStream(h http.Header) bool {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), contentType)
+}
 
 // tailSize is enough bytes for the last event with its line ends.
 const tailSize = 32
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -1,6 +1,7 @@
 package sse_test
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 
@@ -35,3 +36,19 @@
 		}
 	}
 }
+
+// Guards against a stream that is not checked for its end, since the upstream spells the
+// media type in another way. Media types are not case-sensitive.
+func TestIsEventStream(t *testing.T) {
+	for value, want := range map[string]bool{
+		"text/event-stream":                 true,
+		"Text/Event-Stream":                 true,
+		"TEXT/EVENT-STREAM; charset=UTF-8":  true,
+		" text/event-stream ;charset=utf-8": true,
+		"text/event-stream-archive":         false,
+		"text/plain":                        false,
+		"":                                  false,
+	} {
+		NewWithT(t).Expect(sse.IsEventStream(http.Header{"Content-Type": {value}})).To(Equal(want), "%q", value)
+	}
+}
