tests: bytes without end, and responses cut at each byte

First report (memory): 48 requests at once to an upstream that sends bytes without end, in twelve places of heads and bodies, beside sound requests, with a bounded live heap (TestManyFloodsBesideSoundRequests); at the agent, heads by the bytes that it reads, and bodies by its live heap (TestEndlessHeadsEndSoon, TestEndlessBodiesAreNotKept). The agent's tests use the product's own transport.

Third report (a head that stops): each byte of a response, closed or reset, with a length, chunks or neither, with informational responses and bare line feeds, at the client of the gateway (TestResponseCutAtEachByte), through the gateway on routes that may run once, streams and resumed streams (TestResponseCutAtEachByteOfItsHead), and at the agent.

Why it holds: heads are limited in size, count and time, bodies are read in small parts, and net/http takes no head without its empty line.

--- a/internal/agent/flood_test.go
+++ b/internal/agent/flood_test.go
@@ -4,32 +4,20 @@
 	"context"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
 // flood writes bytes without end until the agent closes the connection. It sends the number
 // of bytes that the agent has read to read.
 func flood(read chan<- int, begin, repeat string) http.HandlerFunc {
-	return func(out http.ResponseWriter, _ *http.Request) {
-		conn, _, err := out.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		total, err := io.WriteString(conn, begin)
-		for err == nil {
-			n := 0
-			n, err = io.WriteString(conn, repeat)
-			total += n
-		}
-		read <- total
-	}
+	return func(out http.ResponseWriter, _ *http.Request) { read <- testenv.Flood(out, begin, repeat) }
 }
 
 // maxHeadRead bounds what is read of a head without end, in bytes: the limit of heads and one
@@ -91,21 +79,13 @@
 			resp, err := w.client.Do(req)
 			w.Expect(err).NotTo(HaveOccurred(), name)
 			defer func() { _ = resp.Body.Close() }()
-			before := liveHeap()
+			before := testenv.LiveHeap()
 			_, err = io.CopyN(io.Discard, resp.Body, 64<<20)
 			w.Expect(err).NotTo(HaveOccurred(), name)
-			w.Expect(int64(liveHeap())-int64(before)).To(BeNumerically("<", maxFloodHeap), name)
+			w.Expect(int64(testenv.LiveHeap())-int64(before)).To(BeNumerically("<", maxFloodHeap), name)
 			leave()
 			synctest.Wait()
 			w.Expect(read).To(Receive(), name)
 		})
 	}
 }
-
-// liveHeap returns the bytes of the heap that are in use after a collection.
-func liveHeap() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/internal/agent/framing_test.go
+++ b/internal/agent/framing_test.go
@@ -1,8 +1,6 @@
 package agent_test
 
 import (
-	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,29 +8,12 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
-// The ways in which the end of a body is marked.
-var framings = map[string]func(body string) string{
-	"chunks": func(body string) string {
-		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
-	},
-	"length": func(body string) string {
-		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
-	},
-	"end of the connection": func(body string) string { return "\r\n" + body },
-}
-
 // raw writes bytes as the response and closes the connection.
 func raw(text string) http.HandlerFunc {
-	return func(out http.ResponseWriter, _ *http.Request) {
-		conn, _, err := out.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, text)
-		_ = conn.Close()
-	}
+	return func(out http.ResponseWriter, _ *http.Request) { testenv.WriteRaw(out, text) }
 }
 
 const eventStreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -41,7 +22,7 @@
 // its bytes, with any mark of the body's end and any line end, gets the verdict "ran".
 func TestStreamCutAtEachByteOfAnEvent(t *testing.T) {
 	const stream = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
-	for framing, frame := range framings {
+	for framing, frame := range testenv.Framings() {
 		for _, end := range []string{"\n", "\r\n", "\r"} {
 			whole := strings.ReplaceAll(stream, "\n", end)
 			for at := len(whole)/2 + 1; at < len(whole); at++ {
@@ -68,7 +49,7 @@
 // "ran". The line end of the mark is enough.
 func TestStreamCutAtEachByteOfItsEndMark(t *testing.T) {
 	const begun, mark = "data: 1\n\n", "data: [DONE]"
-	for framing, frame := range framings {
+	for framing, frame := range testenv.Framings() {
 		for at := range len(mark + "\n\n") {
 			want := "may-have-run"
 			if at > len(mark) {
@@ -86,7 +67,7 @@
 // Guards against issue 34, third report: an engine that closes in the middle of its response's
 // head, or later before its end, gets a success for it.
 func TestResponseCutAtEachByte(t *testing.T) {
-	for framing, frame := range framings {
+	for framing, frame := range testenv.Framings() {
 		whole := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + frame("answer")
 		if framing == "end of the connection" {
 			whole = whole[:len(whole)-len("answer")]
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -1,13 +1,18 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
 )
 
 // endless writes a response that does not end until the gateway closes the connection.
@@ -46,3 +51,74 @@
 		})
 	}
 }
+
+// maxFloodHeap bounds the heap that one request may use while its upstream sends bytes without
+// end, in bytes. Hosts have some 200 MB.
+const maxFloodHeap = 1 << 20
+
+// Guards against issue 34, first report: a gateway that keeps the bytes of a faulty upstream
+// until it runs out of memory, in a head or in a body, while sound requests go on beside.
+func TestManyFloodsBesideSoundRequests(t *testing.T) {
+	const requests = 48
+	chunk := strings.Repeat("x", 32<<10)
+	head := "HTTP/1.1 200 OK\r\nId: request-1\r\nMark: a\r\n"
+	floods := []struct{ path, begin, repeat string }{
+		{"/once/head", "HTTP/1.1 200 OK\r\n", strings.Repeat("A: b\r\n", 700)},
+		{"/once/line", head + "A: ", chunk},
+		{"/once/no-answer", "", strings.Repeat("\x00\x01", 2<<10)},
+		{"/once/informational", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"/once/body", head + "\r\n", chunk},
+		{"/once/length", head + "Content-Length: 1000000000000\r\n\r\n", chunk},
+		{"/once/chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + chunk + "\r\n"},
+		{"/once/extension", head + "Transfer-Encoding: chunked\r\n\r\n5;", chunk},
+		{"/once/trailers", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("A: b\r\n", 700)},
+		{"/stream/event", head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", chunk},
+		{"/resume/event", head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", chunk},
+		{"/resume/events", head + "Content-Type: text/event-stream\r\n\r\n", "id: 1\ndata: a\n\n"},
+	}
+	s := start(t)
+	s.routes(1)
+	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+		i := slices.IndexFunc(floods, func(f struct{ path, begin, repeat string }) bool { return f.path == r.URL.Path })
+		if i < 0 {
+			_, _ = io.WriteString(w, "sound")
+			return
+		}
+		testenv.Flood(w, floods[i].begin, floods[i].repeat)
+	})
+	s.await("/any/0", http.StatusOK)
+	ctx, stop := context.WithCancel(t.Context())
+	before := testenv.LiveHeap()
+	var open sync.WaitGroup
+	for n := range requests {
+		open.Go(func() { s.discard(ctx, floods[n%len(floods)].path) })
+	}
+	highest := uint64(0)
+	for range 10 {
+		got := s.request(t.Context(), "/any/sound", nil)
+		s.g.Expect([]any{got.status, got.body, got.err}).To(Equal([]any{http.StatusOK, "sound", nil}))
+		highest = max(highest, testenv.LiveHeap())
+		time.Sleep(50 * time.Millisecond)
+	}
+	stop()
+	open.Wait()
+	s.g.Expect(int64(highest) - int64(before)).To(BeNumerically("<", requests*maxFloodHeap))
+}
+
+// discard sends requests, and drops what is received, until ctx ends.
+func (s *system) discard(ctx context.Context, path string) {
+	for ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+path, http.NoBody)
+		if err != nil {
+			return
+		}
+		req.Host = "h"
+		req.Header.Set("Id", "request-1")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -10,21 +10,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-)
 
-// The ways in which the end of a body is marked.
-var framings = map[string]func(body string) string{
-	"chunks": func(body string) string {
-		if body == "" {
-			return "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
-		}
-		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
-	},
-	"length": func(body string) string {
-		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
-	},
-	"end of the connection": func(body string) string { return "\r\n" + body },
-}
+	"github.com/lagoonvalve/lagoonvalve/internal/testenv"
+)
 
 const eventStream = "Content-Type: text/event-stream\r\n"
 
@@ -34,12 +22,7 @@
 
 // writeRaw writes a response with the given headers, and closes the connection.
 func writeRaw(w http.ResponseWriter, headers, framed string) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: request-1\r\nMark: a\r\n"+headers+framed)
-	_ = conn.Close()
+	testenv.WriteRaw(w, "HTTP/1.1 200 OK\r\nId: request-1\r\nMark: a\r\n"+headers+framed)
 }
 
 // fillRetryBudget sends enough requests for one more retry: each adds 0.16.
@@ -53,7 +36,7 @@
 // with any mark of the body's end and any line end, is passed on as complete, or joined to
 // the rest of another run.
 func TestStreamCutAtEachByteOfAnEvent(t *testing.T) {
-	for framing, frame := range framings {
+	for framing, frame := range testenv.Framings() {
 		for _, end := range []string{"\n", "\r\n", "\r"} {
 			t.Run(fmt.Sprintf("%s, %q", framing, end), func(t *testing.T) {
 				lines := func(text string) string { return strings.ReplaceAll(text, "\n", end) }
@@ -92,7 +75,7 @@
 // event has more events.
 func TestRestOfAStreamIsCutAtEachByte(t *testing.T) {
 	const begun, event = "id: 1\ndata: 1\n\n", "id: 2\ndata: 4\n\n"
-	for framing, frame := range framings {
+	for framing, frame := range testenv.Framings() {
 		t.Run(framing, func(t *testing.T) {
 			s := start(t)
 			s.routes(1)
@@ -150,9 +133,42 @@
 	s.routes(1)
 	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/any/0" {
-			writeRaw(w, "Content-Type: Text/Event-Stream; charset=UTF-8\r\n", framings["length"]("id: 1\ndata: 1\n\nid: 2\nda"))
+			writeRaw(w, "Content-Type: Text/Event-Stream; charset=UTF-8\r\n", testenv.Framings()["length"]("id: 1\ndata: 1\n\nid: 2\nda"))
 		}
 	})
 	s.await("/any/0", http.StatusOK)
 	s.g.Expect(s.request(t.Context(), "/stream/1", nil).err).To(MatchError(io.ErrUnexpectedEOF))
 }
+
+// Guards against issue 34, third report: an upstream that stops in the middle of its
+// response's head and closes. A caller gets no success for it, and no stream ends as complete.
+func TestResponseCutAtEachByteOfItsHead(t *testing.T) {
+	const begun = "id: 1\ndata: 1\n\n"
+	const head = "HTTP/1.1 200 OK\r\nId: request-1\r\nMark: a\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	s := start(t)
+	s.routes(1)
+	var at atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/any/0":
+		case r.URL.Path == "/resume/1" && r.Header.Get("After") == "":
+			writeRaw(w, eventStream, testenv.Framings()["chunks"](begun+"id"))
+		default:
+			testenv.WriteRaw(w, head[:at.Load()])
+		}
+	}
+	s.upstream("a", "plain", serve)
+	s.upstream("b", "plain", serve)
+	s.await("/any/0", http.StatusOK)
+	time.Sleep(time.Second) // Waits until the gateway has read both entries.
+	for n := range len(head) {
+		at.Store(int32(n))
+		for _, path := range []string{"/once/1", "/stream/1"} {
+			got := s.request(t.Context(), path, nil)
+			s.g.Expect([]any{got.status, got.err}).To(Equal([]any{http.StatusBadGateway, nil}), "%s, cut at %d", path, n)
+		}
+		s.fillRetryBudget()
+		got := s.request(t.Context(), "/resume/1", nil)
+		s.g.Expect([]any{got.body, got.err}).To(Equal([]any{begun, io.ErrUnexpectedEOF}), "cut at %d", n)
+	}
+}
