gateway: a planned stop cuts no request that it has accepted

Cause: the stop counted handlers, but net/http writes the end of a response after them; nothing kept new requests out once the count was zero; the time left was judged once, by the arrival of a request's head.

The time left is judged when the body has been read, and before a request that may run once is sent.

Why it works: whatever is counted after the refusals began was accepted before them, and whatever was accepted is written before its connection closes.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -45,6 +45,9 @@
 		if v := x.refuseQuarantined(now); v != nil {
 			return nil, v
 		}
+		if x.stopForbidsSend(now) {
+			return nil, refuseStopped()
+		}
 		limit := x.loadWaitDeadline(v)
 		m, freeAt := x.choose(v, limit)
 		if m != nil {
@@ -88,8 +91,8 @@
 	return false
 }
 
-// errChooseAgain means that the upstream chosen for a request is not eligible any more.
-// Nothing was sent to it.
+// errChooseAgain means that the upstream chosen for a request is not eligible any more, or
+// that a planned stop forbids to send it. Nothing was sent.
 var errChooseAgain = verdict.Refuse(verdict.ReasonNoReplica, "the upstream is not eligible any more")
 
 // checkSend is the last check before the request is written to an upstream. Between the
@@ -100,7 +103,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return verdict.Refuse(verdict.ReasonUpstreamFailed, ctx.Err().Error())
-	case !x.eligible(x.gateway.view.Load(), m):
+	case !x.eligible(x.gateway.view.Load(), m), x.stopForbidsSend(time.Now()):
 		return errChooseAgain
 	default:
 		return nil
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -76,7 +77,8 @@
 		{"/resume/event", head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", chunk},
 		{"/resume/events", head + "Content-Type: text/event-stream\r\n\r\n", "id: 1\ndata: a\n\n"},
 	}
-	s := start(t)
+	// The floods take all processors, and other tests have time limits.
+	s := startAlone(t, func(l net.Listener) net.Listener { return l })
 	s.routes(1)
 	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
 		i := slices.IndexFunc(floods, func(f struct{ path, begin, repeat string }) bool { return f.path == r.URL.Path })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,9 @@
 	openRequests atomic.Int64
 	stopBegan    atomic.Pointer[time.Time]
 	stopTimes    stopTimes
+	// closing means that a planned stop closes the connections of callers, so that
+	// no new request is accepted.
+	closing atomic.Bool
 	// abortCtx is cancelled shortly before the end of a planned stop, which
 	// aborts the requests that are still open.
 	abortCtx     context.Context
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -147,8 +147,9 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.began.Add(timeout)
-	if g.refusesNew(x.began, x.deadline) {
-		return verdict.Refuse(verdict.ReasonDraining, "deadline is after the end of a planned stop").WithRetryAfter(time.Millisecond)
+	// The body may have arrived long after the head.
+	if g.refusesNew(time.Now(), x.deadline) {
+		return refuseStopped()
 	}
 	x.prompt = newPrompt(&x.call)
 	x.keys = x.crashKeys()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -157,9 +157,26 @@
 	engines   *engines
 	dialect   *dialect
 	gateway   *gateway.Gateway
-	url       string
-	stop      context.CancelFunc
-	done      chan error
+	// onLog is called with the message of each log line if it is set.
+	onLog atomic.Pointer[func(message string)]
+	url   string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+// logHook is a log handler that calls onLog and drops the line.
+type logHook struct {
+	slog.Handler
+	onLog *atomic.Pointer[func(message string)]
+}
+
+func (*logHook) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h *logHook) Handle(_ context.Context, r slog.Record) error {
+	if onLog := h.onLog.Load(); onLog != nil {
+		(*onLog)(r.Message)
+	}
+	return nil
 }
 
 const (
@@ -170,12 +187,19 @@
 func start(t *testing.T) *system {
 	t.Helper()
 	t.Parallel()
+	return startAlone(t, func(l net.Listener) net.Listener { return l })
+}
+
+// startAlone starts a gateway whose listener for callers is wrapped. Its test does not run
+// beside others.
+func startAlone(t *testing.T, wrap func(net.Listener) net.Listener) *system {
+	t.Helper()
 	s := &system{
 		t: t, g: NewWithT(t), manifests: newFeed[fleet.Manifest](), upstreams: newFeed[fleet.Upstream](),
 		engines: &engines{held: map[state.UpstreamName][]fleet.Replica{}}, dialect: &dialect{}, done: make(chan error, 1),
 	}
-	listeners := gateway.Listeners{Callers: s.listen(), Ready: s.listen(), Control: s.listen()}
-	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	listeners := gateway.Listeners{Callers: wrap(s.listen()), Ready: s.listen(), Control: s.listen()}
+	logger := slog.New(&logHook{Handler: slog.DiscardHandler, onLog: &s.onLog})
 	leader := controller.New(controller.Options{
 		HolderName: "gateway/1", Host: "host", Control: listeners.Control.Addr().String(),
 		Lease: &leaseStore{}, Engines: s.engines, Logger: logger, Now: boottime.Now,
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -166,14 +166,14 @@
 	return false
 }
 
-// sleepWhileEligible waits for d. It returns false if ctx ends or the upstream must not
-// be sent the request any more.
+// sleepWhileEligible waits for d. It returns false if ctx ends or the request must not be
+// sent to the upstream any more.
 func (x *exchange) sleepWhileEligible(ctx context.Context, m *member, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for {
 		v := x.gateway.view.Load()
-		if !x.eligible(v, m) {
+		if !x.eligible(v, m) || x.stopForbidsSend(time.Now()) {
 			return false
 		}
 		select {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
 )
 
@@ -19,8 +18,6 @@
 	// idleTimeout is longer than callers keep idle connections, so that no request
 	// is sent on a connection that is being closed.
 	idleTimeout = time.Minute
-	// drainPoll is the interval between checks for open requests during a stop.
-	drainPoll = 20 * time.Millisecond
 )
 
 // serve runs the servers until ctx ends, and then drains.
@@ -58,7 +55,8 @@
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
-		g.drain()
+		g.drain(background)
+		g.closeCallers(callers)
 	}
 	// No open request could still be finished.
 	_, _ = callers.Close(), readiness.Close()
@@ -71,32 +69,3 @@
 func (g *Gateway) Ready() bool {
 	return g.view.Load().manifest != nil && g.stopBegan.Load() == nil
 }
-
-// drain finishes the open requests of a planned stop. Callers detect the stop
-// late, so new requests are still accepted for a while, and after that only those
-// whose deadline is before open requests are aborted.
-func (g *Gateway) drain() {
-	began := time.Now()
-	g.stopBegan.Store(&began)
-	g.opts.Logger.Info("stop begins", "open", g.openRequests.Load())
-	abort := time.AfterFunc(g.stopTimes.abortAt, g.abortOpen)
-	defer abort.Stop()
-	for time.Since(began) < g.stopTimes.endAt {
-		if time.Since(began) > g.stopTimes.refuseFrom && g.openRequests.Load() == 0 {
-			break
-		}
-		ctxtime.Sleep(context.Background(), drainPoll)
-	}
-	g.opts.Logger.Info("stop ends", "open", g.openRequests.Load(), "took", time.Since(began))
-}
-
-// refusesNew reports whether a new request is refused because its deadline is after
-// the time at which a planned stop aborts open requests. For the first part of a
-// stop no request is refused.
-func (g *Gateway) refusesNew(now, deadline time.Time) bool {
-	began := g.stopBegan.Load()
-	if began == nil || now.Sub(*began) <= g.stopTimes.refuseFrom {
-		return false
-	}
-	return deadline.After(began.Add(g.stopTimes.abortAt))
-}
