gateway: ask a model's only replica again, or refuse at once

Cause: an upstream that had failed a request was left out for the rest of the request's life, and the request waited for another one to be loaded, which nothing orders while the model is served.

Change: one pure decision (retry.Budget.Next): to another replica, again to one that has failed the request after 100 to 200 ms if it serves others, wait for a load if no replica is left, or refuse now. The rest of a cut stream goes through it too. An upstream that can't be reached, or says that it doesn't hold the model, does not count as one that is left. Retry code moves to a file of its own.

TestOnlyReplicaIsAskedAgain, TestOnlyReplicaFailsEverything and TestStreamIsResumedAtItsOnlyReplica failed before. Tests of gateway pass.

Why it works: a wait is worth it only for what is on its way.

--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -38,6 +38,8 @@
 	// probing says that a request is on its way that decides whether the upstream is
 	// avoided for longer.
 	probing bool
+	// served says that the upstream has answered a request and not refused it.
+	served bool
 }
 
 // Record applies an answer that has arrived at the time now. It returns the reason for
@@ -88,8 +90,12 @@
 // RecordServed records that the upstream has answered a request and not refused it.
 func (a *Answers) RecordServed() {
 	a.refusals, a.avoidance, a.avoidedUntil, a.probing = 0, 0, time.Time{}, false
+	a.served = true
 }
 
+// HasServed reports whether the upstream has answered a request and not refused it.
+func (a *Answers) HasServed() bool { return a.served }
+
 // RecordChosen records that the upstream was chosen for a request. The first one after a
 // time of avoidance is a probe: others avoid the upstream until its outcome is known.
 func (a *Answers) RecordChosen(now time.Time) {
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -21,6 +21,9 @@
 	MaxAttempts int
 	// BaseDelay is the first backoff; default 20 ms. It doubles per attempt.
 	BaseDelay time.Duration
+	// RepeatDelay is the first backoff before the request goes to a replica that has
+	// failed it; default 200 ms. It doubles with each such repeat.
+	RepeatDelay time.Duration
 	// MaxDelay bounds the backoff; default 2 s.
 	MaxDelay time.Duration
 }
@@ -30,6 +33,7 @@
 	defaults.Set(&c.Burst, 20)
 	defaults.Set(&c.MaxAttempts, 4)
 	defaults.Set(&c.BaseDelay, 20*time.Millisecond)
+	defaults.Set(&c.RepeatDelay, 200*time.Millisecond)
 	defaults.Set(&c.MaxDelay, 2*time.Second)
 	return c
 }
@@ -39,6 +43,10 @@
 	Verdict *verdict.Verdict
 	// Number is the number of attempts made so far, at least 1.
 	Number int
+	// SameReplica says that the next attempt goes to a replica that has failed the
+	// request, and Repeats how many such attempts there were before.
+	SameReplica bool
+	Repeats     int
 	// Repeatable says that the work may run more than once.
 	Repeatable bool
 	// Streamed says that the caller has received part of the answer.
@@ -122,8 +130,11 @@
 // it draws from a global random source and Decide must depend on its arguments
 // only.
 func (b *Budget) backoff(rng *rand.Rand, a Attempt) time.Duration {
-	delay := b.cfg.BaseDelay
-	for range a.Number - 1 {
+	delay, doublings := b.cfg.BaseDelay, a.Number-1
+	if a.SameReplica {
+		delay, doublings = b.cfg.RepeatDelay, a.Repeats
+	}
+	for range doublings {
 		delay = min(2*delay, b.cfg.MaxDelay)
 	}
 	wait := delay/2 + time.Duration(rng.Int64N(int64(delay/2)+1))
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -64,6 +64,9 @@
 			v := verdict.Refuse(verdict.ReasonShed, "upstreams have reached their rate limits or want a pause")
 			return nil, v.WithRetryAfter(min(freeAt.Sub(now), maxDelayRetryAfter))
 		}
+		if x.triedAll(now) {
+			return nil, verdict.Refuse(verdict.ReasonShed, "all upstreams have refused or failed the request").WithRetryAfter(shedRetryAfter)
+		}
 		if !now.Before(limit) {
 			x.gateway.demand.recordRefusal(x.call.Target)
 			return nil, verdict.Refuse(verdict.ReasonNoReplica, "no upstream can take the request in time").WithRetryAfter(noReplicaRetryAfter)
@@ -172,7 +175,8 @@
 // take the request. Ejected upstreams are used only if no other upstream holds the
 // target. Upstreams with a rate limit or in a pause are left out if a request could be
 // sent there only after the time latest; if there are no others, freeAt is the earliest
-// time. A pausing upstream that has refused this request counts for freeAt only.
+// time. Upstreams that have failed the request come after the others, and only if it asks
+// again.
 func (x *exchange) choose(v *view, latest time.Time) (chosen *member, freeAt time.Time) {
 	now := time.Now()
 	members := v.service(x.service)
@@ -182,17 +186,15 @@
 		if !fleet.Holds(m.replicas, x.call.Target) {
 			continue
 		}
-		said := m.stats.saidInAnswers()
-		pause := said.PauseLeft(now)
-		excluded := slices.Contains(x.excluded, m.upstream.Name)
-		if said.Leaving() || excluded && pause == 0 {
+		fitness, delay := x.fitness(m, now, latest)
+		switch {
+		case fitness == tooLate:
+			freeAt = earliest(freeAt, now.Add(delay))
 			continue
-		}
-		delay := max(m.stats.limit.permitDelay(now), pause)
-		if at := now.Add(delay); excluded || delay > 0 && at.After(latest) {
-			freeAt = earliest(freeAt, at)
+		case fitness == unusable, fitness == onlyAgain && !x.askAgain:
 			continue
 		}
+		said := m.stats.saidInAnswers()
 		candidates = append(candidates, selection.Candidate{
 			Hash:           m.hash,
 			Locality:       m.locality,
@@ -200,7 +202,7 @@
 			PendingPrefill: m.stats.pendingPrefill(now),
 			Cached:         x.gateway.sentPrompts.cachedTokens(m.stats.index, x.prompt, x.call.Parts),
 			Ejected:        m.stats.ejected(now),
-			Avoided:        said.Avoided(now),
+			Avoided:        fitness == onlyAgain || said.Avoided(now),
 			Delay:          delay,
 		})
 		list = append(list, m)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
-	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
-	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
@@ -42,7 +37,7 @@
 			continue
 		}
 		if !x.waitForRetry(ctx, v) {
-			return x.correctExecution(v)
+			return x.correctExecution(x.withRetryAfter(v))
 		}
 	}
 }
@@ -124,7 +119,7 @@
 	case resp.Status >= http.StatusInternalServerError:
 		// A 5xx response comes from the application and doesn't count as a
 		// failure of the upstream.
-		x.excluded = append(x.excluded, m.upstream.Name)
+		x.exclude(m, hasFailed)
 	case v != nil && v.Reason == verdict.ReasonCallerGone:
 		// A disconnected caller doesn't count as a failure of the upstream.
 	case v != nil:
@@ -156,6 +151,11 @@
 	x.sends++
 	x.lastUpstream = m.upstream.Name
 	x.firstWrite = time.Time{}
+	if x.excluded[m.upstream.Name] != notExcluded {
+		x.repeats++
+		delete(x.excluded, m.upstream.Name)
+	}
+	x.askAgain = false
 }
 
 // startPrefill adds the expected prefill time of the prompt to the upstream's
@@ -193,6 +193,7 @@
 	}
 	x.recordFailure(ctx, m)
 	if v.Execution == verdict.NotRun {
+		x.exclude(m, isGone)
 		x.recordNoConnection(ctx, m)
 		return v
 	}
@@ -202,12 +203,12 @@
 }
 
 // recordFailure excludes an upstream after a failed attempt and counts the failure
-// against its health, at most once per request.
+// against its health, at most once per attempt.
 func (x *exchange) recordFailure(ctx context.Context, m *member) {
-	if slices.Contains(x.excluded, m.upstream.Name) {
+	if x.excluded[m.upstream.Name] != notExcluded {
 		return
 	}
-	x.excluded = append(x.excluded, m.upstream.Name)
+	x.exclude(m, hasFailed)
 	if ctx.Err() == nil {
 		m.stats.recordResult(false, time.Now(), x.gateway.health)
 	}
@@ -216,75 +217,13 @@
 // handleRefusal excludes an upstream that did not run the request: it is full, is
 // not the intended upstream, or no longer holds the model.
 func (x *exchange) handleRefusal(m *member, resp *forward.Response) *verdict.Verdict {
-	x.excluded = append(x.excluded, m.upstream.Name)
 	reason := verdict.ReasonShed
 	if resp.Status == http.StatusMisdirectedRequest {
 		reason = verdict.ReasonNoReplica
+		x.exclude(m, isGone)
 	} else {
+		x.exclude(m, hasFailed)
 		x.recordRefusal(m)
 	}
 	return verdict.Refuse(reason, http.StatusText(resp.Status)).WithRetryAfter(shedRetryAfter)
 }
-
-// waitForRetry reports whether the request is to be sent again, after waiting for
-// the retry delay.
-func (x *exchange) waitForRetry(ctx context.Context, v *verdict.Verdict) bool {
-	if x.delivered || x.sends >= maxSends || x.mayHaveRun >= x.route.Attempts {
-		return false
-	}
-	wait, ok := x.gateway.decideRetry(x.service, retry.Attempt{
-		Verdict:    v.WithRetryAfter(0),
-		Number:     x.sends,
-		Repeatable: x.route.Repeatable(),
-		Deadline:   x.deadline,
-	})
-	x.gateway.opts.Logger.Info("attempt failed", "request", x.call.ID, "upstream", x.lastUpstream, "reason", v.Reason,
-		"execution", v.Execution.String(), "detail", v.Detail, "again", ok, "wait", wait, "parts", x.prompt)
-	if ok {
-		x.gateway.opts.Meter.Retry(v.Reason)
-	}
-	return ok && ctxtime.Sleep(ctx, wait)
-}
-
-// recordFirstAttempt adds a request's first attempt to the retry budget of its
-// service.
-func (g *Gateway) recordFirstAttempt(service state.ServiceName) {
-	g.budgets.mu.Lock()
-	defer g.budgets.mu.Unlock()
-	g.budget(service).RecordRequest()
-}
-
-func (g *Gateway) decideRetry(service state.ServiceName, a retry.Attempt) (time.Duration, bool) {
-	g.budgets.mu.Lock()
-	defer g.budgets.mu.Unlock()
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return g.budget(service).Decide(time.Now(), rng, a)
-}
-
-const (
-	// budgetShare is the fraction of the allowed retry share that is used.
-	budgetShare = 0.8
-	// minGateways is the minimum number of gateways that are assumed to share
-	// the slack of the retry budget.
-	minGateways = 8
-)
-
-// budget returns the retry budget of a service. The slack is divided among all
-// gateways.
-func (g *Gateway) budget(service state.ServiceName) *retry.Budget {
-	b, ok := g.budgets.byService[service]
-	if !ok {
-		gateways := max(float64(g.gatewayCount.Load()), minGateways)
-		b = retry.NewBudget(retry.Config{
-			Share:       g.opts.RetryShare * budgetShare,
-			Burst:       max(g.opts.RetrySlack/(2*gateways), 1),
-			MaxAttempts: maxSends,
-			BaseDelay:   retryDelay,
-		})
-		g.budgets.byService[service] = b
-	}
-	return b
-}
-
-// retryDelay is the base delay before a retry.
-const retryDelay = 10 * time.Millisecond
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -51,8 +51,11 @@
 	// sends counts the attempts, and mayHaveRun those after which the request may
 	// have run.
 	sends, mayHaveRun int
-	// excluded lists the upstreams that failed or refused the request.
-	excluded []state.UpstreamName
+	// excluded has the upstreams that failed or refused the request. askAgain means that
+	// those that have failed it may get it once more, and repeats is how often one did.
+	excluded map[state.UpstreamName]exclusion
+	askAgain bool
+	repeats  int
 	// lastUpstream is the upstream of the last attempt.
 	lastUpstream state.UpstreamName
 	// servedBy is the upstream whose response is delivered, or the last one that has
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
 	"github.com/lagoonvalve/lagoonvalve/internal/headers"
@@ -36,7 +37,8 @@
 		return verdict.Unknown(verdict.ReasonUpstreamFailed, "status "+strconv.Itoa(resp.Status)+" is not marked as a refusal")
 	}
 	if resp.Status >= http.StatusInternalServerError && x.route.Repeatable() && x.mayHaveRun < x.route.Attempts {
-		if v := verdict.Unknown(verdict.ReasonUpstreamFailed, "status "+strconv.Itoa(resp.Status)); x.budgetAllowsRetry(v) {
+		x.exclude(m, hasFailed)
+		if v := verdict.Unknown(verdict.ReasonUpstreamFailed, "status "+strconv.Itoa(resp.Status)); x.mayBeRetried(v) {
 			return v
 		}
 	}
@@ -56,17 +58,6 @@
 	}
 }
 
-// budgetAllowsRetry reports whether the retry budget allows one more attempt,
-// without spending it.
-func (x *exchange) budgetAllowsRetry(v *verdict.Verdict) bool {
-	g := x.gateway
-	g.budgets.mu.Lock()
-	defer g.budgets.mu.Unlock()
-	return g.budget(x.service).Allows(time.Now(), retry.Attempt{
-		Verdict: v, Number: x.sends, Repeatable: true, Deadline: x.deadline,
-	})
-}
-
 // deliverBuffered reads the complete response before it delivers any of it, so that
 // a truncated response can still be replaced by a retry.
 func (x *exchange) deliverBuffered(resp *forward.Response) *verdict.Verdict {
@@ -170,13 +161,12 @@
 	}
 }
 
-// resume requests the rest of a stream from other upstreams.
+// resume requests the rest of a stream, from other upstreams if there are any.
 func (x *exchange) resume(ctx context.Context, lastEvent string, v *verdict.Verdict) (*forward.Response, *member, *verdict.Verdict) {
 	g := x.gateway
-	for lastEvent != "" && x.sends < maxSends && x.mayHaveRun < x.route.Attempts && x.budgetAllowsRetry(v) {
-		if _, ok := g.decideRetry(x.service, retry.Attempt{
-			Verdict: v, Number: x.sends, Repeatable: true, Deadline: x.deadline,
-		}); !ok {
+	for lastEvent != "" && x.sends < maxSends && x.mayHaveRun < x.route.Attempts {
+		step, wait := x.decideRetry(v)
+		if step == retry.Refuse || step == retry.Again && !ctxtime.Sleep(ctx, wait) {
 			break
 		}
 		m, resp, failure := x.sendRest(ctx, lastEvent)
--- /dev/null
+++ b/internal/gateway/retry_test.go
@@ -0,0 +1,143 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// onlyReplica is an upstream that fails some requests.
+type onlyReplica struct {
+	fail func(w http.ResponseWriter)
+	// fails reports whether the nth request fails, counted from 1.
+	fails    func(n int32) bool
+	received atomic.Int32
+}
+
+func (u *onlyReplica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/any/0" {
+		return
+	}
+	if u.fails(u.received.Add(1)) {
+		u.fail(w)
+		return
+	}
+	_, _ = io.WriteString(w, "served")
+}
+
+func refuseRequest(w http.ResponseWriter) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func cutResponse(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "10")
+	_, _ = io.WriteString(w, "half")
+	_ = http.NewResponseController(w).Flush()
+	closeConnection(w)
+}
+
+func failRequest(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }
+
+// Guards against issue 35: a request that its model's only replica refuses or fails waits for
+// most of its time for another replica, which nothing loads, and gets an error.
+func TestOnlyReplicaIsAskedAgain(t *testing.T) {
+	eighth := func(n int32) bool { return n%8 == 0 }
+	for name, c := range map[string]struct {
+		path string
+		fail func(http.ResponseWriter)
+	}{
+		"refuses, runs once":       {"/once/1", refuseRequest},
+		"refuses, may run again":   {"/any/1", refuseRequest},
+		"cuts, may run again":      {"/any/1", cutResponse},
+		"fails, may run again":     {"/any/1", failRequest},
+		"refuses a resumed stream": {"/resume/1", refuseRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			u := &onlyReplica{fail: c.fail, fails: eighth}
+			s.upstream("a", "plain", u.ServeHTTP)
+			s.await("/any/0", http.StatusOK)
+			const sent = 40
+			for range sent {
+				began := time.Now()
+				got := s.request(t.Context(), c.path, nil)
+				s.g.Expect([]any{got.status, got.body, got.err}).To(Equal([]any{http.StatusOK, "served", nil}))
+				s.g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+			}
+			s.g.Expect(u.received.Load()).To(BeNumerically("<=", 1.2*sent))
+		})
+	}
+}
+
+// Guards against issue 35: an upstream that refuses or fails everything gets more requests
+// than before, and their callers wait although nothing can serve them.
+func TestOnlyReplicaFailsEverything(t *testing.T) {
+	for name, c := range map[string]struct {
+		fail   func(http.ResponseWriter)
+		status int
+		most   int32
+	}{
+		"refuses": {refuseRequest, http.StatusServiceUnavailable, 100},
+		// Its first request is sent again until its attempts are used; then it is ejected.
+		"cuts": {cutResponse, http.StatusBadGateway, 102},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			u := &onlyReplica{fail: c.fail, fails: func(int32) bool { return true }}
+			s.upstream("a", "patient", u.ServeHTTP)
+			s.upstream("b", "plain", u.ServeHTTP)
+			time.Sleep(time.Second) // Waits until the gateway has read both entries.
+			path := "/any/1"
+			if c.status == http.StatusServiceUnavailable {
+				path = "/patient/1"
+			}
+			for range 100 {
+				began := time.Now()
+				got := s.request(t.Context(), path, nil)
+				s.g.Expect(got.status).To(Equal(c.status))
+				s.g.Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+				if c.status == http.StatusServiceUnavailable {
+					s.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+				}
+			}
+			s.g.Expect(u.received.Load()).To(BeNumerically("<=", c.most))
+		})
+	}
+}
+
+// Guards against a repeat that must not be: a request that may have run, and may run once.
+func TestOnlyReplicaIsNotAskedAgainForARequestThatMayHaveRun(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	u := &onlyReplica{fail: cutResponse, fails: func(n int32) bool { return n == 1 }}
+	s.upstream("a", "plain", u.ServeHTTP)
+	s.await("/any/0", http.StatusOK)
+	s.g.Expect(s.request(t.Context(), "/once/1", nil).status).To(Equal(http.StatusBadGateway))
+	s.g.Expect(u.received.Load()).To(Equal(int32(1)))
+}
+
+// Guards against a stream that its only replica has cut and that is not resumed there, and
+// against one that goes on there while the cut run still holds its connection.
+func TestStreamIsResumedAtItsOnlyReplica(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/any/0":
+		case r.Header.Get("After") != "":
+			events(w, 3, 4, false)
+		default:
+			events(w, 1, 2, true)
+		}
+	})
+	s.await("/any/0", http.StatusOK)
+	got := s.request(t.Context(), "/resume/1", nil)
+	s.g.Expect([]any{got.body, got.err}).To(Equal([]any{wholeStream, nil}))
+}
