controller: release the lease at every planned stop

Cause: the release did nothing while a call to the store was on its way or the outcome of the last one unknown, and the stop itself ended the context of a renewal.

Change: writes of the lease outlive the stop's context; the release waits for a write on its way, resolves an unknown outcome with a read, and repeats a release that met the process's own late renewal, within 2 s and 0.99 of the grace.

Why it works: what others wait for is this process's newest record, whatever it believes about its lease, and only that is released.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -70,6 +70,8 @@
 	fleet     atomic.Pointer[Fleet]
 	leader    atomic.Pointer[Leader]
 	publisher publisher
+	// releaseBy is when the release of the lease has to be over; nil leaves it open.
+	releaseBy atomic.Pointer[time.Time]
 
 	// The fields below belong to the goroutine of Run; asksForPromises is also
 	// read by Residency.
@@ -203,8 +205,8 @@
 }
 
 // Run watches the lease, and acts as the controller while it holds the lease,
-// until ctx ends. Then it releases the lease, which takes at most
-// releaseTimeout.
+// until ctx ends. Then it releases the lease, which takes at most releaseTimeout and ends
+// at the time of SetReleaseBy.
 func (c *Controller) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -53,12 +53,18 @@
 }
 
 func (h *harness) start(ctx context.Context, name string) *controller.Controller {
+	c := h.create(name)
+	go c.Run(ctx)
+	return c
+}
+
+// create returns a controller that does not run yet.
+func (h *harness) create(name string) *controller.Controller {
 	c := controller.New(controller.Options{
 		HolderName: name, Host: name, Control: name, Lease: leaseClient{h.log, name}, Engines: h.engines, Quarantines: h.quarantines,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now, Election: electionSettings, StoreLoadsAtOnce: 4,
 	})
 	c.Update(h.fleet)
-	go c.Run(ctx)
 	return c
 }
 
--- a/internal/controller/fakes_test.go
+++ b/internal/controller/fakes_test.go
@@ -19,6 +19,11 @@
 	mu      sync.Mutex
 	records []fleet.LeaseRecord
 	cut     map[string]bool
+	// writeTime is how long a write takes; it is stored in the middle of that time,
+	// also if its client has given up. lostAnswers is how many of the next writes get no
+	// answer.
+	writeTime   time.Duration
+	lostAnswers int
 }
 
 // leaseClient is the connection of one process to the log.
@@ -41,7 +46,36 @@
 	return &record, state.Offset(n - 1), state.Offset(n), nil
 }
 
-func (c leaseClient) Write(_ context.Context, record fleet.LeaseRecord, end state.Offset) error {
+func (c leaseClient) Write(ctx context.Context, record fleet.LeaseRecord, end state.Offset) error {
+	if c.writeTime == 0 {
+		return c.store(record, end)
+	}
+	stored := make(chan error, 1)
+	go func() {
+		time.Sleep(c.writeTime / 2)
+		err := c.store(record, end)
+		time.Sleep(c.writeTime / 2)
+		stored <- err
+	}()
+	c.mu.Lock()
+	lost := c.lostAnswers > 0
+	if lost {
+		c.lostAnswers--
+	}
+	c.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case err := <-stored:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c leaseClient) store(record fleet.LeaseRecord, end state.Offset) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -7,13 +7,18 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/election"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 )
 
-// releaseTimeout bounds the write that releases the lease at shutdown.
-const releaseTimeout = 500 * time.Millisecond
+const (
+	// releaseTimeout bounds the release of the lease at shutdown.
+	releaseTimeout = 2 * time.Second
+	// releasePause is the least time between two calls to the store during a release.
+	releasePause = 20 * time.Millisecond
+)
 
 // writeTimeout bounds the wait for the answer to a write of the lease. After
 // that, a read finds out whether the write was stored, which is faster than
@@ -27,16 +32,22 @@
 		return
 	}
 	step := c.machine.Next(now, false)
+	if step.Action == election.Read && now.Sub(c.lastLeaseRead) < minReadInterval {
+		return
+	}
+	c.startLeaseCall(ctx, step, now)
+}
+
+// startLeaseCall starts a step's call to the lease store. A write goes on when ctx ends, so
+// that its outcome is known at the end of the process.
+func (c *Controller) startLeaseCall(ctx context.Context, step election.Step, now time.Time) {
 	switch step.Action {
 	case election.Read:
-		if now.Sub(c.lastLeaseRead) < minReadInterval {
-			return
-		}
 		c.lastLeaseRead, c.leaseCallPending = now, true
 		go c.readLease(ctx)
 	case election.Write:
 		c.leaseCallPending, c.leaseWritePending = true, true
-		go c.writeLease(ctx, step, now)
+		go c.writeLease(context.WithoutCancel(ctx), step, now)
 	case election.Wait:
 	}
 }
@@ -70,9 +81,12 @@
 	unknown := err != nil && !errors.Is(err, fleet.ErrConflict) && !errors.Is(err, platform.ErrUnavailable)
 	held := c.machine.HoldsLease(now)
 	c.machine.ObserveWrite(step.Record, step.End, began, err == nil, unknown, now)
-	if err != nil {
-		c.opts.Logger.Warn("lease not written", "error", err, "at", step.End, "unknown", unknown)
-	} else if !held {
+	switch {
+	case err != nil:
+		c.opts.Logger.Warn("lease not written", "error", err, "at", step.End, "unknown", unknown, "release", step.Record.Released)
+	case step.Record.Released:
+		c.opts.Logger.Info("lease given up", "at", step.End)
+	case !held:
 		c.opts.Logger.Info("lease taken", "at", step.End)
 	}
 	c.publishLeader()
@@ -105,17 +119,35 @@
 	c.publisher.holderName.Store(&name)
 }
 
+// SetReleaseBy sets when the release of the lease has to be over at the end of Run. Without
+// it, only releaseTimeout bounds the release.
+func (c *Controller) SetReleaseBy(at time.Time) { c.releaseBy.Store(&at) }
+
 // release gives the lease up with a write, so that another process need not
-// wait until it expires.
+// wait until it expires. It waits for a write that is on its way, and resolves an unknown
+// outcome first.
 func (c *Controller) release() {
 	c.publisher.close()
-	now := c.opts.Now()
-	step := c.machine.Next(now, true)
-	if step.Action != election.Write || c.leaseCallPending {
-		return
+	by := time.Time{}
+	if at := c.releaseBy.Load(); at != nil {
+		by = *at
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), ctxtime.EarlierDeadline(releaseTimeout, by))
 	defer cancel()
-	err := c.opts.Lease.Write(ctx, step.Record, step.End)
-	c.opts.Logger.Info("lease given up", "at", step.End, "error", err)
+	for calls := 0; c.leaseWritePending || c.machine.NeedsRelease(c.opts.Now()); {
+		if !c.leaseCallPending {
+			if calls++; calls > 1 {
+				ctxtime.Sleep(ctx, releasePause)
+			}
+			now := c.opts.Now()
+			c.startLeaseCall(ctx, c.machine.Next(now, true), now)
+		}
+		select {
+		case e := <-c.events:
+			e(c, c.opts.Now())
+		case <-ctx.Done():
+			c.opts.Logger.Warn("lease not given up in time")
+			return
+		}
+	}
 }
--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -260,7 +260,7 @@
 	switch {
 	case m.needsRead:
 		return Step{Action: Read}
-	case m.holds && leaving:
+	case leaving && m.keepsOthers(now):
 		// Another process may act as soon as the record is stored, which may be
 		// long before the answer to the write.
 		m.holds = false
@@ -286,6 +286,16 @@
 	}
 }
 
+// keepsOthers reports whether others wait until the newest record, of this process, expires.
+// The process need not hold the lease any more.
+func (m *Machine) keepsOthers(now time.Time) bool {
+	return m.known != nil && m.known.Holder == m.holder && !m.known.Released && !m.expired(now)
+}
+
+// NeedsRelease reports whether others may wait for the lease of this process to expire unless
+// it is released.
+func (m *Machine) NeedsRelease(now time.Time) bool { return m.pending != nil || m.keepsOthers(now) }
+
 // updateRecentHosts sets recentHosts and mustPause for a write that takes the
 // lease.
 func (m *Machine) updateRecentHosts(now time.Time) {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -20,6 +20,8 @@
 	endAt time.Duration
 	// closeAt is when the connections of callers are closed at the latest.
 	closeAt time.Duration
+	// releaseAt is when the lease is given up at the latest.
+	releaseAt time.Duration
 }
 
 const (
@@ -30,6 +32,8 @@
 	abortShare  = 0.88
 	endShare    = 0.94
 	closeShare  = 0.97
+	// releaseShare leaves the rest for the end of the process.
+	releaseShare = 0.99
 
 	// drainPoll is the interval between checks for open requests during a stop.
 	drainPoll = 20 * time.Millisecond
@@ -46,6 +50,7 @@
 		abortAt:    share(abortShare),
 		endAt:      share(endShare),
 		closeAt:    share(closeShare),
+		releaseAt:  share(releaseShare),
 	}
 }
 
@@ -56,6 +61,7 @@
 func (g *Gateway) drain(ctx context.Context) {
 	began := time.Now()
 	g.stopBegan.Store(&began)
+	g.opts.Controller.SetReleaseBy(began.Add(g.stopTimes.releaseAt))
 	g.opts.Logger.Info("stop begins", "open", g.openRequests.Load())
 	abort := time.AfterFunc(g.stopTimes.abortAt, g.abortOpen)
 	defer abort.Stop()
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -203,7 +203,8 @@
 	for _, grace := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second, 30 * time.Second} {
 		times := newStopTimes(grace, 2500*time.Millisecond)
 		g.Expect(times.abortAt).To(BeNumerically(">", grace*5/6))
-		g.Expect(times.closeAt).To(BeNumerically("<", grace))
+		g.Expect(times.releaseAt).To(BeNumerically("<", grace))
+		g.Expect(times.closeAt).To(BeNumerically("<", times.releaseAt))
 		g.Expect(times.endAt).To(BeNumerically("<", times.closeAt))
 		g.Expect(times.refuseFrom).To(BeNumerically("<", times.abortAt))
 	}
