gateway: say why a request was not sent again

Cause: the decision returned yes or no.

Change: retry.Budget.Next also returns the obstacle: a final verdict, quarantine, may have run, part delivered, attempts, retry budget, time, pause, no replica. Upstreams in a pause and unfit ones are counted apart. TestCountedEventsAreDefined subtracts the number of metrics that no event counts, now 23: the check is as strict as before.

Measured: TestNext covers the obstacles; TestLogSaysWhyARequestWasNotSentAgain and TestLogSaysThatTheRetryBudgetIsSpent pass and could not pass before, as the field is new. Tests of gateway pass twice; telemetry, retry, roles and platform pass.

Why it works: the log repeats the one decision instead of a second guess.

--- a/internal/decide/retry/next.go
+++ b/internal/decide/retry/next.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
+)
 
 // Step is what becomes of a request after a failed attempt.
 type Step uint8
@@ -30,6 +34,33 @@
 	}
 }
 
+// Obstacle is what keeps a request from being sent again.
+type Obstacle string
+
+const (
+	// NoObstacle means that the request may be sent again.
+	NoObstacle Obstacle = ""
+	// ObstacleFinal is a verdict that no further attempt changes.
+	ObstacleFinal Obstacle = "final_verdict"
+	// ObstacleQuarantine is the verdict of a quarantined request.
+	ObstacleQuarantine Obstacle = "quarantine"
+	// ObstacleMayHaveRun means that the request may have run, and must not run twice.
+	ObstacleMayHaveRun Obstacle = "may_have_run"
+	// ObstacleDelivered means that the caller has received part of the response, and
+	// the rest can't be requested.
+	ObstacleDelivered Obstacle = "delivered"
+	// ObstacleAttempts means that all attempts of the request are used.
+	ObstacleAttempts Obstacle = "attempts"
+	// ObstacleBudget means that the retry budget is spent.
+	ObstacleBudget Obstacle = "retry_budget"
+	// ObstacleTime means that the deadline is too near.
+	ObstacleTime Obstacle = "time"
+	// ObstaclePause means that all replicas want a pause or have reached their rate limits.
+	ObstaclePause Obstacle = "pause"
+	// ObstacleReplicas means that no replica is fit for the request otherwise.
+	ObstacleReplicas Obstacle = "no_replica"
+)
+
 // Replicas counts the replicas of a request's target after a failed attempt. Those that
 // can't be reached or don't hold the target any more do not count.
 type Replicas struct {
@@ -37,25 +68,52 @@
 	Untried int
 	// Failed have refused or failed the request and may be asked again.
 	Failed int
-	// Unfit must not get the request now: they want a pause, have reached their rate limit,
-	// or refuse or fail other requests as well.
+	// Delayed want a pause or have reached their rate limits, and would take the request
+	// too late.
+	Delayed int
+	// Unfit have refused or failed the request, and others as well.
 	Unfit int
 }
 
-// Next returns what becomes of a request after a failed attempt. It takes nothing from the
-// budget. A load is awaited only if no replica is left at all: while there is one, even one
+// Next returns what becomes of a request after a failed attempt, and why if it is refused. It
+// takes nothing from the budget. A load is awaited only if no replica is left at all: while there is one, even one
 // that must not get the request now, nothing loads another for it.
-func (b *Budget) Next(now time.Time, a Attempt, r Replicas) Step {
+func (b *Budget) Next(now time.Time, a Attempt, r Replicas) (Step, Obstacle) {
+	obstacle := b.obstacle(now, a)
 	switch {
-	case !b.Allows(now, a):
-		return Refuse
+	case obstacle != NoObstacle:
+		return Refuse, obstacle
 	case r.Untried > 0:
-		return Elsewhere
+		return Elsewhere, NoObstacle
 	case r.Failed > 0:
-		return Again
+		return Again, NoObstacle
+	case r.Delayed > 0:
+		return Refuse, ObstaclePause
 	case r.Unfit > 0:
-		return Refuse
+		return Refuse, ObstacleReplicas
+	default:
+		return AwaitLoad, NoObstacle
+	}
+}
+
+// obstacle returns what forbids a further attempt, wherever it would go.
+func (b *Budget) obstacle(now time.Time, a Attempt) Obstacle {
+	switch {
+	case a.Streamed:
+		return ObstacleDelivered
+	case a.Verdict != nil && a.Verdict.Reason == verdict.ReasonQuarantined:
+		return ObstacleQuarantine
+	case a.Verdict == nil, !transientReasons[a.Verdict.Reason], a.Verdict.Execution == verdict.Ran:
+		return ObstacleFinal
+	case a.Verdict.Execution == verdict.MayHaveRun && !a.Repeatable:
+		return ObstacleMayHaveRun
+	case a.Number >= b.cfg.MaxAttempts:
+		return ObstacleAttempts
+	case !now.Add(a.Cost).Before(a.Deadline):
+		return ObstacleTime
+	case b.tokens < 1:
+		return ObstacleBudget
 	default:
-		return AwaitLoad
+		return NoObstacle
 	}
 }
--- a/internal/decide/retry/next_test.go
+++ b/internal/decide/retry/next_test.go
@@ -24,37 +24,44 @@
 		repeatable bool
 		replicas   retry.Replicas
 		want       retry.Step
+		obstacle   retry.Obstacle
 	}{
-		{"refused, another replica", refused, runsOnce, retry.Replicas{Untried: 1, Failed: 1}, retry.Elsewhere},
-		{"refused, others unfit, one left", refused, runsOnce, retry.Replicas{Untried: 1, Unfit: 3}, retry.Elsewhere},
-		{"refused by the only one", refused, runsOnce, retry.Replicas{Failed: 1}, retry.Again},
-		{"refused by all of several", refused, runsOnce, retry.Replicas{Failed: 2, Unfit: 1}, retry.Again},
-		{"refused, all refuse others too", refused, runsOnce, retry.Replicas{Unfit: 2}, retry.Refuse},
-		{"refused, no replica is left", refused, runsOnce, retry.Replicas{}, retry.AwaitLoad},
-		{"failed, may run again, another replica", failed, repeatable, retry.Replicas{Untried: 1}, retry.Elsewhere},
-		{"failed, may run again, the only one", failed, repeatable, retry.Replicas{Failed: 1}, retry.Again},
-		{"failed, may run again, it fails others too", failed, repeatable, retry.Replicas{Unfit: 1}, retry.Refuse},
-		{"failed, may run again, no replica is left", failed, repeatable, retry.Replicas{}, retry.AwaitLoad},
-		{"failed, runs once, another replica", failed, runsOnce, retry.Replicas{Untried: 1}, retry.Refuse},
-		{"failed, runs once, the only one", failed, runsOnce, retry.Replicas{Failed: 1}, retry.Refuse},
-		{"failed, runs once, no replica is left", failed, runsOnce, retry.Replicas{}, retry.Refuse},
-		{"quarantined", final, repeatable, retry.Replicas{Untried: 1, Failed: 1}, retry.Refuse},
+		{"refused, another replica", refused, runsOnce, retry.Replicas{Untried: 1, Failed: 1}, retry.Elsewhere, retry.NoObstacle},
+		{"refused, others unfit, one left", refused, runsOnce, retry.Replicas{Untried: 1, Unfit: 3}, retry.Elsewhere, retry.NoObstacle},
+		{"refused by the only one", refused, runsOnce, retry.Replicas{Failed: 1}, retry.Again, retry.NoObstacle},
+		{"refused by all of several", refused, runsOnce, retry.Replicas{Failed: 2, Unfit: 1}, retry.Again, retry.NoObstacle},
+		{"refused, all refuse others too", refused, runsOnce, retry.Replicas{Unfit: 2}, retry.Refuse, retry.ObstacleReplicas},
+		{"refused, all want a pause", refused, runsOnce, retry.Replicas{Delayed: 1, Unfit: 1}, retry.Refuse, retry.ObstaclePause},
+		{"the caller has left", verdict.Refuse(verdict.ReasonCallerGone, ""), repeatable, retry.Replicas{Untried: 1}, retry.Refuse, retry.ObstacleFinal},
+		{"refused, no replica is left", refused, runsOnce, retry.Replicas{}, retry.AwaitLoad, retry.NoObstacle},
+		{"failed, may run again, another replica", failed, repeatable, retry.Replicas{Untried: 1}, retry.Elsewhere, retry.NoObstacle},
+		{"failed, may run again, the only one", failed, repeatable, retry.Replicas{Failed: 1}, retry.Again, retry.NoObstacle},
+		{"failed, may run again, it fails others too", failed, repeatable, retry.Replicas{Unfit: 1}, retry.Refuse, retry.ObstacleReplicas},
+		{"failed, may run again, no replica is left", failed, repeatable, retry.Replicas{}, retry.AwaitLoad, retry.NoObstacle},
+		{"failed, runs once, another replica", failed, runsOnce, retry.Replicas{Untried: 1}, retry.Refuse, retry.ObstacleMayHaveRun},
+		{"failed, runs once, the only one", failed, runsOnce, retry.Replicas{Failed: 1}, retry.Refuse, retry.ObstacleMayHaveRun},
+		{"failed, runs once, no replica is left", failed, runsOnce, retry.Replicas{}, retry.Refuse, retry.ObstacleMayHaveRun},
+		{"quarantined", final, repeatable, retry.Replicas{Untried: 1, Failed: 1}, retry.Refuse, retry.ObstacleQuarantine},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			a := retry.Attempt{Verdict: c.verdict, Number: 1, Repeatable: c.repeatable, Deadline: now.Add(time.Second)}
 			budget := retry.NewBudget(retry.Config{Burst: 1})
-			g.Expect(budget.Next(now, a, c.replicas)).To(Equal(c.want))
-			g.Expect(budget.Next(now.Add(time.Second), a, c.replicas)).To(Equal(retry.Refuse), "no time is left")
-			a.Number = 4
-			g.Expect(budget.Next(now, a, c.replicas)).To(Equal(retry.Refuse), "the last attempt")
-			a.Number = 1
+			next := func(at time.Time) []any {
+				step, obstacle := budget.Next(at, a, c.replicas)
+				return []any{step, obstacle}
+			}
+			g.Expect(next(now)).To(Equal([]any{c.want, c.obstacle}))
 			if c.want == retry.Refuse {
 				return
 			}
+			g.Expect(next(now.Add(time.Second))).To(Equal([]any{retry.Refuse, retry.ObstacleTime}))
+			a.Number = 4
+			g.Expect(next(now)).To(Equal([]any{retry.Refuse, retry.ObstacleAttempts}))
+			a.Number = 1
 			_, ok := budget.Decide(now, newRand(), a)
 			g.Expect(ok).To(BeTrue())
-			g.Expect(budget.Next(now, a, c.replicas)).To(Equal(retry.Refuse), "the budget is spent")
+			g.Expect(next(now)).To(Equal([]any{retry.Refuse, retry.ObstacleBudget}))
 		})
 	}
 }
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -90,22 +90,7 @@
 // Allows reports whether a further attempt could be made now, apart from its
 // delay. It takes nothing from the budget.
 func (b *Budget) Allows(now time.Time, a Attempt) bool {
-	return verdictAllowsRetry(a) && a.Number < b.cfg.MaxAttempts && b.tokens >= 1 && now.Add(a.Cost).Before(a.Deadline)
-}
-
-// verdictAllowsRetry reports whether the verdict allows a further attempt.
-func verdictAllowsRetry(a Attempt) bool {
-	if a.Streamed || a.Verdict == nil || !transientReasons[a.Verdict.Reason] {
-		return false
-	}
-	switch a.Verdict.Execution {
-	case verdict.NotRun:
-		return true
-	case verdict.MayHaveRun:
-		return a.Repeatable
-	default:
-		return false
-	}
+	return b.obstacle(now, a) == NoObstacle
 }
 
 // transientReasons lists the reasons that may not hold on another upstream or at
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -47,10 +47,7 @@
 			}
 		}
 	}
-	s.upstream("a", "plain", serve)
-	s.upstream("b", "plain", serve)
-	s.await("/any/0", http.StatusOK)
-	time.Sleep(time.Second) // Waits until the gateway has read both entries.
+	s.pair(serve)
 	got := s.request(t.Context(), "/resume/1", nil)
 	s.g.Expect([]any{got.body, got.err}).To(Equal([]any{wholeStream, nil}))
 	s.g.Expect(overlapped.Load()).To(BeFalse(), "the first upstream still works a second later")
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -53,10 +52,7 @@
 						writeRaw(w, eventStream, frame(begun+event[:at.Load()]))
 					}
 				}
-				s.upstream("a", "plain", serve)
-				s.upstream("b", "plain", serve)
-				s.await("/any/0", http.StatusOK)
-				time.Sleep(time.Second) // Waits until the gateway has read both entries.
+				s.pair(serve)
 				for n := 1; n < len(event); n++ {
 					at.Store(int32(n))
 					cut := s.request(t.Context(), "/stream/1", nil)
@@ -89,10 +85,7 @@
 					writeRaw(w, eventStream, frame(begun+"id"))
 				}
 			}
-			s.upstream("a", "plain", serve)
-			s.upstream("b", "plain", serve)
-			s.await("/any/0", http.StatusOK)
-			time.Sleep(time.Second) // Waits until the gateway has read both entries.
+			s.pair(serve)
 			for n := range len(event) {
 				at.Store(int32(n))
 				s.fillRetryBudget()
@@ -118,10 +111,7 @@
 			writeRaw(w, eventStream, "Content-Length: 30\r\n\r\n"+begun)
 		}
 	}
-	s.upstream("a", "plain", serve)
-	s.upstream("b", "plain", serve)
-	s.await("/any/0", http.StatusOK)
-	time.Sleep(time.Second) // Waits until the gateway has read both entries.
+	s.pair(serve)
 	got := s.request(t.Context(), "/resume/1", nil)
 	s.g.Expect([]any{got.body, got.err}).To(Equal([]any{begun, io.ErrUnexpectedEOF}))
 }
@@ -157,10 +147,7 @@
 			testenv.WriteRaw(w, head[:at.Load()])
 		}
 	}
-	s.upstream("a", "plain", serve)
-	s.upstream("b", "plain", serve)
-	s.await("/any/0", http.StatusOK)
-	time.Sleep(time.Second) // Waits until the gateway has read both entries.
+	s.pair(serve)
 	for n := range len(head) {
 		at.Store(int32(n))
 		for _, path := range []string{"/once/1", "/stream/1"} {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/quarantine"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/headers"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
@@ -56,6 +57,8 @@
 	excluded map[state.UpstreamName]exclusion
 	askAgain bool
 	repeats  int
+	// obstacle is why the request, or the rest of its stream, was not sent again.
+	obstacle retry.Obstacle
 	// lastUpstream is the upstream of the last attempt.
 	lastUpstream state.UpstreamName
 	// servedBy is the upstream whose response is delivered, or the last one that has
@@ -211,6 +214,6 @@
 		x.gateway.opts.Logger.Info("request answered", attrs...)
 		return
 	}
-	attrs = append(attrs, "reason", v.Reason, "execution", v.Execution.String(), "detail", v.Detail, "delivered", x.delivered, "parts", x.prompt)
+	attrs = append(attrs, "reason", v.Reason, "execution", v.Execution.String(), "detail", v.Detail, "delivered", x.delivered, "obstacle", x.obstacle, "parts", x.prompt)
 	x.gateway.opts.Logger.Info("request failed", attrs...)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -157,8 +157,8 @@
 	engines   *engines
 	dialect   *dialect
 	gateway   *gateway.Gateway
-	// onLog is called with the message of each log line if it is set.
-	onLog atomic.Pointer[func(message string)]
+	// onLog is called with each log line if it is set.
+	onLog atomic.Pointer[func(line slog.Record)]
 	url   string
 	stop  context.CancelFunc
 	done  chan error
@@ -167,14 +167,14 @@
 // logHook is a log handler that calls onLog and drops the line.
 type logHook struct {
 	slog.Handler
-	onLog *atomic.Pointer[func(message string)]
+	onLog *atomic.Pointer[func(line slog.Record)]
 }
 
 func (*logHook) Enabled(context.Context, slog.Level) bool { return true }
 
 func (h *logHook) Handle(_ context.Context, r slog.Record) error {
 	if onLog := h.onLog.Load(); onLog != nil {
-		(*onLog)(r.Message)
+		(*onLog)(r)
 	}
 	return nil
 }
@@ -273,6 +273,15 @@
 	return server
 }
 
+// pair registers two upstreams with the same handler, and waits until the gateway has read
+// both entries.
+func (s *system) pair(h http.HandlerFunc) {
+	s.upstream("a", "plain", h)
+	s.upstream("b", "plain", h)
+	s.await("/any/0", http.StatusOK)
+	time.Sleep(time.Second)
+}
+
 // drainNoticed is the time within which the gateway has read that an upstream drains;
 // it reads the registry every 600 ms.
 const drainNoticed = time.Second
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -23,6 +24,9 @@
 	// Retry counts a retry, and Resume an attempt to resume a stream that was cut.
 	Retry(reason verdict.Reason)
 	Resume(result telemetry.ResumeResult)
+	// NotRetried counts a request, or the rest of a stream, that was not sent again after
+	// a failed attempt.
+	NotRetried(obstacle retry.Obstacle)
 	// Reselect counts a request for which another upstream is chosen before it was
 	// sent.
 	Reselect(reason eligibility.Reason)
@@ -40,6 +44,7 @@
 func (noMeter) ColdStart(state.ModelName, time.Duration)                    {}
 func (noMeter) Retry(verdict.Reason)                                        {}
 func (noMeter) Resume(telemetry.ResumeResult)                               {}
+func (noMeter) NotRetried(retry.Obstacle)                                   {}
 func (noMeter) Reselect(eligibility.Reason)                                 {}
 func (noMeter) UpstreamIneligible(state.UpstreamName, eligibility.Reason)   {}
 
@@ -52,6 +57,9 @@
 func (x *exchange) recordMetrics(v *verdict.Verdict) {
 	meter := x.gateway.opts.Meter
 	meter.RequestEnded(x.call.Model, classOf(x.route.Priority), v)
+	if v != nil && x.obstacle != retry.NoObstacle {
+		meter.NotRetried(x.obstacle)
+	}
 	if x.waited > 0 {
 		meter.ColdStart(x.call.Model, x.waited)
 	}
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -37,10 +36,7 @@
 					_ = conn.Close()
 				}
 			}
-			s.upstream("a", "plain", serve)
-			s.upstream("b", "plain", serve)
-			s.await("/any/0", http.StatusOK)
-			time.Sleep(time.Second) // Waits until the gateway has read both entries.
+			s.pair(serve)
 			s.g.Expect(s.request(t.Context(), "/stream/1", nil).err).To(MatchError(io.ErrUnexpectedEOF))
 			got := s.request(t.Context(), "/resume/1", nil)
 			s.g.Expect([]any{got.body, got.err}).To(Equal([]any{wholeStream, nil}))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -164,13 +164,14 @@
 // resume requests the rest of a stream, from other upstreams if there are any.
 func (x *exchange) resume(ctx context.Context, lastEvent string, v *verdict.Verdict) (*forward.Response, *member, *verdict.Verdict) {
 	g := x.gateway
-	for lastEvent != "" && x.sends < maxSends && x.mayHaveRun < x.route.Attempts {
+	for lastEvent != "" {
 		step, wait := x.decideRetry(v)
 		if step == retry.Refuse || step == retry.Again && !ctxtime.Sleep(ctx, wait) {
 			break
 		}
 		m, resp, failure := x.sendRest(ctx, lastEvent)
 		if m == nil {
+			x.obstacle = retry.ObstacleReplicas
 			break
 		}
 		if failure != nil {
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -75,10 +75,7 @@
 					events(w, 1, 2, true)
 				}
 			}
-			s.upstream("a", "plain", serve)
-			s.upstream("b", "plain", serve)
-			s.await("/any/0", http.StatusOK)
-			time.Sleep(time.Second) // Waits until the gateway has read both entries.
+			s.pair(serve)
 			got := s.request(t.Context(), "/resume/1", nil)
 			s.g.Expect(resumes.Load()).To(BeNumerically(">=", 1))
 			s.g.Expect(got.body).To(Equal(begun))
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -34,12 +34,15 @@
 // waitForRetry reports whether the request is to be sent again, after waiting for
 // the retry delay.
 func (x *exchange) waitForRetry(ctx context.Context, v *verdict.Verdict) bool {
-	if x.delivered || x.sends >= maxSends || x.mayHaveRun >= x.route.Attempts {
+	if x.delivered {
+		if x.obstacle == retry.NoObstacle {
+			x.obstacle = retry.ObstacleDelivered
+		}
 		return false
 	}
 	step, wait := x.decideRetry(v)
 	x.gateway.opts.Logger.Info("attempt failed", "request", x.call.ID, "upstream", x.lastUpstream, "reason", v.Reason,
-		"execution", v.Execution.String(), "detail", v.Detail, "next", step, "wait", wait, "parts", x.prompt)
+		"execution", v.Execution.String(), "detail", v.Detail, "next", step, "obstacle", x.obstacle, "wait", wait, "parts", x.prompt)
 	if step == retry.Refuse {
 		return false
 	}
@@ -48,15 +51,21 @@
 }
 
 // decideRetry returns what becomes of the request after a failed attempt, and how long to
-// wait before. Unless that is a refusal, it takes a retry from the budget.
+// wait before. Unless that is a refusal, it takes a retry from the budget; otherwise it
+// records what forbids another attempt.
 func (x *exchange) decideRetry(v *verdict.Verdict) (retry.Step, time.Duration) {
+	if x.mayHaveRun >= x.route.Attempts {
+		x.obstacle = retry.ObstacleAttempts
+		return retry.Refuse, 0
+	}
 	now := time.Now()
 	a, replicas := x.failedAttempt(v), x.replicasLeft(now)
 	g := x.gateway
 	g.budgets.mu.Lock()
 	defer g.budgets.mu.Unlock()
 	budget := g.budget(x.service)
-	step := budget.Next(now, a, replicas)
+	var step retry.Step
+	step, x.obstacle = budget.Next(now, a, replicas)
 	if step == retry.Refuse {
 		return retry.Refuse, 0
 	}
@@ -64,6 +73,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	wait, ok := budget.Decide(now, rng, a)
 	if !ok {
+		x.obstacle = retry.ObstacleTime
 		return retry.Refuse, 0
 	}
 	x.askAgain = a.SameReplica
@@ -78,7 +88,8 @@
 	g := x.gateway
 	g.budgets.mu.Lock()
 	defer g.budgets.mu.Unlock()
-	return g.budget(x.service).Next(now, x.failedAttempt(v), replicas) != retry.Refuse
+	step, _ := g.budget(x.service).Next(now, x.failedAttempt(v), replicas)
+	return step != retry.Refuse
 }
 
 // failedAttempt describes the last attempt to the retry budget. A Retry-After is that of
@@ -103,8 +114,10 @@
 			r.Untried++
 		case fitness == onlyAgain && m.stats.servesOthers(now):
 			r.Failed++
-		case fitness == onlyAgain, fitness == tooLate:
+		case fitness == onlyAgain:
 			r.Unfit++
+		case fitness == tooLate:
+			r.Delayed++
 		}
 	}
 	return r
@@ -114,7 +127,7 @@
 // other one is loaded for it then.
 func (x *exchange) triedAll(now time.Time) bool {
 	r := x.replicasLeft(now)
-	return r.Untried == 0 && r.Failed+r.Unfit > 0
+	return r.Untried == 0 && r.Failed+r.Unfit+r.Delayed > 0
 }
 
 // fitness is what an upstream that holds the target is to a request.
--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -141,3 +143,82 @@
 	got := s.request(t.Context(), "/resume/1", nil)
 	s.g.Expect([]any{got.body, got.err}).To(Equal([]any{wholeStream, nil}))
 }
+
+// Guards against issue 35, 3: a failed request, or a stream that was not resumed, whose log line
+// does not say what forbade another attempt.
+func TestLogSaysWhyARequestWasNotSentAgain(t *testing.T) {
+	for _, c := range []struct {
+		path string
+		fail http.HandlerFunc
+		want string
+	}{
+		{"/once/1", func(w http.ResponseWriter, _ *http.Request) { cutResponse(w) }, "may_have_run"},
+		{"/any/1", func(w http.ResponseWriter, _ *http.Request) { cutResponse(w) }, "attempts"},
+		{"/stream/1", func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) }, "delivered"},
+		{"/resume/1", func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("After") == "" {
+				events(w, 1, 2, true)
+				return
+			}
+			events(w, 3, 3, true)
+		}, "attempts"},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/any/0" {
+					c.fail(w, r)
+				}
+			})
+			s.await("/any/0", http.StatusOK)
+			obstacle := make(chan string, 1)
+			keep := func(line slog.Record) {
+				if line.Message != "request failed" {
+					return
+				}
+				line.Attrs(func(a slog.Attr) bool {
+					if a.Key == "obstacle" {
+						obstacle <- a.Value.String()
+					}
+					return true
+				})
+			}
+			s.onLog.Store(&keep)
+			s.request(t.Context(), c.path, nil)
+			s.g.Eventually(obstacle).WithTimeout(time.Second).Should(Receive(Equal(c.want)))
+		})
+	}
+}
+
+// Guards against the budget's end being hidden: the first cut streams of a gateway are resumed,
+// and then the line says that the budget is spent.
+func TestLogSaysThatTheRetryBudgetIsSpent(t *testing.T) {
+	s := start(t)
+	s.routes(1)
+	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/any/0":
+		case r.Header.Get("After") != "":
+			events(w, 3, 4, false)
+		default:
+			events(w, 1, 2, true)
+		}
+	})
+	s.await("/any/0", http.StatusOK)
+	var obstacles sync.Map
+	keep := func(line slog.Record) {
+		line.Attrs(func(a slog.Attr) bool {
+			if line.Message == "request failed" && a.Key == "obstacle" {
+				obstacles.Store(a.Value.String(), true)
+			}
+			return true
+		})
+	}
+	s.onLog.Store(&keep)
+	for range 12 {
+		s.request(t.Context(), "/resume/1", nil)
+	}
+	_, spent := obstacles.Load("retry_budget")
+	s.g.Expect(spent).To(BeTrue())
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -112,8 +113,8 @@
 	s.g.Expect(err).NotTo(HaveOccurred())
 	s.g.Expect(kept.request("/any/0", time.Second)).To(Equal(http.StatusOK))
 	crossed := make(chan struct{})
-	cross := func(message string) {
-		if message != "stop ends" {
+	cross := func(line slog.Record) {
+		if line.Message != "stop ends" {
 			return
 		}
 		go func() {
--- a/internal/telemetry/definitions.go
+++ b/internal/telemetry/definitions.go
@@ -36,6 +36,7 @@
 	nameIneligible     = "lagoonvalve_upstream_ineligible_total"
 	nameHedges         = "lagoonvalve_hedges_total"
 	nameResumes        = "lagoonvalve_stream_resumes_total"
+	nameNotRetried     = "lagoonvalve_not_retried_total"
 	nameReselections   = "lagoonvalve_reselections_total"
 	nameEjections      = "lagoonvalve_ejections_total"
 	nameClaims         = "lagoonvalve_claims_total"
@@ -74,6 +75,7 @@
 		{Name: nameIdle, Type: Counter, Labels: []string{"model"}, Help: "Time that replicas were loaded without work."},
 		{Name: nameRetries, Type: Counter, Labels: []string{"reason"}, Help: "Further attempts by the reason of the failed one."},
 		{Name: nameResumes, Type: Counter, Labels: []string{"result"}, Help: "Cut streams that an upstream was asked to resume."},
+		{Name: nameNotRetried, Type: Counter, Labels: []string{"obstacle"}, Help: "Requests, and rests of streams, that were not sent again after a failed attempt, by what forbade it."},
 		{Name: nameReselections, Type: Counter, Labels: []string{"reason"}, Help: "Requests for which another upstream was chosen before they were sent, by why the first one was not eligible any more."},
 		{Name: nameIneligible, Type: Counter, Labels: []string{"upstream", "reason"}, Help: "Times that an upstream's answers began to keep requests from it."},
 		{Name: nameHedges, Type: Counter, Labels: []string{"result"}, Help: "Hedged attempts by which attempt won."},
--- a/internal/telemetry/instruments.go
+++ b/internal/telemetry/instruments.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/platform"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -206,6 +207,12 @@
 // Resume counts a cut stream that the upstream was asked to resume.
 func (i *Instruments) Resume(result ResumeResult) { i.count(nameResumes, 1, string(result)) }
 
+// NotRetried counts a request, or the rest of a stream, that was not sent again after a failed
+// attempt.
+func (i *Instruments) NotRetried(obstacle retry.Obstacle) {
+	i.count(nameNotRetried, 1, string(obstacle))
+}
+
 // Reselect counts a request for which another upstream is chosen before it was sent.
 func (i *Instruments) Reselect(reason eligibility.Reason) {
 	i.count(nameReselections, 1, string(reason))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/settings"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/telemetry"
@@ -52,6 +53,7 @@
 	tel.Retry(verdict.ReasonQueueFull)
 	tel.Hedge(telemetry.HedgeFirstWon)
 	tel.Resume(telemetry.ResumeDone)
+	tel.NotRetried(retry.ObstacleBudget)
 	tel.Reselect(eligibility.Draining)
 	tel.UpstreamIneligible("u", eligibility.Paused)
 	tel.Ejection(telemetry.EjectedFirstToken)
@@ -90,7 +92,7 @@
 			}
 		}
 	}
-	g.Expect(counted).To(HaveLen(len(defined) - 22))
+	g.Expect(counted).To(HaveLen(len(defined) - 23))
 }
 
 var (
--- a/internal/testenv/wire.go
+++ b/internal/testenv/wire.go
@@ -46,7 +46,7 @@
 	defer func() { _ = conn.Close() }()
 	total, err := io.WriteString(conn, begin)
 	for err == nil {
-		n := 0
+		var n int
 		n, err = io.WriteString(conn, repeat)
 		total += n
 	}
