gateway: a request refused at once still counts as demand

A request that a model's only replica refuses does not wait any more, and so was not reported as demand: another replica would be loaded later, or not at all.

Cause: only waits and refusals after them were reported.

Change: each refusal for want of a replica, or by pauses and limits, is reported for its target, and sets the obstacle in the same place.

Tests of gateway and decide pass.

Why it works: the controller gets what it got before the wait was cut short.

--- a/internal/decide/retry/next.go
+++ b/internal/decide/retry/next.go
@@ -76,8 +76,9 @@
 }
 
 // Next returns what becomes of a request after a failed attempt, and why if it is refused. It
-// takes nothing from the budget. A load is awaited only if no replica is left at all: while there is one, even one
-// that must not get the request now, nothing loads another for it.
+// takes nothing from the budget. A load is awaited only if no replica is left at all: while
+// there is one, even one that must not get the request now, no load is certain to be on its
+// way.
 func (b *Budget) Next(now time.Time, a Attempt, r Replicas) (Step, Obstacle) {
 	obstacle := b.obstacle(now, a)
 	switch {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/eligibility"
+	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/selection"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -60,15 +61,16 @@
 			continue
 		}
 		if !freeAt.IsZero() {
-			x.gateway.demand.recordRefusal(x.call.Target)
+			x.recordUnserved(retry.ObstaclePause)
 			v := verdict.Refuse(verdict.ReasonShed, "upstreams have reached their rate limits or want a pause")
 			return nil, v.WithRetryAfter(min(freeAt.Sub(now), maxDelayRetryAfter))
 		}
 		if x.triedAll(now) {
+			x.recordUnserved(retry.ObstacleReplicas)
 			return nil, verdict.Refuse(verdict.ReasonShed, "all upstreams have refused or failed the request").WithRetryAfter(shedRetryAfter)
 		}
 		if !now.Before(limit) {
-			x.gateway.demand.recordRefusal(x.call.Target)
+			x.recordUnserved(retry.ObstacleReplicas)
 			return nil, verdict.Refuse(verdict.ReasonNoReplica, "no upstream can take the request in time").WithRetryAfter(noReplicaRetryAfter)
 		}
 		if began.IsZero() {
@@ -186,12 +188,12 @@
 		if !fleet.Holds(m.replicas, x.call.Target) {
 			continue
 		}
-		fitness, delay := x.fitness(m, now, latest)
+		f, delay := x.fitnessOf(m, now, latest)
 		switch {
-		case fitness == tooLate:
+		case f == tooLate:
 			freeAt = earliest(freeAt, now.Add(delay))
 			continue
-		case fitness == unusable, fitness == onlyAgain && !x.askAgain:
+		case f == unusable, f == onlyAgain && !x.askAgain:
 			continue
 		}
 		said := m.stats.saidInAnswers()
@@ -202,7 +204,7 @@
 			PendingPrefill: m.stats.pendingPrefill(now),
 			Cached:         x.gateway.sentPrompts.cachedTokens(m.stats.index, x.prompt, x.call.Parts),
 			Ejected:        m.stats.ejected(now),
-			Avoided:        fitness == onlyAgain || said.Avoided(now),
+			Avoided:        f == onlyAgain || said.Avoided(now),
 			Delay:          delay,
 		})
 		list = append(list, m)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/forward"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
@@ -26,9 +25,6 @@
 	for {
 		m, v := x.waitForUpstream(ctx)
 		if v != nil {
-			if x.sends > 0 && ctx.Err() == nil {
-				x.obstacle = retry.ObstacleReplicas
-			}
 			return x.correctExecution(v)
 		}
 		v = x.attempt(ctx, m)
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -57,7 +57,7 @@
 func (x *exchange) recordMetrics(v *verdict.Verdict) {
 	meter := x.gateway.opts.Meter
 	meter.RequestEnded(x.call.Model, classOf(x.route.Priority), v)
-	if v != nil && x.obstacle != retry.NoObstacle {
+	if v != nil && x.sends > 0 && x.obstacle != retry.NoObstacle {
 		meter.NotRetried(x.obstacle)
 	}
 	if x.waited > 0 {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -171,7 +171,6 @@
 		}
 		m, resp, failure := x.sendRest(ctx, lastEvent)
 		if m == nil {
-			x.obstacle = retry.ObstacleReplicas
 			break
 		}
 		if failure != nil {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -7,30 +7,10 @@
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
-	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 	"github.com/lagoonvalve/lagoonvalve/internal/verdict"
 )
 
-// exclusion says why an upstream does not get a request once more, or only if no other
-// upstream is left.
-type exclusion uint8
-
-const (
-	notExcluded exclusion = iota
-	// hasFailed: the upstream has refused or failed the request.
-	hasFailed
-	// isGone: the upstream can't be reached or doesn't hold the target any more.
-	isGone
-)
-
-func (x *exchange) exclude(m *member, e exclusion) {
-	if x.excluded == nil {
-		x.excluded = make(map[state.UpstreamName]exclusion)
-	}
-	x.excluded[m.upstream.Name] = e
-}
-
 // waitForRetry reports whether the request is to be sent again, after waiting for
 // the retry delay.
 func (x *exchange) waitForRetry(ctx context.Context, v *verdict.Verdict) bool {
@@ -67,6 +47,9 @@
 	var step retry.Step
 	step, x.obstacle = budget.Next(now, a, replicas)
 	if step == retry.Refuse {
+		if x.obstacle == retry.ObstaclePause || x.obstacle == retry.ObstacleReplicas {
+			x.recordUnserved(x.obstacle)
+		}
 		return retry.Refuse, 0
 	}
 	a.SameReplica = step == retry.Again
@@ -100,96 +83,6 @@
 	}
 }
 
-// replicasLeft counts the upstreams that hold the request's target by what they are to it.
-func (x *exchange) replicasLeft(now time.Time) retry.Replicas {
-	v := x.gateway.view.Load()
-	limit := x.loadWaitDeadline(v)
-	var r retry.Replicas
-	for _, m := range v.service(x.service) {
-		if !fleet.Holds(m.replicas, x.call.Target) {
-			continue
-		}
-		switch fitness, _ := x.fitness(m, now, limit); {
-		case fitness == fit:
-			r.Untried++
-		case fitness == onlyAgain && m.stats.servesOthers(now):
-			r.Failed++
-		case fitness == onlyAgain:
-			r.Unfit++
-		case fitness == tooLate:
-			r.Delayed++
-		}
-	}
-	return r
-}
-
-// triedAll reports whether upstreams hold the target and all have failed the request. No
-// other one is loaded for it then.
-func (x *exchange) triedAll(now time.Time) bool {
-	r := x.replicasLeft(now)
-	return r.Untried == 0 && r.Failed+r.Unfit+r.Delayed > 0
-}
-
-// fitness is what an upstream that holds the target is to a request.
-type fitness uint8
-
-const (
-	// unusable: it leaves, or is excluded for good.
-	unusable fitness = iota
-	// tooLate: its rate limit or a pause delays the request for too long.
-	tooLate
-	// onlyAgain: it has failed the request, and may be asked again.
-	onlyAgain
-	fit
-)
-
-// fitness returns what an upstream is to the request, and the time until the request could
-// be sent there. A pausing upstream that has failed the request is too late.
-func (x *exchange) fitness(m *member, now, latest time.Time) (fitness, time.Duration) {
-	said := m.stats.saidInAnswers()
-	pause := said.PauseLeft(now)
-	delay := max(m.stats.limit.permitDelay(now), pause)
-	excluded := x.excluded[m.upstream.Name]
-	switch {
-	case said.Leaving(), excluded == isGone && pause == 0:
-		return unusable, 0
-	case excluded != notExcluded && pause > 0, delay > 0 && now.Add(delay).After(latest):
-		return tooLate, delay
-	case excluded == hasFailed:
-		return onlyAgain, delay
-	default:
-		return fit, delay
-	}
-}
-
-// servesOthers reports whether an upstream that has failed one request is likely to serve
-// others: it has served some, and is not ejected or avoided.
-func (s *upstreamStats) servesOthers(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.answers.HasServed() && !s.answers.Avoided(now) && !s.health.Ejected(now)
-}
-
-// delayLeft returns the time until the first of the upstreams that hold the request's
-// target takes requests again, zero if one does now or none holds it.
-func (x *exchange) delayLeft(now time.Time) time.Duration {
-	v := x.gateway.view.Load()
-	limit := x.loadWaitDeadline(v)
-	least := time.Duration(0)
-	for _, m := range v.service(x.service) {
-		if !fleet.Holds(m.replicas, x.call.Target) {
-			continue
-		}
-		switch fitness, delay := x.fitness(m, now, limit); {
-		case fitness == fit, fitness == onlyAgain:
-			return 0
-		case fitness == tooLate && (least == 0 || delay < least):
-			least = delay
-		}
-	}
-	return least
-}
-
 // withRetryAfter sets when the caller of a request that is not sent again may come back.
 func (x *exchange) withRetryAfter(v *verdict.Verdict) *verdict.Verdict {
 	if v.Execution != verdict.NotRun {
