--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -125,20 +125,22 @@
 	s.g.Expect(u.received.Load()).To(Equal(int32(1)))
 }
 
-// Guards against a stream that its only replica has cut and that is not resumed there, and
-// against one that goes on there while the cut run still holds its connection.
+// cutUnlessResumed cuts a stream after its second event, and serves its rest.
+func cutUnlessResumed(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/any/0":
+	case r.Header.Get("After") != "":
+		events(w, 3, 4, false)
+	default:
+		events(w, 1, 2, true)
+	}
+}
+
+// Guards against a stream that its only replica has cut and that is not resumed there.
 func TestStreamIsResumedAtItsOnlyReplica(t *testing.T) {
 	s := start(t)
 	s.routes(1)
-	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
-		switch {
-		case r.URL.Path == "/any/0":
-		case r.Header.Get("After") != "":
-			events(w, 3, 4, false)
-		default:
-			events(w, 1, 2, true)
-		}
-	})
+	s.upstream("a", "plain", cutUnlessResumed)
 	s.await("/any/0", http.StatusOK)
 	got := s.request(t.Context(), "/resume/1", nil)
 	s.g.Expect([]any{got.body, got.err}).To(Equal([]any{wholeStream, nil}))
@@ -196,15 +198,7 @@
 func TestLogSaysThatTheRetryBudgetIsSpent(t *testing.T) {
 	s := start(t)
 	s.routes(1)
-	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
-		switch {
-		case r.URL.Path == "/any/0":
-		case r.Header.Get("After") != "":
-			events(w, 3, 4, false)
-		default:
-			events(w, 1, 2, true)
-		}
-	})
+	s.upstream("a", "plain", cutUnlessResumed)
 	s.await("/any/0", http.StatusOK)
 	var obstacles sync.Map
 	keep := func(line slog.Record) {
