--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// broken says how many requests were running if a broken answer was due to a
+// broken returns how many requests were running if a broken answer was due to a
 // crash of the engine, and 0 otherwise.
 func (c *crashes) broken(ctx context.Context, run *engineRun) int {
 	if c.engine == nil {
@@ -94,7 +94,7 @@
 	return 0
 }
 
-// check asks the engine for its incarnation; concurrent checks share one
+// check requests the engine's incarnation; concurrent checks share one
 // question. An engine that can't be reached counts as crashed.
 func (c *crashes) check(ctx context.Context, run *engineRun) bool {
 	result, _, _ := c.checks.Do("status", func() (any, error) {
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -134,7 +134,7 @@
 }
 
 // codeNotLoaded is the error code of an engine that does not have the model of
-// a request loaded. It says so before it runs anything.
+// a request loaded. Nothing has been run then.
 const codeNotLoaded = `"model_not_loaded"`
 
 // refuses reports whether an answer says that the engine does not have the model: it has
@@ -145,7 +145,7 @@
 
 // readWhole reads an answer of known length into body and returns its verdict. Of a
 // refusal the last byte is not read, so that net/http closes the connection: the engine
-// may write it once more, and nothing in an answer tells which request it belongs to.
+// may write it once more, and an answer has no id of the request that it belongs to.
 func (a *Agent) readWhole(resp *http.Response, body []byte) (*verdict.Verdict, error) {
 	last := max(len(body)-1, 0)
 	if _, err := io.ReadFull(resp.Body, body[:last]); err != nil {
@@ -167,7 +167,7 @@
 	a.refuse(w, v)
 }
 
-// explain says why a run failed and how many requests are suspected of having
+// explain returns why a run failed and how many requests are suspected of having
 // crashed the engine.
 func (a *Agent) explain(ctx context.Context, started *engineRun, sent bool, err error) (*verdict.Verdict, int) {
 	cause := context.Cause(ctx)
@@ -222,7 +222,7 @@
 
 // relayStream passes an answer on as it arrives. Its verdict follows in the
 // trailer. A broken event stream ends without its end mark and with a trailer
-// that says so; any other broken answer ends the connection.
+// that marks it as cut; any other broken answer ends the connection.
 func (a *Agent) relayStream(ctx context.Context, w http.ResponseWriter, c *call, started *engineRun, resp *http.Response, arrived func()) {
 	h := w.Header()
 	a.copyAnswerHeaders(h, resp.Header)
@@ -255,7 +255,7 @@
 	c.setSuspects(h, suspects)
 }
 
-// setSuspects says that this request and others ran when the engine crashed.
+// setSuspects sets the headers of a request that ran, with others, when the engine crashed.
 func (c *call) setSuspects(h http.Header, suspects int) {
 	if suspects == 0 {
 		return
@@ -343,7 +343,7 @@
 
 // checkEnd returns an error for an answer whose end does not show that it is whole. A
 // stream of an engine ends with its end mark, and that of a plain service after an event;
-// other answers end where their length or their last chunk says.
+// other answers end at their length or their last chunk.
 func (a *Agent) checkEnd(resp *http.Response, events bool, end *sse.EndDetector) error {
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor >= 2
 	switch {
--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -17,7 +17,7 @@
 )
 
 // registrationPause is about the time that a restarted agent takes to register
-// and entries to learn of it.
+// and its registration to reach the entries.
 const registrationPause = time.Second
 
 var (
@@ -175,8 +175,8 @@
 	return a.view.Load().ready[it.Key][it.Adapter]
 }
 
-// wantAdapter asks for the load of an adapter. If the event queue is full, the
-// next tick of the control goroutine finds the wish.
+// wantAdapter requests the load of an adapter. If the event queue is full, the
+// next tick of the control goroutine finds the request.
 func (a *Agent) wantAdapter(it admission.Item) {
 	a.missing.Store(target{it.Key, it.Adapter}, it.Deadline)
 	select {
@@ -225,7 +225,7 @@
 	h.Set(HeaderLoad, string(buf))
 }
 
-// view is what traffic needs to know of the control state. It is immutable.
+// view is the part of the control state that traffic reads. It is immutable.
 type view struct {
 	state rpc.AgentState
 	token state.FencingToken
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -111,8 +111,8 @@
 	}
 	copyHeaders(outgoing.Header, req.header)
 	outgoing.Header.Del("Authorization")
-	// Only a claim of this entry may reach the agent, and only it knows which
-	// events of the stream have passed.
+	// Only a claim of this entry may reach the agent, and only this entry has
+	// passed events of the stream on.
 	outgoing.Header.Del(headerClaim)
 	outgoing.Header.Del(sse.HeaderLastEventID)
 	if e.lastEvent != "" {
@@ -248,7 +248,7 @@
 	}
 }
 
-// noteFailure learns from an attempt without an answer.
+// noteFailure records an attempt without an answer.
 func (e *execution) noteFailure(a *answer) {
 	if a.failure.Reason == verdict.ReasonUpstreamCrashed {
 		e.suspects.crashed(e.request.fingerprint, a.replica.Upstream)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -26,7 +26,7 @@
 	headers.RemoveHopByHop(dst)
 }
 
-// progress hears of the parts of an answer as they pass.
+// progress is called with each part of an answer as it is passed on.
 type progress interface {
 	chunk(now time.Time, size int)
 }
@@ -68,7 +68,7 @@
 
 // streamVerdict judges a relay that ended with err after the answer's head was
 // read. A whole answer has been passed on to its last byte; many callers close
-// the connection then. The trailer of an agent says whether a stream was cut.
+// the connection then. The trailer of an agent marks a stream that was cut.
 func streamVerdict(ctx context.Context, trailer http.Header, whole bool, err error) *verdict.Verdict {
 	var gone *callerGoneError
 	switch {
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -21,7 +21,7 @@
 )
 
 // mayResume reports whether the rest of a stream that ended with v can be
-// asked for: the engine must be alive, and the agent of a claim refuses a
+// requested: the engine must be alive, and the agent of a claim refuses a
 // second request for it.
 func (e *execution) mayResume(v *verdict.Verdict) bool {
 	if e.claim != "" || e.forwarded {
@@ -30,10 +30,10 @@
 	return v.Reason == verdict.ReasonStreamCut || v.Reason == verdict.ReasonDraining
 }
 
-// resume asks the replica of a stream that was cut for the events after last,
+// resume requests the events after last from the replica of a stream that was cut,
 // until its agent is back. It returns nil if the upstream does not resume the
 // stream. Nothing runs again: an upstream that can't resume refuses, and the
-// answer of one that does not know the header is dropped.
+// answer of one that ignores the header is dropped.
 func (e *execution) resume(ctx context.Context, cut *answer, last string) *answer {
 	e.lastEvent = last
 	end := time.Now().Add(resumeWithin)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -177,8 +177,8 @@
 // take the request. Ejected upstreams are used only if no other upstream holds the
 // target. Upstreams with a rate limit or in a pause are left out if a request could be
 // sent there only after the time latest; if there are no others, freeAt is the earliest
-// time. Upstreams that have failed the request come after the others, and only if it asks
-// again.
+// time. Upstreams that have failed the request come after the others, and only if
+// askAgain is set.
 func (x *exchange) choose(v *view, latest time.Time) (chosen *member, freeAt time.Time) {
 	now := time.Now()
 	members := v.service(x.service)
--- a/internal/gateway/fitness.go
+++ b/internal/gateway/fitness.go
@@ -8,7 +8,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-// exclusion says why an upstream does not get a request once more, or only if no other
+// exclusion is why an upstream does not get a request once more, or only if no other
 // upstream is left.
 type exclusion uint8
 
@@ -65,7 +65,7 @@
 	unusable fitness = iota
 	// tooLate: its rate limit or a pause delays the request for too long.
 	tooLate
-	// onlyAgain: it has failed the request, and may be asked again.
+	// onlyAgain: it has failed the request, and may get it again.
 	onlyAgain
 	fit
 )
