--- a/internal/gateway/fitness.go
+++ b/internal/gateway/fitness.go
@@ -50,8 +50,8 @@
 	return r
 }
 
-// triedAll reports whether upstreams hold the target and all have failed the request. No
-// other one is loaded for it then.
+// triedAll reports whether upstreams hold the target and none is left that has not failed
+// the request and takes it in time. No load is certain to be on its way then.
 func (x *exchange) triedAll(now time.Time) bool {
 	r := x.replicasLeft(now)
 	return r.Untried == 0 && r.Failed+r.Unfit+r.Delayed > 0
--- a/internal/gateway/flood_test.go
+++ b/internal/gateway/flood_test.go
@@ -54,7 +54,7 @@
 }
 
 // maxFloodHeap bounds the heap that one request may use while its upstream sends bytes without
-// end, in bytes. Hosts have some 200 MB.
+// end, in bytes.
 const maxFloodHeap = 1 << 20
 
 // Guards against issue 34, first report: a gateway that keeps the bytes of a faulty upstream
@@ -78,7 +78,7 @@
 		{"/resume/events", head + "Content-Type: text/event-stream\r\n\r\n", "id: 1\ndata: a\n\n"},
 	}
 	// The floods take all processors, and other tests have time limits.
-	s := startAlone(t, func(l net.Listener) net.Listener { return l })
+	s := startOn(t, func(l net.Listener) net.Listener { return l })
 	s.routes(1)
 	s.upstream("a", "plain", func(w http.ResponseWriter, r *http.Request) {
 		i := slices.IndexFunc(floods, func(f struct{ path, begin, repeat string }) bool { return f.path == r.URL.Path })
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -187,12 +187,12 @@
 func start(t *testing.T) *system {
 	t.Helper()
 	t.Parallel()
-	return startAlone(t, func(l net.Listener) net.Listener { return l })
+	return startOn(t, func(l net.Listener) net.Listener { return l })
 }
 
-// startAlone starts a gateway whose listener for callers is wrapped. Its test does not run
-// beside others.
-func startAlone(t *testing.T, wrap func(net.Listener) net.Listener) *system {
+// startOn starts a gateway whose listener for callers is wrapped. Its test runs beside others
+// only if it calls t.Parallel itself.
+func startOn(t *testing.T, wrap func(net.Listener) net.Listener) *system {
 	t.Helper()
 	s := &system{
 		t: t, g: NewWithT(t), manifests: newFeed[fleet.Manifest](), upstreams: newFeed[fleet.Upstream](),
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -120,5 +120,5 @@
 // refuseStopped returns the verdict for a request that a planned stop leaves no time for.
 // Other gateways can take it at once.
 func refuseStopped() *verdict.Verdict {
-	return verdict.Refuse(verdict.ReasonDraining, "deadline is after the end of a planned stop").WithRetryAfter(time.Millisecond)
+	return verdict.Refuse(verdict.ReasonDraining, "a planned stop leaves no time for the request").WithRetryAfter(time.Millisecond)
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -72,7 +72,7 @@
 func TestStopWritesTheLastResponse(t *testing.T) {
 	t.Parallel()
 	var stopping atomic.Bool
-	s := startAlone(t, func(l net.Listener) net.Listener {
+	s := startOn(t, func(l net.Listener) net.Listener {
 		return &hookedListener{Listener: l, beforeWrite: func() {
 			if stopping.Load() {
 				time.Sleep(100 * time.Millisecond) // As if the host was busy.
