--- a/internal/entry/tails_test.go
+++ b/internal/entry/tails_test.go
@@ -38,7 +38,8 @@
 	page, err := l.Log.Read(ctx, stream, from, limit, wait)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if from == 0 && wait == 0 {
+	// A search begins at a record that the log has lost, and does not wait for new ones.
+	if wait == 0 && errors.Is(err, platform.ErrTruncated) {
 		l.searches++
 	}
 	if err != nil || l.faults == nil {
--- a/internal/logclient/snapshot.go
+++ b/internal/logclient/snapshot.go
@@ -146,12 +146,12 @@
 	return true
 }
 
-// LatestSnapshot reads all records of stream that the log has and returns the
-// newest complete snapshot that covers more than the offset applied; ok is false
-// if there is none.
+// LatestSnapshot reads the records of stream after the offset applied and returns the
+// newest complete snapshot that covers more than that; ok is false if there is none.
+// The records of a snapshot come after all that it covers.
 func LatestSnapshot(ctx context.Context, log platform.Log, stream platform.Stream, applied state.Offset) (snapshot Snapshot, ok bool, err error) {
 	reader := NewSnapshotReader(applied)
-	var next state.Offset
+	next := applied + 1
 	for {
 		page, err := log.Read(ctx, stream, next, readPageLimit, 0)
 		if errors.Is(err, platform.ErrTruncated) && page.Oldest > next {
--- a/internal/logclient/snapshot_test.go
+++ b/internal/logclient/snapshot_test.go
@@ -83,3 +83,24 @@
 		})
 	})
 }
+
+// Guards against a search that reads all that a snapshot covers: in a long stream it takes
+// longer than its caller waits, and finds nothing.
+func TestLatestSnapshotReadsWhatFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stored := standin.NewLog(standin.LogConfig{})
+		writerTest(t, stored, nil, logclient.WriterConfig{Delay: -1}, func(g *WithT, w *logclient.Writer) {
+			const covered = 1999
+			for range 10 {
+				_, err := w.Append(t.Context(), stream, numberedRecords("a", (covered+1)/10)...)
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			parts, _ := snapshotParts(g, "s", covered, 's')
+			g.Expect(logclient.WriteSnapshot(t.Context(), w, stream, parts)).To(Succeed())
+			counted := &countingLog{Log: stored}
+			got, ok, err := logclient.LatestSnapshot(t.Context(), counted, stream, covered-1)
+			g.Expect([]any{got.Covered, ok, err}).To(Equal([]any{state.Offset(covered), true, nil}))
+			g.Expect(counted.count()).To(Equal(1))
+		})
+	})
+}
