gateway, entry: a broken response of a caller of HTTP/1.0 ends with a reset

Cause: a broken response is aborted, which closes its connection before the last chunk. HTTP/1.0 has no chunks: there the end of the connection is the end of the body.

Change: internal/abort resets the connection of such a caller; with TLS it ends without the notice of its end. Gateways and entries use it.

Why it works: a body that ends with its connection is incomplete if an error ended that (RFC 9112, section 8).

--- a/internal/entry/execution.go
+++ b/internal/entry/execution.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/abort"
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/admission"
 	"github.com/lagoonvalve/lagoonvalve/internal/rpc"
@@ -232,14 +232,13 @@
 }
 
 // finish turns the verdict into what goa needs: nothing if the answer has
-// been sent, an error if there is none yet. A cut answer ends the connection,
-// so that it can't be taken for a whole one.
+// been sent, an error if there is none yet. A cut answer is aborted.
 func (e *execution) finish(v *verdict.Verdict) error {
 	if v.Execution == verdict.Ran && v.Reason == verdict.ReasonOK {
 		return nil
 	}
 	if e.exchange.answer.started {
-		panic(http.ErrAbortHandler)
+		abort.Response(e.exchange.answer, e.exchange.request)
 	}
 	return v
 }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonvalve/lagoonvalve/internal/abort"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/quarantine"
 	"github.com/lagoonvalve/lagoonvalve/internal/decide/retry"
 	"github.com/lagoonvalve/lagoonvalve/internal/fleet"
@@ -112,8 +113,7 @@
 	switch {
 	case v == nil:
 	case x.delivered:
-		// Aborting the connection shows the caller that the response is incomplete.
-		panic(http.ErrAbortHandler)
+		abort.Response(w, r)
 	default:
 		x.refuse(v)
 	}
