--- a/internal/gateway/retry_test.go
+++ b/internal/gateway/retry_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -114,6 +115,43 @@
 	}
 }
 
+// Guards against issue 35: an odd Retry-After of a model's only replica, which keeps requests
+// waiting or from being sent again, or which their callers get as it is.
+func TestOnlyReplicaAsksForAnOddPause(t *testing.T) {
+	for pause, c := range map[string]struct {
+		status int
+		sends  int32
+	}{
+		"-5s":      {http.StatusOK, 12},
+		"0s":       {http.StatusOK, 12},
+		"1000000h": {http.StatusServiceUnavailable, 1},
+	} {
+		t.Run(pause, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			refuse := func(w http.ResponseWriter) {
+				w.Header().Set("Pause", pause)
+				refuseRequest(w)
+			}
+			u := &onlyReplica{fail: refuse, fails: func(n int32) bool { return n%8 == 1 }}
+			s.upstream("a", "plain", u.ServeHTTP)
+			s.await("/any/0", http.StatusOK)
+			for range 10 {
+				began := time.Now()
+				got := s.request(t.Context(), "/any/1", nil)
+				s.g.Expect(got.status).To(Equal(c.status))
+				s.g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+				if c.status == http.StatusServiceUnavailable {
+					seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+					s.g.Expect(err).NotTo(HaveOccurred())
+					s.g.Expect(seconds).To(And(BeNumerically(">", 0), BeNumerically("<=", 30)))
+				}
+			}
+			s.g.Expect(u.received.Load()).To(Equal(c.sends))
+		})
+	}
+}
+
 // Guards against a repeat that must not be: a request that may have run, and may run once.
 func TestOnlyReplicaIsNotAskedAgainForARequestThatMayHaveRun(t *testing.T) {
 	s := start(t)
