entry, agent: a resend is not told that a failed call ran

What callers saw: a call that its service had refused with 503 was answered 'may have run', and its resend with 'ran', though the work was never done.

Cause: the agent keeps a whole 5xx response as the outcome of a claim, and entry and agent answered a further sending of a claim with an outcome with 'ran', whatever its status.

Change: verdict.OfStatus is the one rule for whole responses, used for kept outcomes too. The claim stays closed, so nothing runs twice.

Measured: TestFailureIsNotReplayedAsRan and TestFailureOfAClaimStaysUnknown failed before ('ran', 'claim_ran'). Tests of agent, entry and verdict pass.

Why it works: the first sending of the request was told the same.

--- a/internal/agent/claimed_test.go
+++ b/internal/agent/claimed_test.go
@@ -36,6 +36,23 @@
 	})
 }
 
+// Guards against the verdict "ran" for a claim that comes again, after its engine has answered
+// the first with a failure: it may have refused the work.
+func TestFailureOfAClaimStaysUnknown(t *testing.T) {
+	inBubble(t, func(w *world) {
+		w.awake()
+		w.engine.handle(func(out http.ResponseWriter, _ *http.Request) {
+			http.Error(out, "refused", http.StatusServiceUnavailable)
+		})
+		claimed := []string{agent.HeaderClaim, claimID, agent.HeaderAgent, "1"}
+		for range 2 {
+			got := w.request(anyone, claimed...)
+			w.Expect([]string{got.verdict(), got.reason()}).To(Equal([]string{"may-have-run", string(verdict.ReasonUpstreamFailed)}))
+		}
+		w.Expect(w.engine.served()).To(Equal(1))
+	})
+}
+
 // Guards against net/http sending a request with an Idempotency-Key a second
 // time when a used connection breaks.
 func TestBrokenConnectionIsNotReplayed(t *testing.T) {
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -125,14 +125,6 @@
 	a.setLoad(to)
 }
 
-// outcomeOf is the verdict of an answer that arrived whole.
-func outcomeOf(status int) *verdict.Verdict {
-	if status >= http.StatusInternalServerError {
-		return verdict.Unknown(verdict.ReasonUpstreamFailed, "")
-	}
-	return &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonOK}
-}
-
 // codeNotLoaded is the error code of an engine that does not have the model of
 // a request loaded. Nothing has been run then.
 const codeNotLoaded = `"model_not_loaded"`
@@ -155,7 +147,7 @@
 		return verdict.Refuse(verdict.ReasonNoReplica, "the engine does not have the model loaded"), nil
 	}
 	_, err := io.ReadFull(resp.Body, body[last:])
-	return outcomeOf(resp.StatusCode), err
+	return verdict.OfStatus(resp.StatusCode), err
 }
 
 // fail answers a request for which no whole answer arrived and nothing was
@@ -238,7 +230,7 @@
 	w.WriteHeader(resp.StatusCode)
 	kept, err := a.copyAnswer(w, resp, events, arrived)
 	if err == nil {
-		v := outcomeOf(resp.StatusCode)
+		v := verdict.OfStatus(resp.StatusCode)
 		a.endClaim(c, v, kept, resp.StatusCode, resp.Header.Get("Content-Type"))
 		if trailers {
 			v.SetHeaders(h)
--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -195,6 +195,12 @@
 // answerSeen answers a request whose claim was seen before.
 func (a *Agent) answerSeen(w http.ResponseWriter, seen *rpc.ClaimStatusResult) {
 	v := decide.RedispatchVerdict(seen.State)
+	if seen.Done != nil {
+		if first := verdict.OfStatus(seen.Done.Status); first.Execution != verdict.Ran {
+			a.refuse(w, first)
+			return
+		}
+	}
 	if seen.State != rpc.ClaimRan || seen.Done == nil || !seen.Done.AnswerKept {
 		a.refuse(w, v)
 		return
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -72,8 +72,8 @@
 		// This attempt sends nothing, but without the owner's answer an earlier
 		// request with the same key may have run.
 		return verdict.Unknown(verdict.ReasonClaimUnknown, "the owner of the claim did not answer").WithRetryAfter(time.Second)
-	case result.Refusal != nil && result.Done != nil && result.Done.AnswerKept:
-		return e.replay(result.Done)
+	case result.Refusal != nil && result.Done != nil:
+		return e.answerDone(result.Done, result.Refusal)
 	case result.Refusal != nil:
 		return result.Refusal
 	case result.Granted == "":
@@ -83,6 +83,21 @@
 	return nil
 }
 
+// answerDone answers a request whose first sending got a whole response: with that response
+// if it is kept, and otherwise with refusal. A failure of the upstream is answered as it was
+// the first time, with a verdict.
+func (e *execution) answerDone(done *state.ClaimDone, refusal *verdict.Verdict) *verdict.Verdict {
+	first := verdict.OfStatus(done.Status)
+	switch {
+	case first.Execution != verdict.Ran:
+		return first
+	case done.AnswerKept:
+		return e.replay(done)
+	default:
+		return refusal
+	}
+}
+
 // replay answers with the kept answer of an earlier run of the request.
 func (e *execution) replay(done *state.ClaimDone) *verdict.Verdict {
 	ran := &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonOK}
--- a/internal/entry/claimed_test.go
+++ b/internal/entry/claimed_test.go
@@ -125,6 +125,26 @@
 	})
 }
 
+// Guards against the verdict "ran" for a resend whose first sending the upstream answered with
+// a failure: it may have refused the work.
+func TestFailureIsNotReplayedAsRan(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newGatewayBench(t, agentsOf(answers{"a": served("ran")}), "a")
+			b.claims.result = &rpc.ClaimResult{
+				Refusal: &verdict.Verdict{Execution: verdict.Ran, Reason: verdict.ReasonClaimRan},
+				Done:    &state.ClaimDone{Status: http.StatusServiceUnavailable, Answer: []byte("refused"), AnswerKept: kept},
+			}
+			_, err := b.send(t.Context(), false, nil)
+			got := verdict.Of(err)
+			g.Expect(got).NotTo(BeNil())
+			g.Expect([]any{got.Execution, got.Reason}).To(Equal([]any{verdict.MayHaveRun, verdict.ReasonUpstreamFailed}))
+			g.Expect(b.agents.calls).To(BeEmpty())
+		})
+	}
+}
+
 // Guards against "not run" of a resend from an entry that has just started, or
 // whose configuration no longer has the service, while an earlier sending ran.
 func TestEarlyRefusalOfKeyedRequestProvesNothing(t *testing.T) {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -87,6 +88,15 @@
 	return &Verdict{Execution: MayHaveRun, Reason: reason, Detail: detail}
 }
 
+// OfStatus returns the verdict of an upstream's response that arrived whole. A status of 5xx
+// does not tell whether the work was done.
+func OfStatus(status int) *Verdict {
+	if status >= http.StatusInternalServerError {
+		return Unknown(ReasonUpstreamFailed, "")
+	}
+	return &Verdict{Execution: Ran, Reason: ReasonOK}
+}
+
 // WithRetryAfter returns a copy of v with RetryAfter set to d.
 func (v Verdict) WithRetryAfter(d time.Duration) *Verdict {
 	v.RetryAfter = d
