--- a/cmd/lagoonvalve/disturb_test.go
+++ b/cmd/lagoonvalve/disturb_test.go
@@ -26,11 +26,16 @@
 	// made that the entry never accepted.
 	backlogTime = 200 * time.Millisecond
 	// callsTakeTime makes calls last, so that processes are lost during calls.
-	callsTakeTime = `{"delay": "200ms", "lose_next": 0, "fail_next": 0, "refuse_next": 0}`
+	callsTakeTime = `{"delay": "200ms", "lose_next": 0, "fail_next": 0, "refuse_next": 0, "refuse_every": 0, "refuse_for": "0s", "cut_every": 0}`
 	// resendFor is how long a caller sends a call again.
 	resendFor = 6 * time.Second
+	// noPartFaults ends partFaults.
+	noPartFaults = `{"refuse_every": 0, "refuse_for": "0s", "cut_every": 0}`
 )
 
+// partFaults are faults of an upstream that fails a part of its requests.
+var partFaults = []string{`{"refuse_every": 8}`, `{"refuse_every": 3}`, `{"refuse_for": "150ms"}`, `{"cut_every": 8}`}
+
 // disruption is a time in which an entry can't be expected to answer.
 type disruption struct {
 	kind       string
@@ -224,11 +229,19 @@
 		"store": {`{"outage": true}`, `{"slowdown": 4}`}, "hosts": {`{"outage": true}`},
 		"service": {`{"delay": "1s"}`, `{"lose_next": 2}`, `{"fail_next": 2}`, `{"refuse_next": 2, "retry_after": "5"}`},
 	}
+	platform["service"] = append(platform["service"], partFaults...)
 	healed := map[string]string{
 		"log": `{"outage": false, "lose_answers": false, "delay": "0s", "lose_next": 0, "outage_next": 0}`, "store": `{"outage": false, "slowdown": 1}`,
 		"hosts": `{"outage": false}`, "service": callsTakeTime,
 	}
-	for _, name := range []string{"log", "store", "hosts", "service"} {
+	names := []string{"log", "store", "hosts", "service"}
+	for _, name := range d.f.order {
+		if strings.HasPrefix(name, "engine-") {
+			names = append(names, name)
+			platform[name], healed[name] = partFaults, noPartFaults
+		}
+	}
+	for _, name := range names {
 		var faults []fault
 		for _, body := range platform[name] {
 			faults = append(faults, fault{name + body, func(heal <-chan time.Time) error {
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -71,6 +71,25 @@
 		a.flush()
 		return
 	}
+	writeJSON(a.w, http.StatusOK, a.whole())
+}
+
+// cut breaks the answer off, a stream within its next event.
+func (a *answer) cut() {
+	if a.work.stream {
+		_, _ = fmt.Fprint(a.w, "data: {")
+		a.flush()
+		panic(http.ErrAbortHandler)
+	}
+	body, err := json.Marshal(a.whole())
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	cutBody(a.w, "application/json", body)
+}
+
+// whole is the answer that is no stream.
+func (a *answer) whole() completionAnswer {
 	body := a.body(a.text.String())
 	body.Choices[0].FinishReason = finished()
 	prompt := len(strings.Fields(a.work.prompt))
@@ -79,7 +98,7 @@
 		CompletionTokens: a.work.tokens,
 		TotalTokens:      prompt + a.work.tokens,
 	}
-	writeJSON(a.w, http.StatusOK, body)
+	return body
 }
 
 func (a *answer) body(text string) completionAnswer {
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -174,7 +174,7 @@
 }
 
 func (e *Engine) refusal() (retryAfter string, refused bool) {
-	e.with(func(f *EngineFaults) { retryAfter, refused = f.take() })
+	e.with(func(f *EngineFaults) { retryAfter, refused = f.Refusals.take(time.Now()) })
 	return retryAfter, refused
 }
 
@@ -275,15 +275,27 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := newAnswer(w, work)
+	cutAt := work.tokens
+	if e.cutsAnswer() {
+		cutAt = (work.position + work.tokens) / 2
+	}
 	for i := work.position; i < work.tokens; i++ {
 		if !ctxtime.Sleep(ctx, e.tokenTime(i)) {
 			panic(http.ErrAbortHandler)
 		}
+		if i == cutAt {
+			answer.cut()
+		}
 		answer.add(token(work.model, work.adapter, work.prompt, i))
 	}
 	answer.finish()
 }
 
+func (e *Engine) cutsAnswer() (cut bool) {
+	e.with(func(f *EngineFaults) { cut = f.Cuts.take() })
+	return cut
+}
+
 func (e *Engine) tokenTime(i int) time.Duration {
 	base := e.cfg.PerToken
 	if i == 0 {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -9,7 +9,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
+	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
@@ -67,6 +69,7 @@
 	// LoseOrders carries out that many orders without an answer.
 	LoseOrders int `json:"lose_orders"`
 	Refusals
+	Cuts
 }
 
 // ServiceFaults are the fault switches of Service.
@@ -78,6 +81,7 @@
 	// FailNext answers that many calls with status 500 after execution.
 	FailNext int `json:"fail_next"`
 	Refusals
+	Cuts
 }
 
 // Refusals are the fault switches of an upstream that turns requests away with status
@@ -85,20 +89,56 @@
 type Refusals struct {
 	// RefuseNext turns that many requests away.
 	RefuseNext int `json:"refuse_next"`
+	// RefuseEvery turns each nth request away; zero means none.
+	RefuseEvery int `json:"refuse_every"`
+	// RefuseFor turns all requests away in that part of each second.
+	RefuseFor state.Duration `json:"refuse_for"`
 	// RetryAfter is the Retry-After header of these answers, sent as it stands; empty
 	// means none.
 	RetryAfter string `json:"retry_after"`
+
+	requests int
 }
 
-// take reports whether the next request is turned away, and with which Retry-After.
-func (f *Refusals) take() (retryAfter string, refused bool) {
-	if f.RefuseNext <= 0 {
+// take reports whether a request that arrives now is turned away, and with which
+// Retry-After.
+func (f *Refusals) take(now time.Time) (retryAfter string, refused bool) {
+	f.requests++
+	switch {
+	case f.RefuseNext > 0:
+		f.RefuseNext--
+	case f.RefuseEvery > 0 && f.requests%f.RefuseEvery == 0:
+	case now.Sub(now.Truncate(time.Second)) < f.RefuseFor.Std():
+	default:
 		return "", false
 	}
-	f.RefuseNext--
 	return f.RetryAfter, true
 }
 
+// Cuts are the fault switches of an upstream that breaks answers off within their bodies.
+type Cuts struct {
+	// CutEvery breaks each nth answer off; zero means none.
+	CutEvery int `json:"cut_every"`
+
+	answers int
+}
+
+// take reports whether the next answer is broken off.
+func (f *Cuts) take() bool {
+	f.answers++
+	return f.CutEvery > 0 && f.answers%f.CutEvery == 0
+}
+
+// cutBody writes the first half of a body of known length and breaks the answer off.
+func cutBody(w http.ResponseWriter, contentType string, body []byte) {
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	// A write error means that the caller left.
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
 // refuse turns a request away.
 func refuse(w http.ResponseWriter, retryAfter string) {
 	if retryAfter != "" {
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -162,6 +162,45 @@
 	})
 }
 
+// Guards against faults by share or by time that spare all requests or hit all, and against
+// a cut answer that looks whole.
+func TestFaultsByShareAndTime(t *testing.T) {
+	const whole, stream = `{"model":"m","max_tokens":4}`, `{"model":"m","max_tokens":4,"stream":true}`
+	for _, c := range []struct {
+		switches     string
+		refused, cut int
+	}{
+		{`{"refuse_every":8}`, 3, 0},
+		{`{"refuse_every":3}`, 10, 0},
+		{`{"refuse_for":"150ms"}`, 6, 0},
+		{`{"cut_every":8}`, 0, 3},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			check := func(upstream http.Handler, path, body string) {
+				_, _ = post(t.Context(), upstream, standin.PathFaults, c.switches)
+				refused, cut := 0, 0
+				for range 30 {
+					time.Sleep(time.Until(time.Now().Truncate(100 * time.Millisecond).Add(100 * time.Millisecond)))
+					answer, aborted := post(t.Context(), upstream, path, body)
+					switch {
+					case aborted:
+						cut++
+					case answer.Code == http.StatusServiceUnavailable:
+						refused++
+					default:
+						g.Expect(answer.Code).To(Equal(http.StatusOK))
+					}
+				}
+				g.Expect([]int{refused, cut}).To(Equal([]int{c.refused, c.cut}), "%s %s", path, c.switches)
+			}
+			check(loaded(t, standin.EngineConfig{}), standin.PathCompletions, whole)
+			check(loaded(t, standin.EngineConfig{}), standin.PathCompletions, stream)
+			check(standin.NewService("tickets", "order"), "/issue", `{"order":"7"}`)
+		})
+	}
+}
+
 // started returns how many requests the engine began to run.
 func started(t *testing.T, engine http.Handler) int {
 	answer, _ := post(t.Context(), engine, standin.PathCounters, "")
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/lagoonvalve/lagoonvalve/internal/ctxtime"
 )
@@ -73,7 +74,7 @@
 	}
 	key := s.key(r, body)
 	count := s.execute(key)
-	lose, fail := s.callFaults()
+	lose, fail, cut := s.callFaults()
 	if !ctxtime.Sleep(r.Context(), s.Faults().Delay.Std()) || lose {
 		panic(http.ErrAbortHandler)
 	}
@@ -81,7 +82,11 @@
 		http.Error(w, "failed after execution", http.StatusInternalServerError)
 		return
 	}
-	writeJSON(w, http.StatusOK, serviceAnswer{Service: s.name, Key: key, Execution: count})
+	answer := serviceAnswer{Service: s.name, Key: key, Execution: count}
+	if body, err := json.Marshal(answer); cut && err == nil {
+		cutBody(w, "application/json", body)
+	}
+	writeJSON(w, http.StatusOK, answer)
 }
 
 func (s *Service) key(r *http.Request, body []byte) string {
@@ -105,12 +110,13 @@
 }
 
 func (s *Service) refusal() (retryAfter string, refused bool) {
-	s.with(func(f *ServiceFaults) { retryAfter, refused = f.take() })
+	s.with(func(f *ServiceFaults) { retryAfter, refused = f.Refusals.take(time.Now()) })
 	return retryAfter, refused
 }
 
-func (s *Service) callFaults() (lose, fail bool) {
+func (s *Service) callFaults() (lose, fail, cut bool) {
 	s.with(func(f *ServiceFaults) {
+		cut = f.Cuts.take()
 		if f.LoseNext > 0 {
 			f.LoseNext--
 			lose = true
@@ -121,5 +127,5 @@
 			fail = true
 		}
 	})
-	return lose, fail
+	return lose, fail, cut
 }
