gateway, controller, eligibility: plainer comments and names for what answers imply

Comments in which upstreams say, want and ask, and fields that 'say that' something holds, are in the usual words of Go now. currentAnswers for saidInAnswers, requestAll for wantRegistry, lastReport for lastHeard.

--- a/internal/controller/answers.go
+++ b/internal/controller/answers.go
@@ -22,8 +22,8 @@
 	return rpc.AnswersResult{}, nil
 }
 
-// recordLeaving records that an upstream has said in an answer that it leaves. From then
-// on it is treated as draining: its models are placed elsewhere before it ends.
+// recordLeaving records that an upstream has announced in an answer that it leaves. From
+// then on it is treated as draining: its models are placed elsewhere before it ends.
 func (c *Controller) recordLeaving(o rpc.AnswerObservation) {
 	e, ok := c.registry[o.Upstream]
 	if !o.Leaving || !ok || e.gone || e.upstream.Started.UnixMilli() != o.Started || c.isLeaving(e.upstream) {
@@ -35,14 +35,14 @@
 	c.opts.Logger.Info("upstream leaves", "upstream", o.Upstream)
 }
 
-// isLeaving reports whether this start of an upstream has said that it leaves.
+// isLeaving reports whether this start of an upstream has announced that it leaves.
 func (c *Controller) isLeaving(u *fleet.Upstream) bool {
 	started, ok := c.leaving[u.Name]
 	return ok && started == u.Started.UnixMilli()
 }
 
-// dropAnswers drops what upstreams have said that have restarted, or that the registry has
-// not listed for goneEntryTTL. The entry of one that runs may lapse for less.
+// dropAnswers drops the state from the answers of upstreams that have restarted, or that the
+// registry has not listed for goneEntryTTL. The entry of one that runs may lapse for less.
 func (c *Controller) dropAnswers() {
 	for name, l := range c.limits {
 		if e, ok := c.registry[name]; !ok || !e.gone && e.upstream.Started.UnixMilli() > l.started {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -77,14 +77,14 @@
 	// read by Residency.
 	machine          *election.Machine
 	leaseCallPending bool
-	// leaseWritePending says that a write of the lease is in progress.
+	// leaseWritePending is set while a write of the lease is in progress.
 	leaseWritePending bool
 	lastLeaseRead     time.Time
 	acting            bool
 	// nextPlan is the earliest time of the next plan.
 	nextPlan time.Time
-	// promises holds what the other gateways have promised. heldByPromises says
-	// that these promises extend the lease, and asksForPromises that results
+	// promises holds the promises of the other gateways. heldByPromises is set
+	// while these promises extend the lease, and asksForPromises while results
 	// request them.
 	promises        promiseTable
 	heldByPromises  bool
@@ -111,8 +111,8 @@
 	storeLimiter storeLoadLimiter
 	crashes      crashTable
 	limits       map[state.UpstreamName]*upstreamLimit
-	// leaving has the starts, in Unix milliseconds, of upstreams that have said in an
-	// answer that they leave.
+	// leaving has the starts, in Unix milliseconds, of upstreams that have announced in
+	// an answer that they leave.
 	leaving map[state.UpstreamName]int64
 }
 
--- a/internal/controller/crashes.go
+++ b/internal/controller/crashes.go
@@ -22,7 +22,7 @@
 // repeat their reports and the quarantines.
 type crashTable struct {
 	attribution *quarantine.Attribution
-	// changed says that a report has arrived since the last publication.
+	// changed is set if a report has arrived since the last publication.
 	changed      bool
 	nextDecision time.Time
 	published    *publishedQuarantine
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -24,9 +24,9 @@
 }
 
 type gatewayReport struct {
-	lastHeard time.Time
-	peer      rpc.GatewayPeer
-	targets   []rpc.TargetDemand
+	lastReport time.Time
+	peer       rpc.GatewayPeer
+	targets    []rpc.TargetDemand
 }
 
 func newDemandTable() *demandTable {
@@ -40,7 +40,7 @@
 		t.gateways[gateway] = g
 		t.peersRevision++
 	}
-	g.lastHeard = now
+	g.lastReport = now
 	return g
 }
 
@@ -74,7 +74,7 @@
 func (t *demandTable) current(now time.Time) map[fleet.Target]residency.Demand {
 	all := make(map[fleet.Target]residency.Demand)
 	for name, g := range t.gateways {
-		if now.Sub(g.lastHeard) > reportTTL {
+		if now.Sub(g.lastReport) > reportTTL {
 			delete(t.gateways, name)
 			t.peersRevision++
 			continue
--- a/internal/controller/engine.go
+++ b/internal/controller/engine.go
@@ -45,7 +45,7 @@
 // until the engine's first report, and is reset when the engine restarts.
 type engine struct {
 	upstream *fleet.Upstream
-	// known says that the state is known, from a report and the orders since.
+	// known is set if the state is known, from a report and the orders since.
 	known          bool
 	acceptedOrders int
 	// conflictAt is when the engine last refused an order as a conflict; zero
--- a/internal/controller/pipeline.go
+++ b/internal/controller/pipeline.go
@@ -25,7 +25,7 @@
 	sentAt    time.Time
 	// loadTime is the expected duration if the order loads a model.
 	loadTime time.Duration
-	// short says that the order is expected to be complete shortOrderDuration
+	// short is set if the order is expected to be complete shortOrderDuration
 	// after its acceptance; otherwise only a report shows its completion.
 	short bool
 	// due is when the order should be complete.
--- a/internal/controller/promises.go
+++ b/internal/controller/promises.go
@@ -13,8 +13,8 @@
 	// before the holder requests promises from the other gateways.
 	askPromisesAfter = 200 * time.Millisecond
 	// resignAfter is how long the renewal must be overdue before the holder may
-	// resign, and minStoreReach how long ago it must have learned that another
-	// gateway reaches the store: at the end of an outage, the holder may be the
+	// resign, and minStoreReach how long ago another gateway must have reported
+	// that it reaches the store: at the end of an outage, the holder may be the
 	// next to reach it.
 	resignAfter   = writeTimeout + 100*time.Millisecond
 	minStoreReach = 300 * time.Millisecond
@@ -25,7 +25,7 @@
 	promiseTimeout = 100 * time.Millisecond
 )
 
-// promiseTable holds what the other gateways, by name, have promised and
+// promiseTable holds the promises of the other gateways, by name, and
 // whether they reach the store while the holder can't renew its lease. While
 // nobody can write to the store, nobody can take the lease, so orders may
 // continue during an outage; promises of all other gateways not to take the
@@ -37,12 +37,12 @@
 // sent nothing for the lease's TTL.
 type gatewayPromise struct {
 	// address is where the gateway receives notices; empty if it receives none.
-	address   string
-	lastHeard time.Time
+	address    string
+	lastReport time.Time
 	// promisedAt is the time from which the gateway has promised not to take
 	// the lease for TTL; zero if it has not.
 	promisedAt time.Time
-	// reachedStoreAt is when the holder learned that the gateway has read from
+	// reachedStoreAt is when the gateway reported that it has read from
 	// the store after the holder's first attempt to renew the lease; zero if it
 	// has not.
 	reachedStoreAt time.Time
@@ -58,7 +58,7 @@
 		c.promises[params.Gateway] = p
 		c.promises.dropPredecessors(params.Gateway, p.address)
 	}
-	p.lastHeard = now
+	p.lastReport = now
 	if token, holds := c.machine.MayAct(now); !holds || token != params.Term {
 		return
 	}
@@ -90,7 +90,7 @@
 func (t promiseTable) reset(maxSilence time.Duration, now time.Time) {
 	for name, p := range t {
 		p.promisedAt, p.reachedStoreAt = time.Time{}, time.Time{}
-		if now.Sub(p.lastHeard) > maxSilence {
+		if now.Sub(p.lastReport) > maxSilence {
 			delete(t, name)
 		}
 	}
@@ -114,8 +114,8 @@
 	return oldest
 }
 
-// storeReached reports whether the holder learned at least minStoreReach ago
-// that another gateway reaches the store.
+// storeReached reports whether another gateway reported at least minStoreReach
+// ago that it reaches the store.
 func (t promiseTable) storeReached(self string, now time.Time) bool {
 	for name, p := range t {
 		if name != self && !p.reachedStoreAt.IsZero() && now.Sub(p.reachedStoreAt) >= minStoreReach {
--- a/internal/controller/promises_test.go
+++ b/internal/controller/promises_test.go
@@ -14,7 +14,7 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	t1, t2 := now.Add(time.Second), now.Add(2*time.Second)
-	table := promiseTable{"self": {lastHeard: now}}
+	table := promiseTable{"self": {lastReport: now}}
 	g.Expect(table.oldest("self")).To(BeZero(), "no other gateway")
 	table["b"] = &gatewayPromise{promisedAt: t2}
 	table["c"] = &gatewayPromise{promisedAt: t1}
@@ -36,7 +36,7 @@
 func TestRenewalClearsPromises(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	table := promiseTable{"b": {lastHeard: now, promisedAt: now, reachedStoreAt: now}, "gone": {lastHeard: now.Add(-4 * time.Second)}}
+	table := promiseTable{"b": {lastReport: now, promisedAt: now, reachedStoreAt: now}, "gone": {lastReport: now.Add(-4 * time.Second)}}
 	table.reset(3*time.Second, now)
 	g.Expect(table).To(HaveLen(1))
 	g.Expect(table.oldest("self")).To(BeZero())
--- a/internal/decide/eligibility/answers.go
+++ b/internal/decide/eligibility/answers.go
@@ -19,15 +19,15 @@
 	maxAvoidance = 5 * time.Second
 )
 
-// Answers is what one start of an upstream has said in its answers about further requests.
-// The zero value has said nothing. It is updated with each answer that this gateway gets,
-// and with what the controller has heard from others, and dropped when the upstream
+// Answers is the state that the answers of one start of an upstream imply for further
+// requests. The zero value implies nothing. It is updated with each answer to this gateway
+// and with the controller's reports of answers to others, and dropped when the upstream
 // restarts or has been missing from the registry for a while.
 type Answers struct {
-	// leaving says that the upstream is about to end. That holds for the rest of this
+	// leaving is set once the upstream is about to end. It stays set for the rest of this
 	// start, as answers overtake each other.
 	leaving bool
-	// pausedUntil is the end of the pause that the upstream has asked for.
+	// pausedUntil is the end of the pause that the upstream has requested.
 	pausedUntil time.Time
 	// refusals counts the refusals since the last served request, up to
 	// refusalsToAvoid. avoidance is how long the last one lets the upstream be
@@ -35,10 +35,10 @@
 	refusals     int
 	avoidance    time.Duration
 	avoidedUntil time.Time
-	// probing says that a request is on its way that decides whether the upstream is
-	// avoided for longer.
+	// probing is set while a request is on its way whose outcome decides whether the
+	// upstream is avoided for longer.
 	probing bool
-	// served says that the upstream has answered a request and not refused it.
+	// served is set once the upstream has answered a request and not refused it.
 	served bool
 }
 
@@ -65,7 +65,7 @@
 	return began
 }
 
-// Leaving reports whether the upstream has said that it is about to end.
+// Leaving reports whether the upstream has announced in an answer that it is about to end.
 func (a *Answers) Leaving() bool { return a.leaving }
 
 // RecordRefusal records that the upstream has refused a request. It returns Refusing if the
@@ -108,5 +108,5 @@
 // target are avoided as well: it has refused requests lately.
 func (a *Answers) Avoided(now time.Time) bool { return now.Before(a.avoidedUntil) }
 
-// PauseLeft returns how long the upstream still wants no requests.
+// PauseLeft returns the remaining time of the pause that the upstream has requested.
 func (a *Answers) PauseLeft(now time.Time) time.Duration { return max(a.pausedUntil.Sub(now), 0) }
--- a/internal/decide/eligibility/eligibility.go
+++ b/internal/decide/eligibility/eligibility.go
@@ -1,12 +1,12 @@
-// Package eligibility decides whether a request may be sent to an upstream, by what the
-// registry says of it and what it has said in its answers. A choice goes out of date
+// Package eligibility decides from an upstream's registry entry and from its answers whether
+// a request may be sent to it. A choice goes out of date
 // while the request waits for a permit or a connection, so the same check is made once
 // more right before each send.
 package eligibility
 
 import "time"
 
-// Reason says why a request must not be sent to an upstream.
+// Reason is why a request must not be sent to an upstream.
 type Reason string
 
 // The reasons. Eligible means that the request may be sent.
@@ -24,17 +24,17 @@
 // Answers.Avoided. Check does not return it.
 const Refusing Reason = "refusing"
 
-// Upstream is what is known of an upstream at present.
+// Upstream is the present state of an upstream.
 type Upstream struct {
-	// Listed says that the registry has an entry of the upstream.
+	// Listed is set if the registry has an entry of the upstream.
 	Listed bool
 	// Started is when the process of that entry has started.
 	Started time.Time
-	// Draining says that the registry lists it as draining.
+	// Draining is set if the registry lists it as draining.
 	Draining bool
-	// HoldsTarget says that it holds the model and the adapter of the request.
+	// HoldsTarget is set if it holds the model and the adapter of the request.
 	HoldsTarget bool
-	// Answers is what it has said in its answers.
+	// Answers is the state that its answers imply.
 	Answers Answers
 }
 
--- a/internal/decide/retry/next.go
+++ b/internal/decide/retry/next.go
@@ -55,7 +55,7 @@
 	ObstacleBudget Obstacle = "retry_budget"
 	// ObstacleTime means that the deadline is too near.
 	ObstacleTime Obstacle = "time"
-	// ObstaclePause means that all replicas want a pause or have reached their rate limits.
+	// ObstaclePause means that all replicas are in a pause or have reached their rate limits.
 	ObstaclePause Obstacle = "pause"
 	// ObstacleReplicas means that no replica is fit for the request otherwise.
 	ObstacleReplicas Obstacle = "no_replica"
@@ -66,9 +66,9 @@
 type Replicas struct {
 	// Untried have not failed the request and can take it in time.
 	Untried int
-	// Failed have refused or failed the request and may be asked again.
+	// Failed have refused or failed the request and may get it again.
 	Failed int
-	// Delayed want a pause or have reached their rate limits, and would take the request
+	// Delayed are in a pause or have reached their rate limits, and would take the request
 	// too late.
 	Delayed int
 	// Unfit have refused or failed the request, and others as well.
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -43,13 +43,13 @@
 	Verdict *verdict.Verdict
 	// Number is the number of attempts made so far, at least 1.
 	Number int
-	// SameReplica says that the next attempt goes to a replica that has failed the
-	// request, and Repeats how many such attempts there were before.
+	// SameReplica is set if the next attempt goes to a replica that has failed the
+	// request. Repeats is how many such attempts there were before.
 	SameReplica bool
 	Repeats     int
-	// Repeatable says that the work may run more than once.
+	// Repeatable is set if the work may run more than once.
 	Repeatable bool
-	// Streamed says that the caller has received part of the answer.
+	// Streamed is set if the caller has received part of the answer.
 	Streamed bool
 	Deadline time.Time
 	// Cost is the predicted service time of a further attempt.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,6 +1,6 @@
 // Package forward sends single requests to upstreams over pooled connections and
 // matches responses to requests. It never retries: each failure ends in a verdict
-// that says whether the request may have run.
+// on whether the request may have run.
 package forward
 
 import (
--- a/internal/forward/limits.go
+++ b/internal/forward/limits.go
@@ -44,7 +44,7 @@
 // while a head is expected. It is used by one goroutine at a time.
 type limitedConn struct {
 	net.Conn
-	// inHead says that the limits apply, and headBegun that the first byte has
+	// inHead is set while the limits apply, and headBegun once the first byte has
 	// arrived since the last call of expectHead.
 	inHead, headBegun bool
 	// remaining is how many bytes may still be read of the head.
--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -12,8 +12,8 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-// recordAnswer records what an answer to a request that was sent at a time says about
-// further requests to its upstream.
+// recordAnswer applies an answer to the state of its upstream for further requests; sentAt is
+// when its request was sent.
 func (x *exchange) recordAnswer(ctx context.Context, m *member, resp *forward.Response, sentAt time.Time) {
 	g := x.gateway
 	if limit := resp.Info.Limit; m.stats.limit.record(limit, sentAt) {
@@ -49,15 +49,15 @@
 		"reason", reason, "pause", pause)
 }
 
-// observation returns what the upstream has said in its answers as it is reported to the
-// controller.
+// observation returns the report to the controller of the state that the upstream's answers
+// imply.
 func (m *member) observation(now time.Time) rpc.AnswerObservation {
 	limit, at := m.stats.limit.current()
-	said := m.stats.saidInAnswers()
+	answers := m.stats.currentAnswers()
 	held := m.stats.limit.heldPermits()
 	return rpc.AnswerObservation{
 		Upstream: m.upstream.Name, Started: m.upstream.Started.UnixMilli(), Limited: limit.Limited, PerSecond: limit.PerSecond,
-		Leaving: said.Leaving(), Age: state.Duration(now.Sub(at)),
+		Leaving: answers.Leaving(), Age: state.Duration(now.Sub(at)),
 		GrantedBy: held.grantor, GrantedUntil: timeUntil(held.until, now), EarlierUntil: timeUntil(held.earlierUntil, now),
 	}
 }
@@ -130,8 +130,8 @@
 	return sendReport(ctx, g, rpc.MethodAnswers, params, g.opts.Controller.ReportAnswers)
 }
 
-// repeatAnswers reports all limits and all upstreams that leave, as a new controller knows
-// of none.
+// repeatAnswers reports all limits and all upstreams that leave to a new controller, which
+// starts without them.
 func (g *Gateway) repeatAnswers() {
 	v := g.view.Load()
 	for _, m := range v.byName {
@@ -140,7 +140,7 @@
 		}
 	}
 	for _, m := range v.draining {
-		if said := m.stats.saidInAnswers(); said.Leaving() {
+		if answers := m.stats.currentAnswers(); answers.Leaving() {
 			g.answerReports.add(m)
 		}
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -196,7 +196,7 @@
 		case f == unusable, f == onlyAgain && !x.askAgain:
 			continue
 		}
-		said := m.stats.saidInAnswers()
+		answers := m.stats.currentAnswers()
 		candidates = append(candidates, selection.Candidate{
 			Hash:           m.hash,
 			Locality:       m.locality,
@@ -204,7 +204,7 @@
 			PendingPrefill: m.stats.pendingPrefill(now),
 			Cached:         x.gateway.sentPrompts.cachedTokens(m.stats.index, x.prompt, x.call.Parts),
 			Ejected:        m.stats.ejected(now),
-			Avoided:        f == onlyAgain || said.Avoided(now),
+			Avoided:        f == onlyAgain || answers.Avoided(now),
 			Delay:          delay,
 		})
 		list = append(list, m)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -132,8 +132,8 @@
 	return v
 }
 
-// sendTo sends the request to an upstream, and records what the answer says about further
-// requests.
+// sendTo sends the request to an upstream, and applies the answer to the upstream's state for
+// further requests.
 func (x *exchange) sendTo(ctx context.Context, m *member, lastEvent string) (*forward.Response, error) {
 	sentAt := time.Now()
 	req := x.request(m, lastEvent)
--- a/internal/gateway/fitness.go
+++ b/internal/gateway/fitness.go
@@ -73,12 +73,12 @@
 // fitnessOf returns what an upstream is to the request, and the time until the request could
 // be sent there. A pausing upstream that has failed the request is too late.
 func (x *exchange) fitnessOf(m *member, now, latest time.Time) (fitness, time.Duration) {
-	said := m.stats.saidInAnswers()
-	pause := said.PauseLeft(now)
+	answers := m.stats.currentAnswers()
+	pause := answers.PauseLeft(now)
 	delay := max(m.stats.limit.permitDelay(now), pause)
 	excluded := x.excluded[m.upstream.Name]
 	switch {
-	case said.Leaving(), excluded == isGone && pause == 0:
+	case answers.Leaving(), excluded == isGone && pause == 0:
 		return unusable, 0
 	case excluded != notExcluded && pause > 0, delay > 0 && now.Add(delay).After(latest):
 		return tooLate, delay
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -25,8 +25,8 @@
 	permitCost = 30 * time.Millisecond
 )
 
-// limitState is the rate limit of an upstream and the permits to send requests to it, as
-// known to this gateway. The zero value is that of an upstream without a limit. Its
+// limitState is this gateway's copy of the rate limit of an upstream, and its permits to send
+// requests there. The zero value is that of an upstream without a limit. Its
 // methods may be called from any goroutine.
 type limitState struct {
 	mu    sync.Mutex
@@ -44,7 +44,7 @@
 	ownPermits          *rate.Limiter
 }
 
-// heldPermits says until when the permits that were granted to this gateway are valid.
+// heldPermits is until when the permits that were granted to this gateway are valid.
 type heldPermits struct {
 	// grantor is the term of the controller that has granted the latest ones, zero
 	// for those of this gateway's own part, and until is when the last one is valid.
@@ -152,12 +152,12 @@
 	return result.Granted && x.sleepWhileEligible(ctx, m, result.Delay.Std())
 }
 
-// awaitPauseEnd waits until the end of the pause that an upstream has asked for, or the next
+// awaitPauseEnd waits until the end of the pause that an upstream has requested, or the next
 // view, if there is a pause. It returns false then: the request chooses again.
 func (x *exchange) awaitPauseEnd(ctx context.Context, m *member) bool {
 	began := time.Now()
-	said := m.stats.saidInAnswers()
-	left := said.PauseLeft(began)
+	answers := m.stats.currentAnswers()
+	left := answers.PauseLeft(began)
 	if left == 0 {
 		return true
 	}
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -31,7 +31,7 @@
 	// sent.
 	Reselect(reason eligibility.Reason)
 	// UpstreamIneligible counts that an upstream's answers keep requests from it from
-	// now on: it leaves, wants a pause, or comes after the others as it refuses.
+	// now on: it leaves, has requested a pause, or comes after the others as it refuses.
 	UpstreamIneligible(upstream state.UpstreamName, reason eligibility.Reason)
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -223,7 +223,7 @@
 // wholeEvents reads a stream and checks that it ends after an event.
 type wholeEvents struct {
 	src io.Reader
-	// mayBeEmpty says that a stream without any event is complete.
+	// mayBeEmpty is set if a stream without any event is complete.
 	mayBeEmpty bool
 	end        sse.EndDetector
 }
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -22,8 +22,8 @@
 	registryReadAt, manifestReadAt atomic.Pointer[time.Time]
 	// manifestVersion is the version of the manifest that the controller holds.
 	manifestVersion atomic.Uint64
-	// wantRegistry says that the whole registry has to be requested once.
-	wantRegistry atomic.Bool
+	// requestAll is set if the next request has to be for the whole registry.
+	requestAll atomic.Bool
 }
 
 // reset causes both feeds to be read again.
@@ -49,15 +49,15 @@
 	g.relayed.manifestReadAt.Store(&manifest)
 }
 
-// requestRegistry lets the next request to the controller ask for the whole registry. This
-// gateway goes by it from now on, and may lack entries that the controller has no reason
-// to report again: its own reading of the registry was of another moment.
-func (g *Gateway) requestRegistry() { g.relayed.wantRegistry.Store(true) }
+// requestRegistry makes the next request to the controller one for the whole registry. From
+// now on this gateway uses the controller's registry. It may lack entries of that, as it has
+// read the registry at another moment, and the controller reports changes only.
+func (g *Gateway) requestRegistry() { g.relayed.requestAll.Store(true) }
 
 // prepareResidency updates the parameters of the next request to the controller.
 func (g *Gateway) prepareResidency(params *rpc.ResidencyParams) {
 	params.StoreAge = state.Duration(time.Since(*g.lastStoreRead.Load()))
-	if g.relayed.wantRegistry.Swap(false) {
+	if g.relayed.requestAll.Swap(false) {
 		params.Revision = 0
 	}
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -51,7 +51,7 @@
 }
 
 // unlistedUpstream is an upstream without an entry. The entry may have lapsed while the
-// upstream runs; if it is back, what this start of the upstream has said still holds.
+// upstream runs; once it is back, the state from the answers of this start still holds.
 type unlistedUpstream struct {
 	started time.Time
 	stats   *upstreamStats
@@ -167,8 +167,8 @@
 	return changed
 }
 
-// applyReportedAnswers applies what an upstream has said in answers to other gateways: that
-// it leaves, and a rate limit if it differs from the last one that the controller
+// applyReportedAnswers applies the controller's report of answers to other gateways: that
+// the upstream leaves, and a rate limit if it differs from the last one that the controller
 // reported.
 func (t *tables) applyReportedAnswers(u rpc.UpstreamResidency, now time.Time) {
 	row, ok := t.upstreams[u.Upstream]
@@ -252,7 +252,7 @@
 			hash:     routing.UpstreamHash(u.Name),
 			stats:    row.stats,
 		}
-		if said := row.stats.saidInAnswers(); u.Draining || said.Leaving() {
+		if answers := row.stats.currentAnswers(); u.Draining || answers.Leaving() {
 			v.draining[u.Name] = m
 			continue
 		}
--- a/internal/gateway/tables_test.go
+++ b/internal/gateway/tables_test.go
@@ -73,9 +73,9 @@
 			again := entry(2)
 			again.Started = c.started
 			tables.applyUpstream(again)
-			said := tables.upstreams["u"].stats.saidInAnswers()
-			g.Expect(said.Leaving()).To(Equal(c.leaving))
-			g.Expect(said.PauseLeft(now) > 0).To(Equal(c.leaving))
+			answers := tables.upstreams["u"].stats.currentAnswers()
+			g.Expect(answers.Leaving()).To(Equal(c.leaving))
+			g.Expect(answers.PauseLeft(now) > 0).To(Equal(c.leaving))
 			g.Expect(tables.view(now).service("s")).To(HaveLen(map[bool]int{true: 0, false: 1}[c.leaving]))
 			g.Expect(tables.unlisted).To(BeEmpty())
 		})
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -20,8 +20,8 @@
 	manifest  *fleet.Manifest
 	byService map[state.ServiceName][]*member
 	byName    map[state.UpstreamName]*member
-	// draining has the upstreams that are registered as draining or have said that
-	// they leave; they are in neither of the other maps.
+	// draining has the upstreams that are registered as draining or have announced
+	// that they leave; they are in neither of the other maps.
 	draining map[state.UpstreamName]*member
 	// changed is closed when a newer view is published.
 	changed chan struct{}
@@ -53,7 +53,7 @@
 
 	mu     sync.Mutex
 	health health.Record
-	// answers is what the upstream has said in its answers about further requests.
+	// answers is the state that the upstream's answers imply for further requests.
 	answers eligibility.Answers
 	// othersBacklog is the prefill work sent by other gateways.
 	othersBacklog selection.Backlog
@@ -80,7 +80,7 @@
 	return s.health.Ejected(now)
 }
 
-// recordAnswer records what an answer says about further requests. It returns the reason
+// recordAnswer applies an answer to the state for further requests. It returns the reason
 // for which the upstream is not eligible from now on, if that is new.
 func (s *upstreamStats) recordAnswer(answer fleet.AnswerInfo, now time.Time) (began eligibility.Reason) {
 	s.mu.Lock()
@@ -107,7 +107,7 @@
 	s.answers.RecordChosen(now)
 }
 
-func (s *upstreamStats) saidInAnswers() eligibility.Answers {
+func (s *upstreamStats) currentAnswers() eligibility.Answers {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.answers
@@ -136,7 +136,7 @@
 	}
 	return eligibility.Check(chosen.upstream.Started, eligibility.Upstream{
 		Listed: true, Started: m.upstream.Started, Draining: m.upstream.Draining,
-		HoldsTarget: fleet.Holds(m.replicas, t), Answers: m.stats.saidInAnswers(),
+		HoldsTarget: fleet.Holds(m.replicas, t), Answers: m.stats.currentAnswers(),
 	}, now)
 }
 
--- a/internal/sse/events.go
+++ b/internal/sse/events.go
@@ -33,14 +33,14 @@
 	ready  int
 	// err is the error of the last read of the source.
 	err error
-	// formatKnown says that the stream's first bytes have been checked for an
-	// id. passThrough says that the stream can't be resumed and is returned as
+	// formatKnown is set once the stream's first bytes have been checked for an
+	// id. passThrough is set if the stream can't be resumed and is returned as
 	// it arrives.
 	formatKnown bool
 	passThrough bool
 	lastID      string
-	// unverified says that no whole event has arrived since Resume, and
-	// restExpected that the stream was cut within an event, so that one has to.
+	// unverified is set until a whole event has arrived since Resume. restExpected
+	// is set if the stream was cut within an event, so that one has to arrive.
 	unverified   bool
 	restExpected bool
 }
