--- a/internal/abort/abort.go
+++ b/internal/abort/abort.go
@@ -25,7 +25,7 @@
 		return
 	}
 	if secure, ok := conn.(*tls.Conn); ok {
-		// Its own Close tells the caller that the data is complete.
+		// Its Close would first send the notice that the data is complete.
 		conn = secure.NetConn()
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/internal/gateway/framing_test.go
+++ b/internal/gateway/framing_test.go
@@ -96,6 +96,37 @@
 	}
 }
 
+// Guards against issue 34, ORDER: a stream that its caller resumes and that is cut again, at any
+// byte of its next event, ends as complete, or is begun anew from its first event.
+func TestStreamThatItsCallerResumesIsCutAtEachByte(t *testing.T) {
+	const event, last = "id: 2\ndata: 4\n\n", "id: 3\ndata: 9\n\n"
+	for framing, frame := range testenv.Framings() {
+		t.Run(framing, func(t *testing.T) {
+			s := start(t)
+			s.routes(1)
+			var at, received atomic.Int32
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.URL.Path == "/any/0":
+				case r.Header.Get("After") != "1":
+					writeRaw(w, lastResponse, frame("id: 1\ndata: 1\n\n"+event+last))
+				case received.Add(1)%2 == 1:
+					writeRaw(w, eventStream, frame(event[:at.Load()]))
+				default:
+					writeRaw(w, lastResponse, frame(event+last))
+				}
+			}
+			s.pair(serve)
+			for n := 1; n < len(event); n++ {
+				at.Store(int32(n))
+				s.fillRetryBudget()
+				got := s.request(t.Context(), "/resume/1", http.Header{"Last-Event": {"1"}})
+				s.g.Expect([]any{got.body, got.err}).To(Equal([]any{event + last, nil}), "cut at %d", n)
+			}
+		})
+	}
+}
+
 // Guards against issue 34, ORDER: a stream with a declared length that is cut between two
 // events ends as complete, since the upstream that is to resume it has no event.
 func TestRestOfAStreamThatIsTooShortIsNotEmpty(t *testing.T) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -124,6 +124,7 @@
 	}
 	return fleet.RequestInfo{
 		ID: h.Get("Id"), Patience: patience, Target: fleet.Target{Model: state.ModelName(h.Get("Model"))}, Parts: parts(h.Get("Parts")),
+		LastEvent: h.Get("Last-Event"),
 	}, nil
 }
 
