--- a/internal/decide/account/account.go
+++ b/internal/decide/account/account.go
@@ -51,7 +51,7 @@
 	LargestAdapter(model state.ModelName) state.Bytes
 }
 
-// Use says how a replica or one of its adapters is being used.
+// Use is how a replica or one of its adapters is being used.
 type Use struct {
 	// InFlight counts requests that run on it or are queued for it.
 	InFlight int
@@ -171,7 +171,7 @@
 	nextOrder OrderID
 	backoff   map[target]time.Time
 
-	// fenced says that the engine has accepted an order with the agent's
+	// fenced is set if the engine has accepted an order with the agent's
 	// token; fenceStamp is when the answer arrived.
 	fenced     bool
 	fenceStamp Stamp
@@ -213,7 +213,7 @@
 	answeredStamp Stamp // 0 while in flight
 	outcome       Outcome
 	lastChange    time.Time // when it was sent or, later, answered
-	// beforeRestart says that the engine has restarted since the order was
+	// beforeRestart is set if the engine has restarted since the order was
 	// sent. Without a definite answer the order is void; with one it reached
 	// the new engine.
 	beforeRestart bool
--- a/internal/decide/claims/lookup.go
+++ b/internal/decide/claims/lookup.go
@@ -93,7 +93,7 @@
 	return o.claimed(key) || inLine || o.tooOld(key)
 }
 
-// answer answers the lookup. unseen says that the key was certainly never claimed.
+// answer answers the lookup. unseen is set if the key was certainly never claimed.
 func (l lookup) answer(unseen bool, out *Commands) {
 	if l.refusal == nil {
 		out.Found = append(out.Found, LookupResult{Ticket: l.ticket, Unseen: unseen})
--- a/internal/decide/claims/table.go
+++ b/internal/decide/claims/table.go
@@ -34,7 +34,7 @@
 	// outcomeOffset is the offset of the outcome record.
 	outcomeOffset state.Offset
 	status        int32
-	// answerKept says that the outcome record holds the answer.
+	// answerKept is set if the outcome record holds the answer.
 	answerKept bool
 }
 
--- a/internal/decide/election/election.go
+++ b/internal/decide/election/election.go
@@ -93,7 +93,7 @@
 	// recentHosts lists the hosts that held the lease recently and must pause
 	// before they act again.
 	recentHosts []string
-	// mustPause says that this process has to pause for Settle before it acts if
+	// mustPause is set if this process has to pause for Settle before it acts if
 	// the write under way takes the lease.
 	mustPause bool
 	// endedHolder is a process that no longer holds the lease, as known since
@@ -102,9 +102,9 @@
 	endedAt     time.Time
 	// pending is the write whose outcome is unknown.
 	pending *pendingWrite
-	// needsRead says that the newest record must be read now.
+	// needsRead is set if the newest record must be read now.
 	needsRead bool
-	// readBeforeWrite says that the newest record must be read before a write:
+	// readBeforeWrite is set if the newest record must be read before a write:
 	// only its offset is known, from its holder.
 	readBeforeWrite bool
 }
--- a/internal/decide/estimate/estimate.go
+++ b/internal/decide/estimate/estimate.go
@@ -64,9 +64,9 @@
 type Estimate struct {
 	Tokens  int
 	Service time.Duration
-	// Long says that the request belongs to the long class.
+	// Long is set if the request belongs to the long class.
 	Long bool
-	// Known says that the prediction is based on enough history of this caller.
+	// Known is set if the prediction is based on enough history of this caller.
 	Known bool
 }
 
--- a/internal/decide/lease/api.go
+++ b/internal/decide/lease/api.go
@@ -33,10 +33,10 @@
 	// Entries lists the live entries of the region that are not leaving,
 	// self included.
 	Entries []state.EntryName
-	// HolderLeaving says that the holder has announced its stop, so that
+	// HolderLeaving is set if the holder has announced its stop, so that
 	// standbys need not wait for TakeAfter.
 	HolderLeaving bool
-	// Leaving says that this process is stopping.
+	// Leaving is set if this process is stopping.
 	Leaving bool
 }
 
--- a/internal/decide/membership/agents.go
+++ b/internal/decide/membership/agents.go
@@ -21,7 +21,7 @@
 	incarnations  incarnationHistory
 	token         state.FencingToken
 	sequence      uint64
-	// fullSeen says that a full heartbeat has been applied.
+	// fullSeen is set if a full heartbeat has been applied.
 	fullSeen bool
 	state    rpc.AgentState
 	replicas map[state.ReplicaKey]state.Replica
--- a/internal/decide/membership/detector.go
+++ b/internal/decide/membership/detector.go
@@ -74,7 +74,7 @@
 	// deathReport is another entry's update that reports this live one as dead;
 	// zero if there is none.
 	deathReport Update
-	// sumDiffers says that the sum of live entries in the entry's last message
+	// sumDiffers is set if the sum of live entries in the entry's last message
 	// differed from this entry's.
 	sumDiffers bool
 }
--- a/internal/decide/membership/watched.go
+++ b/internal/decide/membership/watched.go
@@ -10,7 +10,7 @@
 // WatchedUpstream is an upstream whose agent may still run.
 type WatchedUpstream struct {
 	state.Upstream
-	// Former says that the configuration does not have the upstream on the host
+	// Former is set if the configuration does not have the upstream on the host
 	// where its agent is registered. It gets no work and no grants, and is
 	// watched until its host is gone; Upstream then holds only the name, host
 	// and region.
--- a/internal/decide/residency/residency.go
+++ b/internal/decide/residency/residency.go
@@ -64,7 +64,7 @@
 	Upstream state.UpstreamName
 	Kind     fleet.OrderKind
 	fleet.Target
-	// FromStore says that the load reads the weights from the weight store.
+	// FromStore is set if the load reads the weights from the weight store.
 	FromStore bool
 	// Reserve is the model that an unload makes room for; empty if there is
 	// none.
--- a/internal/decide/routing/candidate.go
+++ b/internal/decide/routing/candidate.go
@@ -9,7 +9,7 @@
 	"github.com/lagoonvalve/lagoonvalve/internal/state"
 )
 
-// Locality says how far a replica is from the entry.
+// Locality is how far a replica is from the entry.
 type Locality uint8
 
 // The localities, nearest first.
@@ -34,7 +34,7 @@
 	// Latency is the estimated service time of this request there.
 	Latency  time.Duration
 	Locality Locality
-	// AdapterLoaded says that the requested adapter is loaded, or that none is
+	// AdapterLoaded is set if the requested adapter is loaded, or none is
 	// requested.
 	AdapterLoaded bool
 	// Prefix is the estimated fraction of the prompt in the replica's prefix
@@ -43,7 +43,7 @@
 	// Rank orders the replicas for a prompt prefix in the same way at all
 	// entries; see the function Rank.
 	Rank uint64
-	// Ejected says that the replica's upstream is out of rotation.
+	// Ejected is set if the replica's upstream is out of rotation.
 	Ejected bool
 }
 
@@ -66,9 +66,9 @@
 	Prefill time.Duration
 	// Volume is the predicted traffic of the request in both directions.
 	Volume state.Bytes
-	// Adapter says that the request needs an adapter.
+	// Adapter is set if the request needs an adapter.
 	Adapter bool
-	// Remote says that the volume budget allows sending the request to another
+	// Remote is set if the volume budget allows sending the request to another
 	// region.
 	Remote bool
 	// Exclude is the Candidate.Replica of an earlier attempt, or -1.
--- a/internal/decide/routing/latency.go
+++ b/internal/decide/routing/latency.go
@@ -68,7 +68,7 @@
 	backoff time.Duration
 }
 
-// Ejection says by which latency an upstream was ejected, if it was.
+// Ejection is the latency by which an upstream was ejected, if it was.
 type Ejection int
 
 // The values of Ejection.
--- a/internal/decide/routing/prefix.go
+++ b/internal/decide/routing/prefix.go
@@ -20,7 +20,7 @@
 	MaxPrefix int
 }
 
-// blockLocation says that an upstream probably has a block in its cache. Unused
+// blockLocation means that an upstream probably has a block in its cache. Unused
 // places of the ring have upstream -1.
 type blockLocation struct {
 	block    uint64
--- a/internal/decide/scaling/evict.go
+++ b/internal/decide/scaling/evict.go
@@ -25,7 +25,7 @@
 type Resident struct {
 	Key  state.ReplicaKey
 	Size state.Bytes
-	// Busy says that requests run or wait there, or that it must not be
+	// Busy is set if requests run or wait there, or it must not be
 	// evicted for another reason.
 	Busy     bool
 	Loaded   time.Time
--- a/internal/decide/scaling/home.go
+++ b/internal/decide/scaling/home.go
@@ -71,7 +71,7 @@
 	// Slowdown is how many times slower than usual the upstream is now, as
 	// its agent reports it; values below 1 count as 1.
 	Slowdown float64
-	// Draining says that the upstream takes no new work.
+	// Draining is set if the upstream takes no new work.
 	Draining bool
 }
 
@@ -89,7 +89,7 @@
 	// evict enough.
 	Usable bool
 	Slots  int
-	// SpareRefused says that the agent has recently refused a spare replica
+	// SpareRefused is set if the agent has recently refused a spare replica
 	// that must share an accelerator with other models.
 	SpareRefused bool
 }
@@ -132,7 +132,7 @@
 	// ReadyIn is the expected time until the first replica is ready; zero if
 	// one is ready already.
 	ReadyIn time.Duration
-	// NoReplica says that requests wait although no replica is ready or
+	// NoReplica is set if requests wait although no replica is ready or
 	// loading and no grant is usable.
 	NoReplica bool
 }
--- a/internal/decide/scaling/spare.go
+++ b/internal/decide/scaling/spare.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// SpareKind says whether a load is for a spare replica: an additional replica of
+// SpareKind distinguishes loads of spare replicas: an additional replica of
 // a model in steady use, which reduces the risk that all of the model's replicas
 // are stragglers.
 type SpareKind uint8
--- a/internal/decide/selection/selection.go
+++ b/internal/decide/selection/selection.go
@@ -82,7 +82,7 @@
 	// ModelHash is the hash of the model name. It determines the replica reserved
 	// for short prompts.
 	ModelHash uint64
-	// LongPrompts says that the model has received long prompts lately.
+	// LongPrompts is set if the model has received long prompts lately.
 	LongPrompts bool
 	Prompt      fleet.Tokens
 	// Shared is the number of tokens in the prompt parts that other requests
@@ -125,9 +125,9 @@
 }
 
 // cost returns the cost of a request at a candidate: its expected delay and penalties.
-// isReserved says that the candidate is the replica reserved for short prompts,
-// isShared that all gateways send the request's shared prompt parts there, and
-// hasReserved that any candidate is reserved.
+// isReserved is set if the candidate is the replica reserved for short prompts,
+// isShared if all gateways send the request's shared prompt parts there, and
+// hasReserved if any candidate is reserved.
 func (c Config) cost(cand *Candidate, req Request, isReserved, isShared, hasReserved bool) time.Duration {
 	uncached := max(req.Prompt-cand.Cached, 0)
 	cost := cand.Delay + time.Duration(uncached)*c.PrefillPerToken + cand.PendingPrefill + time.Duration(cand.Running)*c.PerRunningRequest
--- a/internal/fleet/manifest.go
+++ b/internal/fleet/manifest.go
@@ -22,7 +22,7 @@
 // Megabytes is a size in units of 1,000,000 bytes.
 type Megabytes float64
 
-// RouteKind says whether the requests of a route may run more than once.
+// RouteKind is the kind of a route: whether its requests may run more than once.
 type RouteKind uint8
 
 // The kinds of routes. AtMostOnce is the zero value, so that a kind that was
@@ -39,14 +39,14 @@
 	Weight  float64
 }
 
-// Route says where the requests for a host and path prefix are sent, and their
+// Route is the destination of the requests for a host and path prefix, and their
 // limits.
 type Route struct {
 	Name       string
 	Host       string
 	PathPrefix string
 	Kind       RouteKind
-	// Resumable says that a stream may continue on another upstream.
+	// Resumable is set if a stream may continue on another upstream.
 	Resumable bool
 	// Timeout is the longest time that a caller may be kept waiting.
 	Timeout time.Duration
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -24,7 +24,7 @@
 	Key string
 	// Value is nil if the key was removed or its new entry is invalid.
 	Value *T
-	// Invalid says why the entry is invalid; nil for a valid entry or a
+	// Invalid is why the entry is invalid; nil for a valid entry or a
 	// removal.
 	Invalid error
 }
@@ -61,7 +61,7 @@
 	// Token orders the holders: it is one more than the offset of the record by
 	// which the lease was taken. It is zero in that record itself.
 	Token state.FencingToken `json:"token,omitempty"`
-	// Released says that the holder has released the lease.
+	// Released is set if the holder has released the lease.
 	Released bool `json:"released,omitempty"`
 	// Sequence distinguishes the records of one holder.
 	Sequence uint64 `json:"sequence"`
@@ -153,7 +153,7 @@
 	// Coming lists the adapters that are being loaded. They take places like those
 	// that are held.
 	Coming []Target
-	// Busy says that an order is in progress.
+	// Busy is set if an order is in progress.
 	Busy bool
 	// Accepted is the number of orders accepted since the engine's start.
 	Accepted         int
@@ -203,16 +203,16 @@
 	// ID is the id of the request that is answered; empty if the answer has
 	// none.
 	ID string
-	// Sealed says that the answer is marked as coming from the upstream itself.
+	// Sealed is set if the answer is marked as coming from the upstream itself.
 	Sealed bool
-	// NotRun says that the request was not run and will not be.
+	// NotRun is set if the request was not run and will not be.
 	NotRun bool
 	// Limit is the rate limit that the upstream names.
 	Limit RateLimit
-	// Leaving says that the upstream is about to end.
+	// Leaving is set if the upstream is about to end.
 	Leaving bool
-	// Pause is how long the upstream wants no requests from this gateway; zero if
-	// it does not say.
+	// Pause is how long the upstream asks this gateway to send it nothing; zero if
+	// it asks for no pause.
 	Pause time.Duration
 }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -28,7 +28,7 @@
 	DataCentre state.DataCentre
 	// Slots is how many requests the upstream runs concurrently.
 	Slots int
-	// Draining says that the upstream accepts no new work.
+	// Draining is set if the upstream accepts no new work.
 	Draining bool
 	Replicas []Replica
 	// InMemory and OnDisk list the models whose weights the upstream's host
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 )
 
-// Execution says whether the work of a request ran on an upstream.
+// Execution is whether the work of a request has run on an upstream.
 type Execution uint8
 
 const (
@@ -59,7 +59,7 @@
 
 // Verdict is how a request ended. It implements error.
 type Verdict struct {
-	// Execution says whether the work may have run.
+	// Execution is whether the work may have run.
 	Execution Execution `json:"execution"`
 	// Reason is the machine-readable cause.
 	Reason Reason `json:"reason"`
