standin: a cut event begins with its id

It cut an event before writing its id. Cut within the first event, the stream looked like one without ids, which the entry passes on as it arrives and can't resume, so its caller got the cut.

Change: the id comes first, as in whole events. The disturbed scripts are unchanged.

Measured: TestScripts/cut-stream, which cuts a stream in its middle and one in its first event, failed before ('the stream has no end') and passes now.

--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -77,6 +77,7 @@
 // cut breaks the answer off, a stream within its next event.
 func (a *answer) cut() {
 	if a.work.stream {
+		a.begin(a.sent + 1)
 		_, _ = fmt.Fprint(a.w, "data: {")
 		a.flush()
 		panic(http.ErrAbortHandler)
@@ -123,14 +124,19 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	// A write error means that the caller left, which ends the request.
-	if a.work.ids {
-		_, _ = fmt.Fprintf(a.w, "id: %d\n", a.sent)
-	}
+	a.begin(a.sent)
 	_, _ = fmt.Fprintf(a.w, "data: %s\n\n", encoded)
 	a.flush()
 }
 
+// begin writes the first line of an event if events have ids. A write error means that the
+// caller left, which ends the request.
+func (a *answer) begin(id int) {
+	if a.work.ids {
+		_, _ = fmt.Fprintf(a.w, "id: %d\n", id)
+	}
+}
+
 func (a *answer) flush() {
 	if flusher, ok := a.w.(http.Flusher); ok {
 		flusher.Flush()
