--- a/internal/abort/abort.go
+++ b/internal/abort/abort.go
@@ -29,6 +29,7 @@
 		conn = secure.NetConn()
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
+		// An error means that the caller has closed the connection.
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
