review: a runner that has left is used again after the store has come back older

Cause: an entry that was removed is taken again from an older copy of the store, though all gateways had read that it was gone.

--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -76,17 +77,32 @@
 
 var dir string
 
+var given = map[int]bool{}
+
+// freeAddr returns an address at which nothing listens. Its port is above those that the system
+// gives to channels, so that none takes it meanwhile.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range 1000 {
+		port := 61000 + rand.IntN(4400)
+		addr := "127.0.0.1:" + strconv.Itoa(port)
+		l, err := net.Listen("tcp", addr)
+		if err != nil || given[port] {
+			continue
+		}
+		_ = l.Close()
+		given[port] = true
+		return addr
+	}
+	finish(failed, "no free port")
+	return ""
 }
 
 // gateway is a gateway process with the settings of deploy/gateway.toml.tmpl.
 type gateway struct {
 	name, callers, ready, control string
 	config                        string
+	store                         *store
+	settings                      settings
 	cmd                           *exec.Cmd
 	done                          chan struct{}
 }
@@ -104,8 +120,18 @@
 }
 
 func startGateway(s *store, i int, set settings) *gateway {
-	g := &gateway{name: fmt.Sprintf("front-z-%d", i), callers: freeAddr(), ready: freeAddr(), control: freeAddr()}
+	g := &gateway{name: fmt.Sprintf("front-z-%d", i), store: s, settings: set}
 	g.config = filepath.Join(dir, g.name+".toml")
+	g.configure()
+	g.start()
+	gateways = append(gateways, g)
+	return g
+}
+
+// configure writes the settings, with addresses that are free now.
+func (g *gateway) configure() {
+	g.callers, g.ready, g.control = freeAddr(), freeAddr(), freeAddr()
+	set := g.settings
 	text := fmt.Sprintf(`name = %q
 host = %q
 region = "r"
@@ -135,11 +161,8 @@
 [[data_centres]]
 name = "z"
 region = "r"
-`, g.name, g.name, g.ready, freeAddr(), s.addr(), set.memoryMB, set.fds, g.callers, g.control, freeAddr(), set.graceS, set.leaseMs, set.leaseMs, set.slack, set.more)
+`, g.name, g.name, g.ready, freeAddr(), g.store.addr(), set.memoryMB, set.fds, g.callers, g.control, freeAddr(), set.graceS, set.leaseMs, set.leaseMs, set.slack, set.more)
 	check(os.WriteFile(g.config, []byte(text), 0o600))
-	g.start()
-	gateways = append(gateways, g)
-	return g
 }
 
 // start runs the command of the deploy file.
@@ -171,6 +194,12 @@
 func (g *gateway) awaitReady() {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if g.ended() {
+			// Another process may have taken one of its ports meanwhile.
+			time.Sleep(time.Second)
+			g.configure()
+			g.start()
+		}
 		resp, err := client.Get("http://" + g.ready + "/lagoonvalve/ready")
 		if err != nil {
 			continue
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -30,14 +30,21 @@
 	// answer on the channel is due. Nil sends nothing.
 	after func(r *runner, id string, answer []byte) []byte
 
-	mu       sync.Mutex
-	boot     *boot
-	beats    int
+	mu    sync.Mutex
+	boot  *boot
+	beats int
+	// beatAt is when the entry was last written.
+	beatAt   time.Time
 	draining bool
 	gone     bool
-	conns    map[net.Conn]bool
+	// removed says that the runner has removed its entry, and leaves.
+	removed bool
+	conns   map[net.Conn]bool
 }
 
+// heartbeat is the time between two writes of an entry.
+const heartbeat = 1200 * time.Millisecond
+
 // boot is the work of one start of a runner.
 type boot struct {
 	running, waiting int
@@ -48,13 +55,13 @@
 func newBoot() *boot { return &boot{freed: make(chan struct{}), ended: make(chan struct{})} }
 
 func startRunner(s *store, id, service string, slots, queue int, engine *engine) *runner {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freeAddr())
 	check(err)
 	r := &runner{id: id, service: service, zone: "z", listener: l, born: time.Now(), store: s, slots: slots, queue: queue, engine: engine,
 		boot: newBoot(), conns: map[net.Conn]bool{}}
 	r.register()
 	go func() {
-		for range time.Tick(time.Second) {
+		for range time.Tick(heartbeat) {
 			r.mu.Lock()
 			gone := r.gone
 			r.mu.Unlock()
@@ -91,6 +98,11 @@
 	if r.gone {
 		return
 	}
+	r.beatAt = time.Now()
+	if r.removed {
+		r.store.put("keyed.servers", r.id, nil)
+		return
+	}
 	r.beats++
 	state := "ready"
 	if r.draining {
@@ -245,3 +257,24 @@
 	case <-b.ended:
 	}
 }
+
+// leaves removes the runner's entry in the store. The runner serves on for a while, and then
+// ends. Until then it writes with each heartbeat that it has no entry.
+func (r *runner) leaves(serves time.Duration) {
+	r.mu.Lock()
+	r.removed = true
+	r.mu.Unlock()
+	r.register()
+	note("runner %s has removed its entry", r.id)
+	time.AfterFunc(serves, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.gone = true
+		_ = r.listener.Close()
+		for c := range r.conns {
+			_ = c.Close()
+		}
+		close(r.boot.ended)
+		note("runner %s has ended", r.id)
+	})
+}
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -21,6 +21,10 @@
 
 	mu     sync.Mutex
 	topics map[string]*topic
+	// era counts how often the store has come back as an older copy of itself, and away is
+	// until when it does not answer.
+	era  int
+	away time.Time
 }
 
 type topic struct {
@@ -29,6 +33,7 @@
 }
 
 type record struct {
+	at    time.Time
 	key   string
 	value []byte
 }
@@ -56,7 +61,7 @@
 func (s *store) put(topicName, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.topic(topicName).add(record{key, value})
+	s.topic(topicName).add(record{time.Now(), key, value})
 }
 
 func (t *topic) add(r record) {
@@ -65,8 +70,30 @@
 	t.changed = make(chan struct{})
 }
 
+// rewind makes the store come back as a copy that is some seconds old, after a moment.
+func (s *store) rewind(age, away time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = time.Now().Add(away)
+	s.era++
+	for _, t := range s.topics {
+		for len(t.records) > 0 && time.Since(t.records[len(t.records)-1].at) < age {
+			t.records = t.records[:len(t.records)-1]
+		}
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Store-Era", "0")
+	s.mu.Lock()
+	away := time.Now().Before(s.away)
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	s.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/lagoonvalve/log-append":
 		s.append(w, r)
@@ -98,7 +125,7 @@
 	for len(body) >= 4 {
 		n := binary.BigEndian.Uint32(body)
 		content := body[4 : 4+n]
-		t.add(record{string(content[1 : 1+content[0]]), content[1+content[0]:]})
+		t.add(record{time.Now(), string(content[1 : 1+content[0]]), content[1+content[0]:]})
 		body = body[4+n:]
 	}
 	_, _ = fmt.Fprintf(w, `{"offset":%d,"end":%d}`, first, len(t.records))
@@ -125,6 +152,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
 	if from > len(t.records) {
 		w.WriteHeader(http.StatusGone)
 		_, _ = io.WriteString(w, `{"first":0}`)
