--- a/review/standins-2/drill.go
+++ b/review/standins-2/drill.go
@@ -8,13 +8,15 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 func init() { cases["drill"] = drill }
 
-// drill: a runner leaves in the planned way, by removing its entry. After that the store comes
-// back as a copy from before.
+// drill: a runner that has nothing in work leaves in the planned way, by removing its entry; so no
+// answer of its says that it leaves. After that the store comes back as a copy from before, and
+// requests come again.
 func drill() {
 	const (
 		drain  = 3 * time.Second
@@ -58,11 +60,21 @@
 	began := time.Now()
 	over := func() bool { return time.Since(began) > 22*time.Second }
 	var clients sync.WaitGroup
+	// Nobody asks for the models of the service while quiet is set.
+	var quiet atomic.Bool
 	results := map[string]int{}
 	for i, g := range gateways {
 		for k := range 10 {
 			clients.Go(func() {
 				for n := 0; !over(); n++ {
+					if quiet.Load() {
+						// Consumers come again at any time, not all at once.
+						for quiet.Load() {
+							time.Sleep(20 * time.Millisecond)
+						}
+						time.Sleep(time.Duration(rand.IntN(2000)) * time.Millisecond)
+						continue
+					}
 					id := fmt.Sprintf("c%d-%d-%d", i, k, n)
 					a := send(g.callers, "POST", "/note/1", id, 15000, "X-Token-Count: 300,80\r\n", "hello")
 					mu.Lock()
@@ -73,7 +85,9 @@
 			})
 		}
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(3 * time.Second)
+	quiet.Store(true)
+	time.Sleep(3 * time.Second)
 	x := runners[0]
 	x.leaves(drain + linger)
 	left := time.Now()
@@ -86,6 +100,7 @@
 		note("the store comes back as a copy that is 5 s old")
 		s.rewind(5*time.Second, 300*time.Millisecond)
 	}
+	quiet.Store(false)
 	clients.Wait()
 	mu.Lock()
 	defer mu.Unlock()
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -182,6 +183,7 @@
 			late = nil
 		}
 		answer, keep := r.answer(req, id, body)
+		answer = r.sayLeaving(answer)
 		if _, err := c.Write(answer); err != nil || !keep {
 			return
 		}
@@ -278,3 +280,13 @@
 		note("runner %s has ended", r.id)
 	})
 }
+
+// sayLeaving adds to an answer that the runner leaves, if it does.
+func (r *runner) sayLeaving(answer []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.removed && !r.draining {
+		return answer
+	}
+	return bytes.Replace(answer, []byte("\r\n"), []byte("\r\nServer-Leaving: 1\r\n"), 1)
+}
